--- /dev/null
+++ b/apps/papayafieldctl/Options.cpp
@@ -0,0 +1,124 @@
+#include "papayafieldctl/Options.h"
+
+#include <getopt.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+
+namespace papayafield::papayafieldctl {
+
+namespace {
+
+constexpr char kHelp[] =
+  "papayafieldctl: drives papayafield.\n"
+  "\n"
+  "Usage: papayafieldctl COMMAND [FILE] [options]\n"
+  "\n"
+  "Commands:\n"
+  "  validate FILE   check a manifest and print all findings\n"
+  "  apply FILE      make a manifest the configuration in force\n"
+  "  status          show the members, their generation and the endpoints\n"
+  "  manifest        print the manifest in force\n"
+  "  timeline        print the events of all nodes in causal order\n"
+  "  drain           ask the node given by --node to finish its work and stop\n"
+  "  version         print the version\n"
+  "\n"
+  "Options:\n"
+  "  -n, --node ADDR       a node, as IP:PORT; may stand more than once\n"
+  "  -k, --key-file FILE   read the operator's key from FILE; else from PAPAYAFIELD_KEY\n"
+  "  -j, --json            print JSON\n"
+  "  -w, --wait            apply: wait until the change is in force at each node\n"
+  "  -s, --wait-seconds N  apply: wait at most N seconds (30)\n"
+  "  -b, --base N          apply: the generation that the change is based on (the present one)\n"
+  "  -i, --apply-id ID     apply: the number of this apply, to settle an unknown one\n"
+  "  -u, --by NAME         apply: who makes the change (the user's name)\n"
+  "  -r, --request ID      timeline: only the events of this request\n"
+  "  -e, --subject NAME    timeline: only the events about this endpoint or generation\n"
+  "  -h, --help            print this help\n"
+  "\n"
+  "Exit codes: 0 done, 1 failed, 2 wrong usage, 3 the manifest has findings, 4 conflict with\n"
+  "another change, 5 unknown (ask again with the same --apply-id), 6 no node could be reached.\n";
+
+std::string FirstLine(const std::string& aFile) {
+  std::ifstream file(aFile);
+  std::string line;
+  std::getline(file, line);
+  return line;
+}
+
+} // namespace
+
+std::optional<ExitCode> ReadOptions(int aCount, char** aValues, Options& aOptions) {
+  static const option kOptions[] = { { "node", required_argument, nullptr, 'n' },
+                                     { "key-file", required_argument, nullptr, 'k' },
+                                     { "json", no_argument, nullptr, 'j' },
+                                     { "wait", no_argument, nullptr, 'w' },
+                                     { "wait-seconds", required_argument, nullptr, 's' },
+                                     { "base", required_argument, nullptr, 'b' },
+                                     { "apply-id", required_argument, nullptr, 'i' },
+                                     { "by", required_argument, nullptr, 'u' },
+                                     { "request", required_argument, nullptr, 'r' },
+                                     { "subject", required_argument, nullptr, 'e' },
+                                     { "help", no_argument, nullptr, 'h' },
+                                     { nullptr, 0, nullptr, 0 } };
+  const char* key = std::getenv("PAPAYAFIELD_KEY");
+  aOptions.m_key = key == nullptr ? "" : key;
+  const char* user = std::getenv("USER");
+  aOptions.m_setBy = user == nullptr ? "operator" : user;
+  for (int got = 0;
+       (got = getopt_long(aCount, aValues, "n:k:jws:b:i:u:r:e:h", kOptions, nullptr)) != -1;) {
+    switch (got) {
+      case 'n':
+        aOptions.m_nodes.push_back(base::Address::Parse(optarg));
+        if (aOptions.m_nodes.back().m_port == 0) {
+          std::fprintf(stderr, "papayafieldctl: '%s' is no address\n", optarg);
+          return ExitCode::Usage;
+        }
+        break;
+      case 'k':
+        aOptions.m_key = FirstLine(optarg);
+        break;
+      case 'j':
+        aOptions.m_json = true;
+        break;
+      case 'w':
+        aOptions.m_wait = true;
+        break;
+      case 's':
+        aOptions.m_waitSeconds = std::atoi(optarg);
+        break;
+      case 'b':
+        aOptions.m_base = std::strtoull(optarg, nullptr, 10);
+        break;
+      case 'i':
+        aOptions.m_applyId = optarg;
+        break;
+      case 'u':
+        aOptions.m_setBy = optarg;
+        break;
+      case 'r':
+        aOptions.m_request = optarg;
+        break;
+      case 'e':
+        aOptions.m_subject = optarg;
+        break;
+      case 'h':
+        std::fputs(kHelp, stdout);
+        return ExitCode::Done;
+      default:
+        return ExitCode::Usage;
+    }
+  }
+  if (optind >= aCount) {
+    std::fputs("papayafieldctl: a command is needed; see --help\n", stderr);
+    return ExitCode::Usage;
+  }
+  aOptions.m_command = aValues[optind];
+  if (optind + 1 < aCount) {
+    aOptions.m_file = aValues[optind + 1];
+  }
+  return std::nullopt;
+}
+
+} // namespace papayafield::papayafieldctl
--- /dev/null
+++ b/apps/papayafieldd/main.cpp
@@ -0,0 +1,121 @@
+#include "base/Digest.h"
+#include "base/Log.h"
+#include "gateway/Gateway.h"
+#include "node/PlatformTask.h"
+#include "settings/NodeSettings.h"
+
+#include <getopt.h>
+
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <sstream>
+#include <thread>
+
+/// \file
+/// The node: reads its settings, starts its tasks and waits until it has drained.
+
+namespace {
+
+using namespace papayafield;
+
+constexpr int kExitUsage = 2;
+constexpr int kExitSettings = 3;
+constexpr size_t kIncarnationBytes = 8;
+
+constexpr char kHelp[] =
+  "papayafieldd: a node of papayafield.\n"
+  "\n"
+  "Usage: papayafieldd --config FILE [--check]\n"
+  "\n"
+  "  -c, --config FILE  read the settings from FILE (TOML)\n"
+  "  -k, --check        check the settings, print all findings, and exit\n"
+  "  -v, --version      print the version and exit\n"
+  "  -h, --help         print this help and exit\n"
+  "\n"
+  "Exit codes: 0 drained or checked, 1 could not serve, 2 wrong usage, 3 settings with findings.\n"
+  "SIGTERM drains: requests in flight are finished first.\n";
+
+/// What the command line asks for.
+struct Options {
+  std::string m_config;
+  bool m_check = false;
+};
+
+/// Reads the command line; gives an exit code when the process is to end at once.
+std::optional<int> ReadOptions(int aCount, char** aValues, Options& aOptions) {
+  static const option kOptions[] = { { "config", required_argument, nullptr, 'c' },
+                                     { "check", no_argument, nullptr, 'k' },
+                                     { "version", no_argument, nullptr, 'v' },
+                                     { "help", no_argument, nullptr, 'h' },
+                                     { nullptr, 0, nullptr, 0 } };
+  for (int got = 0; (got = getopt_long(aCount, aValues, "c:kvh", kOptions, nullptr)) != -1;) {
+    switch (got) {
+      case 'c':
+        aOptions.m_config = optarg;
+        break;
+      case 'k':
+        aOptions.m_check = true;
+        break;
+      case 'v':
+        std::puts("papayafieldd " PAPAYAFIELD_VERSION);
+        return 0;
+      case 'h':
+        std::fputs(kHelp, stdout);
+        return 0;
+      default:
+        return kExitUsage;
+    }
+  }
+  if (aOptions.m_config.empty()) {
+    std::fputs("papayafieldd: --config FILE is needed; see --help\n", stderr);
+    return kExitUsage;
+  }
+  return std::nullopt;
+}
+
+int Serve(const settings::NodeSettings& aSettings) {
+  base::StartLogging(aSettings.m_log);
+  const base::Log log("node");
+  const base::IncarnationId incarnation(base::RandomHex(kIncarnationBytes));
+  log.Info("Starting " + aSettings.m_name.Text() + ", incarnation " + incarnation.Text() + ".");
+  base::Timeline timeline(aSettings.m_name, aSettings.m_timelineCapacity);
+  timeline.Add(base::EventKind::NodeStarted, {}, incarnation.Text());
+  tasks::Mailboxes mailboxes;
+  // Signals go to the gateway's loop on this thread.
+  node::PlatformTask platform(aSettings, incarnation, mailboxes);
+  std::thread platformThread([&] { platform.Run(); });
+  gateway::Gateway gateway(aSettings, incarnation, timeline, mailboxes);
+  const int code = gateway.Run();
+  mailboxes.m_platform.Send(tasks::StopTask{});
+  platformThread.join();
+  log.Info("Stopped.");
+  return code;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+  Options options;
+  if (const auto code = ReadOptions(argc, argv, options)) {
+    return *code;
+  }
+  std::ifstream file(options.m_config);
+  if (!file) {
+    std::fprintf(stderr, "papayafieldd: cannot read %s\n", options.m_config.c_str());
+    return kExitSettings;
+  }
+  std::stringstream text;
+  text << file.rdbuf();
+  const auto settings = settings::ParseNodeSettings(options.m_config, text.str());
+  if (!settings) {
+    std::fputs(settings.error().ToText().c_str(), stderr);
+    return kExitSettings;
+  }
+  if (options.m_check) {
+    std::puts("The settings are fine.");
+    return 0;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  return Serve(*settings);
+}
--- /dev/null
+++ b/packages/adapters/http/EventLoop.cpp
@@ -0,0 +1,88 @@
+#include "adapters/http/EventLoop.h"
+
+#include <event2/event.h>
+
+namespace papayafield::adapters::http {
+
+namespace {
+
+timeval ToTimeval(base::Millis aSpan) {
+  constexpr int kMillisPerSecond = 1000;
+  return { static_cast<time_t>(aSpan.count() / kMillisPerSecond),
+           static_cast<suseconds_t>(aSpan.count() % kMillisPerSecond * kMillisPerSecond) };
+}
+
+} // namespace
+
+void EventDeleter::operator()(event* aEvent) const {
+  event_free(aEvent);
+}
+
+void Watch::Fire(int /*aFd*/, short /*aWhat*/, void* aSelf) {
+  // The callback may destroy its own watch, so it runs from a copy.
+  const auto callback = static_cast<Watch*>(aSelf)->m_callback;
+  callback();
+}
+
+EventLoop::EventLoop()
+  : m_base(event_base_new()) {}
+
+EventLoop::~EventLoop() {
+  event_base_free(m_base);
+}
+
+void EventLoop::Run() {
+  event_base_loop(m_base, EVLOOP_NO_EXIT_ON_EMPTY);
+}
+
+void EventLoop::Stop() {
+  event_base_loopbreak(m_base);
+}
+
+WatchPtr EventLoop::Arm(int aFd,
+                        short aWhat,
+                        const base::Millis* aSpan,
+                        std::function<void()> aCallback) {
+  auto watch = std::make_unique<Watch>(std::move(aCallback));
+  watch->m_event.reset(event_new(m_base, aFd, aWhat, &Watch::Fire, watch.get()));
+  timeval span{};
+  if (aSpan != nullptr) {
+    span = ToTimeval(*aSpan);
+  }
+  event_add(watch->m_event.get(), aSpan != nullptr ? &span : nullptr);
+  return watch;
+}
+
+WatchPtr EventLoop::After(base::Millis aDelay, std::function<void()> aCallback) {
+  return Arm(-1, EV_TIMEOUT, &aDelay, std::move(aCallback));
+}
+
+WatchPtr EventLoop::Every(base::Millis aPeriod, std::function<void()> aCallback) {
+  return Arm(-1, EV_TIMEOUT | EV_PERSIST, &aPeriod, std::move(aCallback));
+}
+
+WatchPtr EventLoop::OnReadable(int aFd, std::function<void()> aCallback) {
+  return Arm(aFd, EV_READ | EV_PERSIST, nullptr, std::move(aCallback));
+}
+
+WatchPtr EventLoop::OnSignal(int aSignal, std::function<void()> aCallback) {
+  return Arm(aSignal, EV_SIGNAL | EV_PERSIST, nullptr, std::move(aCallback));
+}
+
+void EventLoop::Defer(std::function<void()> aCallback) {
+  auto* held = new std::function<void()>(std::move(aCallback));
+  const timeval now{};
+  event_base_once(
+    m_base,
+    -1,
+    EV_TIMEOUT,
+    [](int, short, void* aHeld) {
+      const std::unique_ptr<std::function<void()>> callback(
+        static_cast<std::function<void()>*>(aHeld));
+      (*callback)();
+    },
+    held,
+    &now);
+}
+
+} // namespace papayafield::adapters::http
--- /dev/null
+++ b/packages/adapters/http/HttpServer.cpp
@@ -0,0 +1,242 @@
+#include "adapters/http/HttpServer.h"
+
+#include <evhtp/evhtp.h>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace papayafield::adapters::http {
+
+namespace {
+
+/// How long a refused connection stays open so that the caller can read why.
+constexpr base::Millis kLinger{ 1000 };
+
+timeval ToTimeval(base::Millis aSpan) {
+  constexpr int kMillisPerSecond = 1000;
+  return { static_cast<time_t>(aSpan.count() / kMillisPerSecond),
+           static_cast<suseconds_t>(aSpan.count() % kMillisPerSecond * kMillisPerSecond) };
+}
+
+std::string_view ReasonOf(int aStatus) {
+  switch (aStatus) {
+    case EVHTP_RES_ENTOOLARGE:
+      return "Payload Too Large";
+    case 431: // NOLINT(readability-magic-numbers): Request Header Fields Too Large
+      return "Request Header Fields Too Large";
+    default:
+      return "Bad Request";
+  }
+}
+
+} // namespace
+
+/// What the server remembers of one connection.
+struct HttpServer::ConnectionState {
+  /// The request being answered, if any.
+  ExchangePtr m_exchange;
+  /// A request has begun to come and is not whole yet.
+  bool m_reading = false;
+  /// Refused; only lingering.
+  bool m_doomed = false;
+  /// Header bytes of the request being read.
+  uint64_t m_headerBytes = 0;
+  /// Ends the lingering.
+  WatchPtr m_lingerTimer;
+};
+
+HttpServer::HttpServer(EventLoop& aLoop,
+                       HttpServerSettings aSettings,
+                       std::function<void(ExchangePtr)> aHandler)
+  : m_loop(aLoop)
+  , m_settings(std::move(aSettings))
+  , m_handler(std::move(aHandler))
+  , m_server(evhtp_new(aLoop.Base(), nullptr)) {
+  evhtp_set_gencb(m_server, &HttpServer::OnRequest, this);
+  evhtp_set_post_accept_cb(m_server, &HttpServer::OnAccept, this);
+  evhtp_enable_flag(m_server, EVHTP_FLAG_ENABLE_NODELAY);
+  const timeval timeout = ToTimeval(m_settings.m_readTimeout);
+  evhtp_set_timeouts(m_server, &timeout, nullptr);
+}
+
+HttpServer::~HttpServer() {
+  StopListening();
+  while (!m_connections.empty()) {
+    evhtp_connection_free(m_connections.begin()->first);
+  }
+  evhtp_free(m_server);
+}
+
+bool HttpServer::Listen() {
+  constexpr int kBacklog = 1024;
+  m_listening =
+    evhtp_bind_socket(
+      m_server, m_settings.m_listen.m_host.c_str(), m_settings.m_listen.m_port, kBacklog) == 0;
+  return m_listening;
+}
+
+void HttpServer::StopListening() {
+  if (m_listening) {
+    evhtp_unbind_socket(m_server);
+    m_listening = false;
+  }
+}
+
+void HttpServer::CloseIdle() {
+  std::vector<evhtp_connection*> idle;
+  for (const auto& [connection, state] : m_connections) {
+    const bool answering = state->m_exchange != nullptr && !state->m_exchange->Finished();
+    bufferevent* socket = evhtp_connection_get_bev(connection);
+    const bool sending = evbuffer_get_length(bufferevent_get_output(socket)) > 0;
+    if (!answering && !sending && !state->m_reading) {
+      idle.push_back(connection);
+    }
+  }
+  for (evhtp_connection* connection : idle) {
+    evhtp_connection_free(connection);
+  }
+}
+
+HttpServer::ConnectionState* HttpServer::StateOf(evhtp_connection* aConnection) {
+  const auto found = m_connections.find(aConnection);
+  return found == m_connections.end() ? nullptr : found->second.get();
+}
+
+uint16_t HttpServer::OnAccept(evhtp_connection* aConnection, void* aSelf) {
+  auto* self = static_cast<HttpServer*>(aSelf);
+  if (self->m_connections.size() >= self->m_settings.m_maxConnections) {
+    return EVHTP_RES_ERROR;
+  }
+  self->m_connections[aConnection] = std::make_unique<ConnectionState>();
+  const auto hook = [&](evhtp_hook_type aType, auto aFunction) {
+    // The library takes hooks of all types as one; each is called with the type of its kind.
+    const auto any = reinterpret_cast<void (*)()>(aFunction);
+    evhtp_connection_set_hook(aConnection, aType, reinterpret_cast<evhtp_hook>(any), self);
+  };
+  hook(evhtp_hook_on_headers_start, &HttpServer::OnStart);
+  hook(evhtp_hook_on_header, &HttpServer::OnHeader);
+  hook(evhtp_hook_on_headers, &HttpServer::OnHeaders);
+  hook(evhtp_hook_on_request_fini, &HttpServer::OnRequestEnd);
+  hook(evhtp_hook_on_connection_fini, &HttpServer::OnConnectionEnd);
+  hook(evhtp_hook_on_error, &HttpServer::OnError);
+  const int on = 1;
+  setsockopt(aConnection->sock, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  return EVHTP_RES_OK;
+}
+
+uint16_t HttpServer::OnStart(evhtp_request* aRequest, void* aSelf) {
+  auto* self = static_cast<HttpServer*>(aSelf);
+  ConnectionState* state = self->StateOf(aRequest->conn);
+  if (state == nullptr || state->m_doomed) {
+    return EVHTP_RES_OK;
+  }
+  // The library would lose a request that is still being answered when the next one is read.
+  if (state->m_exchange != nullptr && !state->m_exchange->Finished()) {
+    self->Refuse(aRequest->conn, EVHTP_RES_BADREQ, "pipelining is not supported");
+    return EVHTP_RES_OK;
+  }
+  state->m_headerBytes = 0;
+  state->m_reading = true;
+  return EVHTP_RES_OK;
+}
+
+uint16_t HttpServer::OnHeader(evhtp_request* aRequest, evhtp_kv* aLine, void* aSelf) {
+  auto* self = static_cast<HttpServer*>(aSelf);
+  ConnectionState* state = self->StateOf(aRequest->conn);
+  if (state == nullptr || state->m_doomed) {
+    return EVHTP_RES_OK;
+  }
+  state->m_headerBytes += aLine->klen + aLine->vlen;
+  if (state->m_headerBytes > self->m_settings.m_maxHeaderBytes) {
+    constexpr int kHeadersTooLarge = 431;
+    self->Refuse(aRequest->conn, kHeadersTooLarge, "the header lines are too large");
+  }
+  return EVHTP_RES_OK;
+}
+
+uint16_t HttpServer::OnHeaders(evhtp_request* aRequest, evhtp_kvs* /*aLines*/, void* aSelf) {
+  auto* self = static_cast<HttpServer*>(aSelf);
+  ConnectionState* state = self->StateOf(aRequest->conn);
+  if (state == nullptr || state->m_doomed) {
+    return EVHTP_RES_OK;
+  }
+  if (evhtp_request_content_len(aRequest) > self->m_settings.m_maxBodyBytes) {
+    self->Refuse(aRequest->conn, EVHTP_RES_ENTOOLARGE, "the body is too large");
+    return EVHTP_RES_OK;
+  }
+  // A chunked body announces no length, so the library counts it.
+  evhtp_connection_set_max_body_size(aRequest->conn, self->m_settings.m_maxBodyBytes);
+  return EVHTP_RES_OK;
+}
+
+void HttpServer::OnRequest(evhtp_request* aRequest, void* aSelf) {
+  auto* self = static_cast<HttpServer*>(aSelf);
+  ConnectionState* state = self->StateOf(aRequest->conn);
+  if (state == nullptr || state->m_doomed) {
+    return;
+  }
+  auto exchange = std::make_shared<ServerExchange>(aRequest);
+  state->m_exchange = exchange;
+  state->m_reading = false;
+  self->m_handler(exchange);
+}
+
+uint16_t HttpServer::OnRequestEnd(evhtp_request* aRequest, void* aSelf) {
+  auto* self = static_cast<HttpServer*>(aSelf);
+  ConnectionState* state = self->StateOf(aRequest->conn);
+  if (state != nullptr && state->m_exchange != nullptr &&
+      state->m_exchange->m_request == aRequest) {
+    std::exchange(state->m_exchange, nullptr)->Detach();
+  }
+  return EVHTP_RES_OK;
+}
+
+uint16_t HttpServer::OnConnectionEnd(evhtp_connection* aConnection, void* aSelf) {
+  auto* self = static_cast<HttpServer*>(aSelf);
+  ConnectionState* state = self->StateOf(aConnection);
+  if (state == nullptr) {
+    return EVHTP_RES_OK;
+  }
+  const ExchangePtr exchange = std::exchange(state->m_exchange, nullptr);
+  self->m_connections.erase(aConnection);
+  if (exchange != nullptr) {
+    exchange->Detach();
+  }
+  return EVHTP_RES_OK;
+}
+
+void HttpServer::OnError(evhtp_request* aRequest, uint8_t aWhat, void* aSelf) {
+  auto* self = static_cast<HttpServer*>(aSelf);
+  if (aRequest == nullptr || aRequest->conn == nullptr) {
+    return;
+  }
+  if (aRequest->status == EVHTP_RES_DATA_TOO_LONG) {
+    self->Refuse(aRequest->conn, EVHTP_RES_ENTOOLARGE, "the body is too large");
+  } else if ((aWhat & (BEV_EVENT_EOF | BEV_EVENT_TIMEOUT | BEV_EVENT_ERROR)) == 0) {
+    self->Refuse(aRequest->conn, EVHTP_RES_BADREQ, "the request is malformed");
+  }
+}
+
+void HttpServer::Refuse(evhtp_connection* aConnection, int aStatus, std::string_view aReason) {
+  ConnectionState* state = StateOf(aConnection);
+  if (state == nullptr || state->m_doomed) {
+    return;
+  }
+  state->m_doomed = true;
+  // Say why with bare bytes: the library may be in the middle of parsing.
+  const std::string body = "{\"type\":\"about:blank\",\"title\":\"" + std::string(aReason) +
+                           "\",\"status\":" + std::to_string(aStatus) + ",\"outcome\":\"not run\"}";
+  const std::string text =
+    "HTTP/1.1 " + std::to_string(aStatus) + " " + std::string(ReasonOf(aStatus)) +
+    "\r\nContent-Type: application/problem+json\r\nX-Outcome: not run" +
+    "\r\nConnection: close\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  bufferevent* socket = evhtp_connection_get_bev(aConnection);
+  bufferevent_write(socket, text.data(), text.size());
+  bufferevent_disable(socket, EV_READ);
+  // Linger, then close.
+  state->m_lingerTimer =
+    m_loop.After(kLinger, [aConnection] { evhtp_connection_free(aConnection); });
+}
+
+} // namespace papayafield::adapters::http
--- /dev/null
+++ b/packages/adapters/http/Transfer.cpp
@@ -0,0 +1,215 @@
+#include "adapters/http/Transfer.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace papayafield::adapters::http {
+
+namespace {
+
+/// The idle bound is checked this many times within its span.
+constexpr int kIdleChecksPerSpan = 4;
+
+evhttp_cmd_type ToCommand(const std::string& aMethod) {
+  if (aMethod == "POST") {
+    return EVHTTP_REQ_POST;
+  }
+  if (aMethod == "PUT") {
+    return EVHTTP_REQ_PUT;
+  }
+  if (aMethod == "DELETE") {
+    return EVHTTP_REQ_DELETE;
+  }
+  if (aMethod == "PATCH") {
+    return EVHTTP_REQ_PATCH;
+  }
+  if (aMethod == "HEAD") {
+    return EVHTTP_REQ_HEAD;
+  }
+  return EVHTTP_REQ_GET;
+}
+
+} // namespace
+
+Transfer::Transfer(HttpClient& aClient, HttpRequest aRequest, TransferEvents aEvents)
+  : m_client(aClient)
+  , m_request(std::move(aRequest))
+  , m_events(std::move(aEvents)) {}
+
+Transfer::~Transfer() {
+  if (m_connection != nullptr) {
+    evhttp_connection_free(m_connection);
+  }
+}
+
+void Transfer::Begin() {
+  if (m_ended) {
+    return;
+  }
+  // Make the connection; evhttp sends only once it stands, and never again by itself.
+  m_connection = evhttp_connection_base_new(
+    m_client.m_loop.Base(), nullptr, m_request.m_to.m_host.c_str(), m_request.m_to.m_port);
+  if (m_connection == nullptr) {
+    Fail(TransferFault::ConnectRefused);
+    return;
+  }
+  evhttp_connection_set_retries(m_connection, 0);
+  constexpr int kNoLibraryTimeoutSeconds = 86400;
+  evhttp_connection_set_timeout(m_connection, kNoLibraryTimeoutSeconds);
+  // Make the request.
+  evhttp_request* request = evhttp_request_new(&Transfer::OnComplete, this);
+  evhttp_request_set_header_cb(request, &Transfer::OnHead);
+  evhttp_request_set_chunked_cb(request, &Transfer::OnChunk);
+  evkeyvalq* headers = evhttp_request_get_output_headers(request);
+  evhttp_add_header(headers, "Host", m_request.m_to.ToText().c_str());
+  evhttp_add_header(headers, "Connection", "close");
+  for (const Header& line : m_request.m_headers.Lines()) {
+    evhttp_add_header(headers, line.m_name.c_str(), line.m_value.c_str());
+  }
+  evbuffer_add(
+    evhttp_request_get_output_buffer(request), m_request.m_body.data(), m_request.m_body.size());
+  m_request.m_body.clear();
+  // Arm the bounds before anything can happen.
+  EventLoop& loop = m_client.m_loop;
+  m_lastHeard = base::SteadyClock().Now();
+  m_connectTimer = loop.After(m_request.m_connectTimeout, [this] { ConnectDeadline(); });
+  m_idleTimer = loop.Every(std::max(m_request.m_idleTimeout / kIdleChecksPerSpan, base::Millis(1)),
+                           [this] { CheckIdle(); });
+  if (m_request.m_totalTimeout.count() > 0) {
+    m_totalTimer = loop.After(m_request.m_totalTimeout, [this] {
+      Fail(Connected() ? TransferFault::Silent : TransferFault::ConnectTimedOut);
+    });
+  }
+  const int made = evhttp_make_request(
+    m_connection, request, ToCommand(m_request.m_method), m_request.m_target.c_str());
+  if (made != 0) {
+    Fail(TransferFault::ConnectRefused);
+    return;
+  }
+  const int on = 1;
+  setsockopt(bufferevent_getfd(evhttp_connection_get_bufferevent(m_connection)),
+             IPPROTO_TCP,
+             TCP_NODELAY,
+             &on,
+             sizeof(on));
+}
+
+void Transfer::Cancel() {
+  if (!m_ended) {
+    m_ended = true;
+    Retire();
+  }
+}
+
+int Transfer::OnHead(evhttp_request* aRequest, void* aSelf) {
+  auto* self = static_cast<Transfer*>(aSelf);
+  if (self->m_ended) {
+    return 0;
+  }
+  self->m_sawHead = true;
+  self->m_lastHeard = base::SteadyClock().Now();
+  Headers headers;
+  const evkeyvalq* lines = evhttp_request_get_input_headers(aRequest);
+  for (const evkeyval* line = lines->tqh_first; line != nullptr; line = line->next.tqe_next) {
+    headers.Add(line->key, line->value);
+  }
+  if (self->m_events.m_onHead) {
+    self->m_events.m_onHead(evhttp_request_get_response_code(aRequest), headers);
+  }
+  return 0;
+}
+
+void Transfer::OnChunk(evhttp_request* aRequest, void* aSelf) {
+  auto* self = static_cast<Transfer*>(aSelf);
+  if (self->m_ended) {
+    return;
+  }
+  self->m_lastHeard = base::SteadyClock().Now();
+  evbuffer* input = evhttp_request_get_input_buffer(aRequest);
+  const size_t size = evbuffer_get_length(input);
+  const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
+  if (size > 0 && self->m_events.m_onData) {
+    self->m_events.m_onData({ bytes, size });
+  }
+}
+
+void Transfer::OnComplete(evhttp_request* aRequest, void* aSelf) {
+  auto* self = static_cast<Transfer*>(aSelf);
+  if (self->m_ended) {
+    return;
+  }
+  // A request with code 0 means that the connection never stood; a null request that it was lost.
+  if (aRequest == nullptr) {
+    self->Fail(self->m_sawHead ? TransferFault::ResetInAnswer : TransferFault::ResetBeforeAnswer);
+  } else if (evhttp_request_get_response_code(aRequest) == 0) {
+    self->Fail(TransferFault::ConnectRefused);
+  } else {
+    self->Finish();
+  }
+}
+
+bool Transfer::Connected() const {
+  sockaddr_storage peer{};
+  socklen_t size = sizeof(peer);
+  const int fd = bufferevent_getfd(evhttp_connection_get_bufferevent(m_connection));
+  return fd >= 0 && getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &size) == 0;
+}
+
+void Transfer::ConnectDeadline() {
+  if (m_ended) {
+    return;
+  }
+  // evhttp writes nothing before the connection stands: what has no peer yet was not sent.
+  if (!Connected()) {
+    Fail(TransferFault::ConnectTimedOut);
+  }
+}
+
+void Transfer::CheckIdle() {
+  if (!m_ended && base::SteadyClock().Now() - m_lastHeard >= m_request.m_idleTimeout &&
+      Connected()) {
+    Fail(TransferFault::Silent);
+  }
+}
+
+void Transfer::Fail(TransferFault aFault) {
+  if (m_ended) {
+    return;
+  }
+  m_ended = true;
+  const auto keep = shared_from_this();
+  Retire();
+  if (m_events.m_onFault) {
+    m_events.m_onFault(aFault);
+  }
+}
+
+void Transfer::Finish() {
+  m_ended = true;
+  const auto keep = shared_from_this();
+  Retire();
+  if (m_events.m_onEnd) {
+    m_events.m_onEnd();
+  }
+}
+
+void Transfer::Retire() {
+  m_connectTimer.reset();
+  m_idleTimer.reset();
+  m_totalTimer.reset();
+  // The connection may be calling us just now, so it is freed from the loop.
+  m_client.m_loop.Defer([client = &m_client, self = shared_from_this()] {
+    self->m_events = {};
+    client->m_transfers.erase(self);
+  });
+}
+
+} // namespace papayafield::adapters::http
--- /dev/null
+++ b/packages/adapters/http/Transfer.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "adapters/http/HttpClient.h"
+
+struct evhttp_connection;
+struct evhttp_request;
+
+namespace papayafield::adapters::http {
+
+/// One request on its own connection; internal to HttpClient.
+class Transfer : public std::enable_shared_from_this<Transfer> {
+public:
+  /// Prepares a transfer for `aClient`.
+  Transfer(HttpClient& aClient, HttpRequest aRequest, TransferEvents aEvents);
+  ~Transfer();
+  Transfer(const Transfer&) = delete;
+  Transfer& operator=(const Transfer&) = delete;
+  Transfer(Transfer&&) = delete;
+  Transfer& operator=(Transfer&&) = delete;
+
+  /// Connects and sends. Called once.
+  void Begin();
+  /// Ends without a callback.
+  void Cancel();
+
+private:
+  static int OnHead(evhttp_request* aRequest, void* aSelf);
+  static void OnChunk(evhttp_request* aRequest, void* aSelf);
+  static void OnComplete(evhttp_request* aRequest, void* aSelf);
+
+  bool Connected() const;
+  void ConnectDeadline();
+  void CheckIdle();
+  void Fail(TransferFault aFault);
+  void Finish();
+  void Retire();
+
+  HttpClient& m_client;
+  HttpRequest m_request;
+  TransferEvents m_events;
+  evhttp_connection* m_connection = nullptr;
+  bool m_sawHead = false;
+  bool m_ended = false;
+  base::TimePoint m_lastHeard;
+  WatchPtr m_connectTimer;
+  WatchPtr m_idleTimer;
+  WatchPtr m_totalTimer;
+};
+
+} // namespace papayafield::adapters::http
--- /dev/null
+++ b/packages/adapters/platform/KeyValueClient.cpp
@@ -0,0 +1,163 @@
+#include "adapters/platform/KeyValueClient.h"
+
+#include "base/Json.h"
+
+#include <charconv>
+
+namespace papayafield::adapters::platform {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
+constexpr char kVersionHeader[] = "X-Version";
+
+using Answer = tl::expected<http::HttpAnswer, http::TransferFault>;
+
+uint64_t VersionOf(const http::HttpAnswer& aAnswer) {
+  const std::string text = aAnswer.m_headers.Find(kVersionHeader).value_or("0");
+  uint64_t version = 0;
+  std::from_chars(text.data(), text.data() + text.size(), version);
+  return version;
+}
+
+/// What a failed transfer means for a call that may change something.
+KeyValueFault ToFault(http::TransferFault aFault) {
+  return http::NothingSent(aFault) ? KeyValueFault::Unavailable : KeyValueFault::Ambiguous;
+}
+
+KeyValueClient::ReadResult ToRead(const std::string& aKey, const Answer& aAnswer) {
+  if (!aAnswer) {
+    return tl::unexpected(ToFault(aAnswer.error()));
+  }
+  if (aAnswer->m_status == kNotFound) {
+    return KeyValueEntry{ aKey, "", 0 };
+  }
+  if (aAnswer->m_status != kOk) {
+    return tl::unexpected(KeyValueFault::Unavailable);
+  }
+  return KeyValueEntry{ aKey, aAnswer->m_body, VersionOf(*aAnswer) };
+}
+
+KeyValueClient::SwapResult ToSwap(const Answer& aAnswer) {
+  if (!aAnswer) {
+    return tl::unexpected(ToFault(aAnswer.error()));
+  }
+  if (aAnswer->m_status == kConflict) {
+    return tl::unexpected(KeyValueFault::Conflict);
+  }
+  if (aAnswer->m_status != kOk) {
+    return tl::unexpected(KeyValueFault::Unavailable);
+  }
+  return VersionOf(*aAnswer);
+}
+
+} // namespace
+
+KeyValueClient::KeyValueClient(http::HttpClient& aClient,
+                               base::Address aService,
+                               base::Millis aTimeout)
+  : m_client(aClient)
+  , m_service(std::move(aService))
+  , m_timeout(aTimeout) {}
+
+http::HttpRequest KeyValueClient::Prepare(std::string aMethod, std::string aTarget) {
+  ++m_calls;
+  http::HttpRequest request;
+  request.m_to = m_service;
+  request.m_method = std::move(aMethod);
+  request.m_target = std::move(aTarget);
+  request.m_connectTimeout = m_timeout;
+  request.m_idleTimeout = m_timeout;
+  request.m_totalTimeout = m_timeout;
+  return request;
+}
+
+void KeyValueClient::Read(const std::string& aKey, std::function<void(ReadResult)> aOnDone) {
+  m_client.Fetch(Prepare("GET", "/kv/" + aKey),
+                 [aKey, aOnDone = std::move(aOnDone)](const Answer& aAnswer) {
+                   aOnDone(ToRead(aKey, aAnswer));
+                 });
+}
+
+void KeyValueClient::Watch(const std::string& aKey,
+                           uint64_t aVersion,
+                           base::Millis aWait,
+                           std::function<void(ReadResult)> aOnDone) {
+  http::HttpRequest request = Prepare("GET",
+                                      "/kv/" + aKey + "?after=" + std::to_string(aVersion) +
+                                        "&wait_ms=" + std::to_string(aWait.count()));
+  request.m_idleTimeout = aWait + m_timeout;
+  request.m_totalTimeout = aWait + m_timeout;
+  m_client.Fetch(std::move(request), [aKey, aOnDone = std::move(aOnDone)](const Answer& aAnswer) {
+    aOnDone(ToRead(aKey, aAnswer));
+  });
+}
+
+void KeyValueClient::List(
+  const std::string& aPrefix,
+  std::function<void(tl::expected<std::vector<KeyValueEntry>, KeyValueFault>)> aOnDone) {
+  m_client.Fetch(Prepare("GET", "/list?prefix=" + aPrefix),
+                 [aOnDone = std::move(aOnDone)](const Answer& aAnswer) {
+                   const auto list = aAnswer && aAnswer->m_status == kOk
+                                       ? base::ParseJson(aAnswer->m_body)
+                                       : nlohmann::json();
+                   if (!list.is_array()) {
+                     aOnDone(tl::unexpected(KeyValueFault::Unavailable));
+                     return;
+                   }
+                   std::vector<KeyValueEntry> entries;
+                   for (const auto& item : list) {
+                     entries.push_back({ base::ValueOr(item, "key", std::string()),
+                                         base::ValueOr(item, "value", std::string()),
+                                         base::ValueOr(item, "version", uint64_t{ 0 }) });
+                   }
+                   aOnDone(std::move(entries));
+                 });
+}
+
+void KeyValueClient::Swap(const std::string& aKey,
+                          std::string aValue,
+                          uint64_t aExpected,
+                          const std::string& aLease,
+                          std::function<void(SwapResult)> aOnDone) {
+  std::string target = "/kv/" + aKey + "?expect=" + std::to_string(aExpected);
+  if (!aLease.empty()) {
+    target += "&lease=" + aLease;
+  }
+  http::HttpRequest request = Prepare("PUT", std::move(target));
+  request.m_body = std::move(aValue);
+  m_client.Fetch(std::move(request), [aOnDone = std::move(aOnDone)](const Answer& aAnswer) {
+    aOnDone(ToSwap(aAnswer));
+  });
+}
+
+void KeyValueClient::Remove(const std::string& aKey,
+                            uint64_t aExpected,
+                            std::function<void(SwapResult)> aOnDone) {
+  m_client.Fetch(
+    Prepare("DELETE", "/kv/" + aKey + "?expect=" + std::to_string(aExpected)),
+    [aOnDone = std::move(aOnDone)](const Answer& aAnswer) { aOnDone(ToSwap(aAnswer)); });
+}
+
+void KeyValueClient::Grant(base::Millis aLife,
+                           std::function<void(std::optional<std::string>)> aOnDone) {
+  m_client.Fetch(Prepare("POST", "/leases?ttl_ms=" + std::to_string(aLife.count())),
+                 [aOnDone = std::move(aOnDone)](const Answer& aAnswer) {
+                   if (aAnswer && aAnswer->m_status == kOk && !aAnswer->m_body.empty()) {
+                     aOnDone(aAnswer->m_body);
+                   } else {
+                     aOnDone(std::nullopt);
+                   }
+                 });
+}
+
+void KeyValueClient::Renew(const std::string& aLease, std::function<void(bool)> aOnDone) {
+  m_client.Fetch(Prepare("POST", "/leases/" + aLease),
+                 [aOnDone = std::move(aOnDone)](const Answer& aAnswer) {
+                   aOnDone(aAnswer && aAnswer->m_status == kOk);
+                 });
+}
+
+} // namespace papayafield::adapters::platform
--- /dev/null
+++ b/packages/base/Findings.cpp
@@ -0,0 +1,28 @@
+#include "base/Findings.h"
+
+#include <algorithm>
+
+namespace papayafield::base {
+
+std::string Finding::ToText() const {
+  std::string text = m_file;
+  if (m_line != 0) {
+    text += ":" + std::to_string(m_line) + ":" + std::to_string(m_column);
+  }
+  return text + ": " + m_message;
+}
+
+std::string Findings::ToText() const {
+  // Order by place, so that a reader can go through the file from top to bottom.
+  std::vector<Finding> ordered = m_list;
+  std::stable_sort(ordered.begin(), ordered.end(), [](const Finding& aLeft, const Finding& aRight) {
+    return std::pair(aLeft.m_line, aLeft.m_column) < std::pair(aRight.m_line, aRight.m_column);
+  });
+  std::string text;
+  for (const Finding& finding : ordered) {
+    text += finding.ToText() + "\n";
+  }
+  return text;
+}
+
+} // namespace papayafield::base
--- /dev/null
+++ b/packages/base/Json.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <type_traits>
+
+/// \file
+/// Reading JSON that others wrote, where a member of the wrong type must not be fatal.
+
+namespace papayafield::base {
+
+/// The member `aKey` of `aObject`, or `aDefault` when it is missing, of another type or when
+/// `aObject` is no object. Thread safe.
+template<class T>
+T ValueOr(const nlohmann::json& aObject, const char* aKey, T aDefault) {
+  if (!aObject.is_object()) {
+    return aDefault;
+  }
+  const auto found = aObject.find(aKey);
+  if (found == aObject.end()) {
+    return aDefault;
+  }
+  if constexpr (std::is_same_v<T, bool>) {
+    return found->is_boolean() ? found->template get<bool>() : aDefault;
+  } else if constexpr (std::is_unsigned_v<T>) {
+    return found->is_number_unsigned() ? found->template get<T>() : aDefault;
+  } else if constexpr (std::is_arithmetic_v<T>) {
+    return found->is_number() ? found->template get<T>() : aDefault;
+  } else {
+    return found->is_string() ? found->template get<std::string>() : aDefault;
+  }
+}
+
+/// Whether brackets in `aText` nest deeper than `aMost`. Thread safe.
+inline bool NestsDeeper(const std::string& aText, size_t aMost) {
+  size_t depth = 0;
+  bool inString = false;
+  for (size_t i = 0; i < aText.size(); ++i) {
+    const char letter = aText[i];
+    if (inString) {
+      if (letter == '\\') {
+        ++i;
+      } else if (letter == '"') {
+        inString = false;
+      }
+    } else if (letter == '"') {
+      inString = true;
+    } else if (letter == '[' || letter == '{') {
+      if (++depth > aMost) {
+        return true;
+      }
+    } else if ((letter == ']' || letter == '}') && depth > 0) {
+      --depth;
+    }
+  }
+  return false;
+}
+
+/// `aText` as JSON; a discarded value when it is malformed or nests too deep. Thread safe.
+inline nlohmann::json ParseJson(const std::string& aText) {
+  constexpr size_t kMaxDepth = 64;
+  if (NestsDeeper(aText, kMaxDepth)) {
+    return nlohmann::json(nlohmann::json::value_t::discarded);
+  }
+  return nlohmann::json::parse(aText, nullptr, false);
+}
+
+/// `aValue` as text; bytes that are not UTF-8 are replaced. Thread safe.
+inline std::string DumpJson(const nlohmann::json& aValue) {
+  return aValue.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+} // namespace papayafield::base
--- /dev/null
+++ b/packages/base/Timeline.cpp
@@ -0,0 +1,57 @@
+#include "base/Timeline.h"
+
+#include "base/Time.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace papayafield::base {
+
+nlohmann::json TimelineEvent::ToJson() const {
+  return { { "wall_ms", m_time.m_wall }, { "count", m_time.m_count },     { "node", m_node.Text() },
+           { "kind", NameOf(m_kind) },   { "request", m_request.Text() }, { "subject", m_subject },
+           { "detail", m_detail } };
+}
+
+Timeline::Timeline(NodeId aNode, size_t aCapacity)
+  : m_node(std::move(aNode))
+  , m_capacity(aCapacity) {}
+
+void Timeline::Add(EventKind aKind,
+                   const RequestId& aRequest,
+                   std::string aSubject,
+                   std::string aDetail) {
+  std::lock_guard lock(m_mutex);
+  if (m_ring.size() == m_capacity) {
+    m_ring.pop_front();
+  }
+  m_ring.push_back(
+    { NextLocked(), m_node, aKind, aRequest, std::move(aSubject), std::move(aDetail) });
+}
+
+HybridTime Timeline::Tick() {
+  std::lock_guard lock(m_mutex);
+  return NextLocked();
+}
+
+void Timeline::Hear(HybridTime aTime) {
+  std::lock_guard lock(m_mutex);
+  m_clock = std::max(m_clock, aTime);
+}
+
+std::vector<TimelineEvent> Timeline::Events() const {
+  std::lock_guard lock(m_mutex);
+  return { m_ring.begin(), m_ring.end() };
+}
+
+HybridTime Timeline::NextLocked() {
+  const int64_t wall = WallMillis();
+  if (wall > m_clock.m_wall) {
+    m_clock = { wall, 0 };
+  } else {
+    ++m_clock.m_count;
+  }
+  return m_clock;
+}
+
+} // namespace papayafield::base
--- /dev/null
+++ b/packages/claims/ClaimDesk.cpp
@@ -0,0 +1,53 @@
+#include "claims/ClaimDesk.h"
+
+#include "base/Digest.h"
+
+namespace papayafield::claims {
+
+namespace {
+
+/// Most claims given up that are remembered; beyond it a later asker is told that the key is held.
+constexpr size_t kMaxGivenUp = 50000;
+
+} // namespace
+
+ClaimDesk::ClaimDesk(base::IncarnationId aOwner)
+  : m_owner(std::move(aOwner)) {}
+
+ClaimOrder ClaimDesk::MakeOrder(const std::string& aKey) {
+  return { aKey, m_owner, ++m_lastNumber };
+}
+
+ClaimConclusion ClaimDesk::Conclude(const ClaimReply& aReply) {
+  switch (aReply.m_state) {
+    case ClaimState::Granted:
+      return { ClaimEnd::Granted, m_owner };
+    case ClaimState::Unavailable:
+      GiveUp(aReply.m_order);
+      return { ClaimEnd::Unavailable, {} };
+    case ClaimState::Held:
+      break;
+  }
+  const ClaimRecord& holder = aReply.m_holder;
+  if (holder.m_done) {
+    return { ClaimEnd::Done, holder.m_owner };
+  }
+  if (holder.m_owner != m_owner) {
+    return { ClaimEnd::HeldElsewhere, holder.m_owner };
+  }
+  // An own claim that was given up before it was confirmed has never run: it may now.
+  const bool neverRan = m_givenUp.erase(holder.m_number) > 0;
+  return { neverRan ? ClaimEnd::Granted : ClaimEnd::HeldHere, m_owner };
+}
+
+void ClaimDesk::GiveUp(const ClaimOrder& aOrder) {
+  if (m_givenUp.size() < kMaxGivenUp) {
+    m_givenUp.insert(aOrder.m_number);
+  }
+}
+
+uint32_t ShardOf(const std::string& aKey, uint32_t aShards) {
+  return static_cast<uint32_t>(base::Hash64(aKey) % aShards);
+}
+
+} // namespace papayafield::claims
--- /dev/null
+++ b/packages/claims/tests/ShardWriterTest.cpp
@@ -0,0 +1,210 @@
+#include "claims/ShardWriter.h"
+#include "claims/ClaimDesk.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <random>
+#include <set>
+
+using namespace papayafield;
+using namespace papayafield::claims;
+
+namespace {
+
+/// A key-value store in memory with faults by chance.
+class Store {
+public:
+  explicit Store(uint64_t aSeed)
+    : m_random(aSeed) {}
+
+  StoreResult Carry(const StoreAction& aAction, int aFaultPercent) {
+    const bool fault = static_cast<int>(m_random() % 100) < aFaultPercent;
+    if (fault && m_random() % 2 == 0) {
+      return { StoreOutcome::Unavailable, "", 0 };
+    }
+    auto& [version, value] = m_values[aAction.m_name];
+    if (aAction.m_kind == StoreAction::Kind::Read) {
+      return fault ? StoreResult{} : StoreResult{ StoreOutcome::Done, value, version };
+    }
+    if (aAction.m_kind == StoreAction::Kind::Remove) {
+      m_values.erase(aAction.m_name);
+      return { StoreOutcome::Done, "", 0 };
+    }
+    if (version != aAction.m_expected) {
+      return { StoreOutcome::Conflict, "", 0 };
+    }
+    ++m_writes;
+    version = ++m_lastVersion;
+    value = aAction.m_value;
+    m_largest = std::max(m_largest, value.size());
+    // The write took effect; its answer may still be lost.
+    return fault ? StoreResult{ StoreOutcome::Ambiguous, "", 0 }
+                 : StoreResult{ StoreOutcome::Done, "", version };
+  }
+
+  uint64_t Writes() const { return m_writes; }
+  size_t Largest() const { return m_largest; }
+  size_t Keys() const { return m_values.size(); }
+
+private:
+  std::mt19937_64 m_random;
+  std::map<std::string, std::pair<uint64_t, std::string>> m_values;
+  uint64_t m_lastVersion = 0;
+  uint64_t m_writes = 0;
+  size_t m_largest = 0;
+};
+
+/// A process: its desk, and its writer of the one shard (it may or may not be the home).
+struct Process {
+  explicit Process(const std::string& aName, ShardWriterSettings aSettings = {})
+    : m_desk(base::IncarnationId(aName))
+    , m_writer("shard", aSettings) {}
+
+  ClaimDesk m_desk;
+  ShardWriter m_writer;
+};
+
+/// Lets a writer work until it wants nothing more, or so many steps.
+void Drive(ShardWriter& aWriter, Store& aStore, base::TimePoint aNow, int64_t aWall, int aFaults) {
+  for (int step = 0; step < 100; ++step) {
+    const auto action = aWriter.Next(aNow, aWall);
+    if (!action) {
+      return;
+    }
+    aWriter.OnResult(aStore.Carry(*action, aFaults));
+  }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ShardWriterTest)
+
+BOOST_AUTO_TEST_CASE(OneKeyIsGrantedOnce) {
+  Store store(1);
+  Process first("first");
+  Process second("second");
+  const base::TimePoint now = base::TimePoint{} + base::Millis(100000);
+  for (Process* process : { &first, &second }) {
+    process->m_writer.Ask(process->m_desk.MakeOrder("order-1"), now);
+    Drive(process->m_writer, store, now + base::Millis(10), 1000, 0);
+  }
+  const auto granted = first.m_writer.TakeReplies();
+  const auto held = second.m_writer.TakeReplies();
+  BOOST_REQUIRE(granted.size() == 1U);
+  BOOST_REQUIRE(held.size() == 1U);
+  BOOST_TEST((first.m_desk.Conclude(granted[0]).m_end == ClaimEnd::Granted));
+  const ClaimConclusion conclusion = second.m_desk.Conclude(held[0]);
+  BOOST_TEST((conclusion.m_end == ClaimEnd::HeldElsewhere));
+  BOOST_TEST(conclusion.m_holder.Text() == "first");
+}
+
+BOOST_AUTO_TEST_CASE(ManyAsksShareOneWrite) {
+  Store store(1);
+  Process process("p");
+  const base::TimePoint now = base::TimePoint{} + base::Millis(100000);
+  for (int i = 0; i < 200; ++i) {
+    process.m_writer.Ask(process.m_desk.MakeOrder("order-" + std::to_string(i)), now);
+  }
+  Drive(process.m_writer, store, now + base::Millis(10), 1000, 0);
+  BOOST_TEST(process.m_writer.TakeReplies().size() == 200U);
+  BOOST_TEST(store.Writes() == 1U);
+}
+
+// An own claim that was given up before it was confirmed may run later, but only once.
+BOOST_AUTO_TEST_CASE(GivenUpClaimMayRunLaterOnce) {
+  ClaimDesk desk(base::IncarnationId("p"));
+  const ClaimOrder lost = desk.MakeOrder("k");
+  desk.GiveUp(lost);
+  const ClaimReply reply{ desk.MakeOrder("k"),
+                          ClaimState::Held,
+                          { "k", base::IncarnationId("p"), lost.m_number, false, 0 } };
+  BOOST_TEST((desk.Conclude(reply).m_end == ClaimEnd::Granted));
+  BOOST_TEST((desk.Conclude(reply).m_end == ClaimEnd::HeldHere));
+}
+
+// A claim that ran stays held, also when a later ask for the same key was given up.
+BOOST_AUTO_TEST_CASE(GivingUpALaterAskDoesNotFreeAnEarlierRun) {
+  ClaimDesk desk(base::IncarnationId("p"));
+  const ClaimOrder ran = desk.MakeOrder("k");
+  desk.GiveUp(desk.MakeOrder("k"));
+  const ClaimReply reply{ desk.MakeOrder("k"),
+                          ClaimState::Held,
+                          { "k", base::IncarnationId("p"), ran.m_number, false, 0 } };
+  BOOST_TEST((desk.Conclude(reply).m_end == ClaimEnd::HeldHere));
+}
+
+// Values stay small: old heads are sealed, and segments go when all in them has expired.
+BOOST_AUTO_TEST_CASE(SizeIsBoundedBySealingAndExpiry) {
+  Store store(1);
+  ShardWriterSettings settings;
+  settings.m_sealBytes = 4096;
+  settings.m_retention = 100;
+  Process process("p", settings);
+  base::TimePoint now = base::TimePoint{} + base::Millis(100000);
+  size_t mostKeys = 0;
+  for (int second = 0; second < 1000; ++second) {
+    for (int i = 0; i < 10; ++i) {
+      const std::string key = std::to_string(second) + "-" + std::to_string(i);
+      process.m_writer.Ask(process.m_desk.MakeOrder(key), now);
+    }
+    now += base::Millis(1000);
+    Drive(process.m_writer, store, now, 100000 + second, 0);
+    for (const ClaimReply& reply : process.m_writer.TakeReplies()) {
+      BOOST_REQUIRE((reply.m_state == ClaimState::Granted));
+    }
+    mostKeys = std::max(mostKeys, store.Keys());
+  }
+  // A retention of 100 s and 60 s of clock slack at 10 claims a second: 1600 claims of about 30
+  // bytes.
+  BOOST_TEST(store.Largest() < 2 * settings.m_sealBytes);
+  BOOST_TEST(mostKeys < 30U);
+}
+
+// Processes race for keys over a store that refuses calls and loses answers: each key is granted to
+// one process at most, once, and a key that was called unavailable can be asked again.
+BOOST_AUTO_TEST_CASE(NoKeyIsGrantedTwiceUnderFaults) {
+  for (uint64_t seed = 1; seed <= 200; ++seed) {
+    std::mt19937_64 random(seed);
+    Store store(seed);
+    std::vector<Process> processes;
+    ShardWriterSettings settings;
+    settings.m_sealBytes = 512;
+    for (int i = 0; i < 3; ++i) {
+      processes.emplace_back("p" + std::to_string(i), settings);
+    }
+    std::map<std::string, int> granted;
+    base::TimePoint now = base::TimePoint{} + base::Millis(100000);
+    for (int round = 0; round < 60; ++round) {
+      // Some process asks for some key, through its own writer or that of another: two homes at
+      // once.
+      Process& asker = processes[random() % processes.size()];
+      Process& home = processes[random() % processes.size()];
+      const std::string key = "k" + std::to_string(random() % 12);
+      home.m_writer.Ask(asker.m_desk.MakeOrder(key), now);
+      now += base::Millis(20);
+      for (Process& process : processes) {
+        // Writers take turns in the middle of their work.
+        for (uint64_t steps = random() % 5; steps > 0; --steps) {
+          if (const auto action = process.m_writer.Next(now, 1000)) {
+            process.m_writer.OnResult(store.Carry(*action, 25));
+          }
+        }
+        for (const ClaimReply& reply : process.m_writer.TakeReplies()) {
+          for (Process& owner : processes) {
+            if ("p" + std::to_string(&owner - processes.data()) == reply.m_order.m_owner.Text() &&
+                owner.m_desk.Conclude(reply).m_end == ClaimEnd::Granted) {
+              ++granted[reply.m_order.m_key];
+            }
+          }
+        }
+      }
+    }
+    for (const auto& [key, count] : granted) {
+      BOOST_TEST(count == 1,
+                 "seed " << seed << ": " << key << " was granted " << count << " times");
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/packages/node/ConfigurationKeeper.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "adapters/platform/KeyValueClient.h"
+#include "base/Log.h"
+#include "tasks/Messages.h"
+
+#include <functional>
+#include <map>
+
+namespace papayafield::node {
+
+/// Keeps this node's configuration at the newest generation that the platform or a peer offers, and
+/// carries out applies. Belongs to the platform task.
+class ConfigurationKeeper {
+public:
+  /// Calls `aOnAdopted` with each higher generation.
+  ConfigurationKeeper(adapters::http::EventLoop& aLoop,
+                      adapters::platform::KeyValueClient& aStore,
+                      base::Millis aBackstopPeriod,
+                      std::function<void(const tasks::Configuration&)> aOnAdopted);
+
+  /// Whether this node keeps a watch open; the others read now and then.
+  void SetWatching(bool aWatching);
+  /// A configuration has come from the platform or a peer.
+  void Offer(tasks::Configuration aConfiguration);
+  /// Carries out an apply and reports what became of it.
+  void Apply(tasks::ApplyAsk aAsk, std::function<void(tasks::ApplyAnswer)> aOnDone);
+
+  /// The configuration in force here.
+  const tasks::Configuration& Present() const { return m_present; }
+
+private:
+  struct ApplyState;
+  using ApplyPtr = std::shared_ptr<ApplyState>;
+
+  void Round();
+  void OnRead(const adapters::platform::KeyValueClient::ReadResult& aResult);
+  void RoundAfter(base::Millis aPause);
+  void ReadForApply(const ApplyPtr& aApply);
+  void WriteForApply(const ApplyPtr& aApply, const adapters::platform::KeyValueEntry& aEntry);
+  void SettleApply(const ApplyPtr& aApply);
+  void EndApply(const ApplyPtr& aApply,
+                tasks::ApplyVerdict aVerdict,
+                const tasks::Configuration& aPresent);
+
+  adapters::http::EventLoop& m_loop;
+  adapters::platform::KeyValueClient& m_store;
+  base::Millis m_backstopPeriod;
+  std::function<void(const tasks::Configuration&)> m_onAdopted;
+  base::Log m_log;
+  tasks::Configuration m_present;
+  uint64_t m_version = 0;
+  bool m_watching = true;
+  bool m_asking = false;
+  adapters::http::WatchPtr m_timer;
+};
+
+/// Reads a configuration as it stands in the key-value service; nothing when it is malformed.
+std::optional<tasks::Configuration> ParseConfiguration(const std::string& aText);
+/// The value that stands in the key-value service for `aConfiguration`.
+std::string ConfigurationText(const tasks::Configuration& aConfiguration);
+
+} // namespace papayafield::node
--- /dev/null
+++ b/packages/node/NodeRegistry.cpp
@@ -0,0 +1,107 @@
+#include "node/NodeRegistry.h"
+
+#include "base/Json.h"
+
+namespace papayafield::node {
+
+namespace {
+
+constexpr char kPrefix[] = "papayafield/nodes/";
+/// Life of a registration, and the time between two renewals of it.
+constexpr base::Millis kLeaseLife{ 60000 };
+constexpr base::Millis kRenewPeriod{ 20000 };
+/// Pause after a failed call.
+constexpr base::Millis kPauseAfterFault{ 500 };
+
+} // namespace
+
+NodeRegistry::NodeRegistry(adapters::http::EventLoop& aLoop,
+                           adapters::platform::KeyValueClient& aStore,
+                           const settings::NodeSettings& aSettings,
+                           base::IncarnationId aIncarnation,
+                           std::function<void(std::vector<tasks::Member>)> aOnListed)
+  : m_loop(aLoop)
+  , m_store(aStore)
+  , m_settings(aSettings)
+  , m_incarnation(std::move(aIncarnation))
+  , m_onListed(std::move(aOnListed)) {
+  Register();
+  List();
+}
+
+void NodeRegistry::Drain() {
+  m_draining = true;
+  m_leaseTimer.reset();
+  Register();
+}
+
+std::string NodeRegistry::Value() const {
+  return base::DumpJson({ { "node", m_settings.m_name.Text() },
+                          { "incarnation", m_incarnation.Text() },
+                          { "zone", m_settings.m_zone.Text() },
+                          { "callers", m_settings.m_callerAddress.ToText() },
+                          { "peers", m_settings.m_fleet.m_peerAddress.ToText() },
+                          { "draining", m_draining } });
+}
+
+void NodeRegistry::Register() {
+  m_store.Grant(kLeaseLife, [this](const std::optional<std::string>& aLease) {
+    if (!aLease) {
+      m_leaseTimer = m_loop.After(kPauseAfterFault, [this] { Register(); });
+      return;
+    }
+    m_lease = *aLease;
+    m_store.Read(kPrefix + m_settings.m_name.Text(), [this](const auto& aResult) {
+      if (!aResult) {
+        m_leaseTimer = m_loop.After(kPauseAfterFault, [this] { Register(); });
+        return;
+      }
+      Write(aResult->m_version);
+    });
+  });
+}
+
+void NodeRegistry::Write(uint64_t aVersion) {
+  m_store.Swap(
+    kPrefix + m_settings.m_name.Text(), Value(), aVersion, m_lease, [this](const auto& aResult) {
+      // A lost answer is as good as a failure: writing again changes nothing.
+      const base::Millis pause = aResult ? kRenewPeriod : kPauseAfterFault;
+      m_leaseTimer = m_loop.After(
+        pause, [this, written = aResult.has_value()] { written ? Renew() : Register(); });
+    });
+}
+
+void NodeRegistry::Renew() {
+  m_store.Renew(m_lease, [this](bool aRenewed) {
+    m_leaseTimer = m_loop.After(aRenewed ? kRenewPeriod : kPauseAfterFault,
+                                [this, aRenewed] { aRenewed ? Renew() : Register(); });
+  });
+}
+
+void NodeRegistry::List() {
+  m_store.List(kPrefix, [this](const auto& aEntries) {
+    if (aEntries) {
+      std::vector<tasks::Member> members;
+      for (const auto& entry : *aEntries) {
+        const nlohmann::json value = base::ParseJson(entry.m_value);
+        tasks::Member member;
+        member.m_node = base::NodeId(base::ValueOr(value, "node", std::string()));
+        member.m_incarnation =
+          base::IncarnationId(base::ValueOr(value, "incarnation", std::string()));
+        member.m_zone = base::ZoneId(base::ValueOr(value, "zone", std::string()));
+        member.m_callers = base::Address::Parse(base::ValueOr(value, "callers", std::string()));
+        member.m_peers = base::Address::Parse(base::ValueOr(value, "peers", std::string()));
+        member.m_state = base::ValueOr(value, "draining", false) ? tasks::MemberState::Draining
+                                                                 : tasks::MemberState::Alive;
+        if (!member.m_node.Empty()) {
+          members.push_back(std::move(member));
+        }
+      }
+      m_onListed(std::move(members));
+    }
+    m_listTimer = m_loop.After(aEntries ? m_settings.m_platform.m_hostListPeriod : kPauseAfterFault,
+                               [this] { List(); });
+  });
+}
+
+} // namespace papayafield::node
--- /dev/null
+++ b/packages/node/PlatformTask.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "adapters/platform/HostListClient.h"
+#include "base/Timeline.h"
+#include "node/ClaimKeeper.h"
+#include "node/ConfigurationKeeper.h"
+#include "node/NodeRegistry.h"
+
+namespace papayafield::node {
+
+/// The platform task: owns every connection to the platform. Runs on one thread with its own event
+/// loop.
+class PlatformTask {
+public:
+  /// Prepares the task. All arguments must outlive it.
+  PlatformTask(const settings::NodeSettings& aSettings,
+               const base::IncarnationId& aIncarnation,
+               tasks::Mailboxes& aMailboxes);
+
+  /// Works until a StopTask message comes.
+  void Run();
+
+private:
+  void OnMessage(tasks::PlatformMessage aMessage);
+  void OnAdopted(const tasks::Configuration& aConfiguration);
+  void ReadHosts();
+
+  const settings::NodeSettings& m_settings;
+  tasks::Mailboxes& m_mailboxes;
+  base::Log m_log;
+  adapters::http::EventLoop m_loop;
+  adapters::http::HttpClient m_http;
+  adapters::platform::KeyValueClient m_store;
+  adapters::platform::HostListClient m_hosts;
+  ConfigurationKeeper m_configuration;
+  NodeRegistry m_registry;
+  ClaimKeeper m_claims;
+  adapters::http::WatchPtr m_mailWatch;
+  adapters::http::WatchPtr m_hostsTimer;
+};
+
+} // namespace papayafield::node
--- /dev/null
+++ b/packages/requests/AnswerToken.cpp
@@ -0,0 +1,57 @@
+#include "requests/AnswerToken.h"
+
+#include "base/Digest.h"
+
+#include <charconv>
+
+namespace papayafield::requests {
+
+namespace {
+
+/// Hexadecimal digits of the signature kept in a token.
+constexpr size_t kSignatureDigits = 24;
+
+std::string Sign(const AnswerToken& aToken, const base::TeamId& aTeam, const std::string& aKey) {
+  const std::string text =
+    "answer|" + aToken.m_endpoint.Text() + "|" + aToken.m_stream + "|" + aTeam.Text();
+  return base::HmacHex(aKey, text).substr(0, kSignatureDigits);
+}
+
+} // namespace
+
+std::string SignAnswerToken(const AnswerToken& aToken,
+                            const base::TeamId& aTeam,
+                            const std::string& aKey) {
+  return aToken.m_endpoint.Text() + "~" + aToken.m_stream + "~" + Sign(aToken, aTeam, aKey);
+}
+
+std::optional<AnswerPosition> ReadAnswerPosition(const std::string& aText,
+                                                 const base::TeamId& aTeam,
+                                                 const std::vector<std::string>& aKeys) {
+  // Cut `endpoint~stream~signature.offset`.
+  const size_t point = aText.rfind('.');
+  const size_t first = aText.find('~');
+  const size_t second = first == std::string::npos ? first : aText.find('~', first + 1);
+  if (point == std::string::npos || second == std::string::npos || point < second) {
+    return std::nullopt;
+  }
+  AnswerPosition position;
+  position.m_token.m_endpoint = base::EndpointId(aText.substr(0, first));
+  position.m_token.m_stream = aText.substr(first + 1, second - first - 1);
+  const std::string signature = aText.substr(second + 1, point - second - 1);
+  const char* begin = aText.data() + point + 1;
+  const char* end = aText.data() + aText.size();
+  const auto [stop, fault] = std::from_chars(begin, end, position.m_offset);
+  if (fault != std::errc() || stop != end || begin == end) {
+    return std::nullopt;
+  }
+  // Any present key may have signed it.
+  for (const std::string& key : aKeys) {
+    if (base::EqualConstantTime(signature, Sign(position.m_token, aTeam, key))) {
+      return position;
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace papayafield::requests
--- /dev/null
+++ b/packages/requests/FaultTable.h
@@ -0,0 +1,155 @@
+#pragma once
+
+#include "base/EnumNames.h"
+#include "requests/Outcome.h"
+
+#include <array>
+
+/// \file
+/// What follows from each fault of an attempt, as one table over all faults and kinds of call.
+
+namespace papayafield::requests {
+
+/// What can go wrong with one attempt, or with the request around it.
+enum class Fault {
+  /// The endpoint refused the connection, or connecting timed out: no byte was sent.
+  NotConnected,
+  /// The connection was lost after it stood and before any part of the answer.
+  ResetBeforeAnswer,
+  /// The connection was lost within the answer.
+  ResetInAnswer,
+  /// The endpoint stayed silent past the idle bound.
+  Silence,
+  /// The endpoint answered with a server error (5xx).
+  ServerError,
+  /// The endpoint itself said that it did not start the request.
+  NotStarted,
+  /// An answer of an attempt that is no longer the present one.
+  LateAnswer,
+  /// An answer that carries the number of another attempt.
+  CrossedAnswer,
+  /// The caller closed its connection.
+  CallerGone,
+  /// The request waited too long and was taken out of the queue before dispatch.
+  QueueTimeout,
+  /// The queue time-out came after dispatch.
+  QueueTimeoutAfterDispatch,
+};
+
+/// What the request does next.
+enum class Step {
+  /// Send it to another endpoint, within the retry budget.
+  TryAnother,
+  /// Ask the same engine for the rest of the stream over a new connection, else another engine.
+  Resume,
+  /// Answer the caller with the outcome of the rule.
+  Stop,
+  /// Leave the answer out and go on waiting for the present attempt.
+  DropAnswer,
+  /// Tell the engine to stop and forget the request.
+  CancelAtEndpoint,
+  /// Let the attempt finish and keep its answer for a caller that asks again.
+  FinishAndKeep,
+  /// Nothing: the present attempt goes on.
+  GoOn,
+};
+
+/// One row of the table.
+struct FaultRule {
+  Fault m_fault;
+  CallKind m_kind;
+  Step m_step;
+  /// What to tell the caller if the request ends here: the step is Stop, or nothing is left to try.
+  Outcome m_outcome;
+};
+
+/// The rule for each fault and kind of call.
+inline constexpr auto kFaultRules = std::to_array<FaultRule>({
+  { Fault::NotConnected, CallKind::Repeatable, Step::TryAnother, Outcome::NotRun },
+  { Fault::NotConnected, CallKind::NotRepeatable, Step::TryAnother, Outcome::NotRun },
+  { Fault::ResetBeforeAnswer, CallKind::Repeatable, Step::TryAnother, Outcome::Unknown },
+  { Fault::ResetBeforeAnswer, CallKind::NotRepeatable, Step::Stop, Outcome::Unknown },
+  { Fault::ResetInAnswer, CallKind::Repeatable, Step::Resume, Outcome::Unknown },
+  { Fault::ResetInAnswer, CallKind::NotRepeatable, Step::Stop, Outcome::Unknown },
+  { Fault::Silence, CallKind::Repeatable, Step::Resume, Outcome::Unknown },
+  { Fault::Silence, CallKind::NotRepeatable, Step::Stop, Outcome::Unknown },
+  { Fault::ServerError, CallKind::Repeatable, Step::TryAnother, Outcome::Unknown },
+  { Fault::ServerError, CallKind::NotRepeatable, Step::Stop, Outcome::Unknown },
+  { Fault::NotStarted, CallKind::Repeatable, Step::TryAnother, Outcome::NotRun },
+  { Fault::NotStarted, CallKind::NotRepeatable, Step::TryAnother, Outcome::NotRun },
+  { Fault::LateAnswer, CallKind::Repeatable, Step::DropAnswer, Outcome::Unknown },
+  { Fault::LateAnswer, CallKind::NotRepeatable, Step::DropAnswer, Outcome::Unknown },
+  { Fault::CrossedAnswer, CallKind::Repeatable, Step::TryAnother, Outcome::Unknown },
+  { Fault::CrossedAnswer, CallKind::NotRepeatable, Step::Stop, Outcome::Unknown },
+  { Fault::CallerGone, CallKind::Repeatable, Step::CancelAtEndpoint, Outcome::Unknown },
+  { Fault::CallerGone, CallKind::NotRepeatable, Step::FinishAndKeep, Outcome::Unknown },
+  { Fault::QueueTimeout, CallKind::Repeatable, Step::Stop, Outcome::NotRun },
+  { Fault::QueueTimeout, CallKind::NotRepeatable, Step::Stop, Outcome::NotRun },
+  { Fault::QueueTimeoutAfterDispatch, CallKind::Repeatable, Step::GoOn, Outcome::Unknown },
+  { Fault::QueueTimeoutAfterDispatch, CallKind::NotRepeatable, Step::GoOn, Outcome::Unknown },
+});
+
+/// The rule for `aFault` of a call of the kind `aKind`. Thread safe.
+constexpr const FaultRule& RuleFor(Fault aFault, CallKind aKind) {
+  for (const FaultRule& rule : kFaultRules) {
+    if (rule.m_fault == aFault && rule.m_kind == aKind) {
+      return rule;
+    }
+  }
+  // Not reached: the table is checked to be complete when it is compiled.
+  return kFaultRules.front();
+}
+
+} // namespace papayafield::requests
+
+namespace papayafield::base {
+
+template<>
+inline constexpr auto kEnumNames<requests::Fault> = std::to_array<EnumName<requests::Fault>>({
+  { requests::Fault::NotConnected, "not connected" },
+  { requests::Fault::ResetBeforeAnswer, "connection lost before the answer" },
+  { requests::Fault::ResetInAnswer, "connection lost within the answer" },
+  { requests::Fault::Silence, "silence" },
+  { requests::Fault::ServerError, "server error" },
+  { requests::Fault::NotStarted, "not started" },
+  { requests::Fault::LateAnswer, "late answer" },
+  { requests::Fault::CrossedAnswer, "crossed answer" },
+  { requests::Fault::CallerGone, "caller gone" },
+  { requests::Fault::QueueTimeout, "queue time-out" },
+  { requests::Fault::QueueTimeoutAfterDispatch, "queue time-out after dispatch" },
+});
+
+template<>
+inline constexpr auto kEnumNames<requests::Step> = std::to_array<EnumName<requests::Step>>({
+  { requests::Step::TryAnother, "try another" },
+  { requests::Step::Resume, "resume" },
+  { requests::Step::Stop, "stop" },
+  { requests::Step::DropAnswer, "drop answer" },
+  { requests::Step::CancelAtEndpoint, "cancel at endpoint" },
+  { requests::Step::FinishAndKeep, "finish and keep" },
+  { requests::Step::GoOn, "go on" },
+});
+
+} // namespace papayafield::base
+
+namespace papayafield::requests {
+
+/// Whether each fault has exactly one rule for each kind of call.
+constexpr bool FaultTableIsComplete() {
+  for (const auto& fault : base::kEnumNames<Fault>) {
+    for (const auto& kind : base::kEnumNames<CallKind>) {
+      int rules = 0;
+      for (const FaultRule& rule : kFaultRules) {
+        rules += rule.m_fault == fault.m_value && rule.m_kind == kind.m_value ? 1 : 0;
+      }
+      if (rules != 1) {
+        return false;
+      }
+    }
+  }
+  return kFaultRules.size() == base::kEnumNames<Fault>.size() * base::kEnumNames<CallKind>.size();
+}
+
+static_assert(FaultTableIsComplete(), "each fault needs one rule for each kind of call");
+
+} // namespace papayafield::requests
--- /dev/null
+++ b/packages/requests/SseReader.cpp
@@ -0,0 +1,62 @@
+#include "requests/SseReader.h"
+
+namespace papayafield::requests {
+
+std::vector<SseEvent> SseReader::Feed(std::string_view aBytes) {
+  std::vector<SseEvent> events;
+  if (m_overflown) {
+    return events;
+  }
+  m_rest.append(aBytes);
+  size_t start = 0;
+  // An event ends at an empty line.
+  while (true) {
+    const size_t end = m_rest.find("\n\n", start);
+    if (end == std::string::npos) {
+      break;
+    }
+    SseEvent event;
+    bool hasField = false;
+    size_t line = start;
+    while (line <= end) {
+      const size_t stop = std::min(m_rest.find('\n', line), end);
+      ParseLine(std::string_view(m_rest).substr(line, stop - line), event, hasField);
+      line = stop + 1;
+    }
+    if (hasField) {
+      events.push_back(std::move(event));
+    }
+    start = end + 2;
+  }
+  m_rest.erase(0, start);
+  m_overflown = m_rest.size() > kMaxEventBytes;
+  return events;
+}
+
+void SseReader::ParseLine(std::string_view aLine, SseEvent& aEvent, bool& aHasField) {
+  const size_t colon = aLine.find(':');
+  if (colon == 0 || colon == std::string_view::npos) {
+    return;
+  }
+  const std::string_view name = aLine.substr(0, colon);
+  std::string_view value = aLine.substr(colon + 1);
+  if (value.starts_with(' ')) {
+    value.remove_prefix(1);
+  }
+  if (value.ends_with('\r')) {
+    value.remove_suffix(1);
+  }
+  aHasField = true;
+  if (name == "id") {
+    aEvent.m_id = value;
+  } else if (name == "event") {
+    aEvent.m_type = value;
+  } else if (name == "data") {
+    if (!aEvent.m_data.empty()) {
+      aEvent.m_data += '\n';
+    }
+    aEvent.m_data += value;
+  }
+}
+
+} // namespace papayafield::requests
--- /dev/null
+++ b/packages/requests/tests/FaultTableTest.cpp
@@ -0,0 +1,33 @@
+#include "requests/FaultTable.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace papayafield::requests;
+
+BOOST_AUTO_TEST_SUITE(FaultTableTest)
+
+BOOST_AUTO_TEST_CASE(TableIsComplete) {
+  BOOST_TEST(FaultTableIsComplete());
+}
+
+// A call that must not repeat goes to another endpoint only where nothing can have run.
+BOOST_AUTO_TEST_CASE(NotRepeatableNeverRepeatsAfterItMayHaveRun) {
+  for (const FaultRule& rule : kFaultRules) {
+    if (rule.m_kind != CallKind::NotRepeatable) {
+      continue;
+    }
+    const bool again = rule.m_step == Step::TryAnother || rule.m_step == Step::Resume;
+    BOOST_TEST((!again || rule.m_outcome == Outcome::NotRun));
+  }
+}
+
+// "Not run" is said only where no byte reached an endpoint, or the endpoint itself said so.
+BOOST_AUTO_TEST_CASE(NotRunOnlyWhereProved) {
+  for (const FaultRule& rule : kFaultRules) {
+    const bool proved = rule.m_fault == Fault::NotConnected || rule.m_fault == Fault::NotStarted ||
+                        rule.m_fault == Fault::QueueTimeout;
+    BOOST_TEST((rule.m_outcome == Outcome::NotRun) == proved);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/packages/requests/tests/StreamTest.cpp
@@ -0,0 +1,75 @@
+#include "requests/AnswerToken.h"
+#include "requests/RetryBudget.h"
+#include "requests/SseReader.h"
+#include "requests/StreamSplicer.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace papayafield;
+using namespace papayafield::requests;
+
+BOOST_AUTO_TEST_SUITE(StreamTest)
+
+BOOST_AUTO_TEST_CASE(SplicerDropsDuplicatesAndSeesGaps) {
+  StreamSplicer splicer(3);
+  BOOST_TEST((splicer.Take(2) == SpliceVerdict::Duplicate));
+  BOOST_TEST((splicer.Take(3) == SpliceVerdict::Pass));
+  BOOST_TEST((splicer.Take(5) == SpliceVerdict::Gap));
+  BOOST_TEST(splicer.Next() == 4U);
+}
+
+// Wherever the bytes are cut, the events are the same.
+BOOST_AUTO_TEST_CASE(ReaderTakesAnyCut) {
+  const std::string text =
+    ": alive\n\nid: 4\ndata: {\"a\":1}\n\nid: 5\ndata: x\ndata: y\n\ndata: [DONE]\n\n";
+  for (size_t cut = 0; cut <= text.size(); ++cut) {
+    SseReader reader;
+    auto events = reader.Feed(text.substr(0, cut));
+    for (SseEvent& event : reader.Feed(text.substr(cut))) {
+      events.push_back(std::move(event));
+    }
+    BOOST_REQUIRE(events.size() == 3U);
+    BOOST_TEST(events[0].m_id == "4");
+    BOOST_TEST(events[1].m_data == "x\ny");
+    BOOST_TEST(events[2].m_data == "[DONE]");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ReaderBoundsAnEvent) {
+  SseReader reader;
+  reader.Feed(std::string(SseReader::kMaxEventBytes + 1, 'x'));
+  BOOST_TEST(reader.Overflown());
+}
+
+BOOST_AUTO_TEST_CASE(AnswerTokenIsBoundToTeamAndKey) {
+  const AnswerToken token{ base::EndpointId("gpu-1"), "abc" };
+  const std::string text = SignAnswerToken(token, base::TeamId("florists"), "new key") + ".17";
+  const auto position =
+    ReadAnswerPosition(text, base::TeamId("florists"), { "old key", "new key" });
+  BOOST_REQUIRE(position.has_value());
+  BOOST_TEST(position->m_offset == 17U);
+  BOOST_TEST(position->m_token.m_stream == "abc");
+  BOOST_TEST(!ReadAnswerPosition(text, base::TeamId("drivers"), { "new key" }).has_value());
+  BOOST_TEST(!ReadAnswerPosition(text, base::TeamId("florists"), { "old key" }).has_value());
+  for (const char* bad : { "", ".", "a~b", "a~b~c", "a~b~c.", "a~b~c.x", "~~.1", "a.1" }) {
+    BOOST_TEST(!ReadAnswerPosition(bad, base::TeamId("florists"), { "new key" }).has_value());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(RetryBudgetIsAShareOfFreshTraffic) {
+  base::ManualClock clock;
+  RetryBudget budget({ 0.1, 5, 0 });
+  int spent = 0;
+  while (budget.Spend(clock.Now())) {
+    ++spent;
+  }
+  BOOST_TEST(spent == 5);
+  for (int i = 0; i < 1000; ++i) {
+    budget.Earn();
+    spent += budget.Spend(clock.Now()) ? 1 : 0;
+  }
+  BOOST_TEST(spent <= 5 + 100);
+  BOOST_TEST(spent >= 5 + 95);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/packages/routing/Router.cpp
@@ -0,0 +1,226 @@
+#include "routing/Router.h"
+
+#include "base/Digest.h"
+#include "routing/PrefixHash.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace papayafield::routing {
+
+/// How good an endpoint is for a query; the least is the best.
+struct Router::Score {
+  /// 0 in a zone that will do, 1 in the zone to avoid.
+  int m_avoided = 0;
+  /// 0 when the estimated time to the first token meets the target.
+  int m_missesTarget = 0;
+  /// Estimated milliseconds to the first token; 0 while the target is met.
+  double m_lateMillis = 0;
+  /// Price.
+  double m_cents = 0;
+  /// Tokens to prefill.
+  double m_uncached = 0;
+  /// Load, from 0 to about 1.
+  double m_load = 0;
+  /// Decides among equals the same way at each node.
+  uint64_t m_tie = 0;
+  /// The estimate itself.
+  double m_firstTokenMillis = 0;
+
+  auto Key() const {
+    return std::tuple(m_avoided, m_missesTarget, m_lateMillis, m_cents, m_uncached, m_load, m_tie);
+  }
+};
+
+Router::Router(RouterSettings aSettings)
+  : m_settings(aSettings) {}
+
+void Router::SetEndpoints(const std::vector<EndpointInfo>& aEndpoints) {
+  std::unordered_map<base::EndpointId, Known> known;
+  m_byRuns.clear();
+  for (const EndpointInfo& info : aEndpoints) {
+    // Keep what was learnt of an endpoint that stays.
+    const auto old = m_known.find(info.m_id);
+    auto& entry = known
+                    .emplace(info.m_id,
+                             old != m_known.end()
+                               ? std::move(old->second)
+                               : Known{ info, {}, CacheView(m_settings.m_cacheBlocks), {}, 0 })
+                    .first->second;
+    entry.m_info = info;
+    // Leaving is for good: a lagging list cannot take it back.
+    if (info.m_state == EndpointState::Leaving) {
+      m_leaving.insert(info.m_id);
+    } else if (m_leaving.contains(info.m_id)) {
+      entry.m_info.m_state = EndpointState::Leaving;
+    }
+    m_byRuns[info.m_runs].push_back(info.m_id);
+  }
+  m_known = std::move(known);
+}
+
+bool Router::MarkLeaving(const base::EndpointId& aEndpoint) {
+  const bool news = m_leaving.insert(aEndpoint).second;
+  if (Known* known = Get(aEndpoint)) {
+    known->m_info.m_state = EndpointState::Leaving;
+  }
+  return news;
+}
+
+void Router::ReportLoad(const base::EndpointId& aEndpoint, const EngineLoad& aLoad) {
+  Known* known = Get(aEndpoint);
+  if (known == nullptr || aLoad.m_asOf < known->m_load.m_asOf) {
+    return;
+  }
+  known->m_load = aLoad;
+  // What was sent before the report's moment is in the report.
+  std::erase_if(known->m_sent, [&](const Sent& aSent) { return aSent.m_when < aLoad.m_asOf; });
+}
+
+void Router::NoteSent(const base::EndpointId& aEndpoint,
+                      const RouteQuery& aQuery,
+                      base::TimePoint aNow) {
+  Known* known = Get(aEndpoint);
+  if (known == nullptr) {
+    return;
+  }
+  const double cached =
+    known->m_cache.CachedBlocks(aQuery.m_blocks) * static_cast<double>(kBlockTokens);
+  const auto tokens =
+    static_cast<uint64_t>(std::max(0.0, static_cast<double>(aQuery.m_promptTokens) - cached));
+  known->m_sent.push_back({ aNow, tokens });
+  known->m_cache.Store(aQuery.m_blocks);
+  ++known->m_outstanding;
+}
+
+void Router::NoteEnded(const base::EndpointId& aEndpoint) {
+  Known* known = Get(aEndpoint);
+  if (known != nullptr && known->m_outstanding > 0) {
+    --known->m_outstanding;
+  }
+}
+
+void Router::NoteEvicted(const base::EndpointId& aEndpoint, uint64_t aBlock) {
+  if (Known* known = Get(aEndpoint)) {
+    known->m_cache.Evict(aBlock);
+  }
+}
+
+void Router::NoteGap(const base::EndpointId& aEndpoint) {
+  if (Known* known = Get(aEndpoint)) {
+    known->m_cache.LoseTrust();
+  }
+}
+
+std::optional<RouteChoice> Router::Choose(const RouteQuery& aQuery, base::TimePoint aNow) const {
+  const auto group = m_byRuns.find(aQuery.m_runs);
+  if (group == m_byRuns.end()) {
+    return std::nullopt;
+  }
+  const Known* best = nullptr;
+  Score bestScore;
+  for (const base::EndpointId& id : group->second) {
+    const Known& known = m_known.at(id);
+    // Leave out what may get no work or has no room.
+    if (known.m_info.m_state == EndpointState::Leaving || aQuery.m_exclude.contains(id) ||
+        !HasRoom(known)) {
+      continue;
+    }
+    const Score score = Rate(known, aQuery, aNow);
+    if (best == nullptr || score.Key() < bestScore.Key()) {
+      best = &known;
+      bestScore = score;
+    }
+  }
+  if (best == nullptr) {
+    return std::nullopt;
+  }
+  return RouteChoice{ best->m_info.m_id,
+                      best->m_info.m_address,
+                      base::Millis(std::llround(bestScore.m_firstTokenMillis)),
+                      static_cast<uint64_t>(bestScore.m_uncached) };
+}
+
+bool Router::AnyRoom(const base::DeploymentId& aRuns) const {
+  const auto group = m_byRuns.find(aRuns);
+  return group != m_byRuns.end() &&
+         std::any_of(group->second.begin(), group->second.end(), [&](const base::EndpointId& aId) {
+           const Known& known = m_known.at(aId);
+           return known.m_info.m_state == EndpointState::Live && HasRoom(known);
+         });
+}
+
+const EndpointInfo* Router::Find(const base::EndpointId& aEndpoint) const {
+  const auto found = m_known.find(aEndpoint);
+  return found == m_known.end() ? nullptr : &found->second.m_info;
+}
+
+std::vector<EndpointInfo> Router::Endpoints() const {
+  std::vector<EndpointInfo> list;
+  list.reserve(m_known.size());
+  for (const auto& [id, known] : m_known) {
+    list.push_back(known.m_info);
+  }
+  return list;
+}
+
+size_t Router::LiveCount(const base::DeploymentId& aRuns) const {
+  const auto group = m_byRuns.find(aRuns);
+  if (group == m_byRuns.end()) {
+    return 0;
+  }
+  return static_cast<size_t>(
+    std::count_if(group->second.begin(), group->second.end(), [&](const base::EndpointId& aId) {
+      return m_known.at(aId).m_info.m_state == EndpointState::Live;
+    }));
+}
+
+Router::Known* Router::Get(const base::EndpointId& aEndpoint) {
+  const auto found = m_known.find(aEndpoint);
+  return found == m_known.end() ? nullptr : &found->second;
+}
+
+bool Router::HasRoom(const Known& aKnown) const {
+  if (aKnown.m_info.m_kind == EndpointKind::Service) {
+    return true;
+  }
+  const auto used = aKnown.m_load.m_running + aKnown.m_load.m_queued + aKnown.m_sent.size();
+  const double room = aKnown.m_load.m_slots * (1 + m_settings.m_overcommit);
+  return static_cast<double>(std::max<size_t>(used, aKnown.m_outstanding)) < room;
+}
+
+Router::Score Router::Rate(const Known& aKnown,
+                           const RouteQuery& aQuery,
+                           base::TimePoint /*aNow*/) const {
+  Score score;
+  // Tokens ahead in the engine's queue: its report, and what was sent since.
+  double ahead = static_cast<double>(aKnown.m_load.m_queuedPrefillTokens);
+  for (const Sent& sent : aKnown.m_sent) {
+    ahead += static_cast<double>(sent.m_tokens);
+  }
+  const double cached =
+    aKnown.m_cache.CachedBlocks(aQuery.m_blocks) * static_cast<double>(kBlockTokens);
+  score.m_uncached = std::max(0.0, static_cast<double>(aQuery.m_promptTokens) - cached);
+  constexpr double kMillisPerSecond = 1000;
+  score.m_firstTokenMillis =
+    (ahead + score.m_uncached) / aKnown.m_load.m_prefillRate * kMillisPerSecond;
+  // Compare with the target.
+  const auto target = static_cast<double>(aQuery.m_firstToken.count());
+  if (score.m_firstTokenMillis > target) {
+    score.m_missesTarget = 1;
+    score.m_lateMillis = score.m_firstTokenMillis;
+  }
+  score.m_avoided = !aQuery.m_avoidZone.Empty() && aKnown.m_info.m_zone == aQuery.m_avoidZone;
+  score.m_cents = aKnown.m_info.m_centsPerHour;
+  score.m_load = aKnown.m_info.m_kind == EndpointKind::Service
+                   ? static_cast<double>(aKnown.m_outstanding)
+                   : static_cast<double>(aKnown.m_load.m_running + aKnown.m_sent.size()) /
+                       std::max(1U, aKnown.m_load.m_slots);
+  // Equal ones are told apart by the prompt's start, alike at each node.
+  const uint64_t start = aQuery.m_blocks.empty() ? 0 : aQuery.m_blocks.front();
+  score.m_tie = ~base::Hash64(aKnown.m_info.m_id.Text(), start);
+  return score;
+}
+
+} // namespace papayafield::routing
--- /dev/null
+++ b/standins/engine/AnswerText.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "base/Digest.h"
+#include "base/Json.h"
+
+#include <string>
+
+/// \file
+/// What the engine stand-in answers: a function of the prompt alone, so that a test can compare an
+/// answer whole, whichever engines it came from.
+
+namespace papayafield::standins {
+
+/// The prompt of a completion body as one text.
+inline std::string PromptOf(const nlohmann::json& aBody) {
+  if (aBody.contains("prompt") && aBody["prompt"].is_string()) {
+    return aBody["prompt"].get<std::string>();
+  }
+  std::string prompt;
+  if (aBody.contains("messages") && aBody["messages"].is_array()) {
+    for (const auto& message : aBody["messages"]) {
+      prompt += base::ValueOr(message, "role", std::string()) + ": " +
+                base::ValueOr(message, "content", std::string()) + "\n";
+    }
+  }
+  return prompt;
+}
+
+/// Token `aOffset` of the answer to `aPrompt`.
+inline std::string AnswerWord(const std::string& aPrompt, uint64_t aOffset) {
+  constexpr uint64_t kWords = 100000;
+  return "w" + std::to_string(base::Hash64(aPrompt, aOffset) % kWords) + " ";
+}
+
+/// The first `aCount` tokens of the answer to `aPrompt`.
+inline std::string AnswerText(const std::string& aPrompt, uint64_t aCount) {
+  std::string text;
+  for (uint64_t offset = 0; offset < aCount; ++offset) {
+    text += AnswerWord(aPrompt, offset);
+  }
+  return text;
+}
+
+} // namespace papayafield::standins
--- /dev/null
+++ b/standins/engine/Engine.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "adapters/http/HttpServer.h"
+#include "base/Json.h"
+#include "routing/CacheView.h"
+
+#include <deque>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace papayafield::standins {
+
+/// How fast and how large the engine is.
+struct EngineSettings {
+  /// Most streams in the batch.
+  uint32_t m_slots = 8;
+  /// Prompt tokens prefilled a second.
+  double m_prefillRate = 8000;
+  /// Time between two tokens of a stream with an otherwise empty batch.
+  double m_tokenMs = 20;
+  /// Share by which each further stream of the batch slows all down.
+  double m_slowdown = 0.02;
+  /// Blocks in the prefix cache.
+  size_t m_cacheBlocks = 4096;
+  /// Age of a load report.
+  base::Millis m_loadLag{ 100 };
+  /// How long an export takes.
+  base::Millis m_exportTime{ 20 };
+  /// Tokens of an answer whose request names no maximum.
+  uint64_t m_answerTokens = 40;
+};
+
+/// A model engine in miniature: continuous batching, a prefix cache, priorities, streams that go on
+/// without a reader, can be resumed, cancelled, exported and imported.
+class Engine {
+public:
+  /// An engine whose batch runs on `aLoop`.
+  Engine(adapters::http::EventLoop& aLoop, EngineSettings aSettings);
+
+  /// Answers a call of the engine's interface.
+  void Handle(const adapters::http::ExchangePtr& aExchange);
+
+private:
+  enum class Phase { Queued, Prefilling, Decoding, Done };
+
+  struct Stream {
+    std::string m_id;
+    std::string m_prompt;
+    bool m_chat = true;
+    uint64_t m_priority = 1;
+    /// Offset of the next token to generate.
+    uint64_t m_next = 0;
+    /// Offset of the first token generated here.
+    uint64_t m_first = 0;
+    uint64_t m_total = 0;
+    /// Prompt tokens still to prefill.
+    double m_prefillLeft = 0;
+    double m_untilToken = 0;
+    Phase m_phase = Phase::Queued;
+    base::TimePoint m_finished{};
+    base::TimePoint m_lastSent{};
+    /// The reader, and the offset that it gets next.
+    adapters::http::ExchangePtr m_reader;
+    uint64_t m_sent = 0;
+  };
+  using StreamPtr = std::shared_ptr<Stream>;
+
+  struct LoadSample {
+    base::TimePoint m_when;
+    nlohmann::json m_report;
+  };
+
+  void Generate(const adapters::http::ExchangePtr& aExchange);
+  void Streams(const adapters::http::ExchangePtr& aExchange);
+  void Export(const adapters::http::ExchangePtr& aExchange, const StreamPtr& aStream);
+  void Control(const adapters::http::ExchangePtr& aExchange);
+  void Events(const adapters::http::ExchangePtr& aExchange);
+  void Attach(const StreamPtr& aStream,
+              const adapters::http::ExchangePtr& aExchange,
+              uint64_t aFrom);
+  void Pump(Stream& aStream);
+  void Tick();
+  void StartPrefill(Stream& aStream);
+  void NoteBlocks(const Stream& aStream);
+  nlohmann::json Report() const;
+  void Drop(const std::string& aId);
+  std::string EventOf(const Stream& aStream, uint64_t aOffset) const;
+
+  adapters::http::EventLoop& m_loop;
+  EngineSettings m_settings;
+  std::map<std::string, StreamPtr> m_streams;
+  /// Waiting or in the batch, in the order of arrival.
+  std::list<StreamPtr> m_active;
+  routing::CacheView m_cache;
+  std::deque<uint64_t> m_cacheOrder;
+  std::deque<LoadSample> m_samples;
+  std::list<adapters::http::WatchPtr> m_exports;
+  bool m_leaving = false;
+  bool m_refusing = false;
+  uint64_t m_started = 0;
+  uint64_t m_lastStartMs = 0;
+  uint64_t m_prefilled = 0;
+  uint64_t m_cachedTokens = 0;
+  uint64_t m_recomputed = 0;
+  uint64_t m_wrongText = 0;
+  uint64_t m_cancelled = 0;
+  uint64_t m_dropNextEvents = 0;
+  struct CacheEvent {
+    uint64_t m_number;
+    uint64_t m_block;
+    bool m_evicted;
+    base::TimePoint m_when;
+  };
+  std::deque<CacheEvent> m_events;
+  uint64_t m_nextEvent = 1;
+  adapters::http::WatchPtr m_timer;
+  base::TimePoint m_lastTick;
+};
+
+} // namespace papayafield::standins
--- /dev/null
+++ b/standins/platform/KeyValueStore.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "adapters/http/HttpServer.h"
+#include "base/Json.h"
+
+#include <list>
+#include <map>
+#include <string>
+
+namespace papayafield::standins {
+
+/// Faults that a test switches on.
+struct PlatformFaults {
+  /// Calls are refused with 503; nothing takes effect.
+  bool m_outage = false;
+  /// Calls get no answer at all; nothing takes effect.
+  bool m_silent = false;
+  /// So many writes take effect and get no answer.
+  int m_loseAnswers = 0;
+};
+
+/// The key-value part of the platform stand-in: compare-and-swap, leases and watches in memory.
+class KeyValueStore {
+public:
+  /// A store whose timers run on `aLoop`.
+  explicit KeyValueStore(adapters::http::EventLoop& aLoop);
+
+  /// Answers a call below /kv, /list or /leases.
+  void Handle(const adapters::http::ExchangePtr& aExchange);
+  /// The switches.
+  PlatformFaults& Faults() { return m_faults; }
+  /// Calls counted so far, by kind.
+  nlohmann::json Counts() const;
+
+private:
+  struct Value {
+    std::string m_text;
+    uint64_t m_version = 0;
+    std::string m_lease;
+  };
+  struct Waiting {
+    adapters::http::ExchangePtr m_exchange;
+    std::string m_key;
+    uint64_t m_after;
+    base::TimePoint m_until;
+  };
+  struct Lease {
+    base::Millis m_life;
+    base::TimePoint m_until;
+  };
+
+  void Get(const adapters::http::ExchangePtr& aExchange, const std::string& aKey);
+  void Put(const adapters::http::ExchangePtr& aExchange, const std::string& aKey);
+  void Delete(const adapters::http::ExchangePtr& aExchange, const std::string& aKey);
+  void List(const adapters::http::ExchangePtr& aExchange);
+  void Leases(const adapters::http::ExchangePtr& aExchange);
+  void AnswerWrite(const adapters::http::ExchangePtr& aExchange, int aStatus, uint64_t aVersion);
+  void Send(const adapters::http::ExchangePtr& aExchange, const std::string& aKey);
+  void Wake(const std::string& aKey);
+  void Tick();
+  uint64_t VersionOf(const std::string& aKey) const;
+
+  PlatformFaults m_faults;
+  std::map<std::string, Value> m_values;
+  std::list<Waiting> m_waiting;
+  std::list<adapters::http::ExchangePtr> m_unanswered;
+  std::map<std::string, Lease> m_leases;
+  uint64_t m_lastVersion = 0;
+  uint64_t m_lastLease = 0;
+  uint64_t m_reads = 0;
+  uint64_t m_writes = 0;
+  adapters::http::WatchPtr m_timer;
+};
+
+} // namespace papayafield::standins
--- /dev/null
+++ b/standins/service/main.cpp
@@ -0,0 +1,131 @@
+#include "base/Digest.h"
+#include "standins/common/Arguments.h"
+#include "standins/common/StandinServer.h"
+
+#include <list>
+#include <map>
+
+/// \file
+/// Stand-in for a plain service: takes orders, counts how often each one ran, and answers stock
+/// checks.
+
+namespace {
+
+using namespace papayafield;
+using adapters::http::ExchangePtr;
+
+/// What goes wrong next, as a test sets it.
+struct ServiceFaults {
+  /// The order runs, and the connection is closed without an answer.
+  int m_closeAfterRun = 0;
+  /// The order does not run, and the connection is closed without an answer.
+  int m_closeBeforeRun = 0;
+  /// The order does not run, and the service says so.
+  int m_notStarted = 0;
+  /// The order runs, and the answer is a server error.
+  int m_serverError = 0;
+  /// The order runs, and no answer ever comes.
+  int m_silent = 0;
+  /// The order runs, and the answer carries another attempt's number.
+  int m_crossed = 0;
+};
+
+bool TakeOne(int& aCount) {
+  if (aCount <= 0) {
+    return false;
+  }
+  --aCount;
+  return true;
+}
+
+/// The service itself.
+class Service {
+public:
+  Service(adapters::http::EventLoop& aLoop, base::Millis aWork)
+    : m_loop(aLoop)
+    , m_work(aWork) {}
+
+  void Handle(const ExchangePtr& aExchange) {
+    const std::string& path = aExchange->Path();
+    if (path == "/control/runs") {
+      standins::ReplyJson(aExchange, 200, m_runs);
+    } else if (path == "/control/faults") {
+      SetFaults(base::ParseJson(aExchange->Body()));
+      standins::ReplyJson(aExchange, 200, nlohmann::json::object());
+    } else if (aExchange->Method() == "GET") {
+      standins::ReplyJson(
+        aExchange, 200, { { "stock", base::Hash64(path) % 100 }, { "path", path } });
+    } else {
+      TakeOrder(aExchange);
+    }
+  }
+
+private:
+  void SetFaults(const nlohmann::json& aBody) {
+    m_faults.m_closeAfterRun = base::ValueOr(aBody, "close_after_run", 0);
+    m_faults.m_closeBeforeRun = base::ValueOr(aBody, "close_before_run", 0);
+    m_faults.m_notStarted = base::ValueOr(aBody, "not_started", 0);
+    m_faults.m_serverError = base::ValueOr(aBody, "server_error", 0);
+    m_faults.m_silent = base::ValueOr(aBody, "silent", 0);
+    m_faults.m_crossed = base::ValueOr(aBody, "crossed", 0);
+  }
+
+  void TakeOrder(const ExchangePtr& aExchange) {
+    const std::string order =
+      base::ValueOr(base::ParseJson(aExchange->Body()), "order", std::string("none"));
+    const std::string attempt = aExchange->RequestHeaders().Find("X-Attempt-Id").value_or("");
+    if (TakeOne(m_faults.m_closeBeforeRun)) {
+      aExchange->Abort();
+      return;
+    }
+    if (TakeOne(m_faults.m_notStarted)) {
+      aExchange->Reply(503, { { "X-Not-Started", "1" } }, "");
+      return;
+    }
+    const int run = ++m_runs[order];
+    if (TakeOne(m_faults.m_closeAfterRun)) {
+      aExchange->Abort();
+      return;
+    }
+    if (TakeOne(m_faults.m_silent)) {
+      m_silenced.push_back(aExchange);
+      return;
+    }
+    if (TakeOne(m_faults.m_serverError)) {
+      aExchange->Reply(500, { { "X-Attempt-Id", attempt } }, "");
+      return;
+    }
+    const std::string shown = TakeOne(m_faults.m_crossed) ? "someone-else" : attempt;
+    const std::string body = base::DumpJson({ { "order", order }, { "run", run } });
+    auto reply = [aExchange, shown, body] {
+      aExchange->Reply(
+        201, { { "Content-Type", "application/json" }, { "X-Attempt-Id", shown } }, body);
+    };
+    m_timers.push_back(m_loop.After(m_work, reply));
+    constexpr size_t kTimersKept = 4096;
+    if (m_timers.size() > kTimersKept) {
+      m_timers.pop_front();
+    }
+  }
+
+  adapters::http::EventLoop& m_loop;
+  base::Millis m_work;
+  ServiceFaults m_faults;
+  std::map<std::string, int> m_runs;
+  std::list<ExchangePtr> m_silenced;
+  std::list<adapters::http::WatchPtr> m_timers;
+};
+
+} // namespace
+
+int main(int argc, char** argv) {
+  const standins::Arguments arguments(
+    argc, argv, { { "listen", "127.0.0.1:7200" }, { "work-ms", "5" } });
+  adapters::http::EventLoop loop;
+  Service service(loop, base::Millis(static_cast<int64_t>(arguments.Number("work-ms"))));
+  const bool served =
+    standins::Serve(loop, arguments.Address("listen"), [&](const ExchangePtr& aExchange) {
+      service.Handle(aExchange);
+    });
+  return served ? 0 : 1;
+}
