Peers: membership by probes, urgent news, claims through a home, configuration from peers

Cause: members came from the key-value service every second, each node wrote each shard, and a platform outage would have frozen membership and spreading.

Change: membership after the published SWIM design over signed datagrams (Cap'n Proto), urgent news (leaving endpoints, drains, generations) passed on at once by whoever hears it first, Cap'n Proto RPC between nodes behind a proof of the fleet's key for tables, configuration and claims; a node that starts asks up to three peers before it lets a generation come into force; shards have a home by rendezvous hash, which is only an economy, as the swap decides.

Ruled out while debugging a node that never became ready: kj's observer on the mailbox (strace showed it firing); the registry's list still went to the gateway instead of the peers.

--- a/apps/papayafieldd/main.cpp
+++ b/apps/papayafieldd/main.cpp
@@ -1,5 +1,7 @@
+#include "adapters/peer/PeersTask.h"
 #include "base/Digest.h"
 #include "base/Log.h"
+#include "base/Time.h"
 #include "gateway/Gateway.h"
 #include "node/PlatformTask.h"
 #include "settings/NodeSettings.h"
@@ -21,7 +23,7 @@
 
 constexpr int kExitUsage = 2;
 constexpr int kExitSettings = 3;
-constexpr size_t kIncarnationBytes = 8;
+constexpr size_t kIncarnationBytes = 4;
 
 constexpr char kHelp[] =
   "papayafieldd: a node of papayafield.\n"
@@ -74,21 +76,48 @@
   return std::nullopt;
 }
 
+/// A name for this life of the process. Later lives have greater names.
+base::IncarnationId MakeIncarnation() {
+  char start[17];
+  std::snprintf(
+    start, sizeof(start), "%012llx", static_cast<unsigned long long>(base::WallMillis()));
+  return base::IncarnationId(start + base::RandomHex(kIncarnationBytes));
+}
+
+tasks::Member MakeSelf(const settings::NodeSettings& aSettings,
+                       const base::IncarnationId& aIncarnation) {
+  tasks::Member self;
+  self.m_node = aSettings.m_name;
+  self.m_incarnation = aIncarnation;
+  self.m_zone = aSettings.m_zone;
+  self.m_callers = aSettings.m_callerAddress;
+  self.m_peers = aSettings.m_fleet.m_peerAddress;
+  return self;
+}
+
 int Serve(const settings::NodeSettings& aSettings) {
   base::StartLogging(aSettings.m_log);
   const base::Log log("node");
-  const base::IncarnationId incarnation(base::RandomHex(kIncarnationBytes));
+  const base::IncarnationId incarnation = MakeIncarnation();
   log.Info("Starting " + aSettings.m_name.Text() + ", incarnation " + incarnation.Text() + ".");
   base::Timeline timeline(aSettings.m_name, aSettings.m_timelineCapacity);
   timeline.Add(base::EventKind::NodeStarted, {}, incarnation.Text());
   tasks::Mailboxes mailboxes;
-  // Signals go to the gateway's loop on this thread.
+  adapters::peer::PeersTask peers(aSettings, MakeSelf(aSettings, incarnation), timeline, mailboxes);
+  if (!peers.Bound()) {
+    log.Error("Cannot listen at " + aSettings.m_fleet.m_peerAddress.ToText() + ".");
+    return 1;
+  }
   node::PlatformTask platform(aSettings, incarnation, mailboxes);
-  std::thread platformThread([&] { platform.Run(); });
+  // Signals go to the gateway's loop, which runs on this thread.
   gateway::Gateway gateway(aSettings, incarnation, timeline, mailboxes);
+  std::thread peersThread([&] { peers.Run(); });
+  std::thread platformThread([&] { platform.Run(); });
   const int code = gateway.Run();
   mailboxes.m_platform.Send(tasks::StopTask{});
+  mailboxes.m_peers.Send(tasks::StopTask{});
   platformThread.join();
+  peersThread.join();
   log.Info("Stopped.");
   return code;
 }
--- /dev/null
+++ b/packages/adapters/peer/DatagramSocket.cpp
@@ -0,0 +1,54 @@
+#include "adapters/peer/DatagramSocket.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace papayafield::adapters::peer {
+
+namespace {
+
+sockaddr_in ToSocket(const base::Address& aAddress) {
+  sockaddr_in socket{};
+  socket.sin_family = AF_INET;
+  socket.sin_port = htons(aAddress.m_port);
+  inet_pton(AF_INET, aAddress.m_host.c_str(), &socket.sin_addr);
+  return socket;
+}
+
+} // namespace
+
+DatagramSocket::DatagramSocket(const base::Address& aListen)
+  : m_fd(socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)) {
+  const sockaddr_in address = ToSocket(aListen);
+  m_bound = bind(m_fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0;
+}
+
+DatagramSocket::~DatagramSocket() {
+  close(m_fd);
+}
+
+void DatagramSocket::Send(const base::Address& aTo, std::string_view aBytes) {
+  const sockaddr_in address = ToSocket(aTo);
+  const ssize_t sent = sendto(m_fd,
+                              aBytes.data(),
+                              aBytes.size(),
+                              0,
+                              reinterpret_cast<const sockaddr*>(&address),
+                              sizeof(address));
+  m_bytes += sent > 0 ? static_cast<uint64_t>(sent) : 0;
+}
+
+bool DatagramSocket::Receive(std::string& aBytes) {
+  aBytes.resize(kMaxBytes);
+  const ssize_t got = recv(m_fd, aBytes.data(), aBytes.size(), 0);
+  if (got < 0) {
+    return false;
+  }
+  aBytes.resize(static_cast<size_t>(got));
+  m_bytes += static_cast<uint64_t>(got);
+  return true;
+}
+
+} // namespace papayafield::adapters::peer
--- /dev/null
+++ b/packages/adapters/peer/PeerClients.cpp
@@ -0,0 +1,78 @@
+#include "adapters/peer/PeerClients.h"
+
+#include "adapters/peer/PeerServer.h"
+
+#include <vector>
+
+namespace papayafield::adapters::peer {
+
+namespace {
+
+/// Connections not used for this long are closed.
+constexpr base::Millis kIdle{ 30000 };
+
+} // namespace
+
+PeerClients::PeerClients(kj::AsyncIoContext& aContext, const std::vector<std::string>& aKeys)
+  : m_context(aContext)
+  , m_keys(aKeys) {}
+
+PeerClients::Connection& PeerClients::Get(const base::Address& aPeer) {
+  auto& place = m_connections[aPeer];
+  if (place == nullptr) {
+    place = std::make_unique<Connection>();
+    place->m_serial = ++m_lastSerial;
+    // All calls that come while it is being made share it.
+    place->m_peer = Enter(aPeer, place->m_serial).fork();
+  }
+  place->m_used = base::SteadyClock().Now();
+  return *place;
+}
+
+kj::Promise<wire::Peer::Client> PeerClients::Enter(const base::Address& aPeer, uint64_t aSerial) {
+  return m_context.provider->getNetwork()
+    .parseAddress(aPeer.ToText())
+    .then([](kj::Own<kj::NetworkAddress> aAddress) {
+      auto connecting = aAddress->connect();
+      return connecting.attach(kj::mv(aAddress));
+    })
+    .then([this, aPeer, aSerial](kj::Own<kj::AsyncIoStream> aStream) {
+      Connection* connection = Find(aPeer, aSerial);
+      KJ_REQUIRE(connection != nullptr, "the connection was dropped");
+      connection->m_stream = kj::mv(aStream);
+      connection->m_client = kj::heap<capnp::TwoPartyClient>(*connection->m_stream);
+      auto gate = connection->m_client->bootstrap().castAs<wire::Gate>();
+      // Show a key of the fleet.
+      auto hello = gate.helloRequest();
+      hello.setVersion(wire::PROTOCOL_VERSION);
+      return hello.send();
+    })
+    .then([this](capnp::Response<wire::Gate::HelloResults> aHello) {
+      const auto nonce = aHello.getNonce();
+      auto answer = aHello.getChallenge().answerRequest();
+      answer.setProof(ProofOf(std::string(nonce.begin(), nonce.size()), m_keys.front()));
+      return answer.send();
+    })
+    .then(
+      [](capnp::Response<wire::Challenge::AnswerResults> aAnswer) { return aAnswer.getPeer(); });
+}
+
+PeerClients::Connection* PeerClients::Find(const base::Address& aPeer, uint64_t aSerial) {
+  const auto found = m_connections.find(aPeer);
+  return found != m_connections.end() && found->second->m_serial == aSerial ? found->second.get()
+                                                                            : nullptr;
+}
+
+void PeerClients::Drop(const base::Address& aPeer, uint64_t aSerial) {
+  if (Find(aPeer, aSerial) != nullptr) {
+    m_connections.erase(aPeer);
+  }
+}
+
+void PeerClients::DropIdle() {
+  const base::TimePoint now = base::SteadyClock().Now();
+  std::erase_if(m_connections,
+                [&](const auto& aEntry) { return now - aEntry.second->m_used > kIdle; });
+}
+
+} // namespace papayafield::adapters::peer
--- /dev/null
+++ b/packages/adapters/peer/PeersTask.cpp
@@ -0,0 +1,379 @@
+#include "adapters/peer/PeersTask.h"
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <set>
+
+namespace papayafield::adapters::peer {
+
+namespace {
+
+using tasks::MemberState;
+
+/// Ticks of the membership in one probe period.
+constexpr int kTicksPerPeriod = 10;
+/// Time limits of calls between nodes.
+constexpr base::Millis kCallTimeout{ 1000 };
+constexpr base::Millis kClaimTimeout{ 1500 };
+/// Time between two full exchanges of tables.
+constexpr base::Millis kExchangePeriod{ 10000 };
+/// Peers asked at the start for their configuration.
+constexpr size_t kConsulted = 3;
+/// Pause before a configuration is asked for again.
+constexpr base::Millis kFetchPause{ 200 };
+
+membership::SwimSettings ToSwim(const settings::NodeSettings& aSettings) {
+  membership::SwimSettings swim;
+  swim.m_probePeriod = aSettings.m_fleet.m_probePeriod;
+  return swim;
+}
+
+} // namespace
+
+/// The task's state while its loop runs.
+class PeersTask::Loop final : private kj::TaskSet::ErrorHandler {
+public:
+  Loop(PeersTask& aTask, kj::AsyncIoContext& aContext)
+    : m_task(aTask)
+    , m_context(aContext)
+    , m_log("peers")
+    , m_swim(ToSwim(aTask.m_settings), aTask.m_self, std::random_device{}())
+    , m_clients(aContext, aTask.m_settings.m_fleet.m_keys)
+    , m_hooks(MakeHooks())
+    , m_server(MakeGate(m_hooks, aTask.m_settings.m_fleet.m_keys))
+    , m_mail(aContext.unixEventPort,
+             aTask.m_mailboxes.m_peers.Fd(),
+             kj::UnixEventPort::FdObserver::OBSERVE_READ)
+    , m_datagrams(aContext.unixEventPort,
+                  aTask.m_socket.Fd(),
+                  kj::UnixEventPort::FdObserver::OBSERVE_READ)
+    , m_tasks(*this) {}
+
+  /// Works until the task is told to stop.
+  void Run() {
+    auto stopped = kj::newPromiseAndFulfiller<void>();
+    m_stop = kj::mv(stopped.fulfiller);
+    m_tasks.add(Listen());
+    m_tasks.add(ReadMail());
+    m_tasks.add(ReadDatagrams());
+    m_tasks.add(TickForever());
+    m_tasks.add(ExchangeForever());
+    stopped.promise.wait(m_context.waitScope);
+  }
+
+private:
+  PeerHooks MakeHooks() {
+    PeerHooks hooks;
+    hooks.m_configuration = [this] { return m_configurationText; };
+    hooks.m_exchange = [this](wire::Table::Reader aTheirs, wire::Table::Builder aOurs) {
+      m_swim.Merge(ReadMembers(aTheirs.getMembers()),
+                   ReadLeaving(aTheirs.getLeaving()),
+                   base::SteadyClock().Now());
+      WriteTable(aOurs, m_swim.Records(), m_swim.Leaving());
+      Flush();
+    };
+    hooks.m_claim = [this](std::vector<claims::ClaimOrder> aOrders) {
+      return TakeClaims(std::move(aOrders));
+    };
+    hooks.m_done = [this](std::vector<std::string> aKeys) {
+      for (std::string& key : aKeys) {
+        m_task.m_mailboxes.m_platform.Send(tasks::ClaimDone{ std::move(key) });
+      }
+    };
+    return hooks;
+  }
+
+  kj::Promise<void> Listen() {
+    return m_context.provider->getNetwork()
+      .parseAddress(m_task.m_settings.m_fleet.m_peerAddress.ToText())
+      .then([this](kj::Own<kj::NetworkAddress> aAddress) {
+        m_listener = aAddress->listen();
+        return m_server.listen(*m_listener);
+      });
+  }
+
+  kj::Promise<void> ReadMail() {
+    for (tasks::PeersMessage& message : m_task.m_mailboxes.m_peers.TakeAll()) {
+      OnMessage(std::move(message));
+    }
+    Flush();
+    return m_mail.whenBecomesReadable().then([this] { return ReadMail(); });
+  }
+
+  kj::Promise<void> ReadDatagrams() {
+    std::string bytes;
+    while (m_task.m_socket.Receive(bytes)) {
+      const auto message = DecodeDatagram(bytes, m_task.m_settings.m_fleet.m_keys);
+      if (!message) {
+        continue;
+      }
+      m_task.m_timeline.Hear(message->m_clock);
+      m_swim.OnMessage(message->m_message,
+                       message->m_message.m_sender.m_member.m_peers,
+                       base::SteadyClock().Now());
+    }
+    // News is passed on in the same turn, not at the next tick.
+    m_swim.Tick(base::SteadyClock().Now());
+    Flush();
+    return m_datagrams.whenBecomesReadable().then([this] { return ReadDatagrams(); });
+  }
+
+  kj::Promise<void> TickForever() {
+    const auto period = m_task.m_settings.m_fleet.m_probePeriod / kTicksPerPeriod;
+    return After(std::max(period, base::Millis(1))).then([this] {
+      m_swim.Tick(base::SteadyClock().Now());
+      Flush();
+      return TickForever();
+    });
+  }
+
+  kj::Promise<void> ExchangeForever() {
+    return After(kExchangePeriod).then([this] {
+      m_clients.DropIdle();
+      if (const auto peer = m_swim.RandomPeer()) {
+        m_tasks.add(Exchange(peer->m_peers));
+      }
+      return ExchangeForever();
+    });
+  }
+
+  kj::Promise<void> After(base::Millis aSpan) {
+    return m_context.provider->getTimer().afterDelay(aSpan.count() * kj::MILLISECONDS);
+  }
+
+  void OnMessage(tasks::PeersMessage aMessage) {
+    std::visit(
+      tasks::Overloaded{
+        [this](const tasks::ConfigurationSeen& aSeen) { TakeConfiguration(aSeen.m_configuration); },
+        [this](const tasks::LeavingSeen& aSeen) {
+          m_heard.insert(aSeen.m_endpoint);
+          m_swim.NoteLeaving(aSeen.m_endpoint);
+        },
+        [this](const tasks::MembersSeen& aSeen) { TakeSeeds(aSeen.m_members); },
+        [this](tasks::ClaimsOut& aOut) { m_tasks.add(SendClaims(std::move(aOut))); },
+        [this](tasks::ClaimsInAnswer& aAnswer) { AnswerClaims(std::move(aAnswer)); },
+        [this](const tasks::DoneOut& aOut) { m_tasks.add(SendDone(aOut)); },
+        [this](const tasks::DrainStarted&) { m_swim.Drain(); },
+        [this](const tasks::StopTask&) { m_stop->fulfill(); },
+      },
+      aMessage);
+    m_swim.Tick(base::SteadyClock().Now());
+  }
+
+  void TakeConfiguration(const tasks::Configuration& aConfiguration) {
+    m_configurationText = tasks::ConfigurationText(aConfiguration);
+    m_swim.SetGeneration(aConfiguration.m_generation);
+    m_generation = aConfiguration.m_generation;
+  }
+
+  void TakeSeeds(const std::vector<tasks::Member>& aMembers) {
+    std::vector<base::Address> seeds;
+    for (const tasks::Member& member : aMembers) {
+      if (member.m_node != m_task.m_self.m_node) {
+        seeds.push_back(member.m_peers);
+      }
+    }
+    m_swim.AddSeeds(seeds);
+    if (!std::exchange(m_consulting, true)) {
+      std::shuffle(seeds.begin(), seeds.end(), std::mt19937_64(std::random_device{}()));
+      seeds.resize(std::min(seeds.size(), kConsulted));
+      m_tasks.add(Consult(std::move(seeds)));
+    }
+  }
+
+  /// Asks the peers given for their table and configuration, all at once, and waits for the last.
+  kj::Promise<void> Consult(std::vector<base::Address> aSeeds) {
+    auto asks = kj::heapArrayBuilder<kj::Promise<void>>(aSeeds.size());
+    for (const base::Address& seed : aSeeds) {
+      asks.add(Exchange(seed)
+                 .then([this, seed] { return FetchConfiguration(seed); })
+                 .catch_([](const kj::Exception&) {}));
+    }
+    return kj::joinPromises(asks.finish()).then([this] {
+      m_task.m_mailboxes.m_platform.Send(tasks::PeersConsulted{});
+    });
+  }
+
+  kj::Promise<void> Exchange(const base::Address& aPeer) {
+    return m_clients.Call<void>(aPeer, kCallTimeout, [this](wire::Peer::Client aClient) {
+      auto request = aClient.exchangeRequest();
+      WriteTable(request.initTable(), m_swim.Records(), m_swim.Leaving());
+      return request.send().then([this](capnp::Response<wire::Peer::ExchangeResults> aResult) {
+        m_swim.Merge(ReadMembers(aResult.getTable().getMembers()),
+                     ReadLeaving(aResult.getTable().getLeaving()),
+                     base::SteadyClock().Now());
+        Flush();
+      });
+    });
+  }
+
+  kj::Promise<void> FetchConfiguration(const base::Address& aPeer) {
+    return m_clients.Call<void>(aPeer, kCallTimeout, [this](wire::Peer::Client aClient) {
+      return aClient.configurationRequest().send().then(
+        [this](capnp::Response<wire::Peer::ConfigurationResults> aResult) {
+          const auto text = aResult.getText();
+          if (text.size() > 0) {
+            m_task.m_mailboxes.m_platform.Send(
+              tasks::ConfigurationOffered{ std::string(text.begin(), text.size()) });
+          }
+        });
+    });
+  }
+
+  /// Fetches the configuration from a member that is ahead, one fetch at a time.
+  void FetchIfBehind() {
+    if (m_fetching) {
+      return;
+    }
+    for (const tasks::Member& member : m_swim.Members()) {
+      if (member.m_generation <= m_generation || member.m_state == MemberState::Dead ||
+          member.m_node == m_task.m_self.m_node) {
+        continue;
+      }
+      m_fetching = true;
+      m_tasks.add(FetchConfiguration(member.m_peers)
+                    .then([] {}, [](kj::Exception&&) {})
+                    .then([this] { return After(kFetchPause); })
+                    .then([this] {
+                      m_fetching = false;
+                      FetchIfBehind();
+                    }));
+      return;
+    }
+  }
+
+  kj::Promise<void> SendClaims(tasks::ClaimsOut aOut) {
+    const uint64_t batch = aOut.m_batch;
+    return m_clients
+      .Call<void>(aOut.m_home,
+                  kClaimTimeout,
+                  [this, batch, orders = std::move(aOut.m_orders)](wire::Peer::Client aClient) {
+                    auto request = aClient.claimRequest();
+                    auto list = request.initOrders(static_cast<unsigned>(orders.size()));
+                    for (size_t i = 0; i < orders.size(); ++i) {
+                      WriteOrder(list[static_cast<unsigned>(i)], orders[i]);
+                    }
+                    return request.send().then(
+                      [this, batch](capnp::Response<wire::Peer::ClaimResults> aResult) {
+                        tasks::ClaimsBack back{ batch, true, {} };
+                        for (const auto reply : aResult.getReplies()) {
+                          back.m_replies.push_back(ReadReply(reply));
+                        }
+                        m_task.m_mailboxes.m_platform.Send(std::move(back));
+                      });
+                  })
+      .catch_([this, batch](const kj::Exception&) {
+        m_task.m_mailboxes.m_platform.Send(tasks::ClaimsBack{ batch, false, {} });
+      });
+  }
+
+  kj::Promise<void> SendDone(const tasks::DoneOut& aOut) {
+    return m_clients
+      .Call<void>(aOut.m_home,
+                  kCallTimeout,
+                  [keys = aOut.m_keys](wire::Peer::Client aClient) {
+                    auto request = aClient.doneRequest();
+                    auto list = request.initKeys(static_cast<unsigned>(keys.size()));
+                    for (size_t i = 0; i < keys.size(); ++i) {
+                      list.set(static_cast<unsigned>(i), keys[i]);
+                    }
+                    return request.send().ignoreResult();
+                  })
+      .catch_([](const kj::Exception&) {});
+  }
+
+  kj::Promise<std::vector<claims::ClaimReply>> TakeClaims(std::vector<claims::ClaimOrder> aOrders) {
+    auto answer = kj::newPromiseAndFulfiller<std::vector<claims::ClaimReply>>();
+    const uint64_t call = ++m_lastCall;
+    m_claimCalls[call] = kj::mv(answer.fulfiller);
+    m_task.m_mailboxes.m_platform.Send(tasks::ClaimsIn{ call, std::move(aOrders) });
+    return kj::mv(answer.promise);
+  }
+
+  void AnswerClaims(tasks::ClaimsInAnswer aAnswer) {
+    const auto found = m_claimCalls.find(aAnswer.m_call);
+    if (found != m_claimCalls.end()) {
+      found->second->fulfill(std::move(aAnswer.m_replies));
+      m_claimCalls.erase(found);
+    }
+  }
+
+  /// Sends what the membership wants sent, and tells the other tasks what it has learnt.
+  void Flush() {
+    const std::string& key = m_task.m_settings.m_fleet.m_keys.front();
+    for (membership::SwimSend& send : m_swim.TakeSends()) {
+      m_task.m_socket.Send(
+        send.m_to, EncodeDatagram({ std::move(send.m_message), m_task.m_timeline.Tick() }, key));
+    }
+    for (const base::EndpointId& endpoint : m_swim.TakeLeaving()) {
+      if (m_heard.insert(endpoint).second) {
+        m_task.m_mailboxes.m_gateway.Send(tasks::LeavingSeen{ endpoint });
+      }
+    }
+    if (m_swim.TakeChanged()) {
+      NoteChanges();
+      m_task.m_mailboxes.m_gateway.Send(tasks::MembersSeen{ m_swim.Members() });
+      m_task.m_mailboxes.m_platform.Send(tasks::MembersSeen{ m_swim.Members() });
+      FetchIfBehind();
+    }
+  }
+
+  void NoteChanges() {
+    for (const tasks::Member& member : m_swim.Members()) {
+      const auto [place, fresh] = m_states.try_emplace(member.m_node, member.m_state);
+      if (!fresh && place->second == member.m_state) {
+        continue;
+      }
+      place->second = member.m_state;
+      m_task.m_timeline.Add(base::EventKind::MemberChanged,
+                            {},
+                            member.m_node.Text(),
+                            std::string(base::NameOf(member.m_state)));
+    }
+  }
+
+  void taskFailed(kj::Exception&& aFault) override {
+    m_log.Debug(std::string("A call failed: ") + aFault.getDescription().cStr() + ".");
+  }
+
+  PeersTask& m_task;
+  kj::AsyncIoContext& m_context;
+  base::Log m_log;
+  membership::Swim m_swim;
+  PeerClients m_clients;
+  PeerHooks m_hooks;
+  capnp::TwoPartyServer m_server;
+  kj::Own<kj::ConnectionReceiver> m_listener;
+  kj::UnixEventPort::FdObserver m_mail;
+  kj::UnixEventPort::FdObserver m_datagrams;
+  kj::Own<kj::PromiseFulfiller<void>> m_stop;
+  std::string m_configurationText;
+  uint64_t m_generation = 0;
+  bool m_consulting = false;
+  bool m_fetching = false;
+  uint64_t m_lastCall = 0;
+  std::map<uint64_t, kj::Own<kj::PromiseFulfiller<std::vector<claims::ClaimReply>>>> m_claimCalls;
+  std::map<base::NodeId, MemberState> m_states;
+  std::set<base::EndpointId> m_heard;
+  /// Last, so that it ends first.
+  kj::TaskSet m_tasks;
+};
+
+PeersTask::PeersTask(const settings::NodeSettings& aSettings,
+                     tasks::Member aSelf,
+                     base::Timeline& aTimeline,
+                     tasks::Mailboxes& aMailboxes)
+  : m_settings(aSettings)
+  , m_self(std::move(aSelf))
+  , m_timeline(aTimeline)
+  , m_mailboxes(aMailboxes)
+  , m_socket(aSettings.m_fleet.m_peerAddress) {}
+
+void PeersTask::Run() {
+  auto context = kj::setupAsyncIo();
+  Loop loop(*this, context);
+  loop.Run();
+}
+
+} // namespace papayafield::adapters::peer
--- /dev/null
+++ b/packages/adapters/peer/tests/WireCodecTest.cpp
@@ -0,0 +1,72 @@
+#include "adapters/peer/WireCodec.h"
+
+#include "base/Digest.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <random>
+
+using namespace papayafield;
+using namespace papayafield::adapters::peer;
+
+namespace {
+
+const std::vector<std::string> kKeys{ "the first key of the fleet", "the second key of the fleet" };
+
+WireMessage Example() {
+  WireMessage wire;
+  wire.m_clock = { 1234567, 8 };
+  wire.m_message.m_kind = membership::MessageKind::PingRequest;
+  wire.m_message.m_sequence = 77;
+  wire.m_message.m_sender.m_member.m_node = base::NodeId("n1");
+  wire.m_message.m_sender.m_member.m_generation = 9;
+  wire.m_message.m_target = { "10.0.0.2", 8200 };
+  wire.m_message.m_records.push_back(wire.m_message.m_sender);
+  wire.m_message.m_leaving.emplace_back("gpu-1");
+  return wire;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(WireCodecTest)
+
+BOOST_AUTO_TEST_CASE(GoesThereAndBackUnderEitherKey) {
+  for (const std::string& key : kKeys) {
+    const auto back = DecodeDatagram(EncodeDatagram(Example(), key), kKeys);
+    BOOST_REQUIRE(back.has_value());
+    BOOST_TEST(back->m_message.m_sequence == 77U);
+    BOOST_TEST(back->m_message.m_sender.m_member.m_generation == 9U);
+    BOOST_TEST(back->m_message.m_records.size() == 1U);
+    BOOST_TEST(back->m_message.m_leaving.front().Text() == "gpu-1");
+    BOOST_TEST((back->m_clock == base::HybridTime{ 1234567, 8 }));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ForeignKeysAndChangedBytesAreRefused) {
+  const std::string good = EncodeDatagram(Example(), kKeys[0]);
+  BOOST_TEST(
+    !DecodeDatagram(EncodeDatagram(Example(), "a key of another fleet"), kKeys).has_value());
+  for (size_t i = 0; i < good.size(); ++i) {
+    std::string bad = good;
+    bad[i] = static_cast<char>(bad[i] ^ 1);
+    BOOST_TEST(!DecodeDatagram(bad, kKeys).has_value());
+    BOOST_TEST(!DecodeDatagram(good.substr(0, i), kKeys).has_value());
+  }
+}
+
+// Bytes that a holder of the key signed, but that are no message, do no harm.
+BOOST_AUTO_TEST_CASE(SignedNonsenseIsHarmless) {
+  std::mt19937_64 random(7);
+  const std::string good = EncodeDatagram(Example(), kKeys[0]);
+  for (int round = 0; round < 20000; ++round) {
+    std::string content = good.substr(32);
+    for (uint64_t edits = random() % 8; edits > 0; --edits) {
+      content[random() % content.size()] = static_cast<char>(random());
+    }
+    content.resize(random() % 4 == 0 ? random() % content.size() + 1 : content.size());
+    const std::string mac = base::HmacHex(kKeys[0], content).substr(0, 32);
+    DecodeDatagram(mac + content, kKeys);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/packages/base/Log.cpp
+++ b/packages/base/Log.cpp
@@ -1,5 +1,6 @@
 #include "base/Log.h"
 
+#include <log4cplus/configurator.h>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
 #include <log4cplus/initializer.h>
@@ -40,6 +41,8 @@
 
 void StartLogging(const LogSettings& aSettings) {
   static log4cplus::Initializer initializer;
+  // No asynchronous appender is used, so the library's threads have nothing to do.
+  log4cplus::setThreadPoolSize(1);
   // Choose the target.
   log4cplus::SharedAppenderPtr appender;
   if (aSettings.m_target == "stderr") {
--- a/packages/claims/tests/ShardWriterTest.cpp
+++ b/packages/claims/tests/ShardWriterTest.cpp
@@ -161,6 +161,31 @@
   BOOST_TEST(mostKeys < 30U);
 }
 
+// A writer that starts later knows the claims that were sealed before.
+BOOST_AUTO_TEST_CASE(SealedClaimsAreKnownToALaterWriter) {
+  Store store(1);
+  ShardWriterSettings settings;
+  settings.m_sealBytes = 512;
+  Process first("first", settings);
+  base::TimePoint now = base::TimePoint{} + base::Millis(100000);
+  for (int i = 0; i < 100; ++i) {
+    first.m_writer.Ask(first.m_desk.MakeOrder("key-" + std::to_string(i)), now);
+    now += base::Millis(20);
+    Drive(first.m_writer, store, now, 1000, 0);
+  }
+  BOOST_TEST(first.m_writer.TakeReplies().size() == 100U);
+  Process second("second", settings);
+  for (int i = 0; i < 100; ++i) {
+    second.m_writer.Ask(second.m_desk.MakeOrder("key-" + std::to_string(i)), now);
+  }
+  Drive(second.m_writer, store, now + base::Millis(20), 1000, 0);
+  const auto replies = second.m_writer.TakeReplies();
+  BOOST_REQUIRE(replies.size() == 100U);
+  for (const ClaimReply& reply : replies) {
+    BOOST_TEST((reply.m_state == ClaimState::Held));
+  }
+}
+
 // Processes race for keys over a store that refuses calls and loses answers: each key is granted to
 // one process at most, once, and a key that was called unavailable can be asked again.
 BOOST_AUTO_TEST_CASE(NoKeyIsGrantedTwiceUnderFaults) {
@@ -168,6 +193,7 @@
     std::mt19937_64 random(seed);
     Store store(seed);
     std::vector<Process> processes;
+    processes.reserve(3);
     ShardWriterSettings settings;
     settings.m_sealBytes = 512;
     for (int i = 0; i < 3; ++i) {
--- a/packages/gateway/CallerApi.cpp
+++ b/packages/gateway/CallerApi.cpp
@@ -61,8 +61,9 @@
 
 base::RequestId CallerApi::NextId() {
   // Unique over nodes and restarts, and short enough to read.
+  const std::string& incarnation = m_context.m_incarnation.Text();
   return base::RequestId(m_context.m_settings.m_name.Text() + "-" +
-                         m_context.m_incarnation.Text().substr(0, kIdDigits) + "-" +
+                         incarnation.substr(incarnation.size() - kIdDigits) + "-" +
                          std::to_string(++m_lastId));
 }
 
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -141,7 +141,7 @@
   m_context.m_timeline.Add(EventKind::EndpointLeaving, {}, aEndpoint.Text());
   m_log.Info("Endpoint " + aEndpoint.Text() + " is leaving.");
   if (aTellOthers) {
-    m_context.m_mailboxes.m_platform.Send(tasks::LeavingSeen{ aEndpoint });
+    m_context.m_mailboxes.m_peers.Send(tasks::LeavingSeen{ aEndpoint });
   }
   m_callers.EndpointLeaving(aEndpoint);
 }
@@ -154,6 +154,7 @@
   m_context.m_timeline.Add(EventKind::NodeDraining, {});
   m_log.Info("Draining.");
   m_context.m_mailboxes.m_platform.Send(tasks::DrainStarted{});
+  m_context.m_mailboxes.m_peers.Send(tasks::DrainStarted{});
   // Callers may use an answer that names this node for as long as it lasts.
   m_listenUntil = base::SteadyClock().Now() + m_settings.m_discoveryLifetime + kNewsMargin;
   m_drainTimer = m_loop.Every(kDrainCheck, [this] { CheckDrained(); });
--- a/packages/node/ClaimKeeper.cpp
+++ b/packages/node/ClaimKeeper.cpp
@@ -1,5 +1,7 @@
 #include "node/ClaimKeeper.h"
 
+#include "base/Digest.h"
+
 namespace papayafield::node {
 
 namespace {
@@ -45,11 +47,12 @@
                          adapters::platform::KeyValueClient& aStore,
                          const settings::NodeSettings& aSettings,
                          base::IncarnationId aIncarnation,
-                         std::function<void(tasks::ClaimAnswer)> aOnAnswer)
+                         tasks::Mailboxes& aMailboxes)
   : m_loop(aLoop)
   , m_store(aStore)
   , m_settings(aSettings)
-  , m_onAnswer(std::move(aOnAnswer))
+  , m_incarnation(aIncarnation)
+  , m_mailboxes(aMailboxes)
   , m_desk(std::move(aIncarnation)) {
   claims::ShardWriterSettings writer;
   writer.m_batchPeriod = aSettings.m_claims.m_batchPeriod;
@@ -72,22 +75,104 @@
   return *m_shards[claims::ShardOf(aKey, static_cast<uint32_t>(m_shards.size()))];
 }
 
+std::optional<base::Address> ClaimKeeper::HomeOf(const std::string& aKey) const {
+  const std::string shard =
+    std::to_string(claims::ShardOf(aKey, static_cast<uint32_t>(m_shards.size())));
+  const tasks::Member* home = nullptr;
+  uint64_t best = 0;
+  for (const tasks::Member& member : m_members) {
+    const uint64_t weight = base::RendezvousWeight(shard, member.m_node.Text());
+    if (member.m_state == tasks::MemberState::Alive && (home == nullptr || weight > best)) {
+      home = &member;
+      best = weight;
+    }
+  }
+  if (home == nullptr || home->m_incarnation == m_incarnation) {
+    return std::nullopt;
+  }
+  return home->m_peers;
+}
+
 void ClaimKeeper::Ask(const tasks::ClaimAsk& aAsk) {
   const claims::ClaimOrder order = m_desk.MakeOrder(aAsk.m_key);
   m_waiting[order.m_number] = aAsk.m_request;
-  ShardFor(aAsk.m_key).m_writer.Ask(order, base::SteadyClock().Now());
+  if (const auto home = HomeOf(aAsk.m_key)) {
+    m_gathering[*home].push_back(order);
+  } else {
+    ShardFor(aAsk.m_key).m_writer.Ask(order, base::SteadyClock().Now());
+  }
 }
 
 void ClaimKeeper::Done(const tasks::ClaimDone& aDone) {
-  ShardFor(aDone.m_key).m_writer.NoteDone(aDone.m_key, base::SteadyClock().Now());
+  if (const auto home = HomeOf(aDone.m_key)) {
+    m_mailboxes.m_peers.Send(tasks::DoneOut{ *home, { aDone.m_key } });
+  } else {
+    ShardFor(aDone.m_key).m_writer.NoteDone(aDone.m_key, base::SteadyClock().Now());
+  }
+}
+
+void ClaimKeeper::TakeOrders(const tasks::ClaimsIn& aIn) {
+  m_inCalls[aIn.m_call].m_open = aIn.m_orders.size();
+  for (const claims::ClaimOrder& order : aIn.m_orders) {
+    m_inOrders[{ order.m_owner, order.m_number }] = aIn.m_call;
+    // The orders of a call have gathered already at the node that asks.
+    ShardFor(order.m_key).m_writer.Ask(order, base::SteadyClock().Now());
+  }
+}
+
+void ClaimKeeper::TakeBack(const tasks::ClaimsBack& aBack) {
+  const auto found = m_sent.find(aBack.m_batch);
+  if (found == m_sent.end()) {
+    return;
+  }
+  const std::vector<claims::ClaimOrder> orders = std::move(found->second);
+  m_sent.erase(found);
+  if (aBack.m_answered) {
+    for (const claims::ClaimReply& reply : aBack.m_replies) {
+      Conclude(reply);
+    }
+    return;
+  }
+  // The home may or may not have written them: the same orders, written here, settle it.
+  for (const claims::ClaimOrder& order : orders) {
+    ShardFor(order.m_key).m_writer.Ask(order, base::SteadyClock().Now());
+  }
 }
 
 void ClaimKeeper::Tick() {
+  SendBatches();
   for (const auto& shard : m_shards) {
     Drive(*shard);
   }
 }
 
+void ClaimKeeper::SendBatches() {
+  for (auto& [home, orders] : std::exchange(m_gathering, {})) {
+    const uint64_t batch = ++m_lastBatch;
+    m_sent[batch] = orders;
+    m_mailboxes.m_peers.Send(tasks::ClaimsOut{ batch, home, std::move(orders) });
+  }
+}
+
+void ClaimKeeper::TakeReply(const claims::ClaimReply& aReply) {
+  if (aReply.m_order.m_owner == m_incarnation) {
+    Conclude(aReply);
+    return;
+  }
+  const auto order = m_inOrders.find({ aReply.m_order.m_owner, aReply.m_order.m_number });
+  if (order == m_inOrders.end()) {
+    return;
+  }
+  const uint64_t call = order->second;
+  m_inOrders.erase(order);
+  InCall& in = m_inCalls[call];
+  in.m_replies.push_back(aReply);
+  if (--in.m_open == 0) {
+    m_mailboxes.m_peers.Send(tasks::ClaimsInAnswer{ call, std::move(in.m_replies) });
+    m_inCalls.erase(call);
+  }
+}
+
 void ClaimKeeper::Drive(Shard& aShard) {
   if (aShard.m_busy) {
     return;
@@ -96,7 +181,7 @@
   const auto action =
     aShard.m_writer.Next(base::SteadyClock().Now(), base::WallMillis() / kMillisPerSecond);
   for (const claims::ClaimReply& reply : aShard.m_writer.TakeReplies()) {
-    Conclude(reply);
+    TakeReply(reply);
   }
   if (action) {
     aShard.m_busy = true;
@@ -145,7 +230,8 @@
   }
   const base::RequestId request = found->second;
   m_waiting.erase(found);
-  m_onAnswer({ request, ToVerdict(conclusion.m_end), conclusion.m_holder });
+  m_mailboxes.m_gateway.Send(
+    tasks::ClaimAnswer{request, ToVerdict(conclusion.m_end), conclusion.m_holder});
 }
 
 } // namespace papayafield::node
--- a/packages/node/ClaimKeeper.h
+++ b/packages/node/ClaimKeeper.h
@@ -5,7 +5,7 @@
 #include "settings/NodeSettings.h"
 #include "tasks/Messages.h"
 
-#include <functional>
+#include <map>
 #include <memory>
 #include <unordered_map>
 #include <vector>
@@ -16,17 +16,23 @@
 /// is. Belongs to the platform task.
 class ClaimKeeper {
 public:
-  /// Calls `aOnAnswer` once for each Ask.
+  /// Answers each Ask once, to the gateway.
   ClaimKeeper(adapters::http::EventLoop& aLoop,
               adapters::platform::KeyValueClient& aStore,
               const settings::NodeSettings& aSettings,
               base::IncarnationId aIncarnation,
-              std::function<void(tasks::ClaimAnswer)> aOnAnswer);
+              tasks::Mailboxes& aMailboxes);
 
   /// A call of this node asks for its claim.
   void Ask(const tasks::ClaimAsk& aAsk);
   /// A claimed call has run.
   void Done(const tasks::ClaimDone& aDone);
+  /// Another node asks this one, as the home of the shards.
+  void TakeOrders(const tasks::ClaimsIn& aIn);
+  /// A home has answered, or has not.
+  void TakeBack(const tasks::ClaimsBack& aBack);
+  /// The members, among which the homes are.
+  void SetMembers(std::vector<tasks::Member> aMembers) { m_members = std::move(aMembers); }
   /// Sets how long claims made from now on are remembered.
   void SetRetention(base::Millis aRetention);
 
@@ -39,17 +45,34 @@
   void Tick();
   void Drive(Shard& aShard);
   void Carry(Shard& aShard, const claims::StoreAction& aAction);
+  void SendBatches();
+  void TakeReply(const claims::ClaimReply& aReply);
   void Conclude(const claims::ClaimReply& aReply);
   Shard& ShardFor(const std::string& aKey);
+  std::optional<base::Address> HomeOf(const std::string& aKey) const;
 
   adapters::http::EventLoop& m_loop;
   adapters::platform::KeyValueClient& m_store;
   const settings::NodeSettings& m_settings;
-  std::function<void(tasks::ClaimAnswer)> m_onAnswer;
+  base::IncarnationId m_incarnation;
+  tasks::Mailboxes& m_mailboxes;
   claims::ClaimDesk m_desk;
   std::vector<std::unique_ptr<Shard>> m_shards;
   /// Asks of this node that wait, by claim number.
   std::unordered_map<uint64_t, base::RequestId> m_waiting;
+  std::vector<tasks::Member> m_members;
+  /// Orders for other homes that gather, and those that are on their way.
+  std::map<base::Address, std::vector<claims::ClaimOrder>> m_gathering;
+  std::unordered_map<uint64_t, std::vector<claims::ClaimOrder>> m_sent;
+  uint64_t m_lastBatch = 0;
+  /// Calls of other nodes: orders still open, and the replies so far.
+  struct InCall {
+    size_t m_open = 0;
+    std::vector<claims::ClaimReply> m_replies;
+  };
+  std::unordered_map<uint64_t, InCall> m_inCalls;
+  /// Which call an order of another process belongs to.
+  std::map<std::pair<base::IncarnationId, uint64_t>, uint64_t> m_inOrders;
   adapters::http::WatchPtr m_timer;
 };
 
--- a/packages/node/ConfigurationKeeper.cpp
+++ b/packages/node/ConfigurationKeeper.cpp
@@ -1,7 +1,5 @@
 #include "node/ConfigurationKeeper.h"
 
-#include "base/Json.h"
-
 #include <random>
 
 namespace papayafield::node {
@@ -11,6 +9,8 @@
 using adapters::platform::KeyValueEntry;
 using adapters::platform::KeyValueFault;
 using tasks::ApplyVerdict;
+using tasks::ConfigurationText;
+using tasks::ParseConfiguration;
 
 constexpr char kKey[] = "papayafield/manifest";
 /// How long a watch waits at the service.
@@ -30,28 +30,6 @@
 
 } // namespace
 
-std::optional<tasks::Configuration> ParseConfiguration(const std::string& aText) {
-  const nlohmann::json value = base::ParseJson(aText);
-  tasks::Configuration configuration;
-  configuration.m_generation = base::ValueOr(value, "generation", uint64_t{ 0 });
-  configuration.m_applyId = base::ValueOr(value, "apply_id", std::string());
-  configuration.m_setBy = base::ValueOr(value, "set_by", std::string());
-  configuration.m_text = base::ValueOr(value, "text", std::string());
-  auto manifest = manifest::ParseManifest("manifest", configuration.m_text);
-  if (configuration.m_generation == 0 || !manifest) {
-    return std::nullopt;
-  }
-  configuration.m_manifest = std::make_shared<const manifest::Manifest>(std::move(*manifest));
-  return configuration;
-}
-
-std::string ConfigurationText(const tasks::Configuration& aConfiguration) {
-  return base::DumpJson({ { "generation", aConfiguration.m_generation },
-                          { "apply_id", aConfiguration.m_applyId },
-                          { "set_by", aConfiguration.m_setBy },
-                          { "text", aConfiguration.m_text } });
-}
-
 /// An apply under way.
 struct ConfigurationKeeper::ApplyState {
   tasks::ApplyAsk m_ask;
@@ -118,7 +96,15 @@
     return;
   }
   m_present = std::move(aConfiguration);
-  m_onAdopted(m_present);
+  if (m_released) {
+    m_onAdopted(m_present);
+  }
+}
+
+void ConfigurationKeeper::Release() {
+  if (!std::exchange(m_released, true) && m_present.m_generation > 0) {
+    m_onAdopted(m_present);
+  }
 }
 
 void ConfigurationKeeper::Apply(tasks::ApplyAsk aAsk,
--- a/packages/node/ConfigurationKeeper.h
+++ b/packages/node/ConfigurationKeeper.h
@@ -21,8 +21,12 @@
 
   /// Whether this node keeps a watch open; the others read now and then.
   void SetWatching(bool aWatching);
-  /// A configuration has come from the platform or a peer.
+  /// A configuration has come from the platform or a peer. Only a higher generation is taken.
   void Offer(tasks::Configuration aConfiguration);
+  /// The peers have been asked: from now on what is offered comes into force. Until then the
+  /// highest offer waits, since the platform's answer may be older than what is in force at the
+  /// peers.
+  void Release();
   /// Carries out an apply and reports what became of it.
   void Apply(tasks::ApplyAsk aAsk, std::function<void(tasks::ApplyAnswer)> aOnDone);
 
@@ -49,15 +53,11 @@
   std::function<void(const tasks::Configuration&)> m_onAdopted;
   base::Log m_log;
   tasks::Configuration m_present;
+  bool m_released = false;
   uint64_t m_version = 0;
   bool m_watching = true;
   bool m_asking = false;
   adapters::http::WatchPtr m_timer;
 };
 
-/// Reads a configuration as it stands in the key-value service; nothing when it is malformed.
-std::optional<tasks::Configuration> ParseConfiguration(const std::string& aText);
-/// The value that stands in the key-value service for `aConfiguration`.
-std::string ConfigurationText(const tasks::Configuration& aConfiguration);
-
 } // namespace papayafield::node
--- a/packages/node/NodeRegistry.cpp
+++ b/packages/node/NodeRegistry.cpp
@@ -10,6 +10,8 @@
 /// Life of a registration, and the time between two renewals of it.
 constexpr base::Millis kLeaseLife{ 60000 };
 constexpr base::Millis kRenewPeriod{ 20000 };
+/// Lists read in quick succession after the start.
+constexpr int kEarlyLists = 5;
 /// Pause after a failed call.
 constexpr base::Millis kPauseAfterFault{ 500 };
 
@@ -99,8 +101,11 @@
       }
       m_onListed(std::move(members));
     }
-    m_listTimer = m_loop.After(aEntries ? m_settings.m_platform.m_hostListPeriod : kPauseAfterFault,
-                               [this] { List(); });
+    // At first often, until the fleet has found itself; then as a backstop.
+    ++m_lists;
+    const base::Millis pause =
+      m_lists < kEarlyLists ? kPauseAfterFault : m_settings.m_platform.m_backstopPeriod;
+    m_listTimer = m_loop.After(pause, [this] { List(); });
   });
 }
 
--- a/packages/node/NodeRegistry.h
+++ b/packages/node/NodeRegistry.h
@@ -37,6 +37,7 @@
   std::function<void(std::vector<tasks::Member>)> m_onListed;
   std::string m_lease;
   bool m_draining = false;
+  int m_lists = 0;
   adapters::http::WatchPtr m_leaseTimer;
   adapters::http::WatchPtr m_listTimer;
 };
--- a/packages/node/PlatformTask.cpp
+++ b/packages/node/PlatformTask.cpp
@@ -1,7 +1,18 @@
 #include "node/PlatformTask.h"
 
+#include "base/Digest.h"
+
+#include <algorithm>
+
 namespace papayafield::node {
 
+namespace {
+
+/// Nodes of an availability zone that keep a watch open and read the host list often.
+constexpr int kWatchersPerZone = 2;
+
+} // namespace
+
 PlatformTask::PlatformTask(const settings::NodeSettings& aSettings,
                            const base::IncarnationId& aIncarnation,
                            tasks::Mailboxes& aMailboxes)
@@ -20,11 +31,9 @@
                aSettings,
                aIncarnation,
                [this](std::vector<tasks::Member> aMembers) {
-                 m_mailboxes.m_gateway.Send(tasks::MembersSeen{ std::move(aMembers) });
+                 m_mailboxes.m_peers.Send(tasks::MembersSeen{ std::move(aMembers) });
                })
-  , m_claims(m_loop, m_store, aSettings, aIncarnation, [this](const tasks::ClaimAnswer& aAnswer) {
-    m_mailboxes.m_gateway.Send(aAnswer);
-  }) {}
+  , m_claims(m_loop, m_store, aSettings, aIncarnation, m_mailboxes) {}
 
 void PlatformTask::Run() {
   m_mailWatch = m_loop.Receive(m_mailboxes.m_platform,
@@ -42,11 +51,15 @@
                },
                [this](const tasks::ClaimAsk& aAsk) { m_claims.Ask(aAsk); },
                [this](const tasks::ClaimDone& aDone) { m_claims.Done(aDone); },
-               [this](tasks::ConfigurationSeen& aSeen) {
-                 m_configuration.Offer(std::move(aSeen.m_configuration));
+               [this](const tasks::ClaimsIn& aIn) { m_claims.TakeOrders(aIn); },
+               [this](const tasks::ClaimsBack& aBack) { m_claims.TakeBack(aBack); },
+               [this](const tasks::ConfigurationOffered& aOffered) {
+                 if (auto configuration = tasks::ParseConfiguration(aOffered.m_text)) {
+                   m_configuration.Offer(std::move(*configuration));
+                 }
                },
-               [](const tasks::LeavingSeen&) {},
-               [](const tasks::MembersSeen&) {},
+               [this](const tasks::PeersConsulted&) { m_configuration.Release(); },
+               [this](tasks::MembersSeen& aSeen) { TakeMembers(std::move(aSeen.m_members)); },
                [this](const tasks::DrainStarted&) { m_registry.Drain(); },
                [this](const tasks::StopTask&) { m_loop.Stop(); },
              },
@@ -56,6 +69,26 @@
 void PlatformTask::OnAdopted(const tasks::Configuration& aConfiguration) {
   m_claims.SetRetention(aConfiguration.m_manifest->m_claimRetention);
   m_mailboxes.m_gateway.Send(tasks::ConfigurationSeen{ aConfiguration });
+  m_mailboxes.m_peers.Send(tasks::ConfigurationSeen{ aConfiguration });
+}
+
+void PlatformTask::TakeMembers(std::vector<tasks::Member> aMembers) {
+  m_watching = IsWatcher(aMembers);
+  m_configuration.SetWatching(m_watching);
+  m_claims.SetMembers(std::move(aMembers));
+}
+
+bool PlatformTask::IsWatcher(const std::vector<tasks::Member>& aMembers) const {
+  // The few members of this zone with the highest weights watch; the others hear from them.
+  const auto weight = [](const base::NodeId& aNode) {
+    return base::RendezvousWeight("watch", aNode.Text());
+  };
+  const uint64_t own = weight(m_settings.m_name);
+  const auto before = std::count_if(aMembers.begin(), aMembers.end(), [&](const auto& aMember) {
+    return aMember.m_zone == m_settings.m_zone &&
+           aMember.m_state == tasks::MemberState::Alive && weight(aMember.m_node) > own;
+  });
+  return before < kWatchersPerZone;
 }
 
 void PlatformTask::ReadHosts() {
@@ -63,7 +96,9 @@
     if (aEndpoints) {
       m_mailboxes.m_gateway.Send(tasks::EndpointsSeen{ std::move(*aEndpoints) });
     }
-    m_hostsTimer = m_loop.After(m_settings.m_platform.m_hostListPeriod, [this] { ReadHosts(); });
+    const settings::PlatformSettings& platform = m_settings.m_platform;
+    m_hostsTimer = m_loop.After(m_watching ? platform.m_hostListPeriod : platform.m_backstopPeriod,
+                                [this] { ReadHosts(); });
   });
 }
 
--- a/packages/node/PlatformTask.h
+++ b/packages/node/PlatformTask.h
@@ -23,6 +23,8 @@
 private:
   void OnMessage(tasks::PlatformMessage aMessage);
   void OnAdopted(const tasks::Configuration& aConfiguration);
+  void TakeMembers(std::vector<tasks::Member> aMembers);
+  bool IsWatcher(const std::vector<tasks::Member>& aMembers) const;
   void ReadHosts();
 
   const settings::NodeSettings& m_settings;
@@ -35,6 +37,8 @@
   ConfigurationKeeper m_configuration;
   NodeRegistry m_registry;
   ClaimKeeper m_claims;
+  /// Whether this node is one of those that watch the platform for the others.
+  bool m_watching = true;
   adapters::http::WatchPtr m_mailWatch;
   adapters::http::WatchPtr m_hostsTimer;
 };
--- a/packages/tasks/Messages.h
+++ b/packages/tasks/Messages.h
@@ -4,8 +4,9 @@
 #include "base/Findings.h"
 #include "base/Ids.h"
 #include "base/Mailbox.h"
-#include "manifest/Manifest.h"
+#include "claims/ShardWriter.h"
 #include "routing/Endpoint.h"
+#include "tasks/Configuration.h"
 
 #include <memory>
 #include <string>
@@ -17,20 +18,6 @@
 
 namespace papayafield::tasks {
 
-/// One accepted state of the configuration.
-struct Configuration {
-  /// Grows by one with each accepted change; 0 stands for none yet.
-  uint64_t m_generation = 0;
-  /// Number that the apply chose for itself.
-  std::string m_applyId;
-  /// Who applied it.
-  std::string m_setBy;
-  /// The manifest as the operator wrote it.
-  std::string m_text;
-  /// The manifest, read.
-  std::shared_ptr<const manifest::Manifest> m_manifest;
-};
-
 /// How a node stands in the fleet.
 enum class MemberState { Alive, Suspect, Draining, Dead };
 
@@ -127,6 +114,50 @@
   std::string m_key;
 };
 
+/// Orders of this node for claims whose shard another node writes.
+struct ClaimsOut {
+  /// Names the batch in the answer.
+  uint64_t m_batch = 0;
+  /// Where the home of the shards is reached by other nodes.
+  base::Address m_home;
+  std::vector<claims::ClaimOrder> m_orders;
+};
+
+/// The answer to ClaimsOut.
+struct ClaimsBack {
+  uint64_t m_batch = 0;
+  /// Whether the home answered; otherwise nothing is known of the orders.
+  bool m_answered = false;
+  std::vector<claims::ClaimReply> m_replies;
+};
+
+/// Orders of another node for claims whose shard this node writes.
+struct ClaimsIn {
+  /// Names the call in the answer.
+  uint64_t m_call = 0;
+  std::vector<claims::ClaimOrder> m_orders;
+};
+
+/// The answer to ClaimsIn.
+struct ClaimsInAnswer {
+  uint64_t m_call = 0;
+  std::vector<claims::ClaimReply> m_replies;
+};
+
+/// Claimed calls that have run, for the home of their shards.
+struct DoneOut {
+  base::Address m_home;
+  std::vector<std::string> m_keys;
+};
+
+/// A configuration that a peer offers, as it stands in the key-value service.
+struct ConfigurationOffered {
+  std::string m_text;
+};
+
+/// The peers that could be reached have been asked for their configuration.
+struct PeersConsulted {};
+
 /// This node is leaving the fleet.
 struct DrainStarted {};
 
@@ -140,16 +171,28 @@
 using PlatformMessage = std::variant<ApplyAsk,
                                      ClaimAsk,
                                      ClaimDone,
-                                     ConfigurationSeen,
-                                     LeavingSeen,
+                                     ClaimsIn,
+                                     ClaimsBack,
+                                     ConfigurationOffered,
+                                     PeersConsulted,
                                      MembersSeen,
                                      DrainStarted,
                                      StopTask>;
+/// What the peers task receives.
+using PeersMessage = std::variant<ConfigurationSeen,
+                                  LeavingSeen,
+                                  MembersSeen,
+                                  ClaimsOut,
+                                  ClaimsInAnswer,
+                                  DoneOut,
+                                  DrainStarted,
+                                  StopTask>;
 
 /// The mailboxes of a node's tasks.
 struct Mailboxes {
   base::Mailbox<GatewayMessage> m_gateway;
   base::Mailbox<PlatformMessage> m_platform;
+  base::Mailbox<PeersMessage> m_peers;
 };
 
 /// Chooses a handler for each type of a variant message.
