Integration tests: outcomes and at most once, with real processes

Cause: the claims' path had only been tried by hand. The first run of the outcomes table crashed the service stand-in: closing a connection from within the HTTP library's own callback frees it under the library. Ruled out: the fault switches themselves (the crash came with any abort in a handler). Change: an abort shuts the socket down and lets the library free it.

--- a/packages/adapters/http/ServerExchange.cpp
+++ b/packages/adapters/http/ServerExchange.cpp
@@ -2,6 +2,8 @@
 
 #include <evhtp/evhtp.h>
 
+#include <sys/socket.h>
+
 #include <cassert>
 
 namespace papayafield::adapters::http {
@@ -122,10 +124,13 @@
 }
 
 void ServerExchange::Abort() {
-  if (m_request != nullptr) {
-    m_onGone = nullptr;
-    evhtp_connection_free(evhtp_request_get_connection(m_request));
+  if (m_request == nullptr) {
+    return;
   }
+  m_onGone = nullptr;
+  // The library may be calling us just now: it frees the connection itself when it sees the end.
+  shutdown(bufferevent_getfd(evhtp_request_get_bev(m_request)), SHUT_RDWR);
+  m_request = nullptr;
 }
 
 size_t ServerExchange::UnsentBytes() const {
--- /dev/null
+++ b/tests/integration/AtMostOnceTest.cpp
@@ -0,0 +1,226 @@
+#include "tests/harness/Fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <random>
+#include <thread>
+
+/// \file
+/// Orders run at most once, and what is called not run did not run, judged by the services' own
+/// counts.
+
+using namespace papayafield;
+using namespace papayafield::tests;
+
+namespace {
+
+constexpr char kOrders[] = "/services/orders/orders";
+
+std::string OrderBody(const std::string& aOrder) {
+  return "{\"order\":\"" + aOrder + "\"}";
+}
+
+/// What a caller was told about one order, over all its tries.
+struct Told {
+  std::string m_order;
+  bool m_done = false;
+  bool m_onlyNotRun = true;
+};
+
+/// Asks for an order at some node, and again at others with the same key while it is not settled.
+Told Order(const Fleet& aFleet, const std::string& aOrder, std::mt19937_64& aRandom) {
+  Told told{ aOrder };
+  for (int attempt = 0; attempt < 4 && !told.m_done; ++attempt) {
+    const CallerAnswer answer = CallAs(kTeamKey,
+                                       aFleet.Node(aRandom() % aFleet.Nodes()),
+                                       "POST",
+                                       kOrders,
+                                       OrderBody(aOrder),
+                                       aOrder);
+    told.m_done = answer.m_status == 201;
+    told.m_onlyNotRun = told.m_onlyNotRun && answer.m_outcome == "not run";
+  }
+  return told;
+}
+
+/// Brings about faults, one after another, until it is told to stop.
+void Disturb(Fleet& aFleet, uint64_t aSeed, const std::atomic<bool>& aStop) {
+  std::mt19937_64 random(aSeed);
+  const auto pause = [&](int aMost) {
+    std::this_thread::sleep_for(base::Millis(static_cast<int64_t>(random() % aMost) + 10));
+  };
+  static const char* const kServiceFaults[] = {
+    "close_after_run", "close_before_run", "not_started", "server_error", "crossed"
+  };
+  while (!aStop) {
+    pause(60);
+    switch (random() % 6) {
+      case 0:
+      case 1: {
+        const std::string fault = kServiceFaults[random() % std::size(kServiceFaults)];
+        Call(aFleet.Service(random() % 2).m_address,
+             "POST",
+             "/control/faults",
+             "{\"" + fault + "\":3}");
+        break;
+      }
+      case 2:
+        aFleet.PlatformFaults({ { "lose_answers", 2 } });
+        break;
+      case 3:
+        aFleet.PlatformFaults({ { "outage", true } });
+        pause(300);
+        aFleet.PlatformFaults({ { "outage", false } });
+        break;
+      case 4: {
+        // Paused past every time limit between nodes, then awake again.
+        const size_t node = random() % aFleet.Nodes();
+        aFleet.NodeProcess(node).Signal(SIGSTOP);
+        pause(1500);
+        aFleet.NodeProcess(node).Signal(SIGCONT);
+        break;
+      }
+      default:
+        aFleet.RestartNode(random() % aFleet.Nodes());
+        break;
+    }
+  }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(AtMostOnceTest)
+
+// The same key at once at all nodes: one run, and each caller gets its answer.
+BOOST_AUTO_TEST_CASE(OneKeyAtOnceAtAllNodes) {
+  Fleet fleet(FleetSettings{});
+  std::atomic<int> whole{ 0 };
+  std::vector<std::thread> callers;
+  for (size_t node = 0; node < fleet.Nodes(); ++node) {
+    callers.emplace_back([&fleet, &whole, node] {
+      for (int i = 0; i < 50; ++i) {
+        const std::string order = "wreath-" + std::to_string(i);
+        const CallerAnswer answer =
+          CallAs(kTeamKey, fleet.Node(node), "POST", kOrders, OrderBody(order), order);
+        whole += answer.m_status == 201 ? 1 : 0;
+      }
+    });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  BOOST_TEST(whole == 150);
+  for (const auto& [order, runs] : fleet.Runs()) {
+    BOOST_TEST(runs == 1, order << " ran " << runs << " times");
+  }
+}
+
+// A key that was used by another team is another key.
+BOOST_AUTO_TEST_CASE(KeysBelongToTheirTeam) {
+  FleetSettings settings;
+  settings.m_nodes = 1;
+  Fleet fleet(settings);
+  for (const char* team : { kTeamKey, kOtherTeamKey }) {
+    BOOST_TEST(CallAs(team, fleet.Node(0), "POST", kOrders, OrderBody(team), "same-key").m_status ==
+               201);
+  }
+  BOOST_TEST(fleet.Runs().size() == 2U);
+}
+
+// In a platform outage a claim cannot be had, and a ticket needs none.
+BOOST_AUTO_TEST_CASE(OutageRefusesClaimsAndTicketsGoOn) {
+  Fleet fleet(FleetSettings{});
+  const auto ticket = [&](size_t aNode) {
+    const auto answer = CallAs(kTeamKey, fleet.Node(aNode), "POST", "/v1/tickets");
+    return base::ValueOr(base::ParseJson(answer.m_body), "idempotency_key", std::string());
+  };
+  fleet.PlatformFaults({ { "outage", true } });
+  const CallerAnswer refused =
+    CallAs(kTeamKey, fleet.Node(0), "POST", kOrders, OrderBody("by-key"), "by-key");
+  BOOST_TEST(refused.m_status == 503);
+  BOOST_TEST(refused.m_outcome == "not run");
+  // The same ticket at its own node, again, and at another node: one run, three answers.
+  const std::string first = ticket(0);
+  for (const size_t node : { 0, 0, 1 }) {
+    BOOST_TEST(
+      CallAs(kTeamKey, fleet.Node(node), "POST", kOrders, OrderBody("t1"), first).m_status == 201);
+  }
+  // A ticket whose node has gone: nobody knows, and nobody runs it.
+  const std::string second = ticket(0);
+  fleet.NodeProcess(0).Kill();
+  const CallerAnswer unknown =
+    CallAs(kTeamKey, fleet.Node(1), "POST", kOrders, OrderBody("t2"), second);
+  BOOST_TEST(unknown.m_outcome == "unknown");
+  // Another team cannot use a ticket.
+  const std::string third = ticket(1);
+  BOOST_TEST(
+    CallAs(kOtherTeamKey, fleet.Node(1), "POST", kOrders, OrderBody("t3"), third).m_outcome ==
+    "unknown");
+  const auto runs = fleet.Runs();
+  BOOST_TEST(runs.size() == 1U);
+  BOOST_TEST(runs.at("t1") == 1);
+}
+
+// An answer of the key-value service that is lost after the write is settled by reading back.
+BOOST_AUTO_TEST_CASE(LostAnswersOfTheSwapAreSettled) {
+  Fleet fleet(FleetSettings{});
+  for (int i = 0; i < 10; ++i) {
+    fleet.PlatformFaults({ { "lose_answers", 1 } });
+    const std::string order = "lost-" + std::to_string(i);
+    BOOST_TEST(CallAs(kTeamKey, fleet.Node(1), "POST", kOrders, OrderBody(order), order).m_status ==
+               201);
+    BOOST_TEST(fleet.Runs()[order] == 1);
+  }
+}
+
+// Over a thousand orders while services fail, the platform loses answers and has outages, and nodes
+// are paused, killed and restarted.
+BOOST_AUTO_TEST_CASE(ThousandOrdersUnderFaults) {
+  FleetSettings settings;
+  settings.m_engines = 0;
+  settings.m_services = 2;
+  Fleet fleet(settings);
+  constexpr uint64_t kSeed = 20261204;
+  constexpr int kThreads = 8;
+  constexpr int kOrdersPerThread = 150;
+  std::atomic<bool> stop{ false };
+  std::vector<std::vector<Told>> told(kThreads);
+  std::thread disturber([&] { Disturb(fleet, kSeed, stop); });
+  std::vector<std::thread> callers;
+  callers.reserve(kThreads);
+  for (int thread = 0; thread < kThreads; ++thread) {
+    callers.emplace_back([&fleet, &told, thread] {
+      std::mt19937_64 random(kSeed + 1 + static_cast<uint64_t>(thread));
+      for (int i = 0; i < kOrdersPerThread; ++i) {
+        // Pairs of threads ask for the same orders, at the same time or nearly.
+        const std::string order = std::to_string(thread / 2) + "-" + std::to_string(i);
+        told[static_cast<size_t>(thread)].push_back(Order(fleet, order, random));
+      }
+    });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  stop = true;
+  disturber.join();
+  // The judge is the services' own count.
+  const auto runs = fleet.Runs();
+  std::map<std::string, bool> mayHaveRun;
+  int done = 0;
+  for (const auto& thread : told) {
+    for (const Told& one : thread) {
+      mayHaveRun[one.m_order] = mayHaveRun[one.m_order] || !one.m_onlyNotRun;
+      done += one.m_done ? 1 : 0;
+    }
+  }
+  for (const auto& [order, count] : runs) {
+    BOOST_TEST(count == 1, order << " ran " << count << " times");
+    BOOST_TEST(mayHaveRun[order], order << " ran, but each caller was told that it did not");
+  }
+  BOOST_TEST_MESSAGE(done << " of " << kThreads * kOrdersPerThread << " askers got the answer, "
+                          << runs.size() << " orders ran");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/integration/OutcomesTest.cpp
@@ -0,0 +1,72 @@
+#include "tests/harness/Fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+/// \file
+/// What callers are told when a call of a plain service meets a fault, judged by the service's
+/// count.
+
+using namespace papayafield;
+using namespace papayafield::tests;
+
+namespace {
+
+struct Case {
+  /// Fault of the service.
+  const char* m_fault;
+  /// Path of the call, and whether the manifest lets it repeat.
+  const char* m_path;
+  int m_status;
+  const char* m_outcome;
+  int m_runs;
+};
+
+// The retry budget is full at the start, so each repeatable call has its second attempt.
+const Case kCases[] = {
+  { "close_after_run", "/orders", 502, "unknown", 1 },
+  { "close_before_run", "/orders", 502, "unknown", 0 },
+  { "not_started", "/orders", 201, "", 1 },
+  { "server_error", "/orders", 502, "unknown", 1 },
+  { "silent", "/orders", 502, "unknown", 1 },
+  { "crossed", "/orders", 502, "unknown", 1 },
+  { "close_after_run", "/quotes", 201, "", 2 },
+  { "close_before_run", "/quotes", 201, "", 1 },
+  { "not_started", "/quotes", 201, "", 1 },
+  { "server_error", "/quotes", 201, "", 2 },
+  { "crossed", "/quotes", 201, "", 2 },
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(OutcomesTest)
+
+BOOST_AUTO_TEST_CASE(EachFaultGivesItsOutcome) {
+  FleetSettings settings;
+  settings.m_nodes = 1;
+  settings.m_engines = 0;
+  settings.m_services = 2;
+  Fleet fleet(settings);
+  // With nothing else going on, the node asks the same service first each time: see which.
+  CallAs(kTeamKey, fleet.Node(0), "POST", "/services/orders/orders", "{\"order\":\"probe\"}");
+  const std::string runs = Call(fleet.Service(0).m_address, "GET", "/control/runs").m_body;
+  const size_t first = runs.find("probe") != std::string::npos ? 0 : 1;
+  int number = 0;
+  for (const Case& one : kCases) {
+    const std::string order = "order-" + std::to_string(++number);
+    const std::string fault = std::string("{\"") + one.m_fault + "\":1}";
+    Call(fleet.Service(first).m_address, "POST", "/control/faults", fault);
+    const CallerAnswer answer = CallAs(kTeamKey,
+                                       fleet.Node(0),
+                                       "POST",
+                                       std::string("/services/orders") + one.m_path,
+                                       "{\"order\":\"" + order + "\"}",
+                                       "key-" + order);
+    BOOST_TEST_CONTEXT(one.m_fault << " " << one.m_path << ": " << answer.m_body) {
+      BOOST_TEST(answer.m_status == one.m_status);
+      BOOST_TEST(answer.m_outcome == one.m_outcome);
+      BOOST_TEST(fleet.Runs()[order] == one.m_runs);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
