Streams survive engines, connections and nodes: tests with real processes, two faults mended

Cause 1: a caller that hung up kept its connection open, so the node streamed on to nobody. Seen in the time line (no caller_gone). Ruled out: the server's hook (it fires). The client loop's deferred callbacks were lost with the loop, and with them the connection they owned. Now the loop owns them. Cause 2: a caller whose connection had gone silent came back at another node, and the first node took the stream away from it again (time line: both resume in turn, then one prefills again). Now an engine tells the reader that it replaces, and the node lets go.

--- a/packages/adapters/engine/EngineClient.cpp
+++ b/packages/adapters/engine/EngineClient.cpp
@@ -57,6 +57,13 @@
     }
   }
 
+  void Supersede() {
+    if (!std::exchange(m_over, true)) {
+      http::CancelTransfer(m_transfer);
+      m_events.m_onSuperseded();
+    }
+  }
+
   void Fail(Fault aFault) {
     if (!std::exchange(m_over, true)) {
       http::CancelTransfer(m_transfer);
@@ -86,6 +93,10 @@
     std::vector<StreamToken> tokens;
     bool done = false;
     for (requests::SseEvent& event : m_reader.Feed(aPart)) {
+      if (event.m_type == "superseded") {
+        Supersede();
+        return;
+      }
       if (event.m_data == "[DONE]") {
         done = true;
         break;
--- a/packages/adapters/engine/EngineClient.h
+++ b/packages/adapters/engine/EngineClient.h
@@ -22,8 +22,8 @@
   std::string m_data;
 };
 
-/// What a stream tells its owner. Exactly one of m_onEnd and m_onFault is called, once, as the
-/// last.
+/// What a stream tells its owner. Exactly one of m_onEnd, m_onSuperseded and
+/// m_onFault is called, once, as the last.
 struct StreamEvents {
   /// The engine has taken the request.
   std::function<void()> m_onStarted;
@@ -31,6 +31,8 @@
   std::function<void(std::vector<StreamToken> aTokens)> m_onTokens;
   /// The answer is whole.
   std::function<void()> m_onEnd;
+  /// Another reader has taken the stream over: its caller has come back at another node.
+  std::function<void()> m_onSuperseded;
   /// The stream failed.
   std::function<void(requests::Fault aFault)> m_onFault;
 };
--- a/packages/adapters/http/EventLoop.cpp
+++ b/packages/adapters/http/EventLoop.cpp
@@ -25,9 +25,13 @@
 }
 
 EventLoop::EventLoop()
-  : m_base(event_base_new()) {}
+  : m_base(event_base_new())
+  , m_deferredWatch(Arm(-1, 0, nullptr, [this] { RunDeferred(); })) {}
 
 EventLoop::~EventLoop() {
+  // What waits may own sockets of this loop.
+  m_deferred.clear();
+  m_deferredWatch.reset();
   event_base_free(m_base);
 }
 
@@ -70,19 +74,16 @@
 }
 
 void EventLoop::Defer(std::function<void()> aCallback) {
-  auto* held = new std::function<void()>(std::move(aCallback));
-  const timeval now{};
-  event_base_once(
-    m_base,
-    -1,
-    EV_TIMEOUT,
-    [](int, short, void* aHeld) {
-      const std::unique_ptr<std::function<void()>> callback(
-        static_cast<std::function<void()>*>(aHeld));
-      (*callback)();
-    },
-    held,
-    &now);
+  m_deferred.push_back(std::move(aCallback));
+  if (m_deferred.size() == 1) {
+    event_active(m_deferredWatch->m_event.get(), 0, 0);
+  }
+}
+
+void EventLoop::RunDeferred() {
+  for (const auto& callback : std::exchange(m_deferred, {})) {
+    callback();
+  }
 }
 
 } // namespace papayafield::adapters::http
--- a/packages/adapters/http/EventLoop.h
+++ b/packages/adapters/http/EventLoop.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 struct event;
 struct event_base;
@@ -60,7 +61,8 @@
   [[nodiscard]] WatchPtr OnReadable(int aFd, std::function<void()> aCallback);
   /// Calls back on the signal `aSignal`.
   [[nodiscard]] WatchPtr OnSignal(int aSignal, std::function<void()> aCallback);
-  /// Calls back once, after the present callback has returned.
+  /// Calls back once, after the present callback has returned. What is still waiting when the loop
+  /// is destroyed is dropped.
   void Defer(std::function<void()> aCallback);
 
   /// Hands each message of `aMailbox` to `aHandler`. The mailbox must outlive the watch.
@@ -76,7 +78,11 @@
 private:
   WatchPtr Arm(int aFd, short aWhat, const base::Millis* aSpan, std::function<void()> aCallback);
 
+  void RunDeferred();
+
   event_base* m_base;
+  std::vector<std::function<void()>> m_deferred;
+  WatchPtr m_deferredWatch;
 };
 
 } // namespace papayafield::adapters::http
--- a/packages/gateway/ChatRequest.cpp
+++ b/packages/gateway/ChatRequest.cpp
@@ -204,6 +204,11 @@
       self->OnEnd();
     }
   };
+  events.m_onSuperseded = [self = shared_from_this(), present] {
+    if (present()) {
+      self->OnSuperseded();
+    }
+  };
   events.m_onFault = [self = shared_from_this(), present](Fault aFault) {
     if (present()) {
       self->OnFault(aFault);
@@ -454,6 +459,15 @@
   Over();
 }
 
+void ChatRequest::OnSuperseded() {
+  // The connection here went silent and its caller reads on elsewhere: resuming would only take the
+  // stream away from it.
+  m_context.m_timeline.Add(EventKind::CallerGone, m_id, "", "reads on at another node");
+  LeaveAttempt(0);
+  m_exchange->Abort();
+  Over();
+}
+
 void ChatRequest::Fail(const Problem& aProblem) {
   if (m_over) {
     return;
--- a/packages/gateway/ChatRequest.h
+++ b/packages/gateway/ChatRequest.h
@@ -70,6 +70,7 @@
   void StartCallerStream();
   void Beat();
   void OnCallerGone();
+  void OnSuperseded();
   void Fail(const Problem& aProblem);
   void Over();
   double Cost() const;
--- a/packages/node/ClaimKeeper.cpp
+++ b/packages/node/ClaimKeeper.cpp
@@ -231,7 +231,7 @@
   const base::RequestId request = found->second;
   m_waiting.erase(found);
   m_mailboxes.m_gateway.Send(
-    tasks::ClaimAnswer{request, ToVerdict(conclusion.m_end), conclusion.m_holder});
+    tasks::ClaimAnswer{ request, ToVerdict(conclusion.m_end), conclusion.m_holder });
 }
 
 } // namespace papayafield::node
--- a/packages/node/PlatformTask.cpp
+++ b/packages/node/PlatformTask.cpp
@@ -85,8 +85,8 @@
   };
   const uint64_t own = weight(m_settings.m_name);
   const auto before = std::count_if(aMembers.begin(), aMembers.end(), [&](const auto& aMember) {
-    return aMember.m_zone == m_settings.m_zone &&
-           aMember.m_state == tasks::MemberState::Alive && weight(aMember.m_node) > own;
+    return aMember.m_zone == m_settings.m_zone && aMember.m_state == tasks::MemberState::Alive &&
+           weight(aMember.m_node) > own;
   });
   return before < kWatchersPerZone;
 }
--- a/standins/engine/Engine.cpp
+++ b/standins/engine/Engine.cpp
@@ -183,8 +183,9 @@
 }
 
 void Engine::Attach(const StreamPtr& aStream, const ExchangePtr& aExchange, uint64_t aFrom) {
-  if (aStream->m_reader != nullptr) {
-    aStream->m_reader->Abort();
+  if (const ExchangePtr before = std::exchange(aStream->m_reader, nullptr)) {
+    before->SendPart("event: superseded\ndata: {}\n\n");
+    before->EndStream();
   }
   aStream->m_reader = aExchange;
   aStream->m_sent = aFrom;
--- /dev/null
+++ b/tests/integration/StreamsTest.cpp
@@ -0,0 +1,284 @@
+#include "tests/harness/Fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <thread>
+
+/// \file
+/// Accepted answers survive the engines, the connections and the nodes under them. The bytes that
+/// callers got are compared with the full answer.
+
+using namespace papayafield;
+using namespace papayafield::tests;
+
+namespace {
+
+constexpr uint64_t kTokens = 150;
+
+/// Several callers with a streamed and a whole request each, while a test breaks something.
+class Callers {
+public:
+  /// Starts `aCount` of each kind at the nodes of `aFleet`; returns when each stream has begun.
+  Callers(Fleet& aFleet, size_t aCount) {
+    m_streams.resize(aCount);
+    m_wholes.resize(aCount);
+    for (size_t i = 0; i < aCount; ++i) {
+      const base::Address node = aFleet.Node(i % aFleet.Nodes());
+      m_threads.emplace_back([this, i, node] {
+        m_streams[i] = Generate(node, Prompt(i), kTokens, [this](size_t aTokens) {
+          m_begun += aTokens == 3 ? 1 : 0;
+          return true;
+        });
+      });
+      m_threads.emplace_back([this, i, node] {
+        const nlohmann::json body = { { "model", "condolence" },
+                                      { "max_tokens", kTokens },
+                                      { "messages",
+                                        { { { "role", "user" }, { "content", Prompt(i) } } } } };
+        m_wholes[i] =
+          CallAs(kTeamKey, node, "POST", "/v1/chat/completions", base::DumpJson(body)).m_body;
+      });
+    }
+    Eventually([&] { return m_begun == static_cast<int>(aCount); });
+  }
+  ~Callers() { Join(); }
+  Callers(const Callers&) = delete;
+  Callers& operator=(const Callers&) = delete;
+  Callers(Callers&&) = delete;
+  Callers& operator=(Callers&&) = delete;
+
+  /// Waits for all and compares what they got.
+  void Check() {
+    Join();
+    for (size_t i = 0; i < m_streams.size(); ++i) {
+      const std::string expected = ExpectedText(Prompt(i), kTokens);
+      BOOST_TEST(m_streams[i].m_whole, "stream " << i << ": " << m_streams[i].m_body);
+      BOOST_TEST((m_streams[i].m_text == expected), "stream " << i << " differs");
+      const auto whole = base::ParseJson(m_wholes[i]);
+      const bool same = whole.is_object() && whole.contains("choices") &&
+                        whole["choices"][0]["message"]["content"] == expected;
+      BOOST_TEST(same, "whole answer " << i << " differs: " << m_wholes[i].substr(0, 200));
+    }
+  }
+
+private:
+  static std::string Prompt(size_t aIndex) {
+    return "Write card number " + std::to_string(aIndex) + " for the family.";
+  }
+
+  void Join() {
+    for (std::thread& thread : m_threads) {
+      thread.join();
+    }
+    m_threads.clear();
+  }
+
+  std::vector<std::thread> m_threads;
+  std::vector<Stream> m_streams;
+  std::vector<std::string> m_wholes;
+  std::atomic<int> m_begun{ 0 };
+};
+
+FleetSettings Settings(int aEngines) {
+  FleetSettings settings;
+  settings.m_engines = aEngines;
+  settings.m_services = 0;
+  settings.m_engineOptions = { "--slots", "16", "--token-ms", "20", "--slowdown", "0" };
+  return settings;
+}
+
+uint64_t Recomputed(Fleet& aFleet) {
+  uint64_t tokens = 0;
+  for (size_t i = 0; i < aFleet.Engines(); ++i) {
+    const auto counts = Fleet::EngineCounts(aFleet.Engine(i));
+    if (counts.is_object()) {
+      tokens += counts["recomputed"].get<uint64_t>();
+      BOOST_TEST(counts["wrong_text"] == 0);
+    }
+  }
+  return tokens;
+}
+
+bool HasStreams(const Place& aEngine) {
+  const auto counts = Fleet::EngineCounts(aEngine);
+  return counts.is_object() && counts["active"].get<int>() > 0;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(StreamsTest)
+
+// Announced reclaim: streams move with their state, and nothing is prefilled again.
+BOOST_AUTO_TEST_CASE(AnnouncedReclaimMovesStreams) {
+  Fleet fleet(Settings(3));
+  Callers callers(fleet, 6);
+  Place& engine = HasStreams(fleet.Engine(0)) ? fleet.Engine(0) : fleet.Engine(1);
+  // The host goes when its notice is over.
+  fleet.Reclaim(engine, base::Millis(2000));
+  std::this_thread::sleep_for(base::Millis(2000));
+  BOOST_TEST(!HasStreams(engine));
+  engine.m_process->Kill();
+  callers.Check();
+  BOOST_TEST(Recomputed(fleet) == 0U);
+}
+
+// An engine that dies without notice: its streams are prefilled again elsewhere.
+BOOST_AUTO_TEST_CASE(EngineDies) {
+  Fleet fleet(Settings(3));
+  Callers callers(fleet, 6);
+  fleet.Engine(0).m_process->Kill();
+  callers.Check();
+}
+
+// The engine dies in the middle of the export.
+BOOST_AUTO_TEST_CASE(EngineDiesInTheMiddleOfTheExport) {
+  FleetSettings settings = Settings(3);
+  settings.m_engineOptions.insert(settings.m_engineOptions.end(), { "--export-ms", "1500" });
+  Fleet fleet(settings);
+  Callers callers(fleet, 6);
+  Place& engine = HasStreams(fleet.Engine(0)) ? fleet.Engine(0) : fleet.Engine(1);
+  fleet.Reclaim(engine, base::Millis(2000));
+  // Once its streams have gone the export is under way.
+  BOOST_TEST(Eventually([&] { return !HasStreams(engine); }));
+  engine.m_process->Kill();
+  callers.Check();
+  BOOST_TEST(Recomputed(fleet) > 0U);
+}
+
+// All engines go, one after another, and replacements come late: accepted work waits and is never
+// lost; new work is refused as not run, or waits too.
+BOOST_AUTO_TEST_CASE(WaveWithNoRoom) {
+  Fleet fleet(Settings(2));
+  Callers callers(fleet, 4);
+  for (size_t i = 0; i < 2; ++i) {
+    fleet.Reclaim(fleet.Engine(i), base::Millis(700));
+  }
+  std::this_thread::sleep_for(base::Millis(700));
+  for (size_t i = 0; i < 2; ++i) {
+    fleet.Engine(i).m_process->Kill();
+  }
+  std::thread late([&fleet] {
+    std::this_thread::sleep_for(base::Millis(1500));
+    fleet.AddEngine("zone-c");
+  });
+  callers.Check();
+  late.join();
+}
+
+// Connections to engines are cut, or go silent for good while new ones work.
+BOOST_AUTO_TEST_CASE(CutAndSilentConnections) {
+  FleetSettings settings = Settings(2);
+  settings.m_engineProxies = true;
+  settings.m_nodeSettings = "[endpoints]\nstream_idle = \"1s\"\n";
+  Fleet fleet(settings);
+  {
+    Callers callers(fleet, 4);
+    Fleet::ProxyFaults(fleet.Engine(0), { { "cut", true } });
+    Fleet::ProxyFaults(fleet.Engine(1), { { "cut", true } });
+    callers.Check();
+  }
+  {
+    Callers callers(fleet, 4);
+    Fleet::ProxyFaults(fleet.Engine(0), { { "silence", true } });
+    Fleet::ProxyFaults(fleet.Engine(1), { { "silence", true } });
+    callers.Check();
+  }
+  // The engines held the streams, so nothing was computed again.
+  BOOST_TEST(Recomputed(fleet) == 0U);
+}
+
+// The node dies under a stream: the caller goes on at another node, at the token where it stopped.
+BOOST_AUTO_TEST_CASE(CallerGoesOnAtAnotherNode) {
+  Fleet fleet(Settings(2));
+  const std::string prompt = "A long summary.";
+  Stream stream = Generate(fleet.Node(0), prompt, kTokens, [&](size_t aTokens) {
+    if (aTokens == 20) {
+      fleet.NodeProcess(0).Kill();
+    }
+    return true;
+  });
+  BOOST_TEST(!stream.m_whole);
+  stream = Generate(fleet.Node(1), prompt, kTokens, {}, &stream);
+  BOOST_TEST(stream.m_whole, stream.m_body);
+  BOOST_TEST((stream.m_text == ExpectedText(prompt, kTokens)));
+  BOOST_TEST(Recomputed(fleet) == 0U);
+  // Another team cannot read it.
+  const Stream foreign = Generate(fleet.Node(1), prompt, kTokens, {}, &stream, kOtherTeamKey);
+  BOOST_TEST(foreign.m_status == 400);
+}
+
+// The node dies in the middle of a move: the caller's own text is enough to go on.
+BOOST_AUTO_TEST_CASE(NodeDiesInTheMiddleOfAMove) {
+  FleetSettings settings = Settings(2);
+  settings.m_engineOptions.insert(settings.m_engineOptions.end(), { "--export-ms", "1500" });
+  Fleet fleet(settings);
+  const std::string prompt = "A long plan.";
+  std::thread breaker([&] {
+    Eventually([&] { return HasStreams(fleet.Engine(0)) || HasStreams(fleet.Engine(1)); });
+    Place& engine = HasStreams(fleet.Engine(0)) ? fleet.Engine(0) : fleet.Engine(1);
+    fleet.Reclaim(engine, base::Millis(2000));
+    Eventually([&] { return !HasStreams(engine); });
+    fleet.NodeProcess(0).Kill();
+    engine.m_process->Kill();
+  });
+  Stream stream = Generate(fleet.Node(0), prompt, kTokens);
+  breaker.join();
+  BOOST_TEST(!stream.m_whole);
+  stream = Generate(fleet.Node(2), prompt, kTokens, {}, &stream);
+  BOOST_TEST(stream.m_whole, stream.m_body);
+  BOOST_TEST((stream.m_text == ExpectedText(prompt, kTokens)));
+}
+
+// A caller hangs up and comes back at another node: the engine still has its stream.
+BOOST_AUTO_TEST_CASE(CallerHangsUpAndComesBackElsewhere) {
+  Fleet fleet(Settings(1));
+  Stream stream = Generate(fleet.Node(0), "x", 200, [](size_t aTokens) { return aTokens < 5; });
+  stream = Generate(fleet.Node(1), "x", 200, {}, &stream);
+  BOOST_TEST(stream.m_whole, stream.m_body);
+  BOOST_TEST((stream.m_text == ExpectedText("x", 200)));
+  BOOST_TEST(Recomputed(fleet) == 0U);
+}
+
+// The connection between caller and node goes silent for good; the caller comes back elsewhere, and
+// the first node does not take the stream away from it again.
+BOOST_AUTO_TEST_CASE(CallerConnectionGoesSilent) {
+  Fleet fleet(Settings(1));
+  const base::Address front{ "127.0.0.1", FreePort() };
+  const base::Address control{ "127.0.0.1", FreePort() };
+  const std::vector<std::string> options{ "--listen",  front.ToText(),
+                                          "--to",      fleet.Node(0).ToText(),
+                                          "--control", control.ToText() };
+  Process proxy("standins/standin_proxy", options);
+  BOOST_TEST(Eventually([&] { return Call(control, "GET", "/").m_status == 200; }));
+  Stream stream = Generate(front, "y", 200, [&](size_t aTokens) {
+    if (aTokens == 5) {
+      // The caller gives up on the silent connection; the node is not told.
+      Call(control, "POST", "/", "{\"silence\":true}");
+    }
+    return aTokens < 5;
+  });
+  stream = Generate(fleet.Node(1), "y", 200, {}, &stream);
+  BOOST_TEST(stream.m_whole, stream.m_body);
+  BOOST_TEST((stream.m_text == ExpectedText("y", 200)));
+  BOOST_TEST(Recomputed(fleet) == 0U);
+}
+
+// A whole answer whose caller hangs up frees its engine.
+BOOST_AUTO_TEST_CASE(HangingUpOnAWholeAnswerCancelsIt) {
+  Fleet fleet(Settings(1));
+  adapters::http::HttpRequest request;
+  request.m_to = fleet.Node(1);
+  request.m_method = "POST";
+  request.m_target = "/v1/chat/completions";
+  request.m_headers.Add("Authorization", std::string("Bearer ") + kTeamKey);
+  request.m_body = "{\"model\":\"condolence\",\"max_tokens\":4000,"
+                   "\"messages\":[{\"role\":\"user\",\"content\":\"z\"}]}";
+  request.m_totalTimeout = base::Millis(300);
+  adapters::http::FetchBlocking(request);
+  BOOST_TEST(Eventually([&] { return !HasStreams(fleet.Engine(0)); }));
+  BOOST_TEST(Fleet::EngineCounts(fleet.Engine(0))["cancelled"] == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
