Leaving endpoints, rolling drains and configuration: tests with real processes

Change: tests at 9 nodes for the notice, the engine's own word with the platform down, a roll over all nodes under load, two operators racing, lost answers, unknown applies, an outage right after acceptance, a paused node, and a restart beside peers that are ahead of what the platform shows.

--- /dev/null
+++ b/tests/integration/ConfigurationTest.cpp
@@ -0,0 +1,187 @@
+#include "tests/harness/Fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <fstream>
+#include <thread>
+
+/// \file
+/// An accepted configuration is in force everywhere and never reverts.
+
+using namespace papayafield;
+using namespace papayafield::tests;
+
+namespace {
+
+/// papayafieldctl's exit codes.
+constexpr int kDone = 0;
+constexpr int kFindings = 3;
+constexpr int kConflict = 4;
+constexpr int kUnknown = 5;
+
+FleetSettings Settings(int aNodes) {
+  FleetSettings settings;
+  settings.m_nodes = aNodes;
+  settings.m_engines = 0;
+  settings.m_services = 0;
+  return settings;
+}
+
+uint64_t Generation(const Fleet& aFleet, size_t aNode) {
+  return base::ValueOr(aFleet.Status(aNode), "generation", uint64_t{ 0 });
+}
+
+/// Whether the generations that a node's time line shows never fall.
+bool NeverFalls(const Fleet& aFleet, size_t aNode) {
+  const auto events =
+    base::ParseJson(CallAs(kOperatorKey, aFleet.Node(aNode), "GET", "/operator/timeline").m_body);
+  uint64_t last = 0;
+  for (const auto& event : events) {
+    if (event["kind"] == "generation_adopted") {
+      const uint64_t generation = std::stoull(event["subject"].get<std::string>());
+      if (generation <= last) {
+        return false;
+      }
+      last = generation;
+    }
+  }
+  return true;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ConfigurationTest)
+
+// Two operators race a hundred times: each accepted change has a generation of its own, no
+// generation is missing, and the loser is told of a conflict.
+BOOST_AUTO_TEST_CASE(TwoOperatorsRace) {
+  Fleet fleet(Settings(3));
+  constexpr int kRaces = 100;
+  std::atomic<int> accepted{ 0 };
+  std::atomic<int> conflicts{ 0 };
+  for (int race = 0; race < kRaces; ++race) {
+    const std::string base = std::to_string(1 + accepted);
+    std::vector<std::thread> operators;
+    operators.reserve(2);
+    for (size_t who = 0; who < 2; ++who) {
+      operators.emplace_back([&, who] {
+        nlohmann::json body = { { "base", std::stoull(base) },
+                                { "apply_id", std::to_string(race) + "-" + std::to_string(who) },
+                                { "set_by", "operator-" + std::to_string(who) } };
+        std::ifstream file(fleet.ManifestFile());
+        body["text"] = std::string(std::istreambuf_iterator<char>(file), {});
+        const CallerAnswer answer =
+          CallAs(kOperatorKey, fleet.Node(who), "POST", "/operator/apply", base::DumpJson(body));
+        accepted += answer.m_status == 200 ? 1 : 0;
+        conflicts += answer.m_status == 409 ? 1 : 0;
+      });
+    }
+    for (std::thread& one : operators) {
+      one.join();
+    }
+  }
+  BOOST_TEST(accepted == kRaces);
+  BOOST_TEST(conflicts == kRaces);
+  BOOST_TEST(fleet.InForce(1 + kRaces));
+  for (size_t i = 0; i < fleet.Nodes(); ++i) {
+    BOOST_TEST(Generation(fleet, i) == 1U + kRaces);
+    BOOST_TEST(NeverFalls(fleet, i));
+  }
+}
+
+// The answer to the swap is lost: the apply is settled as accepted, and made once.
+BOOST_AUTO_TEST_CASE(LostAnswerIsSettled) {
+  Fleet fleet(Settings(2));
+  fleet.PlatformFaults({ { "lose_answers", 1 } });
+  BOOST_TEST(fleet.Ctl({ "apply", fleet.ManifestFile(), "--node", fleet.Node(0).ToText() }) ==
+             kDone);
+  BOOST_TEST(fleet.InForce(2));
+  BOOST_TEST(Generation(fleet, 0) == 2U);
+}
+
+// The platform goes silent for good in the middle: the operator is told that it is unknown, and the
+// command that settles it says which.
+BOOST_AUTO_TEST_CASE(UnknownIsSettledByTheSameNumber) {
+  FleetSettings settings = Settings(2);
+  settings.m_platformProxy = true;
+  Fleet fleet(settings);
+  // The write arrives, and its answer and all later ones are lost.
+  fleet.PlatformFaults({ { "lose_answers", 1000 } });
+  std::thread silence([&] {
+    Eventually([&] {
+      return Call(fleet.Platform().m_address, "GET", "/kv/papayafield/manifest")
+               .m_body.find("settle-me") != std::string::npos;
+    });
+    fleet.PlatformFaults({ { "silent", true } });
+  });
+  const std::vector<std::string> apply{ "apply",  fleet.ManifestFile(),  "--base",
+                                        "1",      "--apply-id",          "settle-me",
+                                        "--node", fleet.Node(0).ToText() };
+  BOOST_TEST(fleet.Ctl(apply) == kUnknown);
+  silence.join();
+  fleet.PlatformFaults({ { "silent", false }, { "lose_answers", 0 } });
+  BOOST_TEST(Eventually([&] { return fleet.Ctl(apply) == kDone; }));
+  BOOST_TEST(fleet.InForce(2));
+  BOOST_TEST(Generation(fleet, 0) == 2U);
+}
+
+// The platform goes down right after the acceptance: the others have it from their peers.
+BOOST_AUTO_TEST_CASE(InForceEverywhereThoughThePlatformGoesDown) {
+  Fleet fleet(Settings(9));
+  BOOST_TEST(fleet.Ctl({ "apply", fleet.ManifestFile(), "--node", fleet.Node(4).ToText() }) ==
+             kDone);
+  fleet.PlatformFaults({ { "outage", true } });
+  BOOST_TEST(fleet.InForce(2));
+}
+
+// A node that was paused over a change takes it when it wakes, with the platform down.
+BOOST_AUTO_TEST_CASE(PausedNodeCatchesUp) {
+  Fleet fleet(Settings(3));
+  fleet.NodeProcess(2).Signal(SIGSTOP);
+  BOOST_TEST(fleet.Ctl({ "apply", fleet.ManifestFile(), "--node", fleet.Node(0).ToText() }) ==
+             kDone);
+  fleet.PlatformFaults({ { "outage", true } });
+  fleet.NodeProcess(2).Signal(SIGCONT);
+  BOOST_TEST(fleet.InForce(2));
+  BOOST_TEST(NeverFalls(fleet, 2));
+}
+
+// A node restarts beside live peers while the platform answers with an old state: what comes into
+// force there is what is in force at the peers.
+BOOST_AUTO_TEST_CASE(RestartBesidePeersThatAreAhead) {
+  Fleet fleet(Settings(3));
+  const auto read = [&] {
+    return Call(fleet.Platform().m_address, "GET", "/kv/papayafield/manifest");
+  };
+  const std::string old = read().m_body;
+  BOOST_TEST(fleet.Ctl({ "apply", fleet.ManifestFile(), "--node", fleet.Node(0).ToText() }) ==
+             kDone);
+  BOOST_TEST(fleet.InForce(2));
+  // The platform shows generation 1 again.
+  const std::string version = read().m_headers.Find("X-Version").value_or("0");
+  BOOST_TEST(
+    Call(fleet.Platform().m_address, "PUT", "/kv/papayafield/manifest?expect=" + version, old)
+      .m_status == 200);
+  fleet.RestartNode(1);
+  BOOST_TEST(Eventually([&] { return Generation(fleet, 1) > 0; }));
+  BOOST_TEST(Generation(fleet, 1) == 2U);
+  BOOST_TEST(NeverFalls(fleet, 1));
+}
+
+// What is wrong, late or foreign is rejected, and says why by its exit code.
+BOOST_AUTO_TEST_CASE(ManifestWithFindingsIsRejected) {
+  Fleet fleet(Settings(1));
+  const std::string file = fleet.Folder() + "/bad.toml";
+  std::ofstream(file) << "[[team]]\nname = 5\n";
+  BOOST_TEST(fleet.Ctl({ "apply", file, "--node", fleet.Node(0).ToText() }) == kFindings);
+  BOOST_TEST(fleet.Ctl({ "validate", file }) == kFindings);
+  BOOST_TEST(
+    fleet.Ctl({ "apply", fleet.ManifestFile(), "--base", "7", "--node", fleet.Node(0).ToText() }) ==
+    kConflict);
+  // A caller's key does not open the operators' interface.
+  BOOST_TEST(CallAs(kTeamKey, fleet.Node(0), "GET", "/operator/status").m_status == 401);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/integration/LeavingTest.cpp
@@ -0,0 +1,188 @@
+#include "tests/harness/Fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <thread>
+
+/// \file
+/// A leaving endpoint gets no new work, and a leaving node cuts nobody.
+
+using namespace papayafield;
+using namespace papayafield::tests;
+
+namespace {
+
+/// The stated bound on new work after the first node has learnt that an endpoint leaves.
+constexpr int64_t kStatedBoundMs = 3000;
+
+/// Sends short requests at all nodes until it is stopped, and counts those that were not answered.
+class Traffic {
+public:
+  explicit Traffic(Fleet& aFleet) {
+    for (size_t node = 0; node < aFleet.Nodes(); ++node) {
+      const base::Address address = aFleet.Node(node);
+      m_threads.emplace_back([this, address] {
+        while (!m_stop) {
+          const Stream stream = Generate(address, "short", 3);
+          ++(stream.m_whole ? m_answered : m_failed);
+        }
+      });
+    }
+  }
+  ~Traffic() { Stop(); }
+  Traffic(const Traffic&) = delete;
+  Traffic& operator=(const Traffic&) = delete;
+  Traffic(Traffic&&) = delete;
+  Traffic& operator=(Traffic&&) = delete;
+
+  void Stop() {
+    m_stop = true;
+    for (std::thread& thread : m_threads) {
+      thread.join();
+    }
+    m_threads.clear();
+  }
+  int Answered() const { return m_answered; }
+  int Failed() const { return m_failed; }
+
+private:
+  std::atomic<bool> m_stop{ false };
+  std::atomic<int> m_answered{ 0 };
+  std::atomic<int> m_failed{ 0 };
+  std::vector<std::thread> m_threads;
+};
+
+FleetSettings Settings(int aNodes) {
+  FleetSettings settings;
+  settings.m_nodes = aNodes;
+  settings.m_engines = 3;
+  settings.m_services = 0;
+  settings.m_engineOptions = { "--slots", "64", "--token-ms", "10", "--slowdown", "0" };
+  return settings;
+}
+
+/// Milliseconds from `aNoticeMs` to the last request that the engine started; negative when none
+/// came.
+int64_t LastDispatchAfter(const Place& aEngine, int64_t aNoticeMs) {
+  return Fleet::EngineCounts(aEngine)["last_start_ms"].get<int64_t>() - aNoticeMs;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(LeavingTest)
+
+// The notice is in the host list, which only some nodes read often; and the platform goes down
+// right after the first of them has seen it.
+BOOST_AUTO_TEST_CASE(NoNewWorkAtNineNodesAfterANotice) {
+  Fleet fleet(Settings(9));
+  Traffic traffic(fleet);
+  BOOST_TEST(Eventually([&] { return traffic.Answered() > 200; }));
+  const int64_t notice = base::WallMillis();
+  fleet.Reclaim(fleet.Engine(0), base::Millis(60000));
+  BOOST_TEST(Eventually([&] {
+    for (size_t i = 0; i < fleet.Nodes(); ++i) {
+      const nlohmann::json status = fleet.Status(i);
+      for (const auto& endpoint : status["endpoints"]) {
+        if (endpoint["endpoint"] == fleet.Engine(0).m_name && endpoint["state"] == "leaving") {
+          return true;
+        }
+      }
+    }
+    return false;
+  }));
+  fleet.PlatformFaults({ { "outage", true }, { "hosts_down", true } });
+  std::this_thread::sleep_for(base::Millis(kStatedBoundMs + 2000));
+  traffic.Stop();
+  const int64_t last = LastDispatchAfter(fleet.Engine(0), notice);
+  BOOST_TEST_MESSAGE("last dispatch " << last << " ms after the notice");
+  BOOST_TEST(last < kStatedBoundMs);
+  BOOST_TEST(traffic.Failed() == 0);
+}
+
+// The engine's own word, heard by whichever node asks first.
+BOOST_AUTO_TEST_CASE(NoNewWorkAfterTheEnginesOwnWord) {
+  Fleet fleet(Settings(9));
+  Traffic traffic(fleet);
+  BOOST_TEST(Eventually([&] { return traffic.Answered() > 200; }));
+  fleet.PlatformFaults({ { "outage", true }, { "hosts_down", true } });
+  const int64_t notice = base::WallMillis();
+  Call(fleet.Engine(1).m_address, "POST", "/control/leave");
+  std::this_thread::sleep_for(base::Millis(kStatedBoundMs + 2000));
+  traffic.Stop();
+  const int64_t last = LastDispatchAfter(fleet.Engine(1), notice);
+  BOOST_TEST_MESSAGE("last dispatch " << last << " ms after the engine's word");
+  BOOST_TEST(last < kStatedBoundMs);
+  BOOST_TEST(traffic.Failed() == 0);
+}
+
+// All nodes are replaced one after another under load, while callers keep each discovery answer for
+// its full life: nothing fails and nothing is cut.
+BOOST_AUTO_TEST_CASE(RollingDrainCutsNobody) {
+  Fleet fleet(Settings(3));
+  std::atomic<bool> stop{ false };
+  std::atomic<int> answered{ 0 };
+  std::atomic<int> failed{ 0 };
+  std::atomic<size_t> draining{ 0 };
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 6; ++i) {
+    callers.emplace_back([&, i] {
+      base::Address entry;
+      auto until = std::chrono::steady_clock::now();
+      while (!stop) {
+        if (std::chrono::steady_clock::now() >= until) {
+          // Ask any node that is not being stopped just now, and keep the answer for its full life.
+          const size_t node = (draining + 1) % fleet.Nodes();
+          const auto answer = base::ParseJson(Call(fleet.Node(node), "GET", "/v1/entries").m_body);
+          if (!answer.is_object() || answer["entries"].empty()) {
+            ++failed;
+            continue;
+          }
+          const auto& entries = answer["entries"];
+          entry = base::Address::Parse(
+            entries[static_cast<size_t>(i) % entries.size()]["address"].get<std::string>());
+          until =
+            std::chrono::steady_clock::now() + base::Millis(answer["valid_for_ms"].get<int64_t>());
+        }
+        // Short and long answers.
+        const Stream stream = Generate(entry, "roll", i % 2 == 0 ? 5 : 150);
+        ++(stream.m_whole ? answered : failed);
+      }
+    });
+  }
+  BOOST_TEST(Eventually([&] { return answered > 20; }));
+  for (size_t node = 0; node < fleet.Nodes(); ++node) {
+    draining = node;
+    if (node == 1) {
+      BOOST_TEST(fleet.Ctl({ "drain", "--node", fleet.Node(node).ToText() }) == 0);
+    } else {
+      fleet.NodeProcess(node).Signal(SIGTERM);
+    }
+    BOOST_TEST(fleet.NodeProcess(node).Wait() == 0);
+    fleet.RestartNode(node);
+    // The next one goes only when this one is back for all.
+    BOOST_TEST(Eventually([&] {
+      for (size_t i = 0; i < fleet.Nodes(); ++i) {
+        const nlohmann::json status = fleet.Status(i);
+        if (!status.is_object() || status["generation"] != 1 || status["endpoints"].size() != 3) {
+          return false;
+        }
+        for (const auto& member : status["members"]) {
+          if (member["state"] != "alive") {
+            return false;
+          }
+        }
+      }
+      return true;
+    }));
+  }
+  stop = true;
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  BOOST_TEST_MESSAGE(answered << " answers over the roll");
+  BOOST_TEST(failed == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
