Malformed, oversized and hostile requests: refused clearly, the node goes on

Cause: limits were built but never attacked. Change: a table of 19 bad requests over bare connections, 120 requests changed at random places by seed, and a caller that does not read. Not covered: coverage- guided fuzzing; TLS, which does not exist yet.

--- /dev/null
+++ b/tests/integration/MalformedTest.cpp
@@ -0,0 +1,181 @@
+#include "tests/harness/Fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <random>
+
+/// \file
+/// Malformed, oversized and hostile requests get a clear refusal, and the node goes on.
+
+using namespace papayafield;
+using namespace papayafield::tests;
+
+namespace {
+
+/// Sends bytes over a bare connection and gives what comes back until the node closes or is quiet.
+std::string Exchange(const base::Address& aTo, const std::string& aBytes) {
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(aTo.m_port);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  std::string answer;
+  if (connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0) {
+    send(fd, aBytes.data(), aBytes.size(), MSG_NOSIGNAL);
+    pollfd wait{ fd, POLLIN, 0 };
+    char part[4096];
+    constexpr int kQuietMs = 300;
+    while (poll(&wait, 1, kQuietMs) == 1) {
+      const ssize_t got = recv(fd, part, sizeof(part), 0);
+      if (got <= 0) {
+        break;
+      }
+      answer.append(part, static_cast<size_t>(got));
+    }
+  }
+  close(fd);
+  return answer;
+}
+
+std::string Post(const std::string& aBody, const std::string& aMoreHeaders = {}) {
+  return "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " +
+         std::string(kTeamKey) + "\r\n" + aMoreHeaders +
+         "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+}
+
+struct Case {
+  const char* m_what;
+  std::string m_bytes;
+  /// Start of the answer; empty when the node may just close.
+  const char* m_answer;
+};
+
+std::vector<Case> Cases() {
+  const std::string deep(100000, '[');
+  return {
+    { "no JSON", Post("hello"), "HTTP/1.1 400" },
+    { "deep JSON", Post(deep), "HTTP/1.1 400" },
+    { "a list", Post("[]"), "HTTP/1.1 400" },
+    { "no model", Post("{}"), "HTTP/1.1 404" },
+    { "no messages", Post(R"({"model":"condolence"})"), "HTTP/1.1 400" },
+    { "messages of numbers", Post(R"({"model":"condolence","messages":[1]})"), "HTTP/1.1 400" },
+    { "content of another type",
+      Post(R"({"model":"condolence","messages":[{"role":1,"content":{}}]})"),
+      "HTTP/1.1 400" },
+    { "max_tokens below 1",
+      Post(R"({"model":"condolence","max_tokens":-1,"messages":[{"role":"u","content":"x"}]})"),
+      "HTTP/1.1 400" },
+    { "bytes that are no UTF-8",
+      Post("{\"model\":\"condolence\",\"messages\":[{\"role\":\"u\",\"content\":\"\xff\xfe\"}]}"),
+      "HTTP/1.1 400" },
+    { "a body too large",
+      "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999\r\n\r\nx",
+      "HTTP/1.1 413" },
+    { "headers too large",
+      "GET /healthz HTTP/1.1\r\nHost: x\r\n" +
+        [] {
+          std::string lines;
+          for (int i = 0; i < 100; ++i) {
+            lines += "X-H" + std::to_string(i) + ": " + std::string(900, 'h') + "\r\n";
+          }
+          return lines;
+        }() +
+        "\r\n",
+      "HTTP/1.1 431" },
+    { "no HTTP at all", "\x16\x03\x01 nonsense\r\n\r\n", "" },
+    { "a bad chunk",
+      "POST /v1/completions HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+      "" },
+    { "two requests at once",
+      "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\nGET /healthz HTTP/1.1\r\nHost: x\r\n\r\n",
+      "HTTP/1.1 200" },
+    { "a foreign method", "BREW / HTTP/1.1\r\nHost: x\r\n\r\n", "" },
+    { "no key", "GET /services/orders/stock HTTP/1.1\r\nHost: x\r\n\r\n", "HTTP/1.1 401" },
+    { "a wrong key",
+      "GET /services/orders/stock HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer x\r\n\r\n",
+      "HTTP/1.1 401" },
+    { "no such path", "GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n", "HTTP/1.1 404" },
+    { "a foreign Last-Event-ID",
+      Post(R"({"model":"condolence","stream":true,"messages":[{"role":"u","content":"x"}]})",
+           "Last-Event-ID: gpu-0~abc~def.3\r\n"),
+      "HTTP/1.1 400" },
+  };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(MalformedTest)
+
+BOOST_AUTO_TEST_CASE(EachIsRefusedAndTheNodeGoesOn) {
+  FleetSettings settings;
+  settings.m_nodes = 1;
+  Fleet fleet(settings);
+  for (const Case& one : Cases()) {
+    const std::string answer = Exchange(fleet.Node(0), one.m_bytes);
+    BOOST_TEST(answer.starts_with(one.m_answer), one.m_what << ": " << answer.substr(0, 200));
+    BOOST_TEST(fleet.NodeProcess(0).Running(), one.m_what);
+  }
+  BOOST_TEST(Call(fleet.Node(0), "GET", "/healthz").m_status == 200);
+}
+
+// Requests changed at random places, whole or cut short, by seed.
+BOOST_AUTO_TEST_CASE(ChangedBytesDoNoHarm) {
+  FleetSettings settings;
+  settings.m_nodes = 1;
+  Fleet fleet(settings);
+  std::mt19937_64 random(42);
+  std::vector<std::string> seeds{
+    Post(R"({"model":"condolence","max_tokens":2,"messages":[{"role":"u","content":"x"}]})"),
+    "GET /v1/entries?zone=a HTTP/1.1\r\nHost: x\r\n\r\n",
+    "POST /services/orders/orders HTTP/1.1\r\nHost: x\r\nIdempotency-Key: k\r\nAuthorization: "
+    "Bearer florists-key\r\nContent-Length: 13\r\n\r\n{\"order\":\"a\"}"
+  };
+  for (int round = 0; round < 120; ++round) {
+    std::string bytes = seeds[random() % seeds.size()];
+    for (uint64_t edits = random() % 6; edits > 0; --edits) {
+      bytes[random() % bytes.size()] = static_cast<char>(random());
+    }
+    if (random() % 3 == 0) {
+      bytes.resize(random() % bytes.size());
+    }
+    Exchange(fleet.Node(0), bytes);
+    BOOST_REQUIRE_MESSAGE(fleet.NodeProcess(0).Running(), "round " << round << ": " << bytes);
+  }
+  BOOST_TEST(Call(fleet.Node(0), "GET", "/healthz").m_status == 200);
+}
+
+// A caller that does not read is let go; the node's memory does not grow with it.
+BOOST_AUTO_TEST_CASE(SlowReaderIsLetGo) {
+  FleetSettings settings;
+  settings.m_nodes = 1;
+  settings.m_engines = 1;
+  settings.m_engineOptions = { "--token-ms", "0.05", "--slowdown", "0" };
+  settings.m_nodeSettings = "[limits]\nmax_unsent_bytes = 65536\n";
+  Fleet fleet(settings);
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  const int small = 4096;
+  setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(fleet.Node(0).m_port);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  BOOST_REQUIRE(connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0);
+  const std::string bytes = Post(
+    R"({"model":"condolence","stream":true,"max_tokens":5000,"messages":[{"role":"u","content":"x"}]})");
+  send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+  BOOST_TEST(Eventually([&] {
+    const std::string page = Call(fleet.Node(0), "GET", "/metrics").m_body;
+    return page.find("papayafield_requests_taken_total 1") != std::string::npos &&
+           page.find("papayafield_requests_open 0") != std::string::npos;
+  }));
+  close(fd);
+  BOOST_TEST(fleet.NodeProcess(0).Running());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
