Short notice at an entry host: answers are handed over; two faults found by tests

Before the host goes, a stream ends with an event that names the next node, a whole answer is redirected (303) to where that node brings it, and a request that still waits is redirected (307) as not run.

Cause 1, found by the new test: an engine that had not reported its load yet got a whole batch of eight guessed slots (time line: three attempts within 11 ms of the start, at an engine with two slots). Now it gets one request a node until its first report, which is asked for as soon as it is listed. Cause 2, found by the full run (StreamsTest failed once, it had passed before): a whole answer's cancel raced with the closing of its own connection, and the engine refused it as still being read. A whole answer is now cancelled whoever reads; only the streamed one, whose caller may be back, keeps the condition.

--- a/apps/papayafieldctl/Commands.cpp
+++ b/apps/papayafieldctl/Commands.cpp
@@ -294,7 +294,10 @@
     std::fputs("papayafieldctl: drain needs exactly one --node\n", stderr);
     return ExitCode::Usage;
   }
-  const auto answer = aClient.Ask("POST", "/operator/drain", "");
+  constexpr int kMillisPerSecond = 1000;
+  const std::string within =
+    aOptions.m_within ? "?within_ms=" + std::to_string(*aOptions.m_within * kMillisPerSecond) : "";
+  const auto answer = aClient.Ask("POST", "/operator/drain" + within, "");
   if (!answer) {
     return Unreachable();
   }
--- a/apps/papayafieldctl/Options.cpp
+++ b/apps/papayafieldctl/Options.cpp
@@ -33,6 +33,7 @@
   "  -b, --base N          apply: the generation that the change is based on (the present one)\n"
   "  -i, --apply-id ID     apply: the number of this apply, to settle an unknown one\n"
   "  -u, --by NAME         apply: who makes the change (the user's name)\n"
+  "  -t, --within N        drain: the host goes in N seconds; what is not finished is handed over\n"
   "  -r, --request ID      timeline: only the events of this request\n"
   "  -e, --subject NAME    timeline: only the events about this endpoint or generation\n"
   "  -h, --help            print this help\n"
@@ -58,6 +59,7 @@
                                      { "base", required_argument, nullptr, 'b' },
                                      { "apply-id", required_argument, nullptr, 'i' },
                                      { "by", required_argument, nullptr, 'u' },
+                                     { "within", required_argument, nullptr, 't' },
                                      { "request", required_argument, nullptr, 'r' },
                                      { "subject", required_argument, nullptr, 'e' },
                                      { "help", no_argument, nullptr, 'h' },
@@ -67,7 +69,7 @@
   const char* user = std::getenv("USER");
   aOptions.m_setBy = user == nullptr ? "operator" : user;
   for (int got = 0;
-       (got = getopt_long(aCount, aValues, "n:k:jws:b:i:u:r:e:h", kOptions, nullptr)) != -1;) {
+       (got = getopt_long(aCount, aValues, "n:k:jws:b:i:u:t:r:e:h", kOptions, nullptr)) != -1;) {
     switch (got) {
       case 'n':
         aOptions.m_nodes.push_back(base::Address::Parse(optarg));
@@ -97,6 +99,9 @@
       case 'u':
         aOptions.m_setBy = optarg;
         break;
+      case 't':
+        aOptions.m_within = std::atoi(optarg);
+        break;
       case 'r':
         aOptions.m_request = optarg;
         break;
--- a/apps/papayafieldctl/Options.h
+++ b/apps/papayafieldctl/Options.h
@@ -35,6 +35,8 @@
   bool m_wait = false;
   /// How long apply waits.
   int m_waitSeconds = 30;
+  /// Seconds that a node has to drain; unbounded when absent.
+  std::optional<int> m_within;
   /// Generation that an apply is based on; the present one when absent.
   std::optional<uint64_t> m_base;
   /// Number of an apply; a random one when absent.
--- a/packages/adapters/engine/EngineClient.cpp
+++ b/packages/adapters/engine/EngineClient.cpp
@@ -209,8 +209,11 @@
   });
 }
 
-void EngineClient::CancelUnread(const base::Address& aEngine, const std::string& aStream) {
-  http::HttpRequest request = Prepare(aEngine, "DELETE", "/streams/" + aStream + "?unread=1");
+void EngineClient::Cancel(const base::Address& aEngine,
+                          const std::string& aStream,
+                          bool aOnlyUnread) {
+  http::HttpRequest request =
+    Prepare(aEngine, "DELETE", "/streams/" + aStream + (aOnlyUnread ? "?unread=1" : ""));
   request.m_totalTimeout = m_settings.m_callTimeout;
   m_client.Fetch(std::move(request), [](const auto&) {});
 }
--- a/packages/adapters/engine/EngineClient.h
+++ b/packages/adapters/engine/EngineClient.h
@@ -102,8 +102,9 @@
               const std::string& aStream,
               base::Millis aTimeout,
               std::function<void(std::string aState)> aOnDone);
-  /// Tells the engine to stop and forget a stream that nobody reads. Nothing is reported.
-  void CancelUnread(const base::Address& aEngine, const std::string& aStream);
+  /// Tells the engine to stop and forget a stream; with `aOnlyUnread`, only if nobody reads it.
+  /// Nothing is reported.
+  void Cancel(const base::Address& aEngine, const std::string& aStream, bool aOnlyUnread);
   /// Asks for the engine's load; nothing on failure.
   void Load(const base::Address& aEngine,
             std::function<void(std::optional<routing::EngineLoad>)> aOnDone);
--- a/packages/gateway/CallerApi.cpp
+++ b/packages/gateway/CallerApi.cpp
@@ -25,6 +25,7 @@
 constexpr size_t kIdDigits = 6;
 constexpr std::string_view kBearer = "Bearer ";
 constexpr std::string_view kServices = "/services/";
+constexpr std::string_view kAnswers = "/v1/answers/";
 
 /// Headers that belong to one connection, or to this system, and are not passed on to a service.
 constexpr std::string_view kNotPassedOn[] = {
@@ -84,8 +85,9 @@
     Entries(aExchange);
     return;
   }
-  const bool completion = path == "/v1/chat/completions" || path == "/v1/completions";
-  if (!completion && path != "/v1/tickets" && !path.starts_with(kServices)) {
+  const bool completion = path == kChatPath || path == kTextPath;
+  const bool answer = path.starts_with(kAnswers);
+  if (!completion && !answer && path != "/v1/tickets" && !path.starts_with(kServices)) {
     Reply(*aExchange, { kNotFound, "no such path", Outcome::NotRun, path, {} });
     return;
   }
@@ -100,8 +102,11 @@
     return;
   }
   m_context.m_metrics.Add(Counter::RequestsTaken);
-  if (!path.starts_with(kServices) && aExchange->Method() != "POST") {
-    Reply(*aExchange, { kMethodNotAllowed, "use POST", Outcome::NotRun, "", {} });
+  const std::string method = answer ? "GET" : "POST";
+  if (!path.starts_with(kServices) && aExchange->Method() != method) {
+    Reply(*aExchange, { kMethodNotAllowed, "use " + method, Outcome::NotRun, "", {} });
+  } else if (answer) {
+    Answers(aExchange, *team);
   } else if (completion) {
     Completions(aExchange, *team);
   } else if (path == "/v1/tickets") {
@@ -144,28 +149,50 @@
     Reply(*aExchange, completion.error());
     return;
   }
-  const base::RequestId id = NextId();
-  m_context.m_timeline.Add(
-    EventKind::RequestAccepted, id, completion->m_deployment.Text(), aTeam.m_name.Text());
   const bool stream = completion->m_stream;
-  const auto chat = std::make_shared<ChatRequest>(
-    m_context, aExchange, id, aTeam, std::move(*completion), [this](const base::RequestId& aId) {
-      m_chats.erase(aId);
-    });
-  m_chats[id] = chat;
   const auto last = aExchange->RequestHeaders().Find("Last-Event-ID");
   if (!last || !stream) {
-    chat->Begin();
+    AddChat(aExchange, aTeam, std::move(*completion))->Begin();
     return;
   }
   const auto position =
     requests::ReadAnswerPosition(*last, aTeam.m_name, m_context.m_settings.m_fleet.m_keys);
   if (!position) {
-    m_chats.erase(id);
     Reply(*aExchange, { kBadRequest, "Last-Event-ID is not valid", Outcome::NotRun, "", {} });
     return;
   }
-  chat->BeginAfter(*position);
+  AddChat(aExchange, aTeam, std::move(*completion))->BeginAfter(*position);
+}
+
+void CallerApi::Answers(const ExchangePtr& aExchange, const manifest::Team& aTeam) {
+  // Cut `/v1/answers/KIND/POSITION`.
+  const std::string rest = aExchange->Path().substr(kAnswers.size());
+  const size_t slash = std::min(rest.find('/'), rest.size());
+  const std::string kind = rest.substr(0, slash);
+  const auto position = requests::ReadAnswerPosition(rest.substr(std::min(slash + 1, rest.size())),
+                                                     aTeam.m_name,
+                                                     m_context.m_settings.m_fleet.m_keys);
+  if (!position || (kind != "chat" && kind != "text")) {
+    Reply(*aExchange, { kNotFound, "no such answer", Outcome::NotRun, "", {} });
+    return;
+  }
+  Completion completion;
+  completion.m_path = kind == "chat" ? kChatPath : kTextPath;
+  AddChat(aExchange, aTeam, std::move(completion))->BeginAfter(*position);
+}
+
+std::shared_ptr<ChatRequest> CallerApi::AddChat(const ExchangePtr& aExchange,
+                                                const manifest::Team& aTeam,
+                                                Completion aCompletion) {
+  const base::RequestId id = NextId();
+  m_context.m_timeline.Add(
+    EventKind::RequestAccepted, id, aCompletion.m_deployment.Text(), aTeam.m_name.Text());
+  const auto chat = std::make_shared<ChatRequest>(
+    m_context, aExchange, id, aTeam, std::move(aCompletion), [this](const base::RequestId& aId) {
+      m_chats.erase(aId);
+    });
+  m_chats[id] = chat;
+  return chat;
 }
 
 void CallerApi::Tickets(const ExchangePtr& aExchange, const manifest::Team& aTeam) {
@@ -261,7 +288,7 @@
   }
 }
 
-void CallerApi::HandOverAll(const std::string& aNext) {
+void CallerApi::HandOverAll(const base::Address& aNext) {
   const auto chats = m_chats;
   for (const auto& [id, chat] : chats) {
     chat->HandOver(aNext);
--- a/packages/gateway/CallerApi.h
+++ b/packages/gateway/CallerApi.h
@@ -23,7 +23,7 @@
   /// An endpoint is leaving: its streams are moved, the oldest first.
   void EndpointLeaving(const base::EndpointId& aEndpoint);
   /// The node stops: streams are handed over to `aNext`.
-  void HandOverAll(const std::string& aNext);
+  void HandOverAll(const base::Address& aNext);
   /// Requests not yet ended.
   size_t OpenRequests() const { return m_chats.size() + m_openCalls; }
 
@@ -31,6 +31,10 @@
   std::optional<manifest::Team> FindTeam(const adapters::http::ServerExchange& aExchange) const;
   void Entries(const adapters::http::ExchangePtr& aExchange);
   void Completions(const adapters::http::ExchangePtr& aExchange, const manifest::Team& aTeam);
+  void Answers(const adapters::http::ExchangePtr& aExchange, const manifest::Team& aTeam);
+  std::shared_ptr<ChatRequest> AddChat(const adapters::http::ExchangePtr& aExchange,
+                                       const manifest::Team& aTeam,
+                                       Completion aCompletion);
   void Services(const adapters::http::ExchangePtr& aExchange, const manifest::Team& aTeam);
   void Tickets(const adapters::http::ExchangePtr& aExchange, const manifest::Team& aTeam);
   base::RequestId NextId();
--- a/packages/gateway/ChatRequest.cpp
+++ b/packages/gateway/ChatRequest.cpp
@@ -15,6 +15,8 @@
 using requests::Step;
 
 constexpr int kOk = 200;
+constexpr int kSeeOther = 303;
+constexpr int kTemporaryRedirect = 307;
 constexpr int kGone = 410;
 constexpr int kServiceUnavailable = 503;
 /// Resumes at the same engine before another is tried.
@@ -335,6 +337,11 @@
 }
 
 void ChatRequest::Requeue(Outcome aOutcome) {
+  // An answer asked for by its name alone came without its prompt.
+  if (m_completion.m_body == nullptr) {
+    Fail({ kGone, "the answer is gone", aOutcome, "ask again afresh", {} });
+    return;
+  }
   // Only what the caller has, or what this node has seen, can be continued elsewhere.
   if (m_callerFrom > m_splicer.Next()) {
     if (m_completion.m_textSoFar.empty()) {
@@ -382,7 +389,7 @@
   const routing::EndpointInfo* here = m_context.m_dispatcher.Router().Find(m_attempt.m_endpoint);
   const int64_t leavesAt = here == nullptr ? 0 : here->m_leavesAtMs;
   // What ends in time need not move.
-  if (m_over || !m_attempt.m_open || EndsBefore(leavesAt)) {
+  if (m_over || !m_attempt.m_open || m_completion.m_body == nullptr || EndsBefore(leavesAt)) {
     return;
   }
   routing::RouteQuery query = Query();
@@ -421,21 +428,27 @@
   m_context.m_engines.Export(m_attempt.m_address, m_attempt.m_stream, kExportTimeout, onState);
 }
 
-void ChatRequest::HandOver(const std::string& aNext) {
+void ChatRequest::HandOver(const base::Address& aNext) {
   if (m_over) {
     return;
   }
+  const std::string next = "http://" + aNext.ToText();
   if (m_callerStreaming) {
-    m_exchange->SendPart("event: moved\ndata: {\"address\":\"" + aNext + "\"}\n\n");
+    // The caller asks there again, with the id of the last event.
+    m_exchange->SendPart("event: moved\ndata: {\"address\":\"" + aNext.ToText() + "\"}\n\n");
     m_exchange->EndStream();
+  } else if (m_context.m_dispatcher.Withdraw(m_id) || !m_attempt.m_open) {
+    // It has not reached an engine: the other node takes it from the start.
+    m_exchange->Reply(kTemporaryRedirect,
+                      { { "Location", next + m_completion.m_path },
+                        { "X-Outcome", std::string(base::NameOf(Outcome::NotRun)) } },
+                      "");
   } else {
-    Fail({ kServiceUnavailable,
-           "this node is stopping",
-           Outcome::Unknown,
-           "ask " + aNext,
-           Millis(0) });
+    // The engine goes on, and the other node brings the whole answer.
+    const std::string kind = m_completion.m_path == kChatPath ? "chat" : "text";
+    m_exchange->Reply(
+      kSeeOther, { { "Location", next + "/v1/answers/" + kind + "/" + m_eventPrefix + ".0" } }, "");
   }
-  // The engine goes on: the caller comes back for the rest at another node.
   LeaveAttempt(0);
   Over();
 }
@@ -448,10 +461,11 @@
   const bool waiting = m_context.m_dispatcher.Withdraw(m_id);
   // A streaming caller may come back for the rest at any node, so its engine goes on for a while; a
   // whole answer has no position to come back to.
-  if (!waiting && m_attempt.m_open) {
-    const Millis grace = m_callerStreaming ? kReturnGrace : Millis(0);
-    m_graceTimer = m_context.m_loop.After(grace, [self = shared_from_this()] {
-      self->m_context.m_engines.CancelUnread(self->m_attempt.m_address, self->m_attempt.m_stream);
+  if (!waiting && m_attempt.m_open && !m_callerStreaming) {
+    m_context.m_engines.Cancel(m_attempt.m_address, m_attempt.m_stream, false);
+  } else if (!waiting && m_attempt.m_open) {
+    m_graceTimer = m_context.m_loop.After(kReturnGrace, [self = shared_from_this()] {
+      self->m_context.m_engines.Cancel(self->m_attempt.m_address, self->m_attempt.m_stream, true);
       self->m_graceTimer.reset();
     });
   }
--- a/packages/gateway/ChatRequest.h
+++ b/packages/gateway/ChatRequest.h
@@ -28,8 +28,9 @@
   void BeginAfter(const requests::AnswerPosition& aPosition);
   /// The engine `aEndpoint` is leaving; a stream there is moved in time.
   void EndpointLeaving(const base::EndpointId& aEndpoint);
-  /// This node stops before the stream can end: it tells the caller to ask `aNext` for the rest.
-  void HandOver(const std::string& aNext);
+  /// This node stops before the answer can end: it tells the caller to ask the node at `aNext` for
+  /// the rest.
+  void HandOver(const base::Address& aNext);
 
   /// Name of the request.
   const base::RequestId& Id() const { return m_id; }
--- a/packages/gateway/Completion.cpp
+++ b/packages/gateway/Completion.cpp
@@ -18,7 +18,7 @@
 }
 
 bool IsChat(const std::string& aPath) {
-  return aPath == "/v1/chat/completions";
+  return aPath == kChatPath;
 }
 
 /// The prompt as one text, the same as engines hash it; nothing when it is malformed.
--- a/packages/gateway/Completion.h
+++ b/packages/gateway/Completion.h
@@ -13,11 +13,16 @@
 
 namespace papayafield::gateway {
 
+/// Path of chat completions.
+inline constexpr char kChatPath[] = "/v1/chat/completions";
+/// Path of text completions.
+inline constexpr char kTextPath[] = "/v1/completions";
+
 /// A completion request, read and checked.
 struct Completion {
   /// `/v1/chat/completions` or `/v1/completions`.
   std::string m_path;
-  /// The caller's body.
+  /// The caller's body; null when a running answer is asked for by its name.
   std::shared_ptr<const nlohmann::json> m_body;
   /// The deployment that `model` names.
   base::DeploymentId m_deployment;
--- a/packages/gateway/EndpointMonitor.cpp
+++ b/packages/gateway/EndpointMonitor.cpp
@@ -16,21 +16,34 @@
   , m_timer(
       aContext.m_loop.Every(aContext.m_settings.m_endpoints.m_loadPeriod, [this] { Tick(); })) {}
 
-void EndpointMonitor::Tick() {
-  ++m_round;
+void EndpointMonitor::KeepListed() {
   std::unordered_map<base::EndpointId, Progress> progress;
   for (const routing::EndpointInfo& endpoint : m_context.m_dispatcher.Router().Endpoints()) {
-    if (endpoint.m_kind != routing::EndpointKind::Engine) {
-      continue;
+    if (endpoint.m_kind == routing::EndpointKind::Engine) {
+      progress[endpoint.m_id] = m_progress[endpoint.m_id];
     }
-    progress[endpoint.m_id] = m_progress[endpoint.m_id];
   }
   // Endpoints that are no longer listed are forgotten.
   m_progress = std::move(progress);
+}
+
+void EndpointMonitor::AskNew() {
+  KeepListed();
+  for (auto& [id, state] : m_progress) {
+    if (!state.m_asked) {
+      state.m_asked = state.m_asking = true;
+      AskLoad(*m_context.m_dispatcher.Router().Find(id));
+    }
+  }
+}
+
+void EndpointMonitor::Tick() {
+  ++m_round;
+  KeepListed();
   for (auto& [id, state] : m_progress) {
     const routing::EndpointInfo* endpoint = m_context.m_dispatcher.Router().Find(id);
     if (!state.m_asking) {
-      state.m_asking = true;
+      state.m_asked = state.m_asking = true;
       AskLoad(*endpoint);
     }
     if (m_round % kRoundsPerEvents == 0 && !state.m_askingEvents) {
@@ -50,6 +63,7 @@
       return;
     }
     m_context.m_dispatcher.Router().ReportLoad(id, *aLoad);
+    m_context.m_dispatcher.PumpAll();
     if (aLoad->m_leaving) {
       m_onLeaving(id);
     }
--- a/packages/gateway/EndpointMonitor.h
+++ b/packages/gateway/EndpointMonitor.h
@@ -15,8 +15,12 @@
   EndpointMonitor(GatewayContext& aContext,
                   std::function<void(const base::EndpointId&)> aOnLeaving);
 
+  /// Asks those that were not asked yet.
+  void AskNew();
+
 private:
   void Tick();
+  void KeepListed();
   void AskLoad(const routing::EndpointInfo& aEndpoint);
   void AskEvents(const routing::EndpointInfo& aEndpoint);
 
@@ -25,6 +29,8 @@
   /// Next cache event to ask for, and whether a question is under way.
   struct Progress {
     uint64_t m_nextEvent = 0;
+    /// Whether it was ever asked for its load.
+    bool m_asked = false;
     bool m_asking = false;
     bool m_askingEvents = false;
   };
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -17,6 +17,8 @@
 /// Time that the news of a drain takes to reach all nodes.
 constexpr base::Millis kNewsMargin{ 2000 };
 constexpr base::Millis kDrainCheck{ 50 };
+/// Time kept for handing answers over before the host goes.
+constexpr base::Millis kHandOverMargin{ 500 };
 
 adapters::http::HttpServerSettings ServerSettings(const settings::NodeSettings& aSettings) {
   adapters::http::HttpServerSettings server;
@@ -53,7 +55,7 @@
                aMailboxes, {},
                {},         false }
   , m_callers(m_context)
-  , m_operators(m_context, [this] { Drain(); })
+  , m_operators(m_context, [this](std::optional<base::Millis> aWithin) { Drain(aWithin); })
   , m_monitor(m_context, [this](const base::EndpointId& aId) { Leaving(aId, true); })
   , m_server(m_loop, ServerSettings(aSettings), [this](const ExchangePtr& aExchange) {
     OnExchange(aExchange);
@@ -62,8 +64,8 @@
 int Gateway::Run() {
   m_mailWatch = m_loop.Receive(m_context.m_mailboxes.m_gateway,
                                [this](auto aMessage) { OnMessage(std::move(aMessage)); });
-  m_termWatch = m_loop.OnSignal(SIGTERM, [this] { Drain(); });
-  m_intWatch = m_loop.OnSignal(SIGINT, [this] { Drain(); });
+  m_termWatch = m_loop.OnSignal(SIGTERM, [this] { Drain(std::nullopt); });
+  m_intWatch = m_loop.OnSignal(SIGINT, [this] { Drain(std::nullopt); });
   if (!m_server.Listen()) {
     m_log.Error("Cannot listen at " + m_settings.m_callerAddress.ToText() + ".");
     return 1;
@@ -125,6 +127,7 @@
 
 void Gateway::TakeEndpoints(const std::vector<routing::EndpointInfo>& aEndpoints) {
   m_dispatcher.Router().SetEndpoints(aEndpoints);
+  m_monitor.AskNew();
   for (const routing::EndpointInfo& endpoint : aEndpoints) {
     if (endpoint.m_state == routing::EndpointState::Leaving) {
       Leaving(endpoint.m_id, true);
@@ -146,7 +149,10 @@
   m_callers.EndpointLeaving(aEndpoint);
 }
 
-void Gateway::Drain() {
+void Gateway::Drain(std::optional<base::Millis> aWithin) {
+  if (aWithin) {
+    m_handOverAt = base::SteadyClock().Now() + *aWithin - kHandOverMargin;
+  }
   if (m_context.m_draining) {
     return;
   }
@@ -160,7 +166,25 @@
   m_drainTimer = m_loop.Every(kDrainCheck, [this] { CheckDrained(); });
 }
 
+std::optional<base::Address> Gateway::NextNode() const {
+  // One in this zone, else any.
+  const tasks::Member* next = nullptr;
+  for (const tasks::Member& member : m_context.m_members) {
+    if (member.m_state == tasks::MemberState::Alive && member.m_node != m_settings.m_name &&
+        (next == nullptr || member.m_zone == m_settings.m_zone)) {
+      next = &member;
+    }
+  }
+  return next == nullptr ? std::nullopt : std::optional(next->m_callers);
+}
+
 void Gateway::CheckDrained() {
+  if (m_handOverAt && base::SteadyClock().Now() >= *m_handOverAt) {
+    // The host goes before the answers can end here.
+    if (const auto next = NextNode()) {
+      m_callers.HandOverAll(*next);
+    }
+  }
   if (base::SteadyClock().Now() < m_listenUntil) {
     return;
   }
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -26,7 +26,8 @@
   void Adopt(tasks::Configuration aConfiguration);
   void TakeEndpoints(const std::vector<routing::EndpointInfo>& aEndpoints);
   void Leaving(const base::EndpointId& aEndpoint, bool aTellOthers);
-  void Drain();
+  void Drain(std::optional<base::Millis> aWithin);
+  std::optional<base::Address> NextNode() const;
   void CheckDrained();
   bool Ready() const;
 
@@ -44,6 +45,9 @@
   adapters::http::HttpServer m_server;
   std::set<base::EndpointId> m_leaving;
   base::TimePoint m_listenUntil{};
+  /// When answers that have not ended are handed over to another node; unset when there is no
+  /// hurry.
+  std::optional<base::TimePoint> m_handOverAt;
   adapters::http::WatchPtr m_mailWatch;
   adapters::http::WatchPtr m_termWatch;
   adapters::http::WatchPtr m_intWatch;
--- a/packages/gateway/OperatorApi.cpp
+++ b/packages/gateway/OperatorApi.cpp
@@ -25,7 +25,8 @@
 
 } // namespace
 
-OperatorApi::OperatorApi(GatewayContext& aContext, std::function<void()> aOnDrain)
+OperatorApi::OperatorApi(GatewayContext& aContext,
+                         std::function<void(std::optional<base::Millis>)> aOnDrain)
   : m_context(aContext)
   , m_onDrain(std::move(aOnDrain)) {}
 
@@ -57,7 +58,9 @@
   } else if (call == "GET /operator/timeline") {
     ShowTimeline(aExchange);
   } else if (call == "POST /operator/drain") {
-    m_onDrain();
+    const std::string within = aExchange->QueryValue("within_ms").value_or("");
+    m_onDrain(within.empty() ? std::nullopt
+                             : std::optional(base::Millis(std::atoll(within.c_str()))));
     ReplyJson(aExchange, kOk, { { "draining", true } });
   } else {
     Reply(*aExchange, { kNotFound, "no such call", Outcome::NotRun, call, {} });
--- a/packages/gateway/OperatorApi.h
+++ b/packages/gateway/OperatorApi.h
@@ -12,8 +12,9 @@
 /// gateway's thread.
 class OperatorApi {
 public:
-  /// Calls `aOnDrain` when an operator asks this node to leave.
-  OperatorApi(GatewayContext& aContext, std::function<void()> aOnDrain);
+  /// Calls `aOnDrain` when an operator asks this node to leave, with the time that it has, if
+  /// bounded.
+  OperatorApi(GatewayContext& aContext, std::function<void(std::optional<base::Millis>)> aOnDrain);
 
   /// Answers a call below `/operator`.
   void Handle(const adapters::http::ExchangePtr& aExchange);
@@ -28,7 +29,7 @@
   void ShowTimeline(const adapters::http::ExchangePtr& aExchange);
 
   GatewayContext& m_context;
-  std::function<void()> m_onDrain;
+  std::function<void(std::optional<base::Millis>)> m_onDrain;
   std::unordered_map<base::RequestId, adapters::http::ExchangePtr> m_applies;
   uint64_t m_lastApply = 0;
 };
--- a/packages/routing/Router.cpp
+++ b/packages/routing/Router.cpp
@@ -9,6 +9,13 @@
 
 namespace papayafield::routing {
 
+namespace {
+
+/// Requests that an engine gets from this node before it has reported its load.
+constexpr uint32_t kUnreportedRoom = 1;
+
+} // namespace
+
 /// How good an endpoint is for a query; the least is the best.
 struct Router::Score {
   /// 0 in a zone that will do, 1 in the zone to avoid.
@@ -185,6 +192,10 @@
   if (aKnown.m_info.m_kind == EndpointKind::Service) {
     return true;
   }
+  // What its batch holds is not known before its first report.
+  if (aKnown.m_load.m_asOf == base::TimePoint{}) {
+    return aKnown.m_outstanding < kUnreportedRoom;
+  }
   const auto used = aKnown.m_load.m_running + aKnown.m_load.m_queued + aKnown.m_sent.size();
   const double room = aKnown.m_load.m_slots * (1 + m_settings.m_overcommit);
   return static_cast<double>(std::max<size_t>(used, aKnown.m_outstanding)) < room;
--- a/packages/routing/tests/RouterTest.cpp
+++ b/packages/routing/tests/RouterTest.cpp
@@ -89,6 +89,18 @@
   BOOST_TEST(!router.AnyRoom(kRuns));
 }
 
+// Before its first report an engine gets one request from each node, not a batch that it may not
+// hold.
+BOOST_AUTO_TEST_CASE(UnreportedEngineGetsOneRequest) {
+  Router router{ RouterSettings{} };
+  router.SetEndpoints({ Engine("a") });
+  BOOST_TEST(router.AnyRoom(kRuns));
+  router.NoteSent(base::EndpointId("a"), Query("x"), kNow);
+  BOOST_TEST(!router.AnyRoom(kRuns));
+  router.ReportLoad(base::EndpointId("a"), Load(1, 8, 0));
+  BOOST_TEST(router.AnyRoom(kRuns));
+}
+
 BOOST_AUTO_TEST_CASE(GapLowersTrustAndEvictionForgets) {
   CacheView view(100);
   const auto blocks = PrefixBlocks(std::string(640, 'h'));
--- a/tests/integration/LeavingTest.cpp
+++ b/tests/integration/LeavingTest.cpp
@@ -185,4 +185,63 @@
   BOOST_TEST(failed == 0);
 }
 
+// An entry host is reclaimed with less notice than its answers need: a stream goes on at another
+// node, a whole answer follows a redirect, and a waiting request is taken by the other node from
+// the start.
+BOOST_AUTO_TEST_CASE(ShortNoticeHandsAnswersOver) {
+  FleetSettings settings = Settings(2);
+  settings.m_engines = 1;
+  settings.m_engineOptions = { "--slots", "2", "--token-ms", "20", "--slowdown", "0" };
+  Fleet fleet(settings);
+  constexpr uint64_t kTokens = 250;
+  const auto ask = [&](const std::string& aPrompt) {
+    const nlohmann::json body = { { "model", "condolence" },
+                                  { "max_tokens", kTokens },
+                                  { "messages",
+                                    { { { "role", "user" }, { "content", aPrompt } } } } };
+    return base::DumpJson(body);
+  };
+  Stream stream;
+  CallerAnswer whole;
+  CallerAnswer waiting;
+  std::atomic<bool> begun{ false };
+  std::thread streamer([&] {
+    stream = Generate(fleet.Node(0), "stream", kTokens, [&](size_t) { return begun = true; });
+  });
+  std::thread asker(
+    [&] { whole = CallAs(kTeamKey, fleet.Node(0), "POST", "/v1/chat/completions", ask("whole")); });
+  BOOST_TEST(
+    Eventually([&] { return begun && Fleet::EngineCounts(fleet.Engine(0))["active"] == 2; }));
+  std::thread waiter([&] {
+    waiting = CallAs(kTeamKey, fleet.Node(0), "POST", "/v1/chat/completions", ask("waiting"));
+  });
+  BOOST_TEST(Eventually([&] {
+    return Call(fleet.Node(0), "GET", "/metrics").m_body.find("papayafield_requests_open 3") !=
+           std::string::npos;
+  }));
+  BOOST_TEST(fleet.Ctl({ "drain", "--node", fleet.Node(0).ToText(), "--within", "1" }) == 0);
+  streamer.join();
+  asker.join();
+  waiter.join();
+  // The stream names the next node.
+  BOOST_TEST(stream.m_type == "moved");
+  BOOST_TEST(!stream.m_whole);
+  stream = Generate(fleet.Node(1), "stream", kTokens, {}, &stream);
+  BOOST_TEST((stream.m_text == ExpectedText("stream", kTokens)));
+  // The whole answer is found where the redirect says.
+  const std::string at = "http://" + fleet.Node(1).ToText();
+  BOOST_TEST(whole.m_status == 303);
+  const std::string location = whole.m_headers.Find("Location").value_or("");
+  BOOST_REQUIRE(location.starts_with(at));
+  const CallerAnswer found = CallAs(kTeamKey, fleet.Node(1), "GET", location.substr(at.size()));
+  BOOST_TEST(found.m_status == 200, found.m_body);
+  BOOST_TEST((base::ParseJson(found.m_body)["choices"][0]["message"]["content"] ==
+              ExpectedText("whole", kTokens)));
+  // The waiting one has not run, and goes to the other node whole.
+  BOOST_TEST(waiting.m_status == 307);
+  BOOST_TEST(waiting.m_outcome == "not run");
+  BOOST_TEST(fleet.NodeProcess(0).Wait() == 0);
+  BOOST_TEST(Fleet::EngineCounts(fleet.Engine(0))["recomputed"] == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
