--- /dev/null
+++ b/bench/LoadBench.cpp
@@ -0,0 +1,177 @@
+#include "LoadBench.h"
+
+#include "Usage.h"
+#include "adapters/http/HttpClient.h"
+#include "tests/harness/Fleet.h"
+
+#include <algorithm>
+#include <memory>
+#include <random>
+
+namespace papayafield::bench {
+
+namespace {
+
+using adapters::http::EventLoop;
+using adapters::http::HttpClient;
+using adapters::http::HttpRequest;
+
+constexpr int kEngines = 3;
+constexpr int kSlots = 8;
+constexpr int kTokens = 50;
+constexpr double kTokenSeconds = 0.02;
+/// Requests a second that the engines can serve.
+constexpr double kCapacity = kEngines * kSlots / (kTokens * kTokenSeconds);
+constexpr double kSmallRate = 2;
+constexpr double kMillis = 1000;
+
+/// What one team saw.
+struct Seen {
+  int m_sent = 0;
+  int m_whole = 0;
+  int m_refused = 0;
+  int m_failed = 0;
+  std::vector<double> m_firstToken;
+};
+
+/// Sends requests of one team with exponential gaps until the loop is stopped.
+class Sender {
+public:
+  Sender(EventLoop& aLoop,
+         HttpClient& aClient,
+         tests::Fleet& aFleet,
+         const char* aKey,
+         double aRate,
+         uint64_t aSeed)
+    : m_loop(aLoop)
+    , m_client(aClient)
+    , m_fleet(aFleet)
+    , m_key(aKey)
+    , m_gap(aRate)
+    , m_random(aSeed) {
+    Next();
+  }
+
+  Seen m_seen;
+  int m_open = 0;
+  bool m_stopped = false;
+
+private:
+  void Next() {
+    const base::Millis gap(static_cast<int64_t>(m_gap(m_random) * kMillis));
+    m_timer = m_loop.After(gap, [this] {
+      if (!m_stopped) {
+        SendOne();
+        Next();
+      }
+    });
+  }
+
+  void SendOne() {
+    HttpRequest request;
+    request.m_to = m_fleet.Node(m_random() % m_fleet.Nodes());
+    request.m_method = "POST";
+    request.m_target = "/v1/chat/completions";
+    request.m_headers.Add("Authorization", "Bearer " + m_key);
+    request.m_idleTimeout = base::Millis(60000);
+    request.m_body =
+      "{\"model\":\"condolence\",\"stream\":true,\"max_tokens\":" + std::to_string(kTokens) +
+      ",\"messages\":[{\"role\":\"u\",\"content\":\"" + std::to_string(m_random()) + "\"}]}";
+    ++m_seen.m_sent;
+    ++m_open;
+    const auto start = base::SteadyClock().Now();
+    const auto first = std::make_shared<double>(-1);
+    const auto tail = std::make_shared<std::string>();
+    const auto status = std::make_shared<int>(0);
+    adapters::http::TransferEvents events;
+    events.m_onHead = [status](int aStatus, const auto&) { *status = aStatus; };
+    events.m_onData = [=](std::string_view aPart) {
+      if (*first < 0) {
+        const std::chrono::duration<double> span = base::SteadyClock().Now() - start;
+        *first = span.count() * kMillis;
+      }
+      tail->assign(aPart.substr(aPart.size() - std::min<size_t>(aPart.size(), 32)));
+    };
+    events.m_onEnd = [=, this] {
+      --m_open;
+      if (*status == 503) {
+        ++m_seen.m_refused;
+      } else if (tail->ends_with("data: [DONE]\n\n")) {
+        ++m_seen.m_whole;
+        m_seen.m_firstToken.push_back(*first);
+      } else {
+        ++m_seen.m_failed;
+      }
+    };
+    events.m_onFault = [this](auto) {
+      --m_open;
+      ++m_seen.m_failed;
+    };
+    m_client.Start(std::move(request), std::move(events));
+  }
+
+  EventLoop& m_loop;
+  HttpClient& m_client;
+  tests::Fleet& m_fleet;
+  std::string m_key;
+  std::exponential_distribution<double> m_gap;
+  std::mt19937_64 m_random;
+  adapters::http::WatchPtr m_timer;
+};
+
+} // namespace
+
+Report MeasureOverload(uint64_t aSeed) {
+  Report report("overload: 3 nodes, 3 engines of 8 slots (24 requests a second), 15 s each",
+                { "load",
+                  "team",
+                  "sent",
+                  "whole",
+                  "refused",
+                  "failed",
+                  "goodput a second",
+                  "first token p50 ms",
+                  "p95 ms",
+                  "p99 ms",
+                  "node MiB" });
+  for (const double load : { 0.5, 1.0, 2.0 }) {
+    tests::FleetSettings settings;
+    settings.m_engines = kEngines;
+    settings.m_services = 0;
+    settings.m_engineOptions = { "--slots", std::to_string(kSlots), "--token-ms",
+                                 "20",      "--slowdown",           "0" };
+    tests::Fleet fleet(settings);
+    EventLoop loop;
+    HttpClient client(loop);
+    // The large team is of normal priority, and so is the small one.
+    Sender large(loop, client, fleet, tests::kTeamKey, kCapacity * load - kSmallRate, aSeed);
+    Sender small(loop, client, fleet, tests::kThirdTeamKey, kSmallRate, aSeed + 1);
+    constexpr base::Millis kSpan{ 15000 };
+    const auto stopper = loop.After(kSpan, [&] { large.m_stopped = small.m_stopped = true; });
+    const auto ender = loop.Every(base::Millis(50), [&] {
+      if (large.m_stopped && large.m_open + small.m_open == 0) {
+        loop.Stop();
+      }
+    });
+    loop.Run();
+    const double memory = ReadUsage(fleet.NodeProcess(0).Pid()).m_residentKib / 1024;
+    const double seconds = std::chrono::duration<double>(kSpan).count();
+    for (const auto& [name, sender] : { std::pair("large", &large), std::pair("small", &small) }) {
+      const Seen& seen = sender->m_seen;
+      report.Add({ load,
+                   name,
+                   seen.m_sent,
+                   seen.m_whole,
+                   seen.m_refused,
+                   seen.m_failed,
+                   Rounded(seen.m_whole / seconds, 1),
+                   Rounded(Quantile(seen.m_firstToken, 0.5), 0),
+                   Rounded(Quantile(seen.m_firstToken, 0.95), 0),
+                   Rounded(Quantile(seen.m_firstToken, 0.99), 0),
+                   Rounded(memory, 1) });
+    }
+  }
+  return report;
+}
+
+} // namespace papayafield::bench
--- /dev/null
+++ b/bench/MembershipBench.cpp
@@ -0,0 +1,202 @@
+#include "ControlBench.h"
+
+#include "Usage.h"
+#include "adapters/peer/DatagramSocket.h"
+#include "adapters/peer/WireCodec.h"
+#include "tests/harness/Process.h"
+
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <memory>
+
+namespace papayafield::bench {
+
+namespace {
+
+const std::vector<std::string> kKeys{ "a fleet key for measuring" };
+constexpr base::Millis kTick{ 50 };
+constexpr base::Millis kSettle{ 4000 };
+constexpr base::Millis kMeasured{ 6000 };
+
+/// One light member: the protocol and its socket, without a thread of its own.
+struct LightMember {
+  LightMember(const tasks::Member& aSelf, uint64_t aSeed)
+    : m_swim(membership::SwimSettings{}, aSelf, aSeed)
+    , m_socket(aSelf.m_peers) {}
+
+  membership::Swim m_swim;
+  adapters::peer::DatagramSocket m_socket;
+};
+
+/// Many light members on one thread.
+class LightFleet {
+public:
+  explicit LightFleet(int aCount)
+    : m_epoll(epoll_create1(0)) {
+    std::vector<base::Address> seeds;
+    for (int i = 0; i < aCount; ++i) {
+      tasks::Member self;
+      self.m_node = base::NodeId("node-" + std::to_string(i));
+      self.m_incarnation = base::IncarnationId("0123456789ab01234567");
+      self.m_zone = base::ZoneId("zone-a");
+      self.m_callers = { "127.0.0.1", 8000 };
+      self.m_peers = { "127.0.0.1", tests::FreePort() };
+      m_members.push_back(std::make_unique<LightMember>(self, static_cast<uint64_t>(i) + 1));
+      if (i < 3) {
+        seeds.push_back(self.m_peers);
+      }
+      epoll_event event{ EPOLLIN, { .u32 = static_cast<uint32_t>(i) } };
+      epoll_ctl(m_epoll, EPOLL_CTL_ADD, m_members.back()->m_socket.Fd(), &event);
+    }
+    for (const auto& member : m_members) {
+      member->m_swim.AddSeeds(seeds);
+    }
+  }
+  ~LightFleet() { close(m_epoll); }
+  LightFleet(const LightFleet&) = delete;
+  LightFleet& operator=(const LightFleet&) = delete;
+  LightFleet(LightFleet&&) = delete;
+  LightFleet& operator=(LightFleet&&) = delete;
+
+  /// Works for `aSpan`, or until `aDone` holds.
+  template<class Done>
+  void Run(base::Millis aSpan, Done aDone) {
+    const auto until = base::SteadyClock().Now() + aSpan;
+    while (base::SteadyClock().Now() < until && !aDone()) {
+      Step();
+    }
+  }
+
+  std::vector<std::unique_ptr<LightMember>>& Members() { return m_members; }
+
+  uint64_t Bytes() const {
+    uint64_t bytes = 0;
+    for (const auto& member : m_members) {
+      bytes += member->m_socket.Bytes();
+    }
+    return bytes;
+  }
+
+private:
+  void Step() {
+    epoll_event events[64];
+    const int count = epoll_wait(m_epoll, events, std::size(events), 1);
+    std::string bytes;
+    for (int i = 0; i < count; ++i) {
+      LightMember& member = *m_members[events[i].data.u32];
+      while (member.m_socket.Receive(bytes)) {
+        if (const auto message = adapters::peer::DecodeDatagram(bytes, kKeys)) {
+          member.m_swim.OnMessage(message->m_message,
+                                  message->m_message.m_sender.m_member.m_peers,
+                                  base::SteadyClock().Now());
+        }
+      }
+      member.m_swim.Tick(base::SteadyClock().Now());
+      Flush(member);
+    }
+    // Spread the ticks of all members over the tick's span.
+    const base::TimePoint now = base::SteadyClock().Now();
+    const auto share =
+      static_cast<size_t>(std::min(1.0, std::chrono::duration<double>(now - m_lastTick) / kTick) *
+                          static_cast<double>(m_members.size()));
+    if (share > 0) {
+      m_lastTick = now;
+    }
+    for (size_t i = 0; i < share; ++i) {
+      m_next = (m_next + 1) % m_members.size();
+      m_members[m_next]->m_swim.Tick(now);
+      Flush(*m_members[m_next]);
+    }
+  }
+
+  static void Flush(LightMember& aMember) {
+    for (membership::SwimSend& send : aMember.m_swim.TakeSends()) {
+      aMember.m_socket.Send(
+        send.m_to,
+        adapters::peer::EncodeDatagram({ std::move(send.m_message), {} }, kKeys.front()));
+    }
+  }
+
+  int m_epoll;
+  std::vector<std::unique_ptr<LightMember>> m_members;
+  base::TimePoint m_lastTick = base::SteadyClock().Now();
+  size_t m_next = 0;
+};
+
+} // namespace
+
+Report MeasureMembership() {
+  Report report("membership, per member (probe period 500 ms, signed datagrams on loopback)",
+                { "members",
+                  "known by the least",
+                  "bytes a second, sent and received",
+                  "cpu % of a core",
+                  "memory KiB",
+                  "news to all, ms",
+                  "crash seen by all, s",
+                  "false deaths" });
+  for (const int count : { 3, 9, 30, 100, 300 }) {
+    const double before = ReadUsage(0).m_residentKib;
+    LightFleet fleet(count);
+    const auto least = [&] {
+      size_t known = static_cast<size_t>(count);
+      for (const auto& member : fleet.Members()) {
+        known = std::min(known, member->m_swim.Members().size());
+      }
+      return known;
+    };
+    fleet.Run(kSettle * 5, [&] { return least() == static_cast<size_t>(count); });
+    fleet.Run(kSettle, [] { return false; });
+    // The steady state.
+    const uint64_t bytes = fleet.Bytes();
+    const double cpu = ThreadCpuSeconds();
+    fleet.Run(kMeasured, [] { return false; });
+    const double seconds = std::chrono::duration<double>(kMeasured).count();
+    const double bytesEach = static_cast<double>(fleet.Bytes() - bytes) / seconds / count;
+    const double cpuEach = (ThreadCpuSeconds() - cpu) / seconds / count;
+    const double memoryEach = (ReadUsage(0).m_residentKib - before) / count;
+    size_t dead = 0;
+    for (const auto& member : fleet.Members()) {
+      for (const tasks::Member& other : member->m_swim.Members()) {
+        dead += other.m_state == tasks::MemberState::Dead ? 1 : 0;
+      }
+    }
+    // Urgent news.
+    const auto start = base::SteadyClock().Now();
+    fleet.Members().front()->m_swim.NoteLeaving(base::EndpointId("gpu-1"));
+    fleet.Run(kSettle, [&] {
+      return std::all_of(fleet.Members().begin(), fleet.Members().end(), [](const auto& aMember) {
+        return !aMember->m_swim.Leaving().empty();
+      });
+    });
+    const std::chrono::duration<double> news = base::SteadyClock().Now() - start;
+    // One member falls silent.
+    const base::NodeId lost = fleet.Members().back()->m_swim.Members().front().m_node;
+    fleet.Members().pop_back();
+    const auto crash = base::SteadyClock().Now();
+    fleet.Run(kSettle * 10, [&] {
+      return std::all_of(fleet.Members().begin(), fleet.Members().end(), [&](const auto& aMember) {
+        const auto members = aMember->m_swim.Members();
+        return std::any_of(members.begin(), members.end(), [&](const tasks::Member& aOther) {
+          return aOther.m_node == lost && aOther.m_state == tasks::MemberState::Dead;
+        });
+      });
+    });
+    const std::chrono::duration<double> seen = base::SteadyClock().Now() - crash;
+    constexpr double kPercent = 100;
+    constexpr double kMillis = 1000;
+    report.Add({ count,
+                 least(),
+                 Rounded(bytesEach, 0),
+                 Rounded(cpuEach * kPercent, 3),
+                 Rounded(memoryEach, 1),
+                 Rounded(news.count() * kMillis, 1),
+                 Rounded(seen.count(), 1),
+                 dead });
+  }
+  return report;
+}
+
+} // namespace papayafield::bench
--- /dev/null
+++ b/bench/main.cpp
@@ -0,0 +1,53 @@
+#include "ControlBench.h"
+#include "LoadBench.h"
+#include "NodeBench.h"
+
+#include <csignal>
+#include <cstdio>
+#include <cstring>
+#include <fstream>
+
+/// \file
+/// Measures: one command for each area.
+
+int main(int argc, char** argv) {
+  using namespace papayafield::bench;
+  std::signal(SIGPIPE, SIG_IGN);
+  const std::string command = argc > 1 ? argv[1] : "";
+  std::string json;
+  uint64_t seed = 1;
+  for (int i = 2; i + 1 < argc; i += 2) {
+    if (std::strcmp(argv[i], "--json") == 0) {
+      json = argv[i + 1];
+    } else if (std::strcmp(argv[i], "--seed") == 0) {
+      seed = std::strtoull(argv[i + 1], nullptr, 10);
+    }
+  }
+  std::vector<Report> reports;
+  const auto measure = [&](Report aReport) {
+    aReport.Print();
+    reports.push_back(std::move(aReport));
+  };
+  if (command == "control") {
+    measure(MeasureMembership());
+    measure(MeasureRouting());
+    measure(MeasurePlatformCalls());
+    measure(MeasureConfiguration());
+  } else if (command == "node") {
+    measure(MeasureAddedLatency());
+    measure(MeasureRelay());
+  } else if (command == "load") {
+    measure(MeasureOverload(seed));
+  } else {
+    std::fputs("usage: scripts/bench control|node|load [--json FILE] [--seed N]\n", stderr);
+    return 2;
+  }
+  if (!json.empty()) {
+    nlohmann::json all = nlohmann::json::array();
+    for (const Report& report : reports) {
+      all.push_back(report.ToJson());
+    }
+    std::ofstream(json) << all.dump(2) << "\n";
+  }
+  return 0;
+}
--- a/tests/harness/Caller.h
+++ b/tests/harness/Caller.h
@@ -13,6 +13,7 @@
 /// Keys of the manifest that Fleet applies.
 inline constexpr char kTeamKey[] = "florists-key";
 inline constexpr char kOtherTeamKey[] = "drivers-key";
+inline constexpr char kThirdTeamKey[] = "parishes-key";
 inline constexpr char kOperatorKey[] = "operator-key";
 
 /// An answer as a caller sees it.
--- a/tests/harness/Fleet.cpp
+++ b/tests/harness/Fleet.cpp
@@ -81,6 +81,8 @@
        << base::Sha256Hex(kTeamKey) << "\"]\n"
        << "[[team]]\nname = \"drivers\"\nweight = 1\npriority = \"urgent\"\nkey_digests = [\""
        << base::Sha256Hex(kOtherTeamKey) << "\"]\n"
+       << "[[team]]\nname = \"parishes\"\nweight = 1\nkey_digests = [\""
+       << base::Sha256Hex(kThirdTeamKey) << "\"]\n"
        << "[[deployment]]\nname = \"condolence\"\nmodel = \"card-7b\"\nversion = \"1\"\n"
        << "max_output_tokens = 5000\n"
        << "[[service]]\nname = \"orders\"\n"
--- a/tests/harness/Process.h
+++ b/tests/harness/Process.h
@@ -23,6 +23,8 @@
   void Kill();
   /// Waits for its end; the exit code, or minus the signal that ended it.
   int Wait();
+  /// Its process id; -1 after its end.
+  int Pid() const { return m_pid; }
   /// Whether it still runs.
   bool Running();
 
