--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -15,31 +15,36 @@
   std::signal(SIGPIPE, SIG_IGN);
   const std::string command = argc > 1 ? argv[1] : "";
   std::string json;
+  std::string only;
   uint64_t seed = 1;
   for (int i = 2; i + 1 < argc; i += 2) {
     if (std::strcmp(argv[i], "--json") == 0) {
       json = argv[i + 1];
+    } else if (std::strcmp(argv[i], "--only") == 0) {
+      only = argv[i + 1];
     } else if (std::strcmp(argv[i], "--seed") == 0) {
       seed = std::strtoull(argv[i + 1], nullptr, 10);
     }
   }
   std::vector<Report> reports;
-  const auto measure = [&](Report aReport) {
-    aReport.Print();
-    reports.push_back(std::move(aReport));
+  const auto measure = [&](const char* aPart, const auto& aMeasure) {
+    if (only.empty() || only == aPart) {
+      reports.push_back(aMeasure());
+      reports.back().Print();
+    }
   };
   if (command == "control") {
-    measure(MeasureMembership());
-    measure(MeasureRouting());
-    measure(MeasurePlatformCalls());
-    measure(MeasureConfiguration());
+    measure("membership", MeasureMembership);
+    measure("routing", MeasureRouting);
+    measure("platform", MeasurePlatformCalls);
+    measure("configuration", MeasureConfiguration);
   } else if (command == "node") {
-    measure(MeasureAddedLatency());
-    measure(MeasureRelay());
+    measure("latency", MeasureAddedLatency);
+    measure("relay", MeasureRelay);
   } else if (command == "load") {
-    measure(MeasureOverload(seed));
+    measure("overload", [&] { return MeasureOverload(seed); });
   } else {
-    std::fputs("usage: scripts/bench control|node|load [--json FILE] [--seed N]\n", stderr);
+    std::fputs("usage: scripts/bench control|node|load [--only PART] [--json FILE] [--seed N]\n", stderr);
     return 2;
   }
   if (!json.empty()) {
--- a/packages/gateway/Dispatcher.cpp
+++ b/packages/gateway/Dispatcher.cpp
@@ -11,14 +11,21 @@
   return base::SteadyClock().Now();
 }
 
+routing::RouterSettings RouterSettingsFor(const base::NodeId& aNode) {
+  routing::RouterSettings settings;
+  settings.m_node = aNode.Text();
+  return settings;
+}
+
 } // namespace
 
-Dispatcher::Dispatcher(adapters::http::EventLoop& aLoop, Metrics& aMetrics)
+Dispatcher::Dispatcher(adapters::http::EventLoop& aLoop,
+                       Metrics& aMetrics,
+                       const base::NodeId& aNode)
   : m_loop(aLoop)
   , m_metrics(aMetrics)
-  , m_router(routing::RouterSettings{})
-  , m_retries(requests::RetryBudgetSettings{})
-  , m_timer(aLoop.Every(kTick, [this] { Tick(); })) {}
+  , m_router(RouterSettingsFor(aNode))
+  , m_retries(requests::RetryBudgetSettings{}) {}
 
 void Dispatcher::Submit(DispatchTicket aTicket) {
   const base::RequestId request = aTicket.m_waiting.m_request;
@@ -26,6 +33,7 @@
   const admission::Waiting waiting = aTicket.m_waiting;
   m_retries.Earn();
   m_tickets[request] = std::move(aTicket);
+  ArmTimer();
   if (const auto taken = QueueOf(runs).Offer(waiting, Now()); !taken) {
     m_loop.Defer([this, request, refused = taken.error()] { Refuse(request, refused); });
     return;
@@ -37,6 +45,7 @@
   const base::DeploymentId runs = aTicket.m_query.m_runs;
   QueueOf(runs).Return(aTicket.m_waiting);
   m_tickets[aTicket.m_waiting.m_request] = std::move(aTicket);
+  ArmTimer();
   PumpSoon(runs);
 }
 
@@ -72,6 +81,15 @@
   m_loop.Defer([this, aRuns] { Pump(aRuns); });
 }
 
+void Dispatcher::ArmTimer() {
+  // Time limits only matter while something waits.
+  if (m_tickets.empty()) {
+    m_timer.reset();
+  } else if (m_timer == nullptr) {
+    m_timer = m_loop.Every(kTick, [this] { Tick(); });
+  }
+}
+
 void Dispatcher::Pump(const base::DeploymentId& aRuns) {
   admission::AdmissionQueue& queue = QueueOf(aRuns);
   while (queue.Size() > 0 && m_router.AnyRoom(aRuns)) {
@@ -109,6 +127,7 @@
       Refuse(expired.m_request, { admission::Refusal::TooSlow, base::Millis(1000) });
     }
   }
+  ArmTimer();
 }
 
 void Dispatcher::Refuse(const base::RequestId& aRequest, admission::Refused aRefused) {
--- a/packages/gateway/Dispatcher.h
+++ b/packages/gateway/Dispatcher.h
@@ -29,8 +29,8 @@
 /// router and one retry budget for the node. Belongs to the gateway's thread.
 class Dispatcher {
 public:
-  /// Works on `aLoop`.
-  Dispatcher(adapters::http::EventLoop& aLoop, Metrics& aMetrics);
+  /// Works on `aLoop` at the node `aNode`.
+  Dispatcher(adapters::http::EventLoop& aLoop, Metrics& aMetrics, const base::NodeId& aNode);
 
   /// Takes a new request in. It gets a turn or a refusal, never before Submit has returned.
   void Submit(DispatchTicket aTicket);
@@ -56,6 +56,7 @@
 private:
   void Pump(const base::DeploymentId& aRuns);
   void PumpSoon(const base::DeploymentId& aRuns);
+  void ArmTimer();
   void Tick();
   void Refuse(const base::RequestId& aRequest, admission::Refused aRefused);
   admission::AdmissionQueue& QueueOf(const base::DeploymentId& aRuns);
--- a/packages/gateway/EndpointMonitor.cpp
+++ b/packages/gateway/EndpointMonitor.cpp
@@ -18,12 +18,12 @@
 
 void EndpointMonitor::KeepListed() {
   std::unordered_map<base::EndpointId, Progress> progress;
-  for (const routing::EndpointInfo& endpoint : m_context.m_dispatcher.Router().Endpoints()) {
+  for (const routing::EndpointInfo& endpoint : m_context.m_dispatcher.Router().Used()) {
     if (endpoint.m_kind == routing::EndpointKind::Engine) {
       progress[endpoint.m_id] = m_progress[endpoint.m_id];
     }
   }
-  // Endpoints that are no longer listed are forgotten.
+  // Endpoints that are no longer used are forgotten.
   m_progress = std::move(progress);
 }
 
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -47,7 +47,7 @@
   , m_log("gateway")
   , m_http(m_loop)
   , m_engines(m_http, EngineSettings(aSettings))
-  , m_dispatcher(m_loop, m_metrics)
+  , m_dispatcher(m_loop, m_metrics, aSettings.m_name)
   , m_context{ aSettings,  std::move(aIncarnation),
                m_loop,     m_http,
                m_engines,  m_dispatcher,
--- a/packages/routing/CacheView.cpp
+++ b/packages/routing/CacheView.cpp
@@ -41,11 +41,21 @@
 }
 
 double CacheView::CachedBlocks(std::span<const uint64_t> aBlocks) const {
-  size_t count = 0;
-  while (count < aBlocks.size() && m_blocks.contains(aBlocks[count])) {
-    ++count;
+  if (aBlocks.empty() || !m_blocks.contains(aBlocks.front())) {
+    return 0;
   }
-  return static_cast<double>(count) * m_trust;
+  // A block stands for all before it, and the start of a prefix is the last to go: search the end.
+  size_t low = 1;
+  size_t high = aBlocks.size();
+  while (low < high) {
+    const size_t middle = (low + high + 1) / 2;
+    if (m_blocks.contains(aBlocks[middle - 1])) {
+      low = middle;
+    } else {
+      high = middle - 1;
+    }
+  }
+  return static_cast<double>(low) * m_trust;
 }
 
 void CacheView::Touch(uint64_t aBlock) {
--- a/packages/routing/Router.cpp
+++ b/packages/routing/Router.cpp
@@ -45,7 +45,6 @@
 
 void Router::SetEndpoints(const std::vector<EndpointInfo>& aEndpoints) {
   std::unordered_map<base::EndpointId, Known> known;
-  m_byRuns.clear();
   for (const EndpointInfo& info : aEndpoints) {
     // Keep what was learnt of an endpoint that stays.
     const auto old = m_known.find(info.m_id);
@@ -62,15 +61,44 @@
     } else if (m_leaving.contains(info.m_id)) {
       entry.m_info.m_state = EndpointState::Leaving;
     }
-    m_byRuns[info.m_runs].push_back(info.m_id);
   }
   m_known = std::move(known);
+  ChooseSubsets();
+}
+
+void Router::ChooseSubsets() {
+  m_byRuns.clear();
+  for (auto& [id, known] : m_known) {
+    if (known.m_info.m_state == EndpointState::Live) {
+      m_byRuns[known.m_info.m_runs].push_back(&known);
+    }
+  }
+  // Of many endpoints each node uses a few, the same ones for as long as they live.
+  for (auto& [runs, group] : m_byRuns) {
+    std::vector<std::pair<uint64_t, Known*>> weighted;
+    weighted.reserve(group.size());
+    for (Known* known : group) {
+      weighted.emplace_back(base::RendezvousWeight(m_settings.m_node, known->m_info.m_id.Text()),
+                            known);
+    }
+    std::sort(weighted.begin(), weighted.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.first > aRight.first;
+    });
+    weighted.resize(std::min(weighted.size(), m_settings.m_subset));
+    group.clear();
+    for (const auto& [weight, known] : weighted) {
+      group.push_back(known);
+    }
+  }
 }
 
 bool Router::MarkLeaving(const base::EndpointId& aEndpoint) {
   const bool news = m_leaving.insert(aEndpoint).second;
-  if (Known* known = Get(aEndpoint)) {
+  Known* known = Get(aEndpoint);
+  if (known != nullptr && known->m_info.m_state == EndpointState::Live) {
     known->m_info.m_state = EndpointState::Leaving;
+    // Another one takes its place.
+    ChooseSubsets();
   }
   return news;
 }
@@ -127,16 +155,15 @@
   }
   const Known* best = nullptr;
   Score bestScore;
-  for (const base::EndpointId& id : group->second) {
-    const Known& known = m_known.at(id);
-    // Leave out what may get no work or has no room.
-    if (known.m_info.m_state == EndpointState::Leaving || aQuery.m_exclude.contains(id) ||
-        !HasRoom(known)) {
+  for (const Known* known : group->second) {
+    // Leave out what has no room or was tried.
+    if (!HasRoom(*known) ||
+        (!aQuery.m_exclude.empty() && aQuery.m_exclude.contains(known->m_info.m_id))) {
       continue;
     }
-    const Score score = Rate(known, aQuery, aNow);
+    const Score score = Rate(*known, aQuery, aNow);
     if (best == nullptr || score.Key() < bestScore.Key()) {
-      best = &known;
+      best = known;
       bestScore = score;
     }
   }
@@ -152,9 +179,8 @@
 bool Router::AnyRoom(const base::DeploymentId& aRuns) const {
   const auto group = m_byRuns.find(aRuns);
   return group != m_byRuns.end() &&
-         std::any_of(group->second.begin(), group->second.end(), [&](const base::EndpointId& aId) {
-           const Known& known = m_known.at(aId);
-           return known.m_info.m_state == EndpointState::Live && HasRoom(known);
+         std::any_of(group->second.begin(), group->second.end(), [this](const Known* aKnown) {
+           return HasRoom(*aKnown);
          });
 }
 
@@ -172,15 +198,21 @@
   return list;
 }
 
-size_t Router::LiveCount(const base::DeploymentId& aRuns) const {
-  const auto group = m_byRuns.find(aRuns);
-  if (group == m_byRuns.end()) {
-    return 0;
+std::vector<EndpointInfo> Router::Used() const {
+  std::vector<EndpointInfo> list;
+  for (const auto& [runs, group] : m_byRuns) {
+    for (const Known* known : group) {
+      list.push_back(known->m_info);
+    }
   }
-  return static_cast<size_t>(
-    std::count_if(group->second.begin(), group->second.end(), [&](const base::EndpointId& aId) {
-      return m_known.at(aId).m_info.m_state == EndpointState::Live;
-    }));
+  return list;
+}
+
+size_t Router::LiveCount(const base::DeploymentId& aRuns) const {
+  return static_cast<size_t>(std::count_if(m_known.begin(), m_known.end(), [&](const auto& aEntry) {
+    const EndpointInfo& info = aEntry.second.m_info;
+    return info.m_runs == aRuns && info.m_state == EndpointState::Live;
+  }));
 }
 
 Router::Known* Router::Get(const base::EndpointId& aEndpoint) {
--- a/packages/routing/Router.h
+++ b/packages/routing/Router.h
@@ -14,9 +14,13 @@
 /// How the router weighs.
 struct RouterSettings {
   /// Blocks believed to fit in an engine's prefix cache.
-  size_t m_cacheBlocks = 65536;
+  size_t m_cacheBlocks = 16384;
   /// An engine's queue may exceed its batch by this share before it gets no more work.
   double m_overcommit = 0.0;
+  /// Most endpoints of one deployment that this node uses; which ones follows from m_node.
+  size_t m_subset = 32;
+  /// Name of the node, so that each node uses other endpoints.
+  std::string m_node;
 };
 
 /// What is looked for.
@@ -50,6 +54,11 @@
 public:
   /// A router that knows no endpoint.
   explicit Router(RouterSettings aSettings);
+  ~Router() = default;
+  Router(const Router&) = delete;
+  Router& operator=(const Router&) = delete;
+  Router(Router&&) = delete;
+  Router& operator=(Router&&) = delete;
 
   /// Takes the endpoints now listed. Ones no longer listed go; a leaving one never comes back to
   /// life.
@@ -78,6 +87,8 @@
   const EndpointInfo* Find(const base::EndpointId& aEndpoint) const;
   /// All endpoints listed.
   std::vector<EndpointInfo> Endpoints() const;
+  /// The endpoints that this node uses.
+  std::vector<EndpointInfo> Used() const;
   /// Live endpoints that run `aRuns`.
   size_t LiveCount(const base::DeploymentId& aRuns) const;
 
@@ -96,13 +107,15 @@
   };
   struct Score;
 
+  void ChooseSubsets();
   Known* Get(const base::EndpointId& aEndpoint);
   Score Rate(const Known& aKnown, const RouteQuery& aQuery, base::TimePoint aNow) const;
   bool HasRoom(const Known& aKnown) const;
 
   RouterSettings m_settings;
   std::unordered_map<base::EndpointId, Known> m_known;
-  std::map<base::DeploymentId, std::vector<base::EndpointId>> m_byRuns;
+  /// Those that this node may use, for each deployment or service.
+  std::map<base::DeploymentId, std::vector<Known*>> m_byRuns;
   std::set<base::EndpointId> m_leaving;
 };
 
