--- a/packages/claims/ShardWriter.h
+++ b/packages/claims/ShardWriter.h
@@ -84,6 +84,8 @@
   std::optional<StoreAction> Next(base::TimePoint aNow, int64_t aWallSeconds);
   /// The result of the last action.
   void OnResult(const StoreResult& aResult);
+  /// Whether anything waits to be written.
+  bool Waiting() const { return !m_waiting.empty() || !m_done.empty() || m_afterSeal.has_value(); }
   /// Takes the replies that are ready.
   std::vector<ClaimReply> TakeReplies();
   /// Sets the retention of claims made from now on, in seconds.
--- a/packages/node/ClaimKeeper.cpp
+++ b/packages/node/ClaimKeeper.cpp
@@ -60,8 +60,6 @@
     m_shards.push_back(std::make_unique<Shard>(
       Shard{ claims::ShardWriter(kPrefix + std::to_string(index), writer), false }));
   }
-  const base::Millis period = std::max(base::Millis(1), aSettings.m_claims.m_batchPeriod / 2);
-  m_timer = m_loop.Every(period, [this] { Tick(); });
 }
 
 void ClaimKeeper::SetRetention(base::Millis aRetention) {
@@ -94,6 +92,7 @@
 }
 
 void ClaimKeeper::Ask(const tasks::ClaimAsk& aAsk) {
+  Arm();
   const claims::ClaimOrder order = m_desk.MakeOrder(aAsk.m_key);
   m_waiting[order.m_number] = aAsk.m_request;
   if (const auto home = HomeOf(aAsk.m_key)) {
@@ -104,6 +103,7 @@
 }
 
 void ClaimKeeper::Done(const tasks::ClaimDone& aDone) {
+  Arm();
   if (const auto home = HomeOf(aDone.m_key)) {
     m_mailboxes.m_peers.Send(tasks::DoneOut{ *home, { aDone.m_key } });
   } else {
@@ -112,6 +112,7 @@
 }
 
 void ClaimKeeper::TakeOrders(const tasks::ClaimsIn& aIn) {
+  Arm();
   m_inCalls[aIn.m_call].m_open = aIn.m_orders.size();
   for (const claims::ClaimOrder& order : aIn.m_orders) {
     m_inOrders[{ order.m_owner, order.m_number }] = aIn.m_call;
@@ -133,16 +134,29 @@
     }
     return;
   }
+  Arm();
   // The home may or may not have written them: the same orders, written here, settle it.
   for (const claims::ClaimOrder& order : orders) {
     ShardFor(order.m_key).m_writer.Ask(order, base::SteadyClock().Now());
   }
 }
 
+void ClaimKeeper::Arm() {
+  if (m_timer == nullptr) {
+    m_timer = m_loop.After(m_settings.m_claims.m_batchPeriod, [this] { Tick(); });
+  }
+}
+
 void ClaimKeeper::Tick() {
+  m_timer.reset();
   SendBatches();
+  bool waiting = false;
   for (const auto& shard : m_shards) {
     Drive(*shard);
+    waiting = waiting || shard->m_writer.Waiting();
+  }
+  if (waiting) {
+    Arm();
   }
 }
 
@@ -194,6 +208,9 @@
     aShard.m_busy = false;
     aShard.m_writer.OnResult(aResult);
     Drive(aShard);
+    if (aShard.m_writer.Waiting()) {
+      Arm();
+    }
   };
   const auto onSwap = [onResult](const auto& aResult) {
     onResult(aResult ? StoreResult{ StoreOutcome::Done, "", *aResult }
--- a/packages/node/ClaimKeeper.h
+++ b/packages/node/ClaimKeeper.h
@@ -42,6 +42,7 @@
     bool m_busy = false;
   };
 
+  void Arm();
   void Tick();
   void Drive(Shard& aShard);
   void Carry(Shard& aShard, const claims::StoreAction& aAction);
--- a/packages/settings/NodeSettings.h
+++ b/packages/settings/NodeSettings.h
@@ -64,9 +64,9 @@
 /// How claims of idempotency keys are written.
 struct ClaimSettings {
   /// Number of shards; the same at all nodes.
-  uint32_t m_shards = 8;
+  uint32_t m_shards = 4;
   /// How long claims gather before they are written together.
-  base::Millis m_batchPeriod{ 10 };
+  base::Millis m_batchPeriod{ 25 };
 };
 
 /// All settings of one node, from its TOML file.
