--- a/bench/MembershipBench.cpp
+++ b/bench/MembershipBench.cpp
@@ -17,6 +17,11 @@
 
 const std::vector<std::string> kKeys{ "a fleet key for measuring" };
 constexpr base::Millis kTick{ 50 };
+/// Time between two exchanges of a member, as in a node.
+constexpr base::Millis kExchangePeriod{ 10000 };
+/// Bytes of a question for a digest and its answer, and of one record of a table.
+constexpr uint64_t kSummaryBytes = 300;
+constexpr uint64_t kRecordBytes = 130;
 constexpr base::Millis kSettle{ 4000 };
 constexpr base::Millis kMeasured{ 6000 };
 
@@ -24,10 +29,12 @@
 struct LightMember {
   LightMember(const tasks::Member& aSelf, uint64_t aSeed)
     : m_swim(membership::SwimSettings{}, aSelf, aSeed)
-    , m_socket(aSelf.m_peers) {}
+    , m_socket(aSelf.m_peers)
+    , m_address(aSelf.m_peers) {}
 
   membership::Swim m_swim;
   adapters::peer::DatagramSocket m_socket;
+  base::Address m_address;
 };
 
 /// Many light members on one thread.
@@ -72,7 +79,7 @@
   std::vector<std::unique_ptr<LightMember>>& Members() { return m_members; }
 
   uint64_t Bytes() const {
-    uint64_t bytes = 0;
+    uint64_t bytes = 2 * m_exchangedBytes;
     for (const auto& member : m_members) {
       bytes += member->m_socket.Bytes();
     }
@@ -80,7 +87,36 @@
   }
 
 private:
+  /// What nodes do over their connections: a random peer's digest, and tables where digests differ.
+  void Exchange() {
+    const base::TimePoint now = base::SteadyClock().Now();
+    for (size_t i = 0; i < m_members.size(); ++i) {
+      LightMember& member = *m_members[i];
+      const auto peer = member.m_swim.RandomPeer();
+      if (!peer) {
+        continue;
+      }
+      const auto found = std::find_if(m_members.begin(), m_members.end(), [&](const auto& aOther) {
+        return aOther->m_address == peer->m_peers;
+      });
+      if (found == m_members.end()) {
+        continue;
+      }
+      LightMember& other = **found;
+      m_exchangedBytes += kSummaryBytes;
+      if (other.m_swim.Digest() != member.m_swim.Digest()) {
+        m_exchangedBytes += 2 * kRecordBytes * m_members.size();
+        other.m_swim.Merge(member.m_swim.Records(), member.m_swim.Leaving(), now);
+        member.m_swim.Merge(other.m_swim.Records(), other.m_swim.Leaving(), now);
+      }
+    }
+  }
+
   void Step() {
+    if (base::SteadyClock().Now() >= m_nextExchange) {
+      m_nextExchange = base::SteadyClock().Now() + kExchangePeriod;
+      Exchange();
+    }
     epoll_event events[64];
     const int count = epoll_wait(m_epoll, events, std::size(events), 1);
     std::string bytes;
@@ -123,6 +159,8 @@
   std::vector<std::unique_ptr<LightMember>> m_members;
   base::TimePoint m_lastTick = base::SteadyClock().Now();
   size_t m_next = 0;
+  base::TimePoint m_nextExchange = base::SteadyClock().Now() + kExchangePeriod;
+  uint64_t m_exchangedBytes = 0;
 };
 
 } // namespace
@@ -131,6 +169,7 @@
   Report report("membership, per member (probe period 500 ms, signed datagrams on loopback)",
                 { "members",
                   "known by the least",
+                  "all known after s",
                   "bytes a second, sent and received",
                   "cpu % of a core",
                   "memory KiB",
@@ -147,8 +186,11 @@
       }
       return known;
     };
-    fleet.Run(kSettle * 5, [&] { return least() == static_cast<size_t>(count); });
-    fleet.Run(kSettle, [] { return false; });
+    const auto joined = base::SteadyClock().Now();
+    fleet.Run(kSettle * 10, [&] { return least() == static_cast<size_t>(count); });
+    const std::chrono::duration<double> join = base::SteadyClock().Now() - joined;
+    // Until the news of the joins has died down.
+    fleet.Run(kExchangePeriod * 2, [] { return false; });
     // The steady state.
     const uint64_t bytes = fleet.Bytes();
     const double cpu = ThreadCpuSeconds();
@@ -189,6 +231,7 @@
     constexpr double kMillis = 1000;
     report.Add({ count,
                  least(),
+                 Rounded(join.count(), 1),
                  Rounded(bytesEach, 0),
                  Rounded(cpuEach * kPercent, 3),
                  Rounded(memoryEach, 1),
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -44,7 +44,8 @@
   } else if (command == "load") {
     measure("overload", [&] { return MeasureOverload(seed); });
   } else {
-    std::fputs("usage: scripts/bench control|node|load [--only PART] [--json FILE] [--seed N]\n", stderr);
+    std::fputs("usage: scripts/bench control|node|load [--only PART] [--json FILE] [--seed N]\n",
+               stderr);
     return 2;
   }
   if (!json.empty()) {
--- a/packages/adapters/peer/PeerServer.cpp
+++ b/packages/adapters/peer/PeerServer.cpp
@@ -49,6 +49,11 @@
     return kj::READY_NOW;
   }
 
+  kj::Promise<void> summary(SummaryContext aContext) override {
+    aContext.getResults().setDigest(m_hooks.m_digest());
+    return kj::READY_NOW;
+  }
+
 private:
   const PeerHooks& m_hooks;
 };
--- a/packages/adapters/peer/PeerServer.h
+++ b/packages/adapters/peer/PeerServer.h
@@ -13,6 +13,8 @@
 struct PeerHooks {
   /// The configuration in force, as it stands in the key-value service.
   std::function<std::string()> m_configuration;
+  /// A digest of this node's table.
+  std::function<uint64_t()> m_digest;
   /// Takes a peer's table and gives this node's.
   std::function<void(wire::Table::Reader aTheirs, wire::Table::Builder aOurs)> m_exchange;
   /// Carries out claims; the promise is kept when the replies are there.
--- a/packages/adapters/peer/PeersTask.cpp
+++ b/packages/adapters/peer/PeersTask.cpp
@@ -68,6 +68,7 @@
   PeerHooks MakeHooks() {
     PeerHooks hooks;
     hooks.m_configuration = [this] { return m_configurationText; };
+    hooks.m_digest = [this] { return m_swim.Digest(); };
     hooks.m_exchange = [this](wire::Table::Reader aTheirs, wire::Table::Builder aOurs) {
       m_swim.Merge(ReadMembers(aTheirs.getMembers()),
                    ReadLeaving(aTheirs.getLeaving()),
@@ -134,7 +135,7 @@
     return After(kExchangePeriod).then([this] {
       m_clients.DropIdle();
       if (const auto peer = m_swim.RandomPeer()) {
-        m_tasks.add(Exchange(peer->m_peers));
+        m_tasks.add(ExchangeIfDifferent(peer->m_peers));
       }
       return ExchangeForever();
     });
@@ -197,6 +198,25 @@
     });
   }
 
+  /// Exchanges tables with a peer whose table has another digest.
+  kj::Promise<void> ExchangeIfDifferent(const base::Address& aPeer) {
+    return m_clients
+      .Call<uint64_t>(aPeer,
+                      kCallTimeout,
+                      [](wire::Peer::Client aClient) {
+                        return aClient.summaryRequest().send().then(
+                          [](capnp::Response<wire::Peer::SummaryResults> aResult) {
+                            return aResult.getDigest();
+                          });
+                      })
+      .then([this, aPeer](uint64_t aDigest) -> kj::Promise<void> {
+        if (aDigest == m_swim.Digest()) {
+          return kj::READY_NOW;
+        }
+        return Exchange(aPeer);
+      });
+  }
+
   kj::Promise<void> Exchange(const base::Address& aPeer) {
     return m_clients.Call<void>(aPeer, kCallTimeout, [this](wire::Peer::Client aClient) {
       auto request = aClient.exchangeRequest();
--- a/packages/adapters/peer/peer.capnp
+++ b/packages/adapters/peer/peer.capnp
@@ -69,4 +69,6 @@
   claim @2 (orders :List(ClaimOrder)) -> (replies :List(ClaimReply));
   # Claimed calls that have run.
   done @3 (keys :List(Text)) -> ();
+  # A digest of the node's full table, so that equal tables are not exchanged.
+  summary @4 () -> (digest :UInt64);
 }
--- a/packages/adapters/peer/peer.capnp.c++
+++ b/packages/adapters/peer/peer.capnp.c++
@@ -910,7 +910,7 @@
   1, 1, i_fd360c5d2216cd16, nullptr, nullptr, { &s_fd360c5d2216cd16, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<59> b_d8beff0e2ddbd7d8 = {
+static const ::capnp::_::AlignedData<69> b_d8beff0e2ddbd7d8 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     216, 215, 219,  45,  14, 255, 190, 216,
      11,   0,   0,   0,   3,   0,   0,   0,
@@ -920,45 +920,53 @@
      21,   0,   0,   0, 130,   0,   0,   0,
      25,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,   7,   1,   0,   0,
-    189,   0,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0,  71,   1,   0,   0,
+    229,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  80, 101, 101, 114,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     16,   0,   0,   0,   3,   0,   5,   0,
+     20,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      86, 216, 177, 211, 236,   3, 246, 191,
      63,  25,  58, 163, 119, 173,  25, 249,
-    113,   0,   0,   0, 114,   0,   0,   0,
+    145,   0,   0,   0, 114,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    105,   0,   0,   0,   7,   0,   0,   0,
+    137,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     103, 193,  87,  46, 170, 170, 139, 233,
      18, 188,  74, 162, 175, 143,  53, 236,
-     93,   0,   0,   0,  74,   0,   0,   0,
+    125,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     85,   0,   0,   0,   7,   0,   0,   0,
+    117,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
     101,  33, 252, 106, 111,  56, 245, 239,
      33, 162, 236, 170, 112, 178, 154, 208,
-     73,   0,   0,   0,  50,   0,   0,   0,
+    105,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     61,   0,   0,   0,   7,   0,   0,   0,
+     93,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
       3, 250,  37, 192,  29,  34, 190, 173,
     221,  45, 234,  48,  47,  38, 181, 234,
-     49,   0,   0,   0,  42,   0,   0,   0,
+     81,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,   7,   0,   0,   0,
+      4,   0,   0,   0,   0,   0,   0,   0,
+     46, 238, 176, 182, 121, 172, 208, 158,
+     94, 183,  18, 174,  72, 219,  64, 212,
+     57,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     37,   0,   0,   0,   7,   0,   0,   0,
+     45,   0,   0,   0,   7,   0,   0,   0,
      99, 111, 110, 102, 105, 103, 117, 114,
      97, 116, 105, 111, 110,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
@@ -969,24 +977,28 @@
       0,   0,   0,   0,   0,   0,   1,   0,
     100, 111, 110, 101,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    115, 117, 109, 109,  97, 114, 121,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_d8beff0e2ddbd7d8 = b_d8beff0e2ddbd7d8.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_d8beff0e2ddbd7d8[] = {
+  &s_9ed0ac79b6b0ee2e,
   &s_adbe221dc025fa03,
   &s_bff603ecd3b1d856,
   &s_d09ab270aaeca221,
+  &s_d440db48ae12b75e,
   &s_e98baaaa2e57c167,
   &s_eab5262f30ea2ddd,
   &s_ec358fafa24abc12,
   &s_eff5386f6afc2165,
   &s_f919ad77a33a193f,
 };
-static const uint16_t m_d8beff0e2ddbd7d8[] = {2, 0, 3, 1};
+static const uint16_t m_d8beff0e2ddbd7d8[] = {2, 0, 3, 1, 4};
 const ::capnp::_::RawSchema s_d8beff0e2ddbd7d8 = {
-  0xd8beff0e2ddbd7d8, b_d8beff0e2ddbd7d8.words, 59, d_d8beff0e2ddbd7d8, m_d8beff0e2ddbd7d8,
-  8, 4, nullptr, nullptr, nullptr, { &s_d8beff0e2ddbd7d8, nullptr, nullptr, 0, 0, nullptr }
+  0xd8beff0e2ddbd7d8, b_d8beff0e2ddbd7d8.words, 69, d_d8beff0e2ddbd7d8, m_d8beff0e2ddbd7d8,
+  10, 5, nullptr, nullptr, nullptr, { &s_d8beff0e2ddbd7d8, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<17> b_bff603ecd3b1d856 = {
@@ -1324,6 +1336,74 @@
   0, 0, nullptr, nullptr, nullptr, { &s_eab5262f30ea2ddd, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<16> b_9ed0ac79b6b0ee2e = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     46, 238, 176, 182, 121, 172, 208, 158,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 250,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    115, 117, 109, 109,  97, 114, 121,  36,
+     80,  97, 114,  97, 109, 115,   0,   0, }
+};
+::capnp::word const* const bp_9ed0ac79b6b0ee2e = b_9ed0ac79b6b0ee2e.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_9ed0ac79b6b0ee2e = {
+  0x9ed0ac79b6b0ee2e, b_9ed0ac79b6b0ee2e.words, 16, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_9ed0ac79b6b0ee2e, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<32> b_d440db48ae12b75e = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     94, 183,  18, 174,  72, 219,  64, 212,
+     16,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,   2,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    115, 117, 109, 109,  97, 114, 121,  36,
+     82, 101, 115, 117, 108, 116, 115,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    100, 105, 103, 101, 115, 116,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_d440db48ae12b75e = b_d440db48ae12b75e.words;
+#if !CAPNP_LITE
+static const uint16_t m_d440db48ae12b75e[] = {0};
+static const uint16_t i_d440db48ae12b75e[] = {0};
+const ::capnp::_::RawSchema s_d440db48ae12b75e = {
+  0xd440db48ae12b75e, b_d440db48ae12b75e.words, 32, nullptr, m_d440db48ae12b75e,
+  0, 1, i_d440db48ae12b75e, nullptr, nullptr, { &s_d440db48ae12b75e, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -1539,6 +1619,16 @@
       "peer.capnp:Peer", "done",
       0xd8beff0e2ddbd7d8ull, 3);
 }
+::capnp::Request< ::papayafield::adapters::peer::wire::Peer::SummaryParams,  ::papayafield::adapters::peer::wire::Peer::SummaryResults>
+Peer::Client::summaryRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::papayafield::adapters::peer::wire::Peer::SummaryParams,  ::papayafield::adapters::peer::wire::Peer::SummaryResults>(
+      0xd8beff0e2ddbd7d8ull, 4, sizeHint);
+}
+::kj::Promise<void> Peer::Server::summary(SummaryContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "peer.capnp:Peer", "summary",
+      0xd8beff0e2ddbd7d8ull, 4);
+}
 ::capnp::Capability::Server::DispatchCallResult Peer::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -1577,6 +1667,12 @@
              ::papayafield::adapters::peer::wire::Peer::DoneParams,  ::papayafield::adapters::peer::wire::Peer::DoneResults>(context)),
         false
       };
+    case 4:
+      return {
+        summary(::capnp::Capability::Server::internalGetTypedContext<
+             ::papayafield::adapters::peer::wire::Peer::SummaryParams,  ::papayafield::adapters::peer::wire::Peer::SummaryResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -1656,6 +1752,22 @@
 constexpr ::capnp::_::RawSchema const* Peer::DoneResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Peer::SummaryParams
+constexpr uint16_t Peer::SummaryParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::SummaryParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::SummaryParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::SummaryParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::SummaryResults
+constexpr uint16_t Peer::SummaryResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::SummaryResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::SummaryResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::SummaryResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/packages/adapters/peer/peer.capnp.h
+++ b/packages/adapters/peer/peer.capnp.h
@@ -40,6 +40,8 @@
 CAPNP_DECLARE_SCHEMA(d09ab270aaeca221);
 CAPNP_DECLARE_SCHEMA(adbe221dc025fa03);
 CAPNP_DECLARE_SCHEMA(eab5262f30ea2ddd);
+CAPNP_DECLARE_SCHEMA(9ed0ac79b6b0ee2e);
+CAPNP_DECLARE_SCHEMA(d440db48ae12b75e);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -239,6 +241,8 @@
   struct ClaimResults;
   struct DoneParams;
   struct DoneResults;
+  struct SummaryParams;
+  struct SummaryResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -368,6 +372,36 @@
   };
 };
 
+struct Peer::SummaryParams {
+  SummaryParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9ed0ac79b6b0ee2e, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::SummaryResults {
+  SummaryResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d440db48ae12b75e, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class Member::Reader {
@@ -1416,6 +1450,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::papayafield::adapters::peer::wire::Peer::DoneParams,  ::papayafield::adapters::peer::wire::Peer::DoneResults> doneRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::papayafield::adapters::peer::wire::Peer::SummaryParams,  ::papayafield::adapters::peer::wire::Peer::SummaryResults> summaryRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1448,6 +1484,10 @@
   typedef  ::papayafield::adapters::peer::wire::Peer::DoneResults DoneResults;
   typedef ::capnp::CallContext<DoneParams, DoneResults> DoneContext;
   virtual ::kj::Promise<void> done(DoneContext context);
+  typedef  ::papayafield::adapters::peer::wire::Peer::SummaryParams SummaryParams;
+  typedef  ::papayafield::adapters::peer::wire::Peer::SummaryResults SummaryResults;
+  typedef ::capnp::CallContext<SummaryParams, SummaryResults> SummaryContext;
+  virtual ::kj::Promise<void> summary(SummaryContext context);
 
   inline  ::papayafield::adapters::peer::wire::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -2091,6 +2131,153 @@
 };
 #endif  // !CAPNP_LITE
 
+class Peer::SummaryParams::Reader {
+public:
+  typedef SummaryParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::SummaryParams::Builder {
+public:
+  typedef SummaryParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::SummaryParams::Pipeline {
+public:
+  typedef SummaryParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::SummaryResults::Reader {
+public:
+  typedef SummaryResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getDigest() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::SummaryResults::Builder {
+public:
+  typedef SummaryResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getDigest();
+  inline void setDigest( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::SummaryResults::Pipeline {
+public:
+  typedef SummaryResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline bool Member::Reader::hasNode() const {
@@ -3253,6 +3440,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Peer::SummaryResults::Reader::getDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::SummaryResults::Builder::getDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::SummaryResults::Builder::setDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/packages/membership/Swim.cpp
+++ b/packages/membership/Swim.cpp
@@ -1,5 +1,7 @@
 #include "membership/Swim.h"
 
+#include "base/Digest.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -403,6 +405,21 @@
   return chosen;
 }
 
+uint64_t Swim::Digest() const {
+  // A sum, so that the order does not matter.
+  uint64_t digest = 0;
+  for (const MemberRecord& record : Records()) {
+    const tasks::Member& member = record.m_member;
+    digest += base::Hash64(member.m_node.Text() + "|" + member.m_incarnation.Text() + "|" +
+                             std::string(base::NameOf(member.m_state)),
+                           record.m_number);
+  }
+  for (const auto& [endpoint, carry] : m_leaving) {
+    digest += base::Hash64(endpoint.Text());
+  }
+  return digest;
+}
+
 std::optional<tasks::Member> Swim::RandomPeer() {
   const auto chosen = RandomLiving(1, {});
   if (chosen.empty()) {
