--- /dev/null
+++ b/bench/FaultsBench.cpp
@@ -0,0 +1,303 @@
+#include "FaultsBench.h"
+
+#include "tests/harness/Fleet.h"
+
+#include <atomic>
+#include <csignal>
+#include <mutex>
+#include <random>
+#include <set>
+#include <thread>
+
+namespace papayafield::bench {
+
+namespace {
+
+using tests::Call;
+using tests::CallAs;
+using tests::CallerAnswer;
+using tests::Fleet;
+using tests::Stream;
+
+/// Faults that a round may bring about.
+enum class Kind {
+  KillNode,
+  PauseNode,
+  KillEngine,
+  ReclaimEngine,
+  PlatformOutage,
+  LostAnswers,
+  CutEngines,
+  SilenceEngines,
+  ServiceFault,
+};
+
+constexpr const char* kKindNames[] = { "node killed",
+                                       "node paused",
+                                       "engine killed",
+                                       "engine reclaimed",
+                                       "platform outage",
+                                       "answers of the platform lost",
+                                       "engine connections cut",
+                                       "engine connections silent",
+                                       "service fault" };
+
+constexpr uint64_t kTokens = 80;
+constexpr int kStreamsPerRound = 6;
+constexpr int kOrdersPerRound = 24;
+
+/// What is counted over all rounds.
+struct Tally {
+  std::atomic<int> m_streams{ 0 };
+  std::atomic<int> m_notWhole{ 0 };
+  std::atomic<int> m_wrongBytes{ 0 };
+  std::atomic<int> m_orders{ 0 };
+  std::atomic<int> m_answered{ 0 };
+  int m_ranTwice = 0;
+  int m_notRunButRan = 0;
+  int m_changes = 0;
+  int m_notInForce = 0;
+};
+
+/// Rounds of faults against one fleet.
+class Rounds {
+public:
+  explicit Rounds(uint64_t aSeed)
+    : m_random(aSeed)
+    , m_fleet(Settings()) {}
+
+  /// One round: two faults while callers ask, then a check that all is well again.
+  void Run(int aRound) {
+    const auto first = static_cast<Kind>(m_random() % std::size(kKindNames));
+    const auto second = static_cast<Kind>(m_random() % std::size(kKindNames));
+    std::printf("round %d: %s, %s\n",
+                aRound,
+                kKindNames[static_cast<size_t>(first)],
+                kKindNames[static_cast<size_t>(second)]);
+    std::fflush(stdout);
+    std::vector<std::thread> callers = StartCallers(aRound);
+    std::this_thread::sleep_for(base::Millis(static_cast<int64_t>(m_random() % 400)));
+    Break(first);
+    std::this_thread::sleep_for(base::Millis(static_cast<int64_t>(m_random() % 300)));
+    Break(second);
+    for (std::thread& caller : callers) {
+      caller.join();
+    }
+    Mend();
+    Change();
+  }
+
+  Report Verdicts(uint64_t aSeed, int aRounds) {
+    Judge();
+    Report report("faults: seed " + std::to_string(aSeed) + ", " + std::to_string(aRounds) +
+                    " rounds of two faults",
+                  { "point", "cases", "failed", "verdict" });
+    const auto add = [&](const char* aPoint, int aCases, int aFailed) {
+      report.Add({ aPoint, aCases, aFailed, aFailed == 0 ? "held" : "FAILED" });
+    };
+    add("each caller got a whole answer in the end", m_tally.m_streams, m_tally.m_notWhole);
+    add("its bytes were those of its own request", m_tally.m_streams, m_tally.m_wrongBytes);
+    add("no order ran twice", m_tally.m_orders, m_tally.m_ranTwice);
+    add("what was called not run did not run", m_tally.m_orders, m_tally.m_notRunButRan);
+    add("an accepted change came into force everywhere", m_tally.m_changes, m_tally.m_notInForce);
+    std::printf("orders answered: %d of %d\n", m_tally.m_answered.load(), m_tally.m_orders.load());
+    return report;
+  }
+
+private:
+  static tests::FleetSettings Settings() {
+    tests::FleetSettings settings;
+    settings.m_engines = 3;
+    settings.m_services = 2;
+    settings.m_engineProxies = true;
+    settings.m_engineOptions = { "--slots", "32", "--token-ms", "10", "--slowdown", "0" };
+    settings.m_nodeSettings = "[endpoints]\nstream_idle = \"1s\"\n";
+    return settings;
+  }
+
+  std::vector<std::thread> StartCallers(int aRound) {
+    std::vector<std::thread> callers;
+    callers.reserve(kStreamsPerRound + kOrdersPerRound / 4);
+    for (int i = 0; i < kStreamsPerRound; ++i) {
+      callers.emplace_back([this, aRound, i, seed = m_random()] { ReadStream(aRound, i, seed); });
+    }
+    for (int i = 0; i < kOrdersPerRound / 4; ++i) {
+      callers.emplace_back([this, aRound, i, seed = m_random()] { PlaceOrders(aRound, i, seed); });
+    }
+    return callers;
+  }
+
+  /// A caller that goes on elsewhere for as long as it takes, as the interface's page says.
+  void ReadStream(int aRound, int aIndex, uint64_t aSeed) {
+    std::mt19937_64 random(aSeed);
+    const std::string prompt = std::to_string(aRound) + "-" + std::to_string(aIndex);
+    Stream stream;
+    for (int attempt = 0; attempt < 40 && !stream.m_whole; ++attempt) {
+      const bool begun = stream.m_tokens > 0;
+      const Stream before = stream;
+      stream = tests::Generate(
+        m_fleet.Node(random() % m_fleet.Nodes()), prompt, kTokens, {}, begun ? &before : nullptr);
+      if (stream.m_status == 0 || stream.m_status >= 400) {
+        std::this_thread::sleep_for(base::Millis(200));
+      }
+    }
+    ++m_tally.m_streams;
+    m_tally.m_notWhole += stream.m_whole ? 0 : 1;
+    const std::string expected = tests::ExpectedText(prompt, kTokens);
+    m_tally.m_wrongBytes += expected.starts_with(stream.m_text) ? 0 : 1;
+  }
+
+  void PlaceOrders(int aRound, int aIndex, uint64_t aSeed) {
+    std::mt19937_64 random(aSeed);
+    for (int i = 0; i < 4; ++i) {
+      const std::string order =
+        std::to_string(aRound) + "/" + std::to_string(aIndex) + "/" + std::to_string(i);
+      bool onlyNotRun = true;
+      bool answered = false;
+      for (int attempt = 0; attempt < 5 && !answered; ++attempt) {
+        const CallerAnswer answer = CallAs(tests::kTeamKey,
+                                           m_fleet.Node(random() % m_fleet.Nodes()),
+                                           "POST",
+                                           "/services/orders/orders",
+                                           "{\"order\":\"" + order + "\"}",
+                                           order);
+        answered = answer.m_status == 201;
+        onlyNotRun = onlyNotRun && answer.m_outcome == "not run";
+      }
+      ++m_tally.m_orders;
+      m_tally.m_answered += answered ? 1 : 0;
+      const std::lock_guard lock(m_mutex);
+      m_onlyNotRun[order] = onlyNotRun;
+    }
+  }
+
+  size_t LiveEngine() {
+    std::vector<size_t> live;
+    for (size_t i = 0; i < m_fleet.Engines(); ++i) {
+      if (m_fleet.Engine(i).m_process->Running() && !m_gone.contains(i)) {
+        live.push_back(i);
+      }
+    }
+    return live[m_random() % live.size()];
+  }
+
+  void Break(Kind aKind) {
+    const size_t node = m_random() % m_fleet.Nodes();
+    switch (aKind) {
+      case Kind::KillNode:
+        m_fleet.RestartNode(node);
+        return;
+      case Kind::PauseNode:
+        m_fleet.NodeProcess(node).Signal(SIGSTOP);
+        std::this_thread::sleep_for(base::Millis(1500));
+        m_fleet.NodeProcess(node).Signal(SIGCONT);
+        return;
+      case Kind::KillEngine:
+      case Kind::ReclaimEngine: {
+        const size_t engine = LiveEngine();
+        m_gone.insert(engine);
+        // A replacement is there before the old one has gone, or nothing would be left in the end.
+        m_fleet.AddEngine(m_fleet.Engine(engine).m_zone);
+        if (aKind == Kind::ReclaimEngine) {
+          m_fleet.Reclaim(m_fleet.Engine(engine), base::Millis(1000));
+          std::this_thread::sleep_for(base::Millis(1000));
+        }
+        m_fleet.Engine(engine).m_process->Kill();
+        m_fleet.Engine(engine).m_proxy->Kill();
+        return;
+      }
+      case Kind::PlatformOutage:
+        m_fleet.PlatformFaults({ { "outage", true }, { "hosts_down", true } });
+        std::this_thread::sleep_for(base::Millis(800));
+        m_fleet.PlatformFaults({ { "outage", false }, { "hosts_down", false } });
+        return;
+      case Kind::LostAnswers:
+        m_fleet.PlatformFaults({ { "lose_answers", 3 } });
+        return;
+      case Kind::CutEngines:
+      case Kind::SilenceEngines:
+        for (size_t i = 0; i < m_fleet.Engines(); ++i) {
+          if (!m_gone.contains(i)) {
+            Fleet::ProxyFaults(m_fleet.Engine(i),
+                               { { aKind == Kind::CutEngines ? "cut" : "silence", true } });
+          }
+        }
+        return;
+      case Kind::ServiceFault: {
+        static constexpr const char* kFaults[] = {
+          "close_after_run", "close_before_run", "not_started", "server_error", "crossed"
+        };
+        const std::string fault = kFaults[m_random() % std::size(kFaults)];
+        Call(m_fleet.Service(m_random() % 2).m_address,
+             "POST",
+             "/control/faults",
+             "{\"" + fault + "\":3}");
+        return;
+      }
+    }
+  }
+
+  /// Takes hosts that have gone out of the list, and waits until the fleet is whole.
+  void Mend() {
+    m_fleet.PlatformFaults({ { "lose_answers", 0 } });
+    for (size_t i = 0; i < 2; ++i) {
+      Call(m_fleet.Service(i).m_address, "POST", "/control/faults", "{}");
+    }
+    for (const size_t engine : m_gone) {
+      Call(m_fleet.Platform().m_address,
+           "DELETE",
+           "/control/hosts?name=" + m_fleet.Engine(engine).m_name);
+    }
+    tests::Eventually([&] {
+      for (size_t i = 0; i < m_fleet.Nodes(); ++i) {
+        const nlohmann::json status = m_fleet.Status(i);
+        if (!status.is_object() || status["generation"].get<uint64_t>() < m_generation) {
+          return false;
+        }
+      }
+      return true;
+    });
+  }
+
+  void Change() {
+    ++m_tally.m_changes;
+    const int code = m_fleet.Ctl({ "apply",
+                                   m_fleet.ManifestFile(),
+                                   "--node",
+                                   m_fleet.Node(m_random() % m_fleet.Nodes()).ToText(),
+                                   "--base",
+                                   std::to_string(m_generation) });
+    m_tally.m_notInForce += code == 0 && m_fleet.InForce(++m_generation) ? 0 : 1;
+  }
+
+  void Judge() {
+    for (const auto& [order, runs] : m_fleet.Runs()) {
+      m_tally.m_ranTwice += runs > 1 ? 1 : 0;
+      m_tally.m_notRunButRan += m_onlyNotRun[order] ? 1 : 0;
+    }
+  }
+
+  std::mt19937_64 m_random;
+  Fleet m_fleet;
+  Tally m_tally;
+  std::mutex m_mutex;
+  std::map<std::string, bool> m_onlyNotRun;
+  std::set<size_t> m_gone;
+  uint64_t m_generation = 1;
+};
+
+} // namespace
+
+Report RunFaults(uint64_t aSeed, double aMinutes) {
+  Rounds rounds(aSeed);
+  constexpr double kSecondsPerMinute = 60;
+  const auto start = base::SteadyClock().Now();
+  int round = 0;
+  while (std::chrono::duration<double>(base::SteadyClock().Now() - start).count() <
+         aMinutes * kSecondsPerMinute) {
+    rounds.Run(++round);
+  }
+  return rounds.Verdicts(aSeed, round);
+}
+
+} // namespace papayafield::bench
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,4 +1,5 @@
 #include "ControlBench.h"
+#include "FaultsBench.h"
 #include "LoadBench.h"
 #include "NodeBench.h"
 
@@ -17,11 +18,14 @@
   std::string json;
   std::string only;
   uint64_t seed = 1;
+  double minutes = 1;
   for (int i = 2; i + 1 < argc; i += 2) {
     if (std::strcmp(argv[i], "--json") == 0) {
       json = argv[i + 1];
     } else if (std::strcmp(argv[i], "--only") == 0) {
       only = argv[i + 1];
+    } else if (std::strcmp(argv[i], "--minutes") == 0) {
+      minutes = std::atof(argv[i + 1]);
     } else if (std::strcmp(argv[i], "--seed") == 0) {
       seed = std::strtoull(argv[i + 1], nullptr, 10);
     }
@@ -43,9 +47,13 @@
     measure("relay", MeasureRelay);
   } else if (command == "load") {
     measure("overload", [&] { return MeasureOverload(seed); });
+  } else if (command == "faults") {
+    measure("faults", [&] { return RunFaults(seed, minutes); });
   } else {
-    std::fputs("usage: scripts/bench control|node|load [--only PART] [--json FILE] [--seed N]\n",
-               stderr);
+    std::fputs(
+      "usage: scripts/bench control|node|load|faults [--only PART] [--json FILE] [--seed N] "
+      "[--minutes M]\n",
+      stderr);
     return 2;
   }
   if (!json.empty()) {
