Load questions bounded at 25 a second; cached prefixes end where a block was dropped

Cause 1: each engine was asked each 250 ms, so 32 engines gave 128 questions a second, and each fourth brought every block that the engine had stored, of which only the dropped ones were used. Change: 25 questions for a load a second at most, the engine that has waited longest first, and only dropped blocks are asked for. The engine stand-in now tells which blocks it drops.

Change: a block goes together with those that build on it, so that one held stands for all before it, as the search supposes.

--- a/bench/ControlBench.cpp
+++ b/bench/ControlBench.cpp
@@ -163,6 +163,37 @@
   return report;
 }
 
+Report MeasureEngines() {
+  Report report("load questions: an idle node beside idle engines",
+                { "engines", "questions a second", "cpu % of a core", "resident MiB" });
+  for (const int engines : { 0, 1, 8, 32 }) {
+    tests::FleetSettings settings = PacedFleet(1, 0);
+    settings.m_engines = engines;
+    tests::Fleet fleet(settings);
+    const int pid = fleet.NodeProcess(0).Pid();
+    const auto asked = [&] {
+      double sum = 0;
+      for (size_t i = 0; i < fleet.Engines(); ++i) {
+        sum += tests::Fleet::EngineCounts(fleet.Engine(i))["questions"].get<double>();
+      }
+      return sum;
+    };
+    std::this_thread::sleep_for(base::Millis(2000));
+    const double asksBefore = asked();
+    const Usage before = ReadUsage(pid);
+    constexpr base::Millis kIdle{ 8000 };
+    std::this_thread::sleep_for(kIdle);
+    const Usage after = ReadUsage(pid);
+    const double seconds = std::chrono::duration<double>(kIdle).count();
+    constexpr double kPercent = 100;
+    report.Add({ engines,
+                 Rounded((asked() - asksBefore) / seconds, 1),
+                 Rounded((after.m_cpuSeconds - before.m_cpuSeconds) / seconds * kPercent, 2),
+                 Rounded(after.m_residentKib / 1024, 1) });
+  }
+  return report;
+}
+
 Report MeasureConfiguration() {
   Report report(
     "configuration: from acceptance to in force at all nodes, 20 changes",
--- a/bench/ControlBench.h
+++ b/bench/ControlBench.h
@@ -14,6 +14,8 @@
 Report MeasureRouting();
 /// Calls of the key-value service by idle nodes and by orders, over the number of nodes.
 Report MeasurePlatformCalls();
+/// What asking engines for their load costs a node, over the number of engines.
+Report MeasureEngines();
 /// From the acceptance of a change until it is in force at all real nodes.
 Report MeasureConfiguration();
 
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -40,6 +40,7 @@
   if (command == "control") {
     measure("membership", MeasureMembership);
     measure("routing", MeasureRouting);
+    measure("engines", MeasureEngines);
     measure("platform", MeasurePlatformCalls);
     measure("configuration", MeasureConfiguration);
   } else if (command == "node") {
--- a/packages/adapters/engine/EngineClient.cpp
+++ b/packages/adapters/engine/EngineClient.cpp
@@ -244,11 +244,11 @@
   });
 }
 
-void EngineClient::Events(const base::Address& aEngine,
-                          uint64_t aFrom,
-                          std::function<void(std::optional<CacheEvents>)> aOnDone) {
+void EngineClient::Evictions(const base::Address& aEngine,
+                             uint64_t aFrom,
+                             std::function<void(std::optional<CacheEvents>)> aOnDone) {
   http::HttpRequest request =
-    Prepare(aEngine, "GET", "/cache/events?from=" + std::to_string(aFrom));
+    Prepare(aEngine, "GET", "/cache/events?evicted=1&from=" + std::to_string(aFrom));
   request.m_totalTimeout = m_settings.m_callTimeout;
   m_client.Fetch(std::move(request), [aFrom, aOnDone = std::move(aOnDone)](auto aAnswer) {
     const auto report =
--- a/packages/adapters/engine/EngineClient.h
+++ b/packages/adapters/engine/EngineClient.h
@@ -108,8 +108,8 @@
   /// Asks for the engine's load; nothing on failure.
   void Load(const base::Address& aEngine,
             std::function<void(std::optional<routing::EngineLoad>)> aOnDone);
-  /// Asks for cache events from `aFrom` on; nothing on failure.
-  void Events(const base::Address& aEngine,
+  /// Asks which cached blocks were dropped, from event `aFrom` on; nothing on failure.
+  void Evictions(const base::Address& aEngine,
               uint64_t aFrom,
               std::function<void(std::optional<CacheEvents>)> aOnDone);
 
--- a/packages/gateway/EndpointMonitor.cpp
+++ b/packages/gateway/EndpointMonitor.cpp
@@ -4,8 +4,10 @@
 
 namespace {
 
-/// Cache events are asked for in each of so many rounds.
-constexpr uint64_t kRoundsPerEvents = 4;
+/// Time between two questions for a load: 25 a second at most.
+constexpr base::Millis kAskGap{ 40 };
+/// Dropped cache blocks are asked for with each so many-th question to an engine.
+constexpr uint64_t kAsksPerEvictions = 4;
 
 } // namespace
 
@@ -13,10 +15,9 @@
                                  std::function<void(const base::EndpointId&)> aOnLeaving)
   : m_context(aContext)
   , m_onLeaving(std::move(aOnLeaving))
-  , m_timer(
-      aContext.m_loop.Every(aContext.m_settings.m_endpoints.m_loadPeriod, [this] { Tick(); })) {}
+  , m_timer(aContext.m_loop.Every(kAskGap, [this] { Tick(); })) {}
 
-void EndpointMonitor::KeepListed() {
+void EndpointMonitor::EndpointsChanged() {
   std::unordered_map<base::EndpointId, Progress> progress;
   for (const routing::EndpointInfo& endpoint : m_context.m_dispatcher.Router().Used()) {
     if (endpoint.m_kind == routing::EndpointKind::Engine) {
@@ -25,32 +26,40 @@
   }
   // Endpoints that are no longer used are forgotten.
   m_progress = std::move(progress);
-}
-
-void EndpointMonitor::AskNew() {
-  KeepListed();
   for (auto& [id, state] : m_progress) {
-    if (!state.m_asked) {
-      state.m_asked = state.m_asking = true;
-      AskLoad(*m_context.m_dispatcher.Router().Find(id));
+    if (state.m_asks == 0) {
+      Ask(id, state);
     }
   }
 }
 
 void EndpointMonitor::Tick() {
-  ++m_round;
-  KeepListed();
-  for (auto& [id, state] : m_progress) {
-    const routing::EndpointInfo* endpoint = m_context.m_dispatcher.Router().Find(id);
-    if (!state.m_asking) {
-      state.m_asked = state.m_asking = true;
-      AskLoad(*endpoint);
-    }
-    if (m_round % kRoundsPerEvents == 0 && !state.m_askingEvents) {
-      state.m_askingEvents = true;
-      AskEvents(*endpoint);
+  // The one that has waited longest, if it is due.
+  const base::TimePoint due =
+    base::SteadyClock().Now() - m_context.m_settings.m_endpoints.m_loadPeriod;
+  auto oldest = m_progress.end();
+  for (auto at = m_progress.begin(); at != m_progress.end(); ++at) {
+    if (!at->second.m_asking && at->second.m_lastAsked <= due &&
+        (oldest == m_progress.end() || at->second.m_lastAsked < oldest->second.m_lastAsked)) {
+      oldest = at;
     }
   }
+  if (oldest != m_progress.end()) {
+    Ask(oldest->first, oldest->second);
+  }
+}
+
+void EndpointMonitor::Ask(const base::EndpointId& aEndpoint, Progress& aProgress) {
+  const routing::EndpointInfo* endpoint = m_context.m_dispatcher.Router().Find(aEndpoint);
+  if (endpoint == nullptr) {
+    return;
+  }
+  aProgress.m_lastAsked = base::SteadyClock().Now();
+  aProgress.m_asking = true;
+  if (++aProgress.m_asks % kAsksPerEvictions == 0) {
+    AskEvictions(*endpoint, aProgress.m_nextEvent);
+  }
+  AskLoad(*endpoint);
 }
 
 void EndpointMonitor::AskLoad(const routing::EndpointInfo& aEndpoint) {
@@ -70,30 +79,25 @@
   });
 }
 
-void EndpointMonitor::AskEvents(const routing::EndpointInfo& aEndpoint) {
+void EndpointMonitor::AskEvictions(const routing::EndpointInfo& aEndpoint, uint64_t aFrom) {
   const base::EndpointId id = aEndpoint.m_id;
-  m_context.m_engines.Events(
-    aEndpoint.m_address, m_progress[id].m_nextEvent, [this, id](const auto& aEvents) {
-      const auto found = m_progress.find(id);
-      if (found == m_progress.end()) {
-        return;
-      }
-      found->second.m_askingEvents = false;
-      if (!aEvents) {
-        return;
-      }
-      routing::Router& router = m_context.m_dispatcher.Router();
-      // The first batch only says where the numbers stand.
-      if (aEvents->m_gap && found->second.m_nextEvent > 0) {
-        router.NoteGap(id);
-      }
-      found->second.m_nextEvent = aEvents->m_next;
-      for (const adapters::engine::CacheEvent& event : aEvents->m_events) {
-        if (event.m_evicted) {
-          router.NoteEvicted(id, event.m_block);
-        }
+  m_context.m_engines.Evictions(aEndpoint.m_address, aFrom, [this, id](const auto& aEvents) {
+    const auto found = m_progress.find(id);
+    if (!aEvents || found == m_progress.end()) {
+      return;
+    }
+    routing::Router& router = m_context.m_dispatcher.Router();
+    // The first batch only says where the numbers stand.
+    if (aEvents->m_gap && found->second.m_nextEvent > 0) {
+      router.NoteGap(id);
+    }
+    found->second.m_nextEvent = aEvents->m_next;
+    for (const adapters::engine::CacheEvent& event : aEvents->m_events) {
+      if (event.m_evicted) {
+        router.NoteEvicted(id, event.m_block);
       }
-    });
+    }
+  });
 }
 
 } // namespace papayafield::gateway
--- a/packages/routing/CacheView.cpp
+++ b/packages/routing/CacheView.cpp
@@ -16,24 +16,27 @@
 CacheView::CacheView(size_t aCapacity)
   : m_capacity(aCapacity) {}
 
-void CacheView::Store(std::span<const uint64_t> aBlocks) {
-  // Backwards, so that the start of a prefix is the last to go.
+std::vector<uint64_t> CacheView::Store(std::span<const uint64_t> aBlocks) {
+  uint64_t before = 0;
+  for (const uint64_t block : aBlocks) {
+    Touch(block, before);
+    before = block;
+  }
+  // The start of a prefix is the last of it to go.
   for (size_t left = aBlocks.size(); left > 0; --left) {
-    Touch(aBlocks[left - 1]);
+    m_order.splice(m_order.begin(), m_order, m_blocks.at(aBlocks[left - 1]).m_place);
   }
   m_trust = std::min(1.0, m_trust + kTrustRegained);
+  std::vector<uint64_t> gone;
   while (m_order.size() > m_capacity) {
-    m_blocks.erase(m_order.back());
-    m_order.pop_back();
+    Remove(m_order.back(), gone);
   }
+  return gone;
 }
 
 void CacheView::Evict(uint64_t aBlock) {
-  const auto found = m_blocks.find(aBlock);
-  if (found != m_blocks.end()) {
-    m_order.erase(found->second);
-    m_blocks.erase(found);
-  }
+  std::vector<uint64_t> gone;
+  Remove(aBlock, gone);
 }
 
 void CacheView::LoseTrust() {
@@ -44,7 +47,7 @@
   if (aBlocks.empty() || !m_blocks.contains(aBlocks.front())) {
     return 0;
   }
-  // A block stands for all before it, and the start of a prefix is the last to go: search the end.
+  // A block stands for all before it: search the end by halves.
   size_t low = 1;
   size_t high = aBlocks.size();
   while (low < high) {
@@ -58,14 +61,38 @@
   return static_cast<double>(low) * m_trust;
 }
 
-void CacheView::Touch(uint64_t aBlock) {
-  const auto found = m_blocks.find(aBlock);
-  if (found != m_blocks.end()) {
-    m_order.splice(m_order.begin(), m_order, found->second);
+void CacheView::Touch(uint64_t aBlock, uint64_t aBefore) {
+  const auto [place, fresh] = m_blocks.try_emplace(aBlock);
+  if (!fresh) {
     return;
   }
   m_order.push_front(aBlock);
-  m_blocks.emplace(aBlock, m_order.begin());
+  place->second.m_place = m_order.begin();
+  place->second.m_before = aBefore;
+  if (const auto before = m_blocks.find(aBefore); before != m_blocks.end()) {
+    before->second.m_after.push_back(aBlock);
+  }
+}
+
+void CacheView::Remove(uint64_t aBlock, std::vector<uint64_t>& aGone) {
+  // Iterative, since a prefix may be long.
+  std::vector<uint64_t> open{ aBlock };
+  if (const auto found = m_blocks.find(aBlock); found != m_blocks.end()) {
+    if (const auto before = m_blocks.find(found->second.m_before); before != m_blocks.end()) {
+      std::erase(before->second.m_after, aBlock);
+    }
+  }
+  while (!open.empty()) {
+    const auto found = m_blocks.find(open.back());
+    open.pop_back();
+    if (found == m_blocks.end()) {
+      continue;
+    }
+    open.insert(open.end(), found->second.m_after.begin(), found->second.m_after.end());
+    aGone.push_back(found->first);
+    m_order.erase(found->second.m_place);
+    m_blocks.erase(found);
+  }
 }
 
 } // namespace papayafield::routing
--- a/standins/engine/Engine.cpp
+++ b/standins/engine/Engine.cpp
@@ -34,9 +34,11 @@
   } else if (path.starts_with("/streams/")) {
     Streams(aExchange);
   } else if (path == "/load") {
+    ++m_questions;
     // The oldest sample within the lag is what the engine shows.
     ReplyJson(aExchange, 200, m_samples.empty() ? Report() : m_samples.front().m_report);
   } else if (path == "/cache/events") {
+    ++m_questions;
     Events(aExchange);
   } else if (path.starts_with("/control/")) {
     Control(aExchange);
@@ -162,6 +164,7 @@
               { "recomputed", m_recomputed },
               { "wrong_text", m_wrongText },
               { "cancelled", m_cancelled },
+              { "questions", m_questions },
               { "streams", m_streams.size() },
               { "active", m_active.size() } });
 }
@@ -169,13 +172,16 @@
 void Engine::Events(const ExchangePtr& aExchange) {
   const uint64_t from =
     std::strtoull(aExchange->QueryValue("from").value_or("0").c_str(), nullptr, 10);
+  const bool onlyEvicted = aExchange->QueryValue("evicted").has_value();
   const auto shown = base::SteadyClock().Now() - kEventLag;
   nlohmann::json events = nlohmann::json::array();
   uint64_t next = from;
   uint64_t first = m_events.empty() ? from : std::max(from, m_events.front().m_number);
   for (const CacheEvent& event : m_events) {
     if (event.m_number >= from && event.m_when <= shown) {
-      events.push_back({ { "block", event.m_block }, { "evicted", event.m_evicted } });
+      if (event.m_evicted || !onlyEvicted) {
+        events.push_back({ { "block", event.m_block }, { "evicted", event.m_evicted } });
+      }
       next = event.m_number + 1;
     }
   }
@@ -302,17 +308,22 @@
 
 void Engine::NoteBlocks(const Stream& aStream) {
   const auto blocks = routing::PrefixBlocks(aStream.m_prompt);
-  m_cache.Store(blocks);
+  for (const uint64_t block : m_cache.Store(blocks)) {
+    NoteEvent(block, true);
+  }
   for (const uint64_t block : blocks) {
-    m_cacheOrder.push_back(block);
-    const uint64_t number = m_nextEvent++;
-    if (m_dropNextEvents > 0) {
-      --m_dropNextEvents;
-      continue;
-    }
-    m_events.push_back({ number, block, false, base::SteadyClock().Now() });
+    NoteEvent(block, false);
+  }
+}
+
+void Engine::NoteEvent(uint64_t aBlock, bool aEvicted) {
+  const uint64_t number = m_nextEvent++;
+  if (m_dropNextEvents > 0) {
+    --m_dropNextEvents;
+    return;
   }
-  while (m_events.size() > kMaxEvents) {
+  m_events.push_back({ number, aBlock, aEvicted, base::SteadyClock().Now() });
+  if (m_events.size() > kMaxEvents) {
     m_events.pop_front();
   }
 }
--- a/standins/engine/Engine.h
+++ b/standins/engine/Engine.h
@@ -84,6 +84,7 @@
   void Tick();
   void StartPrefill(Stream& aStream);
   void NoteBlocks(const Stream& aStream);
+  void NoteEvent(uint64_t aBlock, bool aEvicted);
   nlohmann::json Report() const;
   void Drop(const std::string& aId);
   std::string EventOf(const Stream& aStream, uint64_t aOffset) const;
@@ -94,7 +95,6 @@
   /// Waiting or in the batch, in the order of arrival.
   std::list<StreamPtr> m_active;
   routing::CacheView m_cache;
-  std::deque<uint64_t> m_cacheOrder;
   std::deque<LoadSample> m_samples;
   std::list<adapters::http::WatchPtr> m_exports;
   bool m_leaving = false;
@@ -106,6 +106,7 @@
   uint64_t m_recomputed = 0;
   uint64_t m_wrongText = 0;
   uint64_t m_cancelled = 0;
+  uint64_t m_questions = 0;
   uint64_t m_dropNextEvents = 0;
   struct CacheEvent {
     uint64_t m_number;
