Reading: the caller's side of a completion stands apart, one table of transfer faults, unused parts gone

The map from transfer faults to attempt faults stood twice. Router::LiveCount, the overcommit setting, m_onStarted and unused time arguments are gone.

--- a/bench/ControlBench.cpp
+++ b/bench/ControlBench.cpp
@@ -77,7 +77,7 @@
     constexpr int kDecisions = 2000;
     const double start = ThreadCpuSeconds();
     for (int i = 0; i < kDecisions; ++i) {
-      if (!router.Choose(query, now)) {
+      if (!router.Choose(query)) {
         std::abort();
       }
     }
--- a/packages/adapters/engine/EngineClient.cpp
+++ b/packages/adapters/engine/EngineClient.cpp
@@ -1,5 +1,6 @@
 #include "adapters/engine/EngineClient.h"
 
+#include "adapters/engine/TransferFaults.h"
 #include "base/Json.h"
 
 #include <charconv>
@@ -14,21 +15,6 @@
 constexpr int kOk = 200;
 constexpr int kGone = 404;
 
-Fault ToFault(TransferFault aFault, bool aSawTokens) {
-  switch (aFault) {
-    case TransferFault::ConnectRefused:
-    case TransferFault::ConnectTimedOut:
-      return Fault::NotConnected;
-    case TransferFault::ResetBeforeAnswer:
-      return Fault::ResetBeforeAnswer;
-    case TransferFault::ResetInAnswer:
-      return aSawTokens ? Fault::ResetInAnswer : Fault::ResetBeforeAnswer;
-    case TransferFault::Silent:
-      break;
-  }
-  return Fault::Silence;
-}
-
 std::optional<uint64_t> ParseNumber(const std::string& aText) {
   uint64_t number = 0;
   const auto [stop, fault] = std::from_chars(aText.data(), aText.data() + aText.size(), number);
@@ -77,9 +63,6 @@
     // An engine names the stream that it answers; another name is the answer to another request.
     const auto stream = aHeaders.Find("X-Stream-Id");
     m_crossed = aStatus == kOk && stream != m_stream;
-    if (aStatus == kOk && !m_crossed && m_events.m_onStarted) {
-      m_events.m_onStarted();
-    }
   }
 
   void Data(std::string_view aPart) {
@@ -159,7 +142,7 @@
   events.m_onData = [reader](std::string_view aPart) { reader->Data(aPart); };
   events.m_onEnd = [reader] { reader->Finish(); };
   events.m_onFault = [reader](TransferFault aFault) {
-    reader->Fail(ToFault(aFault, reader->m_sawTokens));
+    reader->Fail(FaultOf(aFault, reader->m_sawTokens));
   };
   reader->m_transfer = m_client.Start(std::move(aRequest), std::move(events));
   return reader->m_transfer;
--- a/packages/adapters/engine/EngineClient.h
+++ b/packages/adapters/engine/EngineClient.h
@@ -25,8 +25,6 @@
 /// What a stream tells its owner. Exactly one of m_onEnd, m_onSuperseded and
 /// m_onFault is called, once, as the last.
 struct StreamEvents {
-  /// The engine has taken the request.
-  std::function<void()> m_onStarted;
   /// Tokens have come.
   std::function<void(std::vector<StreamToken> aTokens)> m_onTokens;
   /// The answer is whole.
@@ -110,8 +108,8 @@
             std::function<void(std::optional<routing::EngineLoad>)> aOnDone);
   /// Asks which cached blocks were dropped, from event `aFrom` on; nothing on failure.
   void Evictions(const base::Address& aEngine,
-              uint64_t aFrom,
-              std::function<void(std::optional<CacheEvents>)> aOnDone);
+                 uint64_t aFrom,
+                 std::function<void(std::optional<CacheEvents>)> aOnDone);
 
 private:
   http::HttpRequest Prepare(const base::Address& aEngine, std::string aMethod, std::string aTarget);
--- a/packages/gateway/ChatRequest.cpp
+++ b/packages/gateway/ChatRequest.cpp
@@ -14,7 +14,6 @@
 using requests::Outcome;
 using requests::Step;
 
-constexpr int kOk = 200;
 constexpr int kSeeOther = 303;
 constexpr int kTemporaryRedirect = 307;
 constexpr int kGone = 410;
@@ -29,8 +28,6 @@
 constexpr Millis kMoveReserve{ 500 };
 /// Longest time that an export may take.
 constexpr Millis kExportTimeout{ 2000 };
-/// Time between two signs of life to a caller.
-constexpr Millis kCallerBeat{ 1000 };
 /// How long an engine goes on for a streaming caller that has gone.
 constexpr Millis kReturnGrace{ 10000 };
 /// Random bytes in the name of a stream.
@@ -53,20 +50,23 @@
                          Completion aCompletion,
                          std::function<void(const base::RequestId&)> aOnOver)
   : m_context(aContext)
-  , m_exchange(std::move(aExchange))
-  , m_id(std::move(aId))
+  , m_id(aId)
+  , m_caller(aContext.m_loop,
+             std::move(aExchange),
+             std::move(aId),
+             aContext.m_settings.m_limits.m_maxUnsentBytes)
   , m_team(aTeam)
   , m_completion(std::move(aCompletion))
   , m_onOver(std::move(aOnOver))
   , m_since(Now()) {}
 
 void ChatRequest::Begin() {
-  m_exchange->OnGone([self = shared_from_this()] { self->OnCallerGone(); });
+  m_caller.OnGone([self = shared_from_this()] { self->OnCallerGone(); });
   Queue();
 }
 
 void ChatRequest::BeginAfter(const requests::AnswerPosition& aPosition) {
-  m_exchange->OnGone([self = shared_from_this()] { self->OnCallerGone(); });
+  m_caller.OnGone([self = shared_from_this()] { self->OnCallerGone(); });
   m_callerFrom = aPosition.m_offset + 1;
   const routing::EndpointInfo* endpoint =
     m_context.m_dispatcher.Router().Find(aPosition.m_token.m_endpoint);
@@ -242,8 +242,8 @@
     m_attempt.m_resumes = 0;
     Measure(m_splicer.Next() - before);
   }
-  if (!part.empty()) {
-    SendToCaller(part);
+  if (!part.empty() && !m_caller.Send(part)) {
+    OnCallerGone();
   }
   // Ask again for what is missing; the rest of this batch comes again too.
   if (gap && !m_over) {
@@ -262,35 +262,6 @@
   m_context.m_metrics.Add(Counter::TokensRelayed, static_cast<double>(aTokens));
 }
 
-void ChatRequest::SendToCaller(const std::string& aPart) {
-  StartCallerStream();
-  m_exchange->SendPart(aPart);
-  // A caller that reads too slowly is let go, so that it cannot fill the memory.
-  if (m_exchange->UnsentBytes() > m_context.m_settings.m_limits.m_maxUnsentBytes) {
-    const adapters::http::ExchangePtr exchange = m_exchange;
-    OnCallerGone();
-    exchange->Abort();
-  }
-}
-
-void ChatRequest::StartCallerStream() {
-  if (m_callerStreaming) {
-    return;
-  }
-  m_callerStreaming = true;
-  m_exchange->StartStream(kOk,
-                          { { "Content-Type", "text/event-stream" },
-                            { "Cache-Control", "no-cache" },
-                            { "X-Request-Id", m_id.Text() } });
-  m_beatTimer = m_context.m_loop.Every(kCallerBeat, [this] { Beat(); });
-}
-
-void ChatRequest::Beat() {
-  if (Now() - m_lastToken >= kCallerBeat) {
-    m_exchange->SendPart(": alive\n\n");
-  }
-}
-
 void ChatRequest::OnEnd() {
   LeaveAttempt(Cost());
   m_context.m_timeline.Add(EventKind::AnswerEnded,
@@ -299,13 +270,9 @@
                            std::to_string(m_splicer.Next()) + " tokens");
   m_context.m_metrics.Add(Counter::RequestsAnswered);
   if (m_completion.m_stream) {
-    StartCallerStream();
-    m_exchange->SendPart("data: [DONE]\n\n");
-    m_exchange->EndStream();
+    m_caller.EndStream();
   } else {
-    m_exchange->Reply(kOk,
-                      { { "Content-Type", "application/json" }, { "X-Request-Id", m_id.Text() } },
-                      WholeAnswer(m_completion, m_id, m_text, m_splicer.Next()));
+    m_caller.ReplyWhole(WholeAnswer(m_completion, m_id, m_text, m_splicer.Next()));
   }
   Over();
 }
@@ -395,7 +362,7 @@
   routing::RouteQuery query = Query();
   query.m_exclude.insert(m_attempt.m_endpoint);
   query.m_avoidZone = m_attempt.m_zone;
-  if (const auto target = m_context.m_dispatcher.Router().Choose(query, Now())) {
+  if (const auto target = m_context.m_dispatcher.Router().Choose(query)) {
     m_context.m_dispatcher.Router().NoteSent(target->m_endpoint, query, Now());
     Move(*target);
     return;
@@ -433,21 +400,16 @@
     return;
   }
   const std::string next = "http://" + aNext.ToText();
-  if (m_callerStreaming) {
+  if (m_caller.Streaming()) {
     // The caller asks there again, with the id of the last event.
-    m_exchange->SendPart("event: moved\ndata: {\"address\":\"" + aNext.ToText() + "\"}\n\n");
-    m_exchange->EndStream();
+    m_caller.EndStreamAt(aNext);
   } else if (m_context.m_dispatcher.Withdraw(m_id) || !m_attempt.m_open) {
     // It has not reached an engine: the other node takes it from the start.
-    m_exchange->Reply(kTemporaryRedirect,
-                      { { "Location", next + m_completion.m_path },
-                        { "X-Outcome", std::string(base::NameOf(Outcome::NotRun)) } },
-                      "");
+    m_caller.Redirect(kTemporaryRedirect, next + m_completion.m_path);
   } else {
     // The engine goes on, and the other node brings the whole answer.
     const std::string kind = m_completion.m_path == kChatPath ? "chat" : "text";
-    m_exchange->Reply(
-      kSeeOther, { { "Location", next + "/v1/answers/" + kind + "/" + m_eventPrefix + ".0" } }, "");
+    m_caller.Redirect(kSeeOther, next + "/v1/answers/" + kind + "/" + m_eventPrefix + ".0");
   }
   LeaveAttempt(0);
   Over();
@@ -461,7 +423,7 @@
   const bool waiting = m_context.m_dispatcher.Withdraw(m_id);
   // A streaming caller may come back for the rest at any node, so its engine goes on for a while; a
   // whole answer has no position to come back to.
-  if (!waiting && m_attempt.m_open && !m_callerStreaming) {
+  if (!waiting && m_attempt.m_open && !m_caller.Streaming()) {
     m_context.m_engines.Cancel(m_attempt.m_address, m_attempt.m_stream, false);
   } else if (!waiting && m_attempt.m_open) {
     m_graceTimer = m_context.m_loop.After(kReturnGrace, [self = shared_from_this()] {
@@ -478,7 +440,7 @@
   // stream away from it.
   m_context.m_timeline.Add(EventKind::CallerGone, m_id, "", "reads on at another node");
   LeaveAttempt(0);
-  m_exchange->Abort();
+  m_caller.HangUp();
   Over();
 }
 
@@ -487,12 +449,7 @@
     return;
   }
   m_context.m_metrics.Add(Counter::RequestsRefused);
-  if (m_callerStreaming) {
-    m_exchange->SendPart("event: error\ndata: " + ToJson(aProblem) + "\n\n");
-    m_exchange->EndStream();
-  } else {
-    Reply(*m_exchange, aProblem);
-  }
+  m_caller.Fail(aProblem);
   Over();
 }
 
@@ -502,9 +459,8 @@
   }
   m_moveTimer.reset();
   m_retryTimer.reset();
-  m_beatTimer.reset();
   m_context.m_loop.Defer([self = shared_from_this()] {
-    self->m_exchange->OnGone(nullptr);
+    self->m_caller.Release();
     self->m_onOver(self->m_id);
   });
 }
--- a/packages/gateway/ChatRequest.h
+++ b/packages/gateway/ChatRequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/AnswerWriter.h"
 #include "gateway/Completion.h"
 #include "gateway/GatewayContext.h"
 #include "requests/AnswerToken.h"
@@ -61,15 +62,12 @@
   adapters::engine::StreamEvents MakeEvents();
   void OnTokens(const std::vector<adapters::engine::StreamToken>& aTokens);
   void Measure(uint64_t aTokens);
-  void SendToCaller(const std::string& aPart);
   void OnEnd();
   void OnFault(requests::Fault aFault);
   void LeaveAttempt(double aServedCost);
   void TryMove();
   void Move(const routing::RouteChoice& aTarget);
   bool EndsBefore(int64_t aLeavesAtMs) const;
-  void StartCallerStream();
-  void Beat();
   void OnCallerGone();
   void OnSuperseded();
   void Fail(const Problem& aProblem);
@@ -78,8 +76,8 @@
   routing::RouteQuery Query() const;
 
   GatewayContext& m_context;
-  adapters::http::ExchangePtr m_exchange;
   base::RequestId m_id;
+  AnswerWriter m_caller;
   manifest::Team m_team;
   Completion m_completion;
   std::function<void(const base::RequestId&)> m_onOver;
@@ -95,12 +93,10 @@
   /// Start of the event ids of the present attempt.
   std::string m_eventPrefix;
   std::string m_kvState;
-  bool m_callerStreaming = false;
   bool m_over = false;
   bool m_moving = false;
   adapters::http::WatchPtr m_moveTimer;
   adapters::http::WatchPtr m_retryTimer;
-  adapters::http::WatchPtr m_beatTimer;
   adapters::http::WatchPtr m_graceTimer;
 };
 
--- a/packages/gateway/Dispatcher.cpp
+++ b/packages/gateway/Dispatcher.cpp
@@ -98,7 +98,7 @@
     if (found == m_tickets.end()) {
       continue;
     }
-    const auto choice = m_router.Choose(found->second.m_query, Now());
+    const auto choice = m_router.Choose(found->second.m_query);
     if (!choice) {
       m_parked.push_back(*waiting);
       continue;
--- a/packages/gateway/ServiceRequest.cpp
+++ b/packages/gateway/ServiceRequest.cpp
@@ -1,5 +1,7 @@
 #include "gateway/ServiceRequest.h"
 
+#include "adapters/engine/TransferFaults.h"
+
 #include <algorithm>
 
 namespace papayafield::gateway {
@@ -23,21 +25,6 @@
   return base::SteadyClock().Now();
 }
 
-Fault ToFault(TransferFault aFault) {
-  switch (aFault) {
-    case TransferFault::ConnectRefused:
-    case TransferFault::ConnectTimedOut:
-      return Fault::NotConnected;
-    case TransferFault::ResetBeforeAnswer:
-      return Fault::ResetBeforeAnswer;
-    case TransferFault::ResetInAnswer:
-      return Fault::ResetInAnswer;
-    case TransferFault::Silent:
-      break;
-  }
-  return Fault::Silence;
-}
-
 } // namespace
 
 ServiceRequest::ServiceRequest(GatewayContext& aContext,
@@ -57,7 +44,7 @@
 
 void ServiceRequest::Attempt() {
   const routing::RouteQuery query{ m_ask.m_service, {}, 0, {}, m_tried, {} };
-  const auto choice = m_context.m_dispatcher.Router().Choose(query, Now());
+  const auto choice = m_context.m_dispatcher.Router().Choose(query);
   const auto left = std::chrono::duration_cast<base::Millis>(m_deadline - Now());
   if (!choice || left.count() <= 0) {
     Finish(tl::unexpected(Problem{ kServiceUnavailable,
@@ -89,7 +76,7 @@
                            const tl::expected<HttpAnswer, TransferFault>& aAnswer) {
                            self->m_context.m_dispatcher.Router().NoteEnded(self->m_endpoint);
                            if (!aAnswer) {
-                             self->OnFault(ToFault(aAnswer.error()),
+                             self->OnFault(adapters::engine::FaultOf(aAnswer.error(), true),
                                            std::string(base::NameOf(aAnswer.error())));
                            } else {
                              self->OnAnswer(attempt, *aAnswer);
--- a/packages/routing/Router.cpp
+++ b/packages/routing/Router.cpp
@@ -148,7 +148,7 @@
   }
 }
 
-std::optional<RouteChoice> Router::Choose(const RouteQuery& aQuery, base::TimePoint aNow) const {
+std::optional<RouteChoice> Router::Choose(const RouteQuery& aQuery) const {
   const auto group = m_byRuns.find(aQuery.m_runs);
   if (group == m_byRuns.end()) {
     return std::nullopt;
@@ -161,7 +161,7 @@
         (!aQuery.m_exclude.empty() && aQuery.m_exclude.contains(known->m_info.m_id))) {
       continue;
     }
-    const Score score = Rate(*known, aQuery, aNow);
+    const Score score = Rate(*known, aQuery);
     if (best == nullptr || score.Key() < bestScore.Key()) {
       best = known;
       bestScore = score;
@@ -179,7 +179,7 @@
 bool Router::AnyRoom(const base::DeploymentId& aRuns) const {
   const auto group = m_byRuns.find(aRuns);
   return group != m_byRuns.end() &&
-         std::any_of(group->second.begin(), group->second.end(), [this](const Known* aKnown) {
+         std::any_of(group->second.begin(), group->second.end(), [](const Known* aKnown) {
            return HasRoom(*aKnown);
          });
 }
@@ -208,19 +208,12 @@
   return list;
 }
 
-size_t Router::LiveCount(const base::DeploymentId& aRuns) const {
-  return static_cast<size_t>(std::count_if(m_known.begin(), m_known.end(), [&](const auto& aEntry) {
-    const EndpointInfo& info = aEntry.second.m_info;
-    return info.m_runs == aRuns && info.m_state == EndpointState::Live;
-  }));
-}
-
 Router::Known* Router::Get(const base::EndpointId& aEndpoint) {
   const auto found = m_known.find(aEndpoint);
   return found == m_known.end() ? nullptr : &found->second;
 }
 
-bool Router::HasRoom(const Known& aKnown) const {
+bool Router::HasRoom(const Known& aKnown) {
   if (aKnown.m_info.m_kind == EndpointKind::Service) {
     return true;
   }
@@ -229,13 +222,10 @@
     return aKnown.m_outstanding < kUnreportedRoom;
   }
   const auto used = aKnown.m_load.m_running + aKnown.m_load.m_queued + aKnown.m_sent.size();
-  const double room = aKnown.m_load.m_slots * (1 + m_settings.m_overcommit);
-  return static_cast<double>(std::max<size_t>(used, aKnown.m_outstanding)) < room;
+  return std::max<size_t>(used, aKnown.m_outstanding) < aKnown.m_load.m_slots;
 }
 
-Router::Score Router::Rate(const Known& aKnown,
-                           const RouteQuery& aQuery,
-                           base::TimePoint /*aNow*/) const {
+Router::Score Router::Rate(const Known& aKnown, const RouteQuery& aQuery) {
   Score score;
   // Tokens ahead in the engine's queue: its report, and what was sent since.
   double ahead = static_cast<double>(aKnown.m_load.m_queuedPrefillTokens);
--- a/packages/routing/Router.h
+++ b/packages/routing/Router.h
@@ -15,8 +15,6 @@
 struct RouterSettings {
   /// Blocks believed to fit in an engine's prefix cache.
   size_t m_cacheBlocks = 16384;
-  /// An engine's queue may exceed its batch by this share before it gets no more work.
-  double m_overcommit = 0.0;
   /// Most endpoints of one deployment that this node uses; which ones follows from m_node.
   size_t m_subset = 32;
   /// Name of the node, so that each node uses other endpoints.
@@ -78,7 +76,7 @@
   void NoteGap(const base::EndpointId& aEndpoint);
 
   /// The best endpoint with room, or nothing.
-  std::optional<RouteChoice> Choose(const RouteQuery& aQuery, base::TimePoint aNow) const;
+  std::optional<RouteChoice> Choose(const RouteQuery& aQuery) const;
 
   /// Whether some live endpoint that runs `aRuns` has room.
   bool AnyRoom(const base::DeploymentId& aRuns) const;
@@ -89,8 +87,6 @@
   std::vector<EndpointInfo> Endpoints() const;
   /// The endpoints that this node uses.
   std::vector<EndpointInfo> Used() const;
-  /// Live endpoints that run `aRuns`.
-  size_t LiveCount(const base::DeploymentId& aRuns) const;
 
 private:
   /// A request sent since the last load report.
@@ -109,8 +105,8 @@
 
   void ChooseSubsets();
   Known* Get(const base::EndpointId& aEndpoint);
-  Score Rate(const Known& aKnown, const RouteQuery& aQuery, base::TimePoint aNow) const;
-  bool HasRoom(const Known& aKnown) const;
+  static Score Rate(const Known& aKnown, const RouteQuery& aQuery);
+  static bool HasRoom(const Known& aKnown);
 
   RouterSettings m_settings;
   std::unordered_map<base::EndpointId, Known> m_known;
--- a/packages/routing/tests/RouterTest.cpp
+++ b/packages/routing/tests/RouterTest.cpp
@@ -48,9 +48,9 @@
   Router router{ RouterSettings{} };
   router.MarkLeaving(base::EndpointId("a"));
   router.SetEndpoints({ Engine("a") });
-  BOOST_TEST(!router.Choose(Query("x"), kNow).has_value());
+  BOOST_TEST(!router.Choose(Query("x")).has_value());
   router.SetEndpoints({ Engine("a"), Engine("b") });
-  BOOST_TEST(router.Choose(Query("x"), kNow)->m_endpoint.Text() == "b");
+  BOOST_TEST(router.Choose(Query("x"))->m_endpoint.Text() == "b");
   BOOST_TEST(!router.MarkLeaving(base::EndpointId("a")));
 }
 
@@ -59,20 +59,20 @@
   router.SetEndpoints({ Engine("dear", 300), Engine("cheap", 50) });
   router.ReportLoad(base::EndpointId("dear"), Load(0, 8, 0));
   router.ReportLoad(base::EndpointId("cheap"), Load(0, 8, 500));
-  BOOST_TEST(router.Choose(Query("x"), kNow)->m_endpoint.Text() == "cheap");
+  BOOST_TEST(router.Choose(Query("x"))->m_endpoint.Text() == "cheap");
   // 5 s of queue miss a target of 1.8 s.
   router.ReportLoad(base::EndpointId("cheap"), Load(0, 8, 5000));
-  BOOST_TEST(router.Choose(Query("x"), kNow)->m_endpoint.Text() == "dear");
+  BOOST_TEST(router.Choose(Query("x"))->m_endpoint.Text() == "dear");
 }
 
 BOOST_AUTO_TEST_CASE(LongestCachedPrefixWinsAmongEquals) {
   Router router{ RouterSettings{} };
   router.SetEndpoints({ Engine("a"), Engine("b"), Engine("c") });
   const std::string history(6400, 'h');
-  const auto first = router.Choose(Query(history), kNow);
+  const auto first = router.Choose(Query(history));
   router.NoteSent(first->m_endpoint, Query(history), kNow);
   router.ReportLoad(first->m_endpoint, Load(0, 8, 0));
-  const auto second = router.Choose(Query(history + "and the hem"), kNow + base::Millis(1));
+  const auto second = router.Choose(Query(history + "and the hem"));
   BOOST_TEST(second->m_endpoint.Text() == first->m_endpoint.Text());
   BOOST_TEST(second->m_uncachedTokens < 20U);
 }
@@ -81,7 +81,7 @@
   Router router{ RouterSettings{} };
   router.SetEndpoints({ Engine("a") });
   router.ReportLoad(base::EndpointId("a"), Load(2, 2, 0));
-  BOOST_TEST(!router.Choose(Query("x"), kNow).has_value());
+  BOOST_TEST(!router.Choose(Query("x")).has_value());
   BOOST_TEST(!router.AnyRoom(kRuns));
   // What was sent since the last report counts too.
   router.ReportLoad(base::EndpointId("a"), Load(1, 2, 0));
