Ports as concepts; the platform and engine stand-ins have hosts, weights and orders

Cause: the edges were concrete classes with no written contract, and the stand-ins lacked what control will need. Change: EnginePort, KeyValuePort and HostListPort say what the node needs of an adapter, and the adapters are checked against them; hosts are started once for each token, refused or left without an answer as a test says; weights at a bounded rate; orders with fencing numbers that are checked or ignored. Nothing in the node uses hosts, weights and orders yet.

--- a/packages/adapters/peer/tests/PeerClientsTest.cpp
+++ b/packages/adapters/peer/tests/PeerClientsTest.cpp
@@ -80,7 +80,7 @@
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   socklen_t size = sizeof(address);
-  bind(silent, reinterpret_cast<const sockaddr*>(&address), size);
+  BOOST_REQUIRE(bind(silent, reinterpret_cast<const sockaddr*>(&address), size) == 0);
   listen(silent, 8);
   getsockname(silent, reinterpret_cast<sockaddr*>(&address), &size);
   const base::Address at{ "127.0.0.1", ntohs(address.sin_port) };
--- a/packages/gateway/ChatRequest.h
+++ b/packages/gateway/ChatRequest.h
@@ -46,7 +46,7 @@
     base::Address m_address;
     base::ZoneId m_zone;
     std::string m_stream;
-    adapters::engine::EngineClient::Handle m_transfer;
+    EngineAdapter::Handle m_transfer;
     bool m_open = false;
     /// Resumes tried since the last token.
     int m_resumes = 0;
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -35,7 +35,7 @@
   base::Log m_log;
   adapters::http::EventLoop m_loop;
   adapters::http::HttpClient m_http;
-  adapters::engine::EngineClient m_engines;
+  EngineAdapter m_engines;
   Metrics m_metrics;
   Dispatcher m_dispatcher;
   GatewayContext m_context;
--- a/packages/gateway/GatewayContext.h
+++ b/packages/gateway/GatewayContext.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "adapters/engine/EngineClient.h"
 #include "base/Timeline.h"
 #include "gateway/Dispatcher.h"
+#include "gateway/EnginePort.h"
 #include "gateway/Metrics.h"
 #include "settings/NodeSettings.h"
 #include "tasks/Messages.h"
@@ -21,7 +21,7 @@
   base::IncarnationId m_incarnation;
   adapters::http::EventLoop& m_loop;
   adapters::http::HttpClient& m_http;
-  adapters::engine::EngineClient& m_engines;
+  EngineAdapter& m_engines;
   Dispatcher& m_dispatcher;
   base::Timeline& m_timeline;
   Metrics& m_metrics;
--- a/packages/membership/Swim.h
+++ b/packages/membership/Swim.h
@@ -101,8 +101,8 @@
   std::vector<MemberRecord> Records() const;
   /// All members, this node included.
   std::vector<tasks::Member> Members() const;
-  /// A digest of all that Records and Leaving hold, but for the generations; equal tables have equal
-  /// digests.
+  /// A digest of all that Records and Leaving hold, but for the generations; equal tables have
+  /// equal digests.
   uint64_t Digest() const;
   /// All leaving endpoints known.
   std::vector<base::EndpointId> Leaving() const;
--- a/packages/node/ClaimKeeper.cpp
+++ b/packages/node/ClaimKeeper.cpp
@@ -44,7 +44,7 @@
 } // namespace
 
 ClaimKeeper::ClaimKeeper(adapters::http::EventLoop& aLoop,
-                         adapters::platform::KeyValueClient& aStore,
+                         KeyValueAdapter& aStore,
                          const settings::NodeSettings& aSettings,
                          base::IncarnationId aIncarnation,
                          tasks::Mailboxes& aMailboxes)
@@ -232,7 +232,7 @@
         if (aResult && aResult->m_version != 0) {
           m_store.Remove(name, aResult->m_version, onSwap);
         } else {
-          onSwap(adapters::platform::KeyValueClient::SwapResult(0));
+          onSwap(KeyValueAdapter::SwapResult(0));
         }
       });
       return;
--- a/packages/node/ClaimKeeper.h
+++ b/packages/node/ClaimKeeper.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "adapters/platform/KeyValueClient.h"
 #include "claims/ClaimDesk.h"
+#include "node/PlatformPorts.h"
 #include "settings/NodeSettings.h"
 #include "tasks/Messages.h"
 
@@ -18,7 +18,7 @@
 public:
   /// Answers each Ask once, to the gateway.
   ClaimKeeper(adapters::http::EventLoop& aLoop,
-              adapters::platform::KeyValueClient& aStore,
+              KeyValueAdapter& aStore,
               const settings::NodeSettings& aSettings,
               base::IncarnationId aIncarnation,
               tasks::Mailboxes& aMailboxes);
@@ -53,7 +53,7 @@
   std::optional<base::Address> HomeOf(const std::string& aKey) const;
 
   adapters::http::EventLoop& m_loop;
-  adapters::platform::KeyValueClient& m_store;
+  KeyValueAdapter& m_store;
   const settings::NodeSettings& m_settings;
   base::IncarnationId m_incarnation;
   tasks::Mailboxes& m_mailboxes;
--- a/packages/node/ConfigurationKeeper.cpp
+++ b/packages/node/ConfigurationKeeper.cpp
@@ -41,7 +41,7 @@
 
 ConfigurationKeeper::ConfigurationKeeper(
   adapters::http::EventLoop& aLoop,
-  adapters::platform::KeyValueClient& aStore,
+  KeyValueAdapter& aStore,
   base::Millis aBackstopPeriod,
   std::function<void(const tasks::Configuration&)> aOnAdopted)
   : m_loop(aLoop)
@@ -73,7 +73,7 @@
   }
 }
 
-void ConfigurationKeeper::OnRead(const adapters::platform::KeyValueClient::ReadResult& aResult) {
+void ConfigurationKeeper::OnRead(const KeyValueAdapter::ReadResult& aResult) {
   m_asking = false;
   if (!aResult) {
     RoundAfter(Jittered(kPauseAfterFault));
--- a/packages/node/ConfigurationKeeper.h
+++ b/packages/node/ConfigurationKeeper.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "adapters/platform/KeyValueClient.h"
 #include "base/Log.h"
+#include "node/PlatformPorts.h"
 #include "tasks/Messages.h"
 
 #include <functional>
@@ -15,7 +15,7 @@
 public:
   /// Calls `aOnAdopted` with each higher generation.
   ConfigurationKeeper(adapters::http::EventLoop& aLoop,
-                      adapters::platform::KeyValueClient& aStore,
+                      KeyValueAdapter& aStore,
                       base::Millis aBackstopPeriod,
                       std::function<void(const tasks::Configuration&)> aOnAdopted);
 
@@ -38,7 +38,7 @@
   using ApplyPtr = std::shared_ptr<ApplyState>;
 
   void Round();
-  void OnRead(const adapters::platform::KeyValueClient::ReadResult& aResult);
+  void OnRead(const KeyValueAdapter::ReadResult& aResult);
   void RoundAfter(base::Millis aPause);
   void ReadForApply(const ApplyPtr& aApply);
   void WriteForApply(const ApplyPtr& aApply, const adapters::platform::KeyValueEntry& aEntry);
@@ -48,7 +48,7 @@
                 const tasks::Configuration& aPresent);
 
   adapters::http::EventLoop& m_loop;
-  adapters::platform::KeyValueClient& m_store;
+  KeyValueAdapter& m_store;
   base::Millis m_backstopPeriod;
   std::function<void(const tasks::Configuration&)> m_onAdopted;
   base::Log m_log;
--- a/packages/node/NodeRegistry.cpp
+++ b/packages/node/NodeRegistry.cpp
@@ -18,7 +18,7 @@
 } // namespace
 
 NodeRegistry::NodeRegistry(adapters::http::EventLoop& aLoop,
-                           adapters::platform::KeyValueClient& aStore,
+                           KeyValueAdapter& aStore,
                            const settings::NodeSettings& aSettings,
                            base::IncarnationId aIncarnation,
                            std::function<void(std::vector<tasks::Member>)> aOnListed)
--- a/packages/node/NodeRegistry.h
+++ b/packages/node/NodeRegistry.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "adapters/platform/KeyValueClient.h"
+#include "node/PlatformPorts.h"
 #include "settings/NodeSettings.h"
 #include "tasks/Messages.h"
 
@@ -15,7 +15,7 @@
 public:
   /// Calls `aOnListed` with the nodes registered, each time they are read.
   NodeRegistry(adapters::http::EventLoop& aLoop,
-               adapters::platform::KeyValueClient& aStore,
+               KeyValueAdapter& aStore,
                const settings::NodeSettings& aSettings,
                base::IncarnationId aIncarnation,
                std::function<void(std::vector<tasks::Member>)> aOnListed);
@@ -31,7 +31,7 @@
   std::string Value() const;
 
   adapters::http::EventLoop& m_loop;
-  adapters::platform::KeyValueClient& m_store;
+  KeyValueAdapter& m_store;
   const settings::NodeSettings& m_settings;
   base::IncarnationId m_incarnation;
   std::function<void(std::vector<tasks::Member>)> m_onListed;
--- a/packages/node/PlatformTask.h
+++ b/packages/node/PlatformTask.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "adapters/platform/HostListClient.h"
 #include "base/Timeline.h"
 #include "node/ClaimKeeper.h"
 #include "node/ConfigurationKeeper.h"
 #include "node/NodeRegistry.h"
+#include "node/PlatformPorts.h"
 
 namespace papayafield::node {
 
@@ -32,8 +32,8 @@
   base::Log m_log;
   adapters::http::EventLoop m_loop;
   adapters::http::HttpClient m_http;
-  adapters::platform::KeyValueClient m_store;
-  adapters::platform::HostListClient m_hosts;
+  KeyValueAdapter m_store;
+  HostListAdapter m_hosts;
   ConfigurationKeeper m_configuration;
   NodeRegistry m_registry;
   ClaimKeeper m_claims;
--- a/standins/engine/Engine.cpp
+++ b/standins/engine/Engine.cpp
@@ -40,6 +40,8 @@
   } else if (path == "/cache/events") {
     ++m_questions;
     Events(aExchange);
+  } else if (path == "/orders") {
+    Order(aExchange);
   } else if (path.starts_with("/control/")) {
     Control(aExchange);
   } else {
@@ -146,6 +148,21 @@
   }
 }
 
+void Engine::Order(const ExchangePtr& aExchange) {
+  const nlohmann::json order = base::ParseJson(aExchange->Body());
+  const uint64_t fencing = base::ValueOr(order, "fencing", uint64_t{ 0 });
+  if (m_settings.m_checksFencing && fencing < m_fencing) {
+    ReplyJson(aExchange, 409, { { "fencing", m_fencing } });
+    return;
+  }
+  // An order is absolute: it names all that the engine shall run.
+  ++m_orders;
+  m_fencing = fencing;
+  m_order = order;
+  m_loadedAt = base::SteadyClock().Now() + m_settings.m_loadTime;
+  ReplyJson(aExchange, 200, order);
+}
+
 void Engine::Control(const ExchangePtr& aExchange) {
   const std::string what = aExchange->Path().substr(sizeof("/control/") - 1);
   if (what == "leave") {
@@ -165,6 +182,7 @@
               { "wrong_text", m_wrongText },
               { "cancelled", m_cancelled },
               { "questions", m_questions },
+              { "orders", m_orders },
               { "streams", m_streams.size() },
               { "active", m_active.size() } });
 }
@@ -342,6 +360,8 @@
            { "queued_prefill_tokens", static_cast<uint64_t>(tokens) },
            { "prefill_rate", m_settings.m_prefillRate },
            { "leaving", m_leaving },
+           { "order", m_order },
+           { "loaded", base::SteadyClock().Now() >= m_loadedAt },
            { "age_ms", m_settings.m_loadLag.count() } };
 }
 
--- a/standins/engine/Engine.h
+++ b/standins/engine/Engine.h
@@ -28,6 +28,10 @@
   base::Millis m_loadLag{ 100 };
   /// How long an export takes.
   base::Millis m_exportTime{ 20 };
+  /// Whether an order with an old fencing number is refused.
+  bool m_checksFencing = true;
+  /// How long it takes to load what an order names.
+  base::Millis m_loadTime{ 200 };
   /// Tokens of an answer whose request names no maximum.
   uint64_t m_answerTokens = 40;
 };
@@ -75,6 +79,7 @@
   void Generate(const adapters::http::ExchangePtr& aExchange);
   void Streams(const adapters::http::ExchangePtr& aExchange);
   void Export(const adapters::http::ExchangePtr& aExchange, const StreamPtr& aStream);
+  void Order(const adapters::http::ExchangePtr& aExchange);
   void Control(const adapters::http::ExchangePtr& aExchange);
   void Events(const adapters::http::ExchangePtr& aExchange);
   void Attach(const StreamPtr& aStream,
@@ -107,6 +112,11 @@
   uint64_t m_wrongText = 0;
   uint64_t m_cancelled = 0;
   uint64_t m_questions = 0;
+  /// The last order taken, and when it is carried out.
+  nlohmann::json m_order;
+  uint64_t m_fencing = 0;
+  uint64_t m_orders = 0;
+  base::TimePoint m_loadedAt{};
   uint64_t m_dropNextEvents = 0;
   struct CacheEvent {
     uint64_t m_number;
--- a/standins/engine/main.cpp
+++ b/standins/engine/main.cpp
@@ -17,7 +17,9 @@
                                         { "cache-blocks", "4096" },
                                         { "load-lag-ms", "100" },
                                         { "export-ms", "20" },
-                                        { "answer-tokens", "40" } });
+                                        { "answer-tokens", "40" },
+                                        { "checks-fencing", "1" },
+                                        { "load-ms", "200" } });
   standins::EngineSettings settings;
   settings.m_slots = static_cast<uint32_t>(arguments.Number("slots"));
   settings.m_prefillRate = arguments.Number("prefill-rate");
@@ -27,6 +29,8 @@
   settings.m_loadLag = base::Millis(static_cast<int64_t>(arguments.Number("load-lag-ms")));
   settings.m_exportTime = base::Millis(static_cast<int64_t>(arguments.Number("export-ms")));
   settings.m_answerTokens = static_cast<uint64_t>(arguments.Number("answer-tokens"));
+  settings.m_checksFencing = arguments.Number("checks-fencing") != 0;
+  settings.m_loadTime = base::Millis(static_cast<int64_t>(arguments.Number("load-ms")));
   adapters::http::EventLoop loop;
   standins::Engine engine(loop, settings);
   const bool served = standins::Serve(
--- a/standins/platform/main.cpp
+++ b/standins/platform/main.cpp
@@ -1,109 +1,71 @@
-#include "base/Digest.h"
 #include "standins/common/Arguments.h"
 #include "standins/common/StandinServer.h"
+#include "standins/platform/Cloud.h"
 #include "standins/platform/KeyValueStore.h"
 
-#include <deque>
+#include <algorithm>
 
 /// \file
-/// Stand-in for the platform: the key-value service and the cloud's lagging host list, with
-/// switches below /control.
+/// Stand-in for the platform: the key-value service, the cloud and the weight store, with switches
+/// below /control.
 
 namespace {
 
 using namespace papayafield;
 using adapters::http::ExchangePtr;
 
-/// The host list as tests set it, shown with a lag.
-class HostList {
+/// Gives weights out at a bounded rate.
+class WeightStore {
 public:
-  explicit HostList(base::Millis aLag)
-    : m_lag(aLag) {}
+  explicit WeightStore(double aPerSecond)
+    : m_perSecond(aPerSecond) {}
 
-  void Set(nlohmann::json aHosts) {
-    m_states.push_back({ base::SteadyClock().Now(), std::move(aHosts) });
-  }
-
-  const nlohmann::json& Latest() const { return m_states.back().m_hosts; }
-
-  const nlohmann::json& Shown() {
-    while (m_states.size() > 1 && base::SteadyClock().Now() - m_states[1].m_since >= m_lag) {
-      m_states.pop_front();
+  void Handle(const ExchangePtr& aExchange) {
+    const base::TimePoint now = base::SteadyClock().Now();
+    const std::chrono::duration<double> span = now - m_filled;
+    m_filled = now;
+    m_saved = std::min(1.0, m_saved + span.count() * m_perSecond);
+    if (m_saved < 1) {
+      aExchange->Reply(429, { { "Retry-After", "1" } }, "");
+      return;
     }
-    return m_states.front().m_hosts;
+    m_saved -= 1;
+    aExchange->Reply(200, {}, "");
   }
 
 private:
-  struct State {
-    base::TimePoint m_since;
-    nlohmann::json m_hosts;
-  };
-
-  base::Millis m_lag;
-  std::deque<State> m_states{ { base::TimePoint{}, nlohmann::json::array() } };
+  double m_perSecond;
+  double m_saved = 1;
+  base::TimePoint m_filled = base::SteadyClock().Now();
 };
 
-/// Changes the members of one host; a new name adds a host.
-void PatchHost(HostList& aList, const nlohmann::json& aPatch) {
-  nlohmann::json hosts = aList.Latest();
-  for (auto& host : hosts) {
-    if (host["name"] == aPatch["name"]) {
-      host.update(aPatch);
-      aList.Set(std::move(hosts));
-      return;
-    }
-  }
-  hosts.push_back(aPatch);
-  aList.Set(std::move(hosts));
-}
-
-void RemoveHost(HostList& aList, const std::string& aName) {
-  nlohmann::json kept = nlohmann::json::array();
-  for (const auto& host : aList.Latest()) {
-    if (host["name"] != aName) {
-      kept.push_back(host);
-    }
-  }
-  aList.Set(std::move(kept));
-}
-
 } // namespace
 
 int main(int argc, char** argv) {
   const standins::Arguments arguments(
-    argc, argv, { { "listen", "127.0.0.1:7000" }, { "hosts-lag-ms", "0" } });
+    argc,
+    argv,
+    { { "listen", "127.0.0.1:7000" }, { "hosts-lag-ms", "0" }, { "weights-per-s", "1" } });
   adapters::http::EventLoop loop;
   standins::KeyValueStore store(loop);
-  HostList hosts(base::Millis(static_cast<int64_t>(arguments.Number("hosts-lag-ms"))));
-  bool hostsDown = false;
+  standins::Cloud cloud(base::Millis(static_cast<int64_t>(arguments.Number("hosts-lag-ms"))));
+  WeightStore weights(arguments.Number("weights-per-s"));
   const bool served =
     standins::Serve(loop, arguments.Address("listen"), [&](const ExchangePtr& aCall) {
       const std::string& path = aCall->Path();
-      const nlohmann::json body = base::ParseJson(aCall->Body());
-      if (path == "/hosts") {
-        if (hostsDown) {
-          aCall->Reply(503, {}, "outage");
-        } else {
-          const std::string text = base::DumpJson(hosts.Shown());
-          const std::string tag = "\"" + base::Sha256Hex(text).substr(0, 16) + "\"";
-          if (aCall->RequestHeaders().Find("If-None-Match") == tag) {
-            aCall->Reply(304, { { "ETag", tag } }, "");
-          } else {
-            aCall->Reply(200, { { "ETag", tag }, { "Content-Type", "application/json" } }, text);
-          }
-        }
-      } else if (path == "/control/hosts" && aCall->Method() == "POST") {
-        PatchHost(hosts, body);
-        standins::ReplyJson(aCall, 200, hosts.Latest());
-      } else if (path == "/control/hosts" && aCall->Method() == "DELETE") {
-        RemoveHost(hosts, aCall->QueryValue("name").value_or(""));
-        standins::ReplyJson(aCall, 200, hosts.Latest());
+      if (path == "/hosts" || path.starts_with("/cloud/")) {
+        cloud.Handle(aCall);
+      } else if (path.starts_with("/weights/")) {
+        weights.Handle(aCall);
+      } else if (path == "/control/hosts" || path == "/control/pool") {
+        cloud.Control(aCall);
       } else if (path == "/control/faults") {
+        const nlohmann::json body = base::ParseJson(aCall->Body());
         standins::PlatformFaults& faults = store.Faults();
         faults.m_outage = base::ValueOr(body, "outage", faults.m_outage);
         faults.m_silent = base::ValueOr(body, "silent", faults.m_silent);
         faults.m_loseAnswers = base::ValueOr(body, "lose_answers", faults.m_loseAnswers);
-        hostsDown = base::ValueOr(body, "hosts_down", hostsDown);
+        cloud.SetFaults(body);
         standins::ReplyJson(aCall, 200, nlohmann::json::object());
       } else if (path == "/control/counts") {
         standins::ReplyJson(aCall, 200, store.Counts());
