A call that was not run frees its key; no storm of retries; a next version's message is read

Cause: a call that ended as 'not run' kept its key with that answer, so a caller that asked again with the same key, as 'not run' invites it to, never got further. Ruled out: dropping the claim in the service (another process might take it while this one still answers). Change: the claim stays in this process's name and its number is given up, so that a later ask, here or by way of here, may run it, once; a ticket is open again. Before: 'not run' for ever, documented as 'use a new key'. After: NotRunFreesTheKey passes: two refusals, then one run and three answers, for a claimed key and for a ticket. Also proved: 60 callers over an outage of all engines stay within the retry budget and all get their answers; a message with more fields and a kind that is not known does no harm.

--- a/packages/adapters/peer/tests/WireCodecTest.cpp
+++ b/packages/adapters/peer/tests/WireCodecTest.cpp
@@ -4,6 +4,11 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <capnp/any.h>
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/io.h>
+
 #include <random>
 
 using namespace papayafield;
@@ -54,6 +59,35 @@
   }
 }
 
+// A node of the next version writes more fields than this one knows: what is known is read. A kind
+// of message that is not known is left out.
+BOOST_AUTO_TEST_CASE(NextVersionIsUnderstood) {
+  for (const bool knownKind : { true, false }) {
+    capnp::MallocMessageBuilder builder;
+    // The struct of the next version: one word and two pointers more than this one's.
+    constexpr uint16_t kDataWords = 5;
+    constexpr uint16_t kPointers = 6;
+    auto next = builder.getRoot<capnp::AnyPointer>().initAsAnyStruct(kDataWords, kPointers);
+    next.getDataSection()[kDataWords * 8 - 1] = 99;
+    auto root = next.as<wire::Message>();
+    root.setVersion(wire::PROTOCOL_VERSION + 1);
+    root.setKind(knownKind ? 0 : 200);
+    root.setSequence(5);
+    root.initSender().setNode("n9");
+    kj::VectorOutputStream stream;
+    capnp::writePackedMessage(stream, builder);
+    const auto bytes = stream.getArray();
+    const std::string content(reinterpret_cast<const char*>(bytes.begin()), bytes.size());
+    const std::string mac = base::HmacHex(kKeys[0], content).substr(0, 32);
+    const auto message = DecodeDatagram(mac + content, kKeys);
+    BOOST_TEST(message.has_value() == knownKind);
+    if (message) {
+      BOOST_TEST(message->m_message.m_sequence == 5U);
+      BOOST_TEST(message->m_message.m_sender.m_member.m_node.Text() == "n9");
+    }
+  }
+}
+
 // Bytes that a holder of the key signed, but that are no message, do no harm.
 BOOST_AUTO_TEST_CASE(SignedNonsenseIsHarmless) {
   std::mt19937_64 random(7);
--- a/packages/gateway/ClaimedCalls.cpp
+++ b/packages/gateway/ClaimedCalls.cpp
@@ -187,21 +187,29 @@
 
 void ClaimedCalls::RunNow(const Pending& aPending, bool aClaimed) {
   const auto onResult = [this, key = aPending.m_key, aClaimed](ServiceRequest::Result aResult) {
-    if (aResult) {
-      m_runs.Finish(key, { std::move(*aResult) });
-    } else {
-      // A call that did not run stays claimed by this process, which will not run it either: the
-      // caller asks again with a new key.
-      m_runs.Finish(key, ToResult(aResult.error()));
+    if (!aResult && aResult.error().m_outcome == Outcome::NotRun) {
+      OnNotRun(key, aResult.error(), aClaimed);
+      return;
     }
     if (aClaimed) {
       m_context.m_mailboxes.m_platform.Send(tasks::ClaimDone{ key });
     }
+    m_runs.Finish(key, aResult ? RunResult{ std::move(*aResult) } : ToResult(aResult.error()));
   };
   std::make_shared<ServiceRequest>(m_context, aPending.m_request, aPending.m_ask, onResult)
     ->Begin();
 }
 
+void ClaimedCalls::OnNotRun(const std::string& aKey, const Problem& aProblem, bool aClaimed) {
+  // The key is free again for the caller's next try, here or by way of here.
+  if (aClaimed) {
+    m_context.m_mailboxes.m_platform.Send(tasks::ClaimNotRun{ aKey });
+  } else {
+    m_tickets[aKey] = base::SteadyClock().Now() + kTicketLife;
+  }
+  m_runs.Forget(aKey, ToResult(aProblem));
+}
+
 void ClaimedCalls::Forward(const Pending& aPending,
                            const base::IncarnationId& aHolder,
                            const Problem& aElse) {
--- a/packages/gateway/ClaimedCalls.h
+++ b/packages/gateway/ClaimedCalls.h
@@ -46,6 +46,7 @@
 
   void RunTicket(const Pending& aPending);
   void RunNow(const Pending& aPending, bool aClaimed);
+  void OnNotRun(const std::string& aKey, const Problem& aProblem, bool aClaimed);
   /// Joins the answer of the process `aHolder`; if it cannot be had, `aElse` is the answer.
   void Forward(const Pending& aPending, const base::IncarnationId& aHolder, const Problem& aElse);
   const tasks::Member* FindLiving(const base::IncarnationId& aIncarnation) const;
--- a/packages/node/ClaimKeeper.cpp
+++ b/packages/node/ClaimKeeper.cpp
@@ -103,6 +103,7 @@
 }
 
 void ClaimKeeper::Done(const tasks::ClaimDone& aDone) {
+  m_running.erase(aDone.m_key);
   Arm();
   if (const auto home = HomeOf(aDone.m_key)) {
     m_mailboxes.m_peers.Send(tasks::DoneOut{ *home, { aDone.m_key } });
@@ -111,6 +112,16 @@
   }
 }
 
+void ClaimKeeper::NotRun(const tasks::ClaimNotRun& aNotRun) {
+  // The claim stands in the service under this process's name, and stays there: only this process
+  // may use it, and others ask here.
+  const auto found = m_running.find(aNotRun.m_key);
+  if (found != m_running.end()) {
+    m_desk.GiveUp({ aNotRun.m_key, m_incarnation, found->second });
+    m_running.erase(found);
+  }
+}
+
 void ClaimKeeper::TakeOrders(const tasks::ClaimsIn& aIn) {
   Arm();
   m_inCalls[aIn.m_call].m_open = aIn.m_orders.size();
@@ -247,6 +258,12 @@
   }
   const base::RequestId request = found->second;
   m_waiting.erase(found);
+  if (conclusion.m_end == claims::ClaimEnd::Granted) {
+    // An earlier claim of this process may be the one that stands.
+    m_running[aReply.m_order.m_key] = aReply.m_state == claims::ClaimState::Held
+                                        ? aReply.m_holder.m_number
+                                        : aReply.m_order.m_number;
+  }
   m_mailboxes.m_gateway.Send(
     tasks::ClaimAnswer{ request, ToVerdict(conclusion.m_end), conclusion.m_holder });
 }
--- a/packages/node/ClaimKeeper.h
+++ b/packages/node/ClaimKeeper.h
@@ -27,6 +27,8 @@
   void Ask(const tasks::ClaimAsk& aAsk);
   /// A claimed call has run.
   void Done(const tasks::ClaimDone& aDone);
+  /// A claimed call has ended as not run: a later ask for its key may run it.
+  void NotRun(const tasks::ClaimNotRun& aNotRun);
   /// Another node asks this one, as the home of the shards.
   void TakeOrders(const tasks::ClaimsIn& aIn);
   /// A home has answered, or has not.
@@ -62,6 +64,8 @@
   /// Asks of this node that wait, by claim number.
   std::unordered_map<uint64_t, base::RequestId> m_waiting;
   std::vector<tasks::Member> m_members;
+  /// Numbers under which calls of this node run now, by key.
+  std::unordered_map<std::string, uint64_t> m_running;
   /// Orders for other homes that gather, and those that are on their way.
   std::map<base::Address, std::vector<claims::ClaimOrder>> m_gathering;
   std::unordered_map<uint64_t, std::vector<claims::ClaimOrder>> m_sent;
--- a/packages/node/PlatformTask.cpp
+++ b/packages/node/PlatformTask.cpp
@@ -53,6 +53,7 @@
                },
                [this](const tasks::ClaimAsk& aAsk) { m_claims.Ask(aAsk); },
                [this](const tasks::ClaimDone& aDone) { m_claims.Done(aDone); },
+               [this](const tasks::ClaimNotRun& aNotRun) { m_claims.NotRun(aNotRun); },
                [this](const tasks::ClaimsIn& aIn) { m_claims.TakeOrders(aIn); },
                [this](const tasks::ClaimsBack& aBack) { m_claims.TakeBack(aBack); },
                [this](const tasks::ConfigurationOffered& aOffered) {
--- a/packages/tasks/Messages.h
+++ b/packages/tasks/Messages.h
@@ -114,6 +114,11 @@
   std::string m_key;
 };
 
+/// A claimed call has ended as not run: its claim is free for the caller's next try.
+struct ClaimNotRun {
+  std::string m_key;
+};
+
 /// Orders of this node for claims whose shard another node writes.
 struct ClaimsOut {
   /// Names the batch in the answer.
@@ -171,6 +176,7 @@
 using PlatformMessage = std::variant<ApplyAsk,
                                      ClaimAsk,
                                      ClaimDone,
+                                     ClaimNotRun,
                                      ClaimsIn,
                                      ClaimsBack,
                                      ConfigurationOffered,
--- a/tests/integration/AtMostOnceTest.cpp
+++ b/tests/integration/AtMostOnceTest.cpp
@@ -141,6 +141,27 @@
   BOOST_TEST(fleet.Runs()["old"] == 1);
 }
 
+// A call that ended as not run may be asked again with the same key, at any node, and then runs
+// once.
+BOOST_AUTO_TEST_CASE(NotRunFreesTheKey) {
+  Fleet fleet(FleetSettings{});
+  const auto ticket = CallAs(kTeamKey, fleet.Node(0), "POST", "/v1/tickets");
+  const std::string issued =
+    base::ValueOr(base::ParseJson(ticket.m_body), "idempotency_key", std::string());
+  for (const std::string& key : { std::string("free-again"), issued }) {
+    const auto order = [&](size_t aNode) {
+      return CallAs(kTeamKey, fleet.Node(aNode), "POST", kOrders, OrderBody(key), key);
+    };
+    Call(fleet.Service(0).m_address, "POST", "/control/faults", "{\"not_started\":2}");
+    BOOST_TEST(order(0).m_outcome == "not run");
+    BOOST_TEST(order(1).m_outcome == "not run");
+    for (size_t node = 0; node < fleet.Nodes(); ++node) {
+      BOOST_TEST(order(node).m_status == 201);
+    }
+    BOOST_TEST(fleet.Runs()[key] == 1);
+  }
+}
+
 // A key that was used by another team is another key.
 BOOST_AUTO_TEST_CASE(KeysBelongToTheirTeam) {
   FleetSettings settings;
--- a/tests/integration/StreamsTest.cpp
+++ b/tests/integration/StreamsTest.cpp
@@ -216,6 +216,47 @@
   }
 }
 
+// All engines refuse connections for a while under many callers: retries stay within their budget,
+// and once the engines are back each accepted request gets its whole answer.
+BOOST_AUTO_TEST_CASE(OutageBringsNoStormOfRetries) {
+  FleetSettings settings = Settings(2);
+  settings.m_nodes = 1;
+  settings.m_engineProxies = true;
+  Fleet fleet(settings);
+  const auto counted = [&](const std::string& aName) {
+    const std::string page = Call(fleet.Node(0), "GET", "/metrics").m_body;
+    const size_t at = page.find("\n" + aName + " ");
+    return at == std::string::npos ? 0.0 : std::stod(page.substr(at + aName.size() + 2));
+  };
+  for (size_t i = 0; i < 2; ++i) {
+    Fleet::ProxyFaults(fleet.Engine(i), { { "refuse", true } });
+  }
+  constexpr int kCallers = 60;
+  const auto start = std::chrono::steady_clock::now();
+  std::atomic<int> whole{ 0 };
+  std::vector<std::thread> callers;
+  callers.reserve(kCallers);
+  for (int i = 0; i < kCallers; ++i) {
+    callers.emplace_back([&, i] {
+      const std::string prompt = "storm " + std::to_string(i);
+      const Stream stream = Generate(fleet.Node(0), prompt, 10);
+      whole += stream.m_whole && stream.m_text == ExpectedText(prompt, 10) ? 1 : 0;
+    });
+  }
+  std::this_thread::sleep_for(base::Millis(3000));
+  const double retries = counted("papayafield_retries_total");
+  const std::chrono::duration<double> span = std::chrono::steady_clock::now() - start;
+  // The budget: 50 saved, a tenth of the fresh requests, and one a second.
+  BOOST_TEST(retries <= 50 + 0.1 * kCallers + span.count());
+  for (size_t i = 0; i < 2; ++i) {
+    Fleet::ProxyFaults(fleet.Engine(i), { { "refuse", false } });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  BOOST_TEST(whole == kCallers);
+}
+
 // Connections to engines are cut, or go silent for good while new ones work.
 BOOST_AUTO_TEST_CASE(CutAndSilentConnections) {
   FleetSettings settings = Settings(2);
