--- a/tests/integration/StandinsTest.cpp
+++ b/tests/integration/StandinsTest.cpp
@@ -100,7 +100,8 @@
                one.m_oldStatus);
     BOOST_TEST(Eventually([&] {
       const auto load = base::ParseJson(Call(engine, "GET", "/load").m_body);
-      return load["loaded"] == true && load["order"]["fencing"] == one.m_fencing;
+      return base::ValueOr(load, "loaded", false) && load.contains("order") &&
+             base::ValueOr(load["order"], "fencing", 0) == one.m_fencing;
     }));
   }
 }
