An order whose end is unknown is never called 'ran'

Cause, found by reading: the end of each claimed call but a 'not run' was marked done in the ledger, also where the answer was lost and nothing is known; once its node had gone, an asker at another node was told 'ran'. Ruled out: a second run (the claim held). Change: the mark is written only where the service's answer came; otherwise the claim stays as it is, which says 'unknown'. Before: UnknownIsNeverCalledRan fails, 'ran' of an order that the service never ran.

--- a/packages/gateway/ClaimedCalls.cpp
+++ b/packages/gateway/ClaimedCalls.cpp
@@ -192,7 +192,7 @@
       return;
     }
     if (aClaimed) {
-      m_context.m_mailboxes.m_platform.Send(tasks::ClaimDone{ key });
+      m_context.m_mailboxes.m_platform.Send(tasks::ClaimDone{ key, aResult.has_value() });
     }
     m_runs.Finish(key, aResult ? RunResult{ std::move(*aResult) } : ToResult(aResult.error()));
   };
--- a/packages/node/ClaimKeeper.cpp
+++ b/packages/node/ClaimKeeper.cpp
@@ -104,6 +104,10 @@
 
 void ClaimKeeper::Done(const tasks::ClaimDone& aDone) {
   m_running.erase(aDone.m_key);
+  // Only what is known to have run may be called so later.
+  if (!aDone.m_ran) {
+    return;
+  }
   Arm();
   if (const auto home = HomeOf(aDone.m_key)) {
     m_mailboxes.m_peers.Send(tasks::DoneOut{ *home, { aDone.m_key } });
--- a/packages/node/ClaimKeeper.h
+++ b/packages/node/ClaimKeeper.h
@@ -25,7 +25,7 @@
 
   /// A call of this node asks for its claim.
   void Ask(const tasks::ClaimAsk& aAsk);
-  /// A claimed call has run.
+  /// A claimed call has ended.
   void Done(const tasks::ClaimDone& aDone);
   /// A claimed call has ended as not run: a later ask for its key may run it.
   void NotRun(const tasks::ClaimNotRun& aNotRun);
--- a/packages/tasks/Messages.h
+++ b/packages/tasks/Messages.h
@@ -109,9 +109,11 @@
   base::IncarnationId m_holder;
 };
 
-/// A claimed call has run to its end.
+/// A claimed call has ended.
 struct ClaimDone {
   std::string m_key;
+  /// Whether it is known to have run; otherwise that is unknown, and the claim stays as it is.
+  bool m_ran = true;
 };
 
 /// A claimed call has ended as not run: its claim is free for the caller's next try.
--- a/tests/integration/AtMostOnceTest.cpp
+++ b/tests/integration/AtMostOnceTest.cpp
@@ -141,6 +141,28 @@
   BOOST_TEST(fleet.Runs()["old"] == 1);
 }
 
+// A call whose end is unknown is never called run, also after the node that sent it has gone.
+BOOST_AUTO_TEST_CASE(UnknownIsNeverCalledRan) {
+  Fleet fleet(FleetSettings{});
+  const auto order = [&](size_t aNode, const std::string& aKey) {
+    return CallAs(kTeamKey, fleet.Node(aNode), "POST", kOrders, OrderBody(aKey), aKey);
+  };
+  Call(fleet.Service(0).m_address, "POST", "/control/faults", "{\"close_before_run\":1}");
+  BOOST_TEST(order(0, "lost").m_outcome == "unknown");
+  // Marks of done claims are written in their order: once this one stands, one of the first would
+  // too.
+  BOOST_TEST(order(0, "run").m_status == 201);
+  BOOST_TEST(Eventually([&] {
+    return Call(fleet.Platform().m_address, "GET", "/list?prefix=papayafield/claims")
+             .m_body.find(",1,") != std::string::npos;
+  }));
+  std::this_thread::sleep_for(base::Millis(1000));
+  fleet.NodeProcess(0).Kill();
+  BOOST_TEST(Eventually([&] { return order(1, "run").m_outcome == "ran"; }));
+  BOOST_TEST(order(1, "lost").m_outcome == "unknown");
+  BOOST_TEST(fleet.Runs().contains("lost") == false);
+}
+
 // A call that ended as not run may be asked again with the same key, at any node, and then runs
 // once.
 BOOST_AUTO_TEST_CASE(NotRunFreesTheKey) {
