A stream is not moved off an engine that stays

Cause, found by reading: the look for room that is due each 50 ms while a stream waits to move was not tied to its engine; had the stream meanwhile restarted at another one, the look would have moved it again for nothing. Not seen in a run: the window is under 50 ms, and no test of it would give the same verdict every time. Change: only a stream at a leaving engine moves, and never within a move. The reclaim, wave, zone and export tests pass as before.

--- a/packages/gateway/ChatRequest.cpp
+++ b/packages/gateway/ChatRequest.cpp
@@ -355,8 +355,11 @@
 void ChatRequest::TryMove() {
   const routing::EndpointInfo* here = m_context.m_dispatcher.Router().Find(m_attempt.m_endpoint);
   const int64_t leavesAt = here == nullptr ? 0 : here->m_leavesAtMs;
+  // A look that was due for an engine since left finds the stream at one that stays.
+  const bool stays = here != nullptr && here->m_state == routing::EndpointState::Live;
   // What ends in time need not move.
-  if (m_over || !m_attempt.m_open || m_completion.m_body == nullptr || EndsBefore(leavesAt)) {
+  if (m_over || m_moving || !m_attempt.m_open || m_completion.m_body == nullptr || stays ||
+      EndsBefore(leavesAt)) {
     return;
   }
   routing::RouteQuery query = Query();
