Connections to endpoints are reused; demand and quotas are measured as they are

Causes and changes: (1) the parser's input was drained after the callbacks, so an answer's connection always looked as if bytes waited, and was closed: drained before. (2) the fleet shrank at the first half second of traffic: five seconds are watched first. (3) demand took the most output a caller allows for what comes: output is counted at a stream's end. (4) quotas refused what operators tolerate: the ledger takes overrun and slack, keeps back what peers grant between beats, and starts empty but agrees with its peers.

--- a/packages/adapters/http1/Connection.cpp
+++ b/packages/adapters/http1/Connection.cpp
@@ -368,6 +368,9 @@
   while (m_buffer != nullptr && !m_paused && PendingInput() > 0 && ParseOnce()) {
   }
   m_parsing = false;
+  if (m_buffer != nullptr && m_paused && PendingInput() > 0 && m_events.m_onUnexpected) {
+    m_events.m_onUnexpected();
+  }
 }
 
 template<class Head>
--- a/packages/adapters/peer/BeatCodec.cpp
+++ b/packages/adapters/peer/BeatCodec.cpp
@@ -70,6 +70,9 @@
   for (const auto total : aFrom.getGranted()) {
     beat.m_granted[base::TeamId(ToString(total.getTeam()))] = total.getUnits();
   }
+  for (const auto total : aFrom.getLevels()) {
+    beat.m_levels[base::TeamId(ToString(total.getTeam()))] = total.getUnits();
+  }
   for (const auto window : aFrom.getUsage()) {
     for (const auto total : window.getCounts()) {
       beat.m_usage[window.getNumber()][base::TeamId(ToString(total.getTeam()))] =
@@ -97,6 +100,7 @@
   root.setWorkAsked(aBeat.m_workAsked);
   WriteLoads(root, aBeat);
   WriteTotals(root.initGranted(static_cast<unsigned>(aBeat.m_granted.size())), aBeat.m_granted);
+  WriteTotals(root.initLevels(static_cast<unsigned>(aBeat.m_levels.size())), aBeat.m_levels);
   WriteUsage(root, aBeat);
   auto contacts = root.initContacts(static_cast<unsigned>(aBeat.m_contacts.size()));
   for (unsigned i = 0; i < contacts.size(); ++i) {
--- a/packages/adapters/peer/news.capnp
+++ b/packages/adapters/peer/news.capnp
@@ -41,4 +41,5 @@
   granted @9 :List(NewsTotal);
   usage @10 :List(NewsWindow);
   contacts @11 :List(NewsContact);
+  levels @12 :List(NewsTotal);
 }
--- a/packages/adapters/peer/news.capnp.h
+++ b/packages/adapters/peer/news.capnp.h
@@ -98,7 +98,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(962536a4c280ae89, 4, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(962536a4c280ae89, 4, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -513,6 +513,9 @@
   inline bool hasContacts() const;
   inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsContact,  ::capnp::Kind::STRUCT>::Reader getContacts() const;
 
+  inline bool hasLevels() const;
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Reader getLevels() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -601,6 +604,13 @@
   inline void adoptContacts(::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsContact,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsContact,  ::capnp::Kind::STRUCT>> disownContacts();
 
+  inline bool hasLevels();
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Builder getLevels();
+  inline void setLevels( ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Builder initLevels(unsigned int size);
+  inline void adoptLevels(::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>> disownLevels();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1163,6 +1173,40 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline bool NewsBeat::Reader::hasLevels() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool NewsBeat::Builder::hasLevels() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Reader NewsBeat::Reader::getLevels() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Builder NewsBeat::Builder::getLevels() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void NewsBeat::Builder::setLevels( ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Builder NewsBeat::Builder::initLevels(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void NewsBeat::Builder::adoptLevels(
+    ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>> NewsBeat::Builder::disownLevels() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/packages/duties/Autoscaler.h
+++ b/packages/duties/Autoscaler.h
@@ -49,12 +49,15 @@
   static constexpr double kLeastDemand = 0.05;
   /// An accepted order is given again after this span, in case it was overtaken by a late one.
   static constexpr base::Millis kRepeatAfter{ 8000 };
-  /// Pause before an order that was not accepted is given again.
+  /// Pause before an order that was lost or refused is given again.
   static constexpr base::Millis kRetryAfter{ 900 };
+  /// Pause before the platform is asked again for engines that it does not have.
+  static constexpr base::Millis kNoneAfter{ 2500 };
 
   struct Given {
     int m_count = -1;
-    bool m_accepted = false;
+    /// Pause before the same order is given again.
+    base::Millis m_pause{ 0 };
     bool m_waiting = false;
     base::TimePoint m_at{};
   };
@@ -65,14 +68,16 @@
     Given& given = m_given[subject];
     const bool same = given.m_count == aOrder.m_count;
     const auto age = aNow - given.m_at;
-    if (given.m_waiting || (same && age < (given.m_accepted ? kRepeatAfter : kRetryAfter))) {
+    if (given.m_waiting || (same && age < given.m_pause)) {
       return;
     }
-    given = { aOrder.m_count, false, true, aNow };
+    given = { aOrder.m_count, kRetryAfter, true, aNow };
     m_duties.Order(aOrder, *m_fence, [this, subject, aOrder](DutyOutcome aOutcome) {
       Given& answered = m_given[subject];
       answered.m_waiting = false;
-      answered.m_accepted = aOutcome == DutyOutcome::Accepted;
+      answered.m_pause = aOutcome == DutyOutcome::Accepted   ? kRepeatAfter
+                         : aOutcome == DutyOutcome::Conflict ? kNoneAfter
+                                                             : kRetryAfter;
       m_log.Event("engines ordered",
                   { { "service", aOrder.m_service.Text() },
                     { "zone", aOrder.m_zone.Text() },
--- a/packages/duties/ScalingPolicy.cpp
+++ b/packages/duties/ScalingPolicy.cpp
@@ -24,6 +24,9 @@
 } // namespace
 
 void ScalingPolicy::NoteDemand(double aWorkPerSecond, base::TimePoint aNow) {
+  if (!m_firstDemand && aWorkPerSecond > 0) {
+    m_firstDemand = aNow;
+  }
   while (!m_samples.empty() && m_samples.back().m_work <= aWorkPerSecond) {
     m_samples.pop_back();
   }
@@ -39,9 +42,9 @@
 
 std::vector<ScalingOrder> ScalingPolicy::Plan(const fleet::Service& aService,
                                               const std::vector<fleet::Endpoint>& aEndpoints,
-                                              base::TimePoint /*aNow*/) const {
+                                              base::TimePoint aNow) const {
   std::vector<ScalingOrder> orders;
-  if (!aService.m_scaling) {
+  if (!aService.m_scaling || !m_firstDemand || aNow - *m_firstDemand < m_settings.m_learnSpan) {
     return orders;
   }
   const fleet::ScalingBounds& bounds = *aService.m_scaling;
--- a/packages/duties/ScalingPolicy.h
+++ b/packages/duties/ScalingPolicy.h
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace papayafield::duties {
@@ -18,6 +19,8 @@
   double m_decodeMsPerToken = 0.26;
   /// Part of its time that an engine is planned to work; the rest answers bursts of 1.7 times.
   double m_targetUse = 0.5;
+  /// Demand is watched for so long before the first order: traffic has to show its usual rate.
+  base::Millis m_learnSpan{ 5000 };
   /// How long a peak of demand is remembered, so that the fleet shrinks slowly.
   base::Millis m_peakSpan{ 12000 };
   /// Full-price engines kept in all zones together, for each engine of demand: they carry the urgent
@@ -67,6 +70,7 @@
 
   ScalingSettings m_settings;
   std::deque<Sample> m_samples;
+  std::optional<base::TimePoint> m_firstDemand;
 };
 
 } // namespace papayafield::duties
--- a/packages/fleet/Catalog.h
+++ b/packages/fleet/Catalog.h
@@ -82,6 +82,8 @@
   int m_slots = 0;
   /// Tokens that one endpoint's memory holds.
   int64_t m_memoryTokens = 0;
+  /// Output tokens that one event of a stream holds.
+  int m_tokensPerEvent = 1;
 };
 
 /// Between which bounds a service may be scaled, and what it costs. Bounds hold for each zone.
--- a/packages/forwarding/EventCutter.cpp
+++ b/packages/forwarding/EventCutter.cpp
@@ -30,6 +30,7 @@
     if (line.ends_with('\r')) {
       line.remove_suffix(1);
     }
+    m_events += line.empty() ? 1 : 0;
     if (line.starts_with(kField)) {
       line.remove_prefix(kField.size());
       if (line.starts_with(' ')) {
--- a/packages/forwarding/EventCutter.h
+++ b/packages/forwarding/EventCutter.h
@@ -18,6 +18,8 @@
   bool InEvent() const { return !m_rest.empty(); }
   /// Sets the id after which the stream begins.
   void Resume(std::string aLastId) { m_lastId = std::move(aLastId); }
+  /// Whole events so far.
+  size_t Events() const { return m_events; }
   /// Drops an unfinished event, when the stream goes on elsewhere.
   void DropRest() { m_rest.clear(); }
 
@@ -26,6 +28,7 @@
 
   std::string m_rest;
   std::string m_lastId;
+  size_t m_events = 0;
 };
 
 } // namespace papayafield::forwarding
--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -126,7 +126,7 @@
   m_service = PickService();
   m_node.EarnRetries(m_service);
   if (m_call.m_promptTokens) {
-    m_node.NoteWork(m_node.m_scaling.WorkOf(UncachedTokens(), m_call.m_outputTokens));
+    m_node.NoteWork(m_node.m_scaling.WorkOf(UncachedTokens(), 0));
   }
   m_cutter.Resume(m_call.m_lastEventId);
   m_limitTimer = m_node.m_loop.After(std::max(TimeLeft(), base::Millis(0)),
@@ -492,12 +492,23 @@
   Finish(aStatus, aReason);
 }
 
+/// How much a stream brings is known only at its end; what callers state is the most it may bring.
+void Exchange::NoteOutput() {
+  const fleet::Service* service = m_catalog->FindService(m_service);
+  if (service != nullptr && service->m_engine) {
+    const auto tokens =
+      static_cast<double>(m_cutter.Events()) * service->m_engine->m_tokensPerEvent;
+    m_node.NoteWork(m_node.m_scaling.WorkOf(0, tokens));
+  }
+}
+
 void Exchange::Finish(int aStatus, const std::string& aReason) {
   if (m_finished) {
     return;
   }
   m_finished = true;
   m_limitTimer.reset();
+  NoteOutput();
   const auto now = base::BootNow();
   const auto span = [&](base::TimePoint aUntil) {
     return std::chrono::duration_cast<base::Millis>(aUntil - m_arrival).count();
--- a/packages/forwarding/Exchange.h
+++ b/packages/forwarding/Exchange.h
@@ -61,6 +61,7 @@
   void Fail(const std::shared_ptr<Running>& aRun, AttemptFault aFault, const std::string& aWhy);
   void Release(const std::shared_ptr<Running>& aRun, bool aReuse);
   void CountRun(const std::shared_ptr<Running>& aRun, base::TimePoint aBegan);
+  void NoteOutput();
   void TimeUp();
   void Refuse(int aStatus, const std::string& aReason, double aRetryAfterSeconds);
   void Deliver(const adapters::http1::ResponseHead& aHead, const std::string& aBody);
--- a/packages/forwarding/NodeState.cpp
+++ b/packages/forwarding/NodeState.cpp
@@ -9,8 +9,6 @@
 /// Part of the fleet's retry budget that is planned with; the rest covers nodes that share it
 /// unevenly.
 constexpr double kBudgetPart = 0.75;
-/// Part of a quota that a node grants before it knows what the others have granted.
-constexpr double kStartLevel = 0.5;
 
 } // namespace
 
@@ -18,6 +16,7 @@
                      WireFormat aWire,
                      base::ZoneId aZone,
                      RetryLimits aRetryLimits,
+                     quota::QuotaTolerance aQuotaTolerance,
                      base::Millis aLapseGrace,
                      int64_t aWindowMs)
   : m_loop(aLoop)
@@ -25,6 +24,7 @@
   , m_zone(std::move(aZone))
   , m_directory(aLapseGrace)
   , m_pool(aLoop)
+  , m_quota(aQuotaTolerance)
   , m_usage(aWindowMs)
   , m_retryLimits(aRetryLimits) {}
 
@@ -33,7 +33,7 @@
     return false;
   }
   m_catalog = std::move(aCatalog);
-  m_quota.Configure(*m_catalog, kStartLevel, base::BootNow());
+  m_quota.Configure(*m_catalog, base::BootNow());
   return true;
 }
 
--- a/packages/forwarding/NodeState.h
+++ b/packages/forwarding/NodeState.h
@@ -35,6 +35,7 @@
             WireFormat aWire,
             base::ZoneId aZone,
             RetryLimits aRetryLimits,
+            quota::QuotaTolerance aQuotaTolerance,
             base::Millis aLapseGrace,
             int64_t aWindowMs);
 
--- a/packages/quota/QuotaLedger.cpp
+++ b/packages/quota/QuotaLedger.cpp
@@ -15,6 +15,13 @@
 constexpr base::Millis kReserveFor{ 30000 };
 /// Span over which a peer's rate is smoothed, in seconds.
 constexpr double kRateSpan = 1.5;
+/// Part of the operators' slack that is planned with; the rest covers what other nodes have granted
+/// and not told yet.
+constexpr double kSlackPart = 0.7;
+/// Age of what other nodes have told, in seconds: one beat and the way here.
+constexpr double kNewsAge = 0.25;
+/// Part of the difference to another node's view that is taken over with each of its beats.
+constexpr double kAgreePart = 0.05;
 /// However many peers are silent, a node keeps this part of a team's rate.
 constexpr double kLeastShare = 0.1;
 /// How far a bucket may be overdrawn, in seconds of its rate, so that a refusal stays bounded.
@@ -22,16 +29,23 @@
 
 } // namespace
 
-void QuotaLedger::Configure(const fleet::Catalog& aCatalog,
-                            double aStartLevel,
-                            base::TimePoint aNow) {
+double QuotaLedger::RateOf(const fleet::Quota& aQuota) const {
+  return aQuota.m_ratePerSecond * (1 + m_tolerance.m_overrun);
+}
+
+double QuotaLedger::CapacityOf(const fleet::Quota& aQuota) const {
+  return aQuota.m_burst * (1 + m_tolerance.m_overrun) + m_tolerance.m_slack * kSlackPart;
+}
+
+void QuotaLedger::Configure(const fleet::Catalog& aCatalog, base::TimePoint aNow) {
   std::map<base::TeamId, Bucket> buckets;
   for (const fleet::Team& team : aCatalog.Teams()) {
     const auto old = m_buckets.find(team.m_id);
-    Bucket bucket{ team.m_quota, team.m_quota.m_burst * aStartLevel, aNow };
+    Bucket bucket{ team.m_quota, 0, aNow, false };
     if (old != m_buckets.end()) {
       Refill(team.m_id, old->second, aNow);
-      bucket.m_level = std::min(old->second.m_level, team.m_quota.m_burst);
+      bucket.m_level = std::min(old->second.m_level, CapacityOf(team.m_quota));
+      bucket.m_agreed = old->second.m_agreed;
     }
     buckets[team.m_id] = bucket;
   }
@@ -50,11 +64,21 @@
   return rate;
 }
 
+double QuotaLedger::PeerRate(const base::TeamId& aTeam) const {
+  double rate = 0;
+  for (const auto& [name, peer] : m_peers) {
+    if (const auto share = peer.m_teams.find(aTeam); share != peer.m_teams.end()) {
+      rate += share->second.m_rate;
+    }
+  }
+  return rate;
+}
+
 void QuotaLedger::Refill(const base::TeamId& aTeam, Bucket& aBucket, base::TimePoint aNow) {
   const double seconds = Seconds(aNow - aBucket.m_refilled).count();
-  const double rate = aBucket.m_quota.m_ratePerSecond;
+  const double rate = RateOf(aBucket.m_quota);
   const double own = std::max(rate - SilentRate(aTeam, aNow), rate * kLeastShare);
-  aBucket.m_level = std::min(aBucket.m_level + own * seconds, aBucket.m_quota.m_burst);
+  aBucket.m_level = std::min(aBucket.m_level + own * seconds, CapacityOf(aBucket.m_quota));
   aBucket.m_refilled = aNow;
 }
 
@@ -66,7 +90,7 @@
   }
   Bucket& bucket = found->second;
   Refill(aTeam, bucket, aNow);
-  if (bucket.m_level <= 0) {
+  if (bucket.m_level <= PeerRate(aTeam) * kNewsAge) {
     return false;
   }
   bucket.m_level -= aUnits;
@@ -76,7 +100,16 @@
 
 void QuotaLedger::HearPeer(const std::string& aPeer,
                            const Totals& aTotals,
+                           const Totals& aLevels,
                            base::TimePoint aNow) {
+  for (const auto& [team, level] : aLevels) {
+    const auto found = m_buckets.find(team);
+    if (found != m_buckets.end()) {
+      Bucket& bucket = found->second;
+      bucket.m_level += (level - bucket.m_level) * (bucket.m_agreed ? kAgreePart : 1.0);
+      bucket.m_agreed = true;
+    }
+  }
   const auto known = m_peers.find(aPeer);
   if (known == m_peers.end()) {
     // What it granted before it became known has been used up already.
@@ -108,6 +141,17 @@
   m_peers.erase(aPeer);
 }
 
+QuotaLedger::Totals QuotaLedger::Levels(base::TimePoint aNow) {
+  Totals levels;
+  for (auto& [team, bucket] : m_buckets) {
+    if (bucket.m_quota.m_ratePerSecond > 0) {
+      Refill(team, bucket, aNow);
+      levels[team] = bucket.m_level;
+    }
+  }
+  return levels;
+}
+
 double QuotaLedger::Level(const base::TeamId& aTeam, base::TimePoint aNow) {
   const auto found = m_buckets.find(aTeam);
   if (found == m_buckets.end()) {
--- a/packages/quota/QuotaLedger.h
+++ b/packages/quota/QuotaLedger.h
@@ -8,6 +8,14 @@
 
 namespace papayafield::quota {
 
+/// How far a team may go beyond its quota, as operators allow.
+struct QuotaTolerance {
+  /// Part of the quota.
+  double m_overrun = 0;
+  /// Units besides, within one window.
+  double m_slack = 0;
+};
+
 /// Bounds what each team uses over all nodes. Every node keeps one bucket for each team that stands
 /// for the whole fleet: it takes its own grants from it at once, and those of the other nodes as
 /// their running totals become known. Nodes that have fallen silent are taken to go on as before.
@@ -15,29 +23,40 @@
 /// die or are cut off. Not thread safe.
 class QuotaLedger {
 public:
-  /// Running totals of units granted, by team.
+  /// Units, by team.
   using Totals = std::map<base::TeamId, double>;
 
-  /// Takes over the quotas of `aCatalog`. A bucket that is new starts with `aStartLevel` of its
-  /// burst, from 0 to 1.
-  void Configure(const fleet::Catalog& aCatalog, double aStartLevel, base::TimePoint aNow);
+  explicit QuotaLedger(QuotaTolerance aTolerance)
+    : m_tolerance(aTolerance) {}
+
+  /// Takes over the quotas of `aCatalog`. A new bucket starts empty: what other nodes, or an earlier
+  /// life of this one, have granted is not known yet.
+  void Configure(const fleet::Catalog& aCatalog, base::TimePoint aNow);
   /// Takes `aUnits` from the team's bucket; false when the team is over its quota. Teams without a
   /// quota always succeed.
   bool Take(const base::TeamId& aTeam, double aUnits, base::TimePoint aNow);
   /// What this node has granted since its start.
   const Totals& Granted() const { return m_granted; }
-  /// Another node's totals since its start; `aPeer` names one life of that node.
-  void HearPeer(const std::string& aPeer, const Totals& aTotals, base::TimePoint aNow);
+  /// Another node's totals since its start, and what it believes to be left in each bucket; `aPeer`
+  /// names one life of that node.
+  void HearPeer(const std::string& aPeer,
+                const Totals& aTotals,
+                const Totals& aLevels,
+                base::TimePoint aNow);
   /// A node is known to have ended; nothing is set aside for it any more.
   void ForgetPeer(const std::string& aPeer);
   /// Units left in the team's bucket; negative while overdrawn.
   double Level(const base::TeamId& aTeam, base::TimePoint aNow);
+  /// Units left in all buckets that bound anything.
+  Totals Levels(base::TimePoint aNow);
 
 private:
   struct Bucket {
     fleet::Quota m_quota;
     double m_level = 0;
     base::TimePoint m_refilled;
+    /// Whether another node's view has been taken over since the bucket was made.
+    bool m_agreed = false;
   };
   struct PeerShare {
     double m_total = 0;
@@ -49,9 +68,13 @@
     base::TimePoint m_heard;
   };
 
+  double RateOf(const fleet::Quota& aQuota) const;
+  double CapacityOf(const fleet::Quota& aQuota) const;
+  double PeerRate(const base::TeamId& aTeam) const;
   void Refill(const base::TeamId& aTeam, Bucket& aBucket, base::TimePoint aNow);
   double SilentRate(const base::TeamId& aTeam, base::TimePoint aNow) const;
 
+  QuotaTolerance m_tolerance;
   std::map<base::TeamId, Bucket> m_buckets;
   std::map<std::string, Peer> m_peers;
   Totals m_granted;
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -49,6 +49,7 @@
               std::move(aWire),
               m_settings.m_zone,
               m_settings.m_retries,
+              m_settings.m_quotaTolerance,
               kLapseGrace,
               m_settings.m_usageWindowMs)
     , m_image([this](const std::string& aKey,
@@ -243,7 +244,7 @@
     }
   }
 
-  news::Beat MakeBeat() const {
+  news::Beat MakeBeat() {
     news::Beat beat;
     beat.m_from = m_self;
     beat.m_zone = m_settings.m_zone;
@@ -259,6 +260,7 @@
       }
     }
     beat.m_granted = m_state.m_quota.Granted();
+    beat.m_levels = m_state.m_quota.Levels(base::BootNow());
     const auto& usage = m_state.m_usage.Own();
     const int64_t oldest = m_state.m_usage.WindowOf(base::WallMillis()) - kWindowsTold;
     beat.m_usage.insert(usage.lower_bound(oldest), usage.end());
@@ -277,7 +279,7 @@
     }
     const std::string life = aBeat.m_from.Life();
     m_state.m_placement.HearPeer(aBeat.m_from.m_node.Text(), aBeat.m_loads);
-    m_state.m_quota.HearPeer(life, aBeat.m_granted, now);
+    m_state.m_quota.HearPeer(life, aBeat.m_granted, aBeat.m_levels, now);
     m_state.m_usage.HearPeer(life, aBeat.m_usage);
     NotePeerWork(life, aBeat.m_workAsked);
     for (const news::Contact& contact : aBeat.m_contacts) {
--- a/packages/serving/ServingSettings.h
+++ b/packages/serving/ServingSettings.h
@@ -30,6 +30,7 @@
   /// How long the duties stay with a holder that no longer renews.
   base::Millis m_dutyTerm{ 3000 };
   forwarding::RetryLimits m_retries;
+  quota::QuotaTolerance m_quotaTolerance;
   /// Length of a usage window, in milliseconds.
   int64_t m_usageWindowMs = 5000;
   /// Time after a window's end at which its report is due.
