--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -525,6 +525,7 @@
                        { "service", m_service.Text() },
                        { "status", aStatus },
                        { "reason", aReason },
+                       { "tokens", m_call.m_promptTokens.value_or(0) + m_call.m_outputTokens },
                        { "sends", m_sends },
                        { "endpoint", m_tried.empty() ? "" : m_tried.rbegin()->Text() },
                        { "first_ms", m_firstByte == base::TimePoint{} ? -1 : span(m_firstByte) },
--- a/packages/news/Members.cpp
+++ b/packages/news/Members.cpp
@@ -8,8 +8,9 @@
 
 /// A node not heard for so long is taken to be away: six beats.
 constexpr base::Millis kAliveFor{ 1500 };
-/// A node that is neither listed nor heard for so long is forgotten in counts.
-constexpr base::Millis kKnownFor{ 10000 };
+/// A node that is neither listed nor heard for so long is forgotten: longer than a usual cut, in which
+/// a node goes on serving although nobody hears it.
+constexpr base::Millis kKnownFor{ 30000 };
 
 } // namespace
 
@@ -42,18 +43,25 @@
   }
 }
 
-std::optional<std::string> Members::Unregister(const base::NodeId& aNode, base::TimePoint aNow) {
-  const auto found = m_peers.find(aNode);
-  if (found == m_peers.end()) {
-    return std::nullopt;
+void Members::Unregister(const base::NodeId& aNode) {
+  if (const auto found = m_peers.find(aNode); found != m_peers.end()) {
+    found->second.m_registered = false;
   }
-  found->second.m_registered = false;
-  if (Alive(found->second, aNow)) {
-    return std::nullopt;
+}
+
+std::vector<base::NodeId> Members::Forget(base::TimePoint aNow) {
+  std::vector<base::NodeId> gone;
+  for (const auto& [node, peer] : m_peers) {
+    const bool silent = !peer.m_heard || aNow - *peer.m_heard > kKnownFor;
+    const bool ended = peer.m_stopping && !Alive(peer, aNow);
+    if (!peer.m_registered && (silent || ended)) {
+      gone.push_back(node);
+    }
+  }
+  for (const base::NodeId& node : gone) {
+    m_peers.erase(node);
   }
-  std::string life = found->second.m_contact.Life();
-  m_peers.erase(found);
-  return life;
+  return gone;
 }
 
 bool Members::Alive(const Peer& aPeer, base::TimePoint aNow) const {
@@ -77,13 +85,6 @@
                }));
 }
 
-size_t Members::KnownCount(base::TimePoint aNow) const {
-  return 1 + static_cast<size_t>(
-               std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& aEntry) {
-                 const Peer& peer = aEntry.second;
-                 return peer.m_registered || (peer.m_heard && aNow - *peer.m_heard < kKnownFor);
-               }));
-}
 
 const Peer* Members::Ahead(uint64_t aRevision, base::TimePoint aNow) const {
   const Peer* best = nullptr;
--- a/packages/news/Members.h
+++ b/packages/news/Members.h
@@ -37,8 +37,11 @@
   bool Hear(const Beat& aBeat, base::TimePoint aNow);
   /// A node is listed in the store, or named by a peer (`aRegistered` false).
   void Learn(const Contact& aContact, bool aRegistered);
-  /// A node is no longer listed. Gives the life that ended, when it is not heard either.
-  std::optional<std::string> Unregister(const base::NodeId& aNode, base::TimePoint aNow);
+  /// A node is no longer listed.
+  void Unregister(const base::NodeId& aNode);
+  /// Forgets nodes that are not listed and that have ended or have not been heard for long. Gives
+  /// their names.
+  std::vector<base::NodeId> Forget(base::TimePoint aNow);
 
   /// Whether a beat came lately.
   bool Alive(const Peer& aPeer, base::TimePoint aNow) const;
@@ -48,8 +51,8 @@
   std::vector<std::string> ReadyHosts(base::TimePoint aNow) const;
   /// Nodes alive, this one included.
   size_t AliveCount(base::TimePoint aNow) const;
-  /// Nodes known, this one included: those that are listed or heard lately.
-  size_t KnownCount(base::TimePoint aNow) const;
+  /// Nodes known, this one included; some may serve callers without being heard.
+  size_t KnownCount() const { return m_peers.size() + 1; }
   /// The live peer that knows the latest change of the store; null when none knows more than
   /// `aRevision`.
   const Peer* Ahead(uint64_t aRevision, base::TimePoint aNow) const;
--- a/packages/quota/QuotaLedger.h
+++ b/packages/quota/QuotaLedger.h
@@ -4,7 +4,6 @@
 #include "fleet/Catalog.h"
 
 #include <map>
-#include <string>
 
 namespace papayafield::quota {
 
@@ -18,7 +17,8 @@
 
 /// Bounds what each team uses over all nodes. Every node keeps one bucket for each team that stands
 /// for the whole fleet: it takes its own grants from it at once, and those of the other nodes as
-/// their running totals become known. Nodes that have fallen silent are taken to go on as before.
+/// their running totals become known. While some nodes are not heard, the others keep to their part
+/// of the quota, so that all sides of a cut together stay within it.
 /// Answers the load of one team sending many times its usual, unevenly over the nodes, while nodes
 /// die or are cut off. Not thread safe.
 class QuotaLedger {
@@ -37,14 +37,18 @@
   bool Take(const base::TeamId& aTeam, double aUnits, base::TimePoint aNow);
   /// What this node has granted since its start.
   const Totals& Granted() const { return m_granted; }
-  /// Another node's totals since its start, and what it believes to be left in each bucket; `aPeer`
-  /// names one life of that node.
-  void HearPeer(const std::string& aPeer,
+  /// Another node's totals since its start, and what it believes to be left in each bucket. `aBorn`
+  /// tells its lives apart; `aYoung`: it has started so lately that all of its totals count.
+  void HearPeer(const base::NodeId& aPeer,
+                int64_t aBorn,
+                bool aYoung,
                 const Totals& aTotals,
                 const Totals& aLevels,
                 base::TimePoint aNow);
-  /// A node is known to have ended; nothing is set aside for it any more.
-  void ForgetPeer(const std::string& aPeer);
+  /// A node is known to have ended.
+  void ForgetPeer(const base::NodeId& aPeer);
+  /// How many nodes there are and how many of them are heard, this one included.
+  void SetFleet(size_t aHeard, size_t aKnown, base::TimePoint aNow);
   /// Units left in the team's bucket; negative while overdrawn.
   double Level(const base::TeamId& aTeam, base::TimePoint aNow);
   /// Units left in all buckets that bound anything.
@@ -64,6 +68,7 @@
     double m_rate = 0;
   };
   struct Peer {
+    int64_t m_born = 0;
     std::map<base::TeamId, PeerShare> m_teams;
     base::TimePoint m_heard;
   };
@@ -71,12 +76,15 @@
   double RateOf(const fleet::Quota& aQuota) const;
   double CapacityOf(const fleet::Quota& aQuota) const;
   double PeerRate(const base::TeamId& aTeam) const;
-  void Refill(const base::TeamId& aTeam, Bucket& aBucket, base::TimePoint aNow);
-  double SilentRate(const base::TeamId& aTeam, base::TimePoint aNow) const;
+  void Refill(Bucket& aBucket, base::TimePoint aNow) const;
+  void Agree(const Totals& aLevels);
+  void TakeHeard(const base::TeamId& aTeam, double aUnits);
 
   QuotaTolerance m_tolerance;
   std::map<base::TeamId, Bucket> m_buckets;
-  std::map<std::string, Peer> m_peers;
+  std::map<base::NodeId, Peer> m_peers;
+  /// Part of the quota that this side of a cut may use.
+  double m_part = 1;
   Totals m_granted;
 };
 
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -158,6 +158,8 @@
   static constexpr int64_t kWindowsTold = 3;
   /// Nodes that a beat names.
   static constexpr size_t kContactsTold = 6;
+  /// A node that started so lately has granted all of its totals since others last heard of it.
+  static constexpr base::Millis kYoungFor{ 3000 };
   /// Span over which demand is measured.
   static constexpr base::Millis kDemandSpan{ 1500 };
 
@@ -220,11 +222,8 @@
 
   void OnNode(const base::NodeId& aNode, const std::optional<store::Item>& aItem) {
     if (!aItem) {
-      if (const auto life = m_members.Unregister(aNode, base::BootNow())) {
-        m_state.m_quota.ForgetPeer(*life);
-        m_state.m_placement.HearPeer(aNode.Text(), {});
-        m_log.Event("node gone", { { "node", aNode.Text() } });
-      }
+      m_members.Unregister(aNode);
+      m_log.Event("node not listed", { { "node", aNode.Text() } });
       return;
     }
     const nlohmann::json node = base::ParseJson(aItem->m_data);
@@ -279,7 +278,9 @@
     }
     const std::string life = aBeat.m_from.Life();
     m_state.m_placement.HearPeer(aBeat.m_from.m_node.Text(), aBeat.m_loads);
-    m_state.m_quota.HearPeer(life, aBeat.m_granted, aBeat.m_levels, now);
+    const bool young = base::WallMillis() - aBeat.m_from.m_born < kYoungFor.count();
+    m_state.m_quota.HearPeer(
+      aBeat.m_from.m_node, aBeat.m_from.m_born, young, aBeat.m_granted, aBeat.m_levels, now);
     m_state.m_usage.HearPeer(life, aBeat.m_usage);
     NotePeerWork(life, aBeat.m_workAsked);
     for (const news::Contact& contact : aBeat.m_contacts) {
@@ -319,7 +320,13 @@
     }
     m_state.m_pool.Sweep(m_state.m_directory.All(), now);
     m_state.m_placement.Keep(m_state.m_directory.All());
-    m_state.SetNodeCount(m_members.KnownCount(now));
+    for (const base::NodeId& node : m_members.Forget(now)) {
+      m_state.m_quota.ForgetPeer(node);
+      m_state.m_placement.HearPeer(node.Text(), {});
+      m_log.Event("node gone", { { "node", node.Text() } });
+    }
+    m_state.SetNodeCount(m_members.KnownCount());
+    m_state.m_quota.SetFleet(m_members.AliveCount(now), m_members.KnownCount(), now);
     m_news.SendBeats();
     m_news.CatchUp(m_feed.Answers());
     Register(now);
