Quotas: a low bucket is granted by each node's part of the demand

Ruled out: the cut (its nodes granted less than their part), repeats. Change: under two fifths of its capacity a bucket is granted at the node's own part of the rate, by its part of what is asked for; beats carry what was asked.

--- a/packages/adapters/peer/BeatCodec.cpp
+++ b/packages/adapters/peer/BeatCodec.cpp
@@ -34,6 +34,19 @@
   }
 }
 
+void ReadTotals(capnp::List<wire::NewsTotal>::Reader aFrom, quota::QuotaLedger::Totals& aTotals) {
+  for (const auto total : aFrom) {
+    aTotals[base::TeamId(ToString(total.getTeam()))] = total.getUnits();
+  }
+}
+
+void WriteQuota(wire::NewsBeat::Builder aTo, const quota::QuotaLedger::View& aView) {
+  const auto size = [](const auto& aTotals) { return static_cast<unsigned>(aTotals.size()); };
+  WriteTotals(aTo.initGranted(size(aView.m_granted)), aView.m_granted);
+  WriteTotals(aTo.initAsked(size(aView.m_asked)), aView.m_asked);
+  WriteTotals(aTo.initLevels(size(aView.m_levels)), aView.m_levels);
+}
+
 void WriteLoads(wire::NewsBeat::Builder aTo, const news::Beat& aBeat) {
   auto loads = aTo.initLoads(static_cast<unsigned>(aBeat.m_loads.size()));
   unsigned index = 0;
@@ -67,12 +80,9 @@
     beat.m_loads[base::EndpointId(ToString(load.getEndpoint()))] = { load.getCalls(),
                                                                      load.getWaitingTokens() };
   }
-  for (const auto total : aFrom.getGranted()) {
-    beat.m_granted[base::TeamId(ToString(total.getTeam()))] = total.getUnits();
-  }
-  for (const auto total : aFrom.getLevels()) {
-    beat.m_levels[base::TeamId(ToString(total.getTeam()))] = total.getUnits();
-  }
+  ReadTotals(aFrom.getGranted(), beat.m_quota.m_granted);
+  ReadTotals(aFrom.getAsked(), beat.m_quota.m_asked);
+  ReadTotals(aFrom.getLevels(), beat.m_quota.m_levels);
   for (const auto window : aFrom.getUsage()) {
     for (const auto total : window.getCounts()) {
       beat.m_usage[window.getNumber()][base::TeamId(ToString(total.getTeam()))] =
@@ -99,8 +109,7 @@
   root.setRevision(aBeat.m_revision);
   root.setWorkAsked(aBeat.m_workAsked);
   WriteLoads(root, aBeat);
-  WriteTotals(root.initGranted(static_cast<unsigned>(aBeat.m_granted.size())), aBeat.m_granted);
-  WriteTotals(root.initLevels(static_cast<unsigned>(aBeat.m_levels.size())), aBeat.m_levels);
+  WriteQuota(root, aBeat.m_quota);
   WriteUsage(root, aBeat);
   auto contacts = root.initContacts(static_cast<unsigned>(aBeat.m_contacts.size()));
   for (unsigned i = 0; i < contacts.size(); ++i) {
--- a/packages/adapters/peer/news.capnp
+++ b/packages/adapters/peer/news.capnp
@@ -42,4 +42,5 @@
   usage @10 :List(NewsWindow);
   contacts @11 :List(NewsContact);
   levels @12 :List(NewsTotal);
+  asked @13 :List(NewsTotal);
 }
--- a/packages/adapters/peer/news.capnp.h
+++ b/packages/adapters/peer/news.capnp.h
@@ -98,7 +98,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(962536a4c280ae89, 4, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(962536a4c280ae89, 4, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -516,6 +516,9 @@
   inline bool hasLevels() const;
   inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Reader getLevels() const;
 
+  inline bool hasAsked() const;
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Reader getAsked() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -611,6 +614,13 @@
   inline void adoptLevels(::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>> disownLevels();
 
+  inline bool hasAsked();
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Builder getAsked();
+  inline void setAsked( ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Builder initAsked(unsigned int size);
+  inline void adoptAsked(::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>> disownAsked();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1207,6 +1217,40 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline bool NewsBeat::Reader::hasAsked() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool NewsBeat::Builder::hasAsked() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Reader NewsBeat::Reader::getAsked() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Builder NewsBeat::Builder::getAsked() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void NewsBeat::Builder::setAsked( ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Builder NewsBeat::Builder::initAsked(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void NewsBeat::Builder::adoptAsked(
+    ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>> NewsBeat::Builder::disownAsked() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/packages/base/Digest.cpp
+++ b/packages/base/Digest.cpp
@@ -1,5 +1,9 @@
 #include "base/Digest.h"
 
+#include <sys/random.h>
+
+#include <chrono>
+
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
@@ -65,4 +69,12 @@
   return Hash64(aKey, Hash64(aCandidate));
 }
 
+uint64_t RandomSeed() {
+  uint64_t seed = 0;
+  if (getrandom(&seed, sizeof(seed), 0) != sizeof(seed)) {
+    seed = static_cast<uint64_t>(std::chrono::steady_clock::now().time_since_epoch().count());
+  }
+  return seed;
+}
+
 } // namespace papayafield::base
--- a/packages/base/Digest.h
+++ b/packages/base/Digest.h
@@ -27,4 +27,7 @@
 /// The weight of `aCandidate` for `aKey` in a rendezvous hash; the highest wins.
 uint64_t RendezvousWeight(std::string_view aKey, std::string_view aCandidate);
 
+/// A seed for a generator of random numbers, from the operating system. Thread safe.
+uint64_t RandomSeed();
+
 } // namespace papayafield::base
--- a/packages/duties/DutyHolder.h
+++ b/packages/duties/DutyHolder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/Digest.h"
 #include "base/Log.h"
 #include "duties/DutyPort.h"
 #include "store/StorePort.h"
@@ -169,7 +170,7 @@
   base::TimePoint m_validUntil{};
   std::optional<base::TimePoint> m_takeAt;
   bool m_busy = false;
-  std::mt19937_64 m_random{ std::random_device{}() };
+  std::mt19937_64 m_random{ base::RandomSeed() };
 };
 
 } // namespace papayafield::duties
--- a/packages/forwarding/NodeState.h
+++ b/packages/forwarding/NodeState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/http/EventLoop.h"
+#include "base/Digest.h"
 #include "base/Log.h"
 #include "duties/ScalingPolicy.h"
 #include "duties/UsageLedger.h"
@@ -76,7 +77,7 @@
   size_t m_nodeCount = 3;
   std::map<fleet::ServiceId, requests::RetryBudget> m_budgets;
   double m_workAsked = 0;
-  std::mt19937_64 m_random{ std::random_device{}() };
+  std::mt19937_64 m_random{ base::RandomSeed() };
 };
 
 } // namespace papayafield::forwarding
--- a/packages/news/Beat.h
+++ b/packages/news/Beat.h
@@ -42,10 +42,8 @@
   double m_workAsked = 0;
   /// Its own calls under way.
   std::map<base::EndpointId, placement::Load> m_loads;
-  /// Units granted since its start.
-  quota::QuotaLedger::Totals m_granted;
-  /// Units that it believes to be left of each team's quota.
-  quota::QuotaLedger::Totals m_levels;
+  /// Its view of the teams' quotas.
+  quota::QuotaLedger::View m_quota;
   /// Its own usage counts of the latest windows.
   duties::UsageLedger::Windows m_usage;
   /// Some nodes that it knows, so that news of nodes spreads without the store.
--- a/packages/quota/QuotaLedger.cpp
+++ b/packages/quota/QuotaLedger.cpp
@@ -13,9 +13,17 @@
 constexpr double kRateSpan = 1.5;
 /// Part of the operators' slack that is planned with; the rest covers what other nodes have granted
 /// and not told yet.
-constexpr double kSlackPart = 0.2;
+constexpr double kSlackPart = 0.4;
 /// Age of what other nodes have told, in seconds: one beat and the way here.
 constexpr double kNewsAge = 0.25;
+/// A bucket under this part of its capacity counts as low.
+constexpr double kLowPart = 0.4;
+/// Seconds of its part of the rate that a node may grant at once while a bucket is low.
+constexpr double kOwnSeconds = 0.4;
+/// Seconds of the rate by which a low bucket may be overdrawn.
+constexpr double kOverdrawSeconds = 0.1;
+/// Units a second that each node's demand counts for besides, so that a new demand has a part.
+constexpr double kLeastDemand = 200;
 /// How far a bucket may be overdrawn, in seconds of its rate, so that a refusal stays bounded.
 constexpr double kMaxDebtSeconds = 2.0;
 
@@ -29,14 +37,22 @@
   return (aQuota.m_burst * (1 + m_tolerance.m_overrun) + m_tolerance.m_slack * kSlackPart) * m_part;
 }
 
+double QuotaLedger::Meter::Advance(double aTotal, double aSeconds) {
+  const double growth = std::max(aTotal - m_total, 0.0);
+  m_total = std::max(aTotal, m_total);
+  m_rate += (growth / aSeconds - m_rate) * std::min(aSeconds / kRateSpan, 1.0);
+  return growth;
+}
+
 void QuotaLedger::Configure(const fleet::Catalog& aCatalog, base::TimePoint aNow) {
   std::map<base::TeamId, Bucket> buckets;
   for (const fleet::Team& team : aCatalog.Teams()) {
     const auto old = m_buckets.find(team.m_id);
-    Bucket bucket{ team.m_quota, 0, aNow, false };
+    Bucket bucket{ team.m_quota, 0, 0, aNow, false };
     if (old != m_buckets.end()) {
-      Refill(old->second, aNow);
+      Refill(team.m_id, old->second, aNow);
       bucket.m_level = std::min(old->second.m_level, CapacityOf(team.m_quota));
+      bucket.m_ownLevel = old->second.m_ownLevel;
       bucket.m_agreed = old->second.m_agreed;
     }
     buckets[team.m_id] = bucket;
@@ -46,8 +62,9 @@
 
 void QuotaLedger::SetFleet(size_t aHeard, size_t aKnown, base::TimePoint aNow) {
   for (auto& [team, bucket] : m_buckets) {
-    Refill(bucket, aNow);
+    Refill(team, bucket, aNow);
   }
+  m_heardNodes = std::max<size_t>(aHeard, 1);
   m_part = std::min(static_cast<double>(aHeard) / static_cast<double>(std::max<size_t>(aKnown, 1)),
                     1.0);
 }
@@ -55,36 +72,72 @@
 double QuotaLedger::PeerRate(const base::TeamId& aTeam) const {
   double rate = 0;
   for (const auto& [name, peer] : m_peers) {
-    if (const auto share = peer.m_teams.find(aTeam); share != peer.m_teams.end()) {
-      rate += share->second.m_rate;
+    if (const auto meter = peer.m_granted.find(aTeam); meter != peer.m_granted.end()) {
+      rate += meter->second.m_rate;
     }
   }
   return rate;
 }
 
-void QuotaLedger::Refill(Bucket& aBucket, base::TimePoint aNow) const {
+double QuotaLedger::ShareOf(const base::TeamId& aTeam) const {
+  const auto own = m_ownAsked.find(aTeam);
+  const double mine = (own == m_ownAsked.end() ? 0 : own->second.m_rate) + kLeastDemand;
+  double all = mine + kLeastDemand * static_cast<double>(m_heardNodes - 1);
+  for (const auto& [name, peer] : m_peers) {
+    if (const auto meter = peer.m_asked.find(aTeam); meter != peer.m_asked.end()) {
+      all += meter->second.m_rate;
+    }
+  }
+  return mine / all;
+}
+
+void QuotaLedger::Refill(const base::TeamId& aTeam, Bucket& aBucket, base::TimePoint aNow) const {
   const double seconds = std::max(Seconds(aNow - aBucket.m_refilled).count(), 0.0);
-  aBucket.m_level =
-    std::min(aBucket.m_level + RateOf(aBucket.m_quota) * seconds, CapacityOf(aBucket.m_quota));
+  const double rate = RateOf(aBucket.m_quota);
+  const double own = rate * ShareOf(aTeam);
+  aBucket.m_level = std::min(aBucket.m_level + rate * seconds, CapacityOf(aBucket.m_quota));
+  aBucket.m_ownLevel = std::min(aBucket.m_ownLevel + own * seconds, own * kOwnSeconds);
   aBucket.m_refilled = std::max(aBucket.m_refilled, aNow);
 }
 
 bool QuotaLedger::Take(const base::TeamId& aTeam, double aUnits, base::TimePoint aNow) {
+  m_asked[aTeam] += aUnits;
   const auto found = m_buckets.find(aTeam);
   if (found == m_buckets.end() || found->second.m_quota.m_ratePerSecond <= 0) {
     m_granted[aTeam] += aUnits;
     return true;
   }
   Bucket& bucket = found->second;
-  Refill(bucket, aNow);
-  if (bucket.m_level <= PeerRate(aTeam) * kNewsAge) {
-    return false;
+  Refill(aTeam, bucket, aNow);
+  const double low =
+    std::max(CapacityOf(bucket.m_quota) * kLowPart, PeerRate(aTeam) * kNewsAge);
+  if (bucket.m_level <= low) {
+    if (bucket.m_ownLevel <= 0 || bucket.m_level <= -RateOf(bucket.m_quota) * kOverdrawSeconds) {
+      return false;
+    }
+    bucket.m_ownLevel -= aUnits;
   }
   bucket.m_level -= aUnits;
   m_granted[aTeam] += aUnits;
   return true;
 }
 
+QuotaLedger::View QuotaLedger::Own(base::TimePoint aNow) {
+  const double seconds = Seconds(aNow - m_ownMeasured).count();
+  for (const auto& [team, total] : m_asked) {
+    m_ownAsked[team].Advance(total, std::max(seconds, 0.001));
+  }
+  m_ownMeasured = aNow;
+  View view{ m_granted, m_asked, {} };
+  for (auto& [team, bucket] : m_buckets) {
+    if (bucket.m_quota.m_ratePerSecond > 0) {
+      Refill(team, bucket, aNow);
+      view.m_levels[team] = bucket.m_level;
+    }
+  }
+  return view;
+}
+
 void QuotaLedger::Agree(const Totals& aLevels) {
   for (const auto& [team, level] : aLevels) {
     const auto found = m_buckets.find(team);
@@ -107,29 +160,29 @@
 void QuotaLedger::HearPeer(const base::NodeId& aPeer,
                            int64_t aBorn,
                            bool aYoung,
-                           const Totals& aTotals,
-                           const Totals& aLevels,
+                           const View& aView,
                            base::TimePoint aNow) {
-  Agree(aLevels);
+  Agree(aView.m_levels);
   Peer& peer = m_peers[aPeer];
-  if (peer.m_born != aBorn) {
-    peer = { aBorn, {}, aNow };
-    for (const auto& [team, total] : aTotals) {
-      peer.m_teams[team].m_total = total;
-      if (aYoung) {
-        TakeHeard(team, total);
+  const bool known = peer.m_born == aBorn;
+  if (!known) {
+    peer = { aBorn, {}, {}, aNow };
+    if (!aYoung) {
+      // What it granted before it became known has been used up already.
+      for (const auto& [team, total] : aView.m_granted) {
+        peer.m_granted[team].m_total = total;
       }
     }
-    return;
+    for (const auto& [team, total] : aView.m_asked) {
+      peer.m_asked[team].m_total = total;
+    }
+  }
+  const double seconds = std::max(Seconds(aNow - peer.m_heard).count(), known ? 0.001 : kRateSpan);
+  for (const auto& [team, total] : aView.m_granted) {
+    TakeHeard(team, peer.m_granted[team].Advance(total, seconds));
   }
-  const double seconds = std::max(Seconds(aNow - peer.m_heard).count(), 0.001);
-  const double weight = std::min(seconds / kRateSpan, 1.0);
-  for (const auto& [team, total] : aTotals) {
-    PeerShare& share = peer.m_teams[team];
-    const double used = std::max(total - share.m_total, 0.0);
-    share.m_total = std::max(total, share.m_total);
-    share.m_rate += (used / seconds - share.m_rate) * weight;
-    TakeHeard(team, used);
+  for (const auto& [team, total] : aView.m_asked) {
+    peer.m_asked[team].Advance(total, seconds);
   }
   peer.m_heard = aNow;
 }
@@ -138,23 +191,12 @@
   m_peers.erase(aPeer);
 }
 
-QuotaLedger::Totals QuotaLedger::Levels(base::TimePoint aNow) {
-  Totals levels;
-  for (auto& [team, bucket] : m_buckets) {
-    if (bucket.m_quota.m_ratePerSecond > 0) {
-      Refill(bucket, aNow);
-      levels[team] = bucket.m_level;
-    }
-  }
-  return levels;
-}
-
 double QuotaLedger::Level(const base::TeamId& aTeam, base::TimePoint aNow) {
   const auto found = m_buckets.find(aTeam);
   if (found == m_buckets.end()) {
     return 0;
   }
-  Refill(found->second, aNow);
+  Refill(aTeam, found->second, aNow);
   return found->second.m_level;
 }
 
--- a/packages/quota/QuotaLedger.h
+++ b/packages/quota/QuotaLedger.h
@@ -18,7 +18,9 @@
 /// Bounds what each team uses over all nodes. Every node keeps one bucket for each team that stands
 /// for the whole fleet: it takes its own grants from it at once, and those of the other nodes as
 /// their running totals become known. While some nodes are not heard, the others keep to their part
-/// of the quota, so that all sides of a cut together stay within it.
+/// of the quota, so that all sides of a cut together stay within it. Once a bucket runs low, each node
+/// grants at its part of the rate only, by its part of the demand: otherwise all would grant the same
+/// refill before they hear of one another.
 /// Answers the load of one team sending many times its usual, unevenly over the nodes, while nodes
 /// die or are cut off. Not thread safe.
 class QuotaLedger {
@@ -26,6 +28,16 @@
   /// Units, by team.
   using Totals = std::map<base::TeamId, double>;
 
+  /// What nodes tell one another.
+  struct View {
+    /// Units granted since the node's start.
+    Totals m_granted;
+    /// Units asked for since the node's start, granted or not.
+    Totals m_asked;
+    /// Units believed to be left in each bucket.
+    Totals m_levels;
+  };
+
   explicit QuotaLedger(QuotaTolerance aTolerance)
     : m_tolerance(aTolerance) {}
 
@@ -35,15 +47,14 @@
   /// Takes `aUnits` from the team's bucket; false when the team is over its quota. Teams without a
   /// quota always succeed.
   bool Take(const base::TeamId& aTeam, double aUnits, base::TimePoint aNow);
-  /// What this node has granted since its start.
-  const Totals& Granted() const { return m_granted; }
-  /// Another node's totals since its start, and what it believes to be left in each bucket. `aBorn`
-  /// tells its lives apart; `aYoung`: it has started so lately that all of its totals count.
+  /// This node's own view, as other nodes hear it.
+  View Own(base::TimePoint aNow);
+  /// Another node's view. `aBorn` tells its lives apart; `aYoung`: it has started so lately that all
+  /// of its totals count.
   void HearPeer(const base::NodeId& aPeer,
                 int64_t aBorn,
                 bool aYoung,
-                const Totals& aTotals,
-                const Totals& aLevels,
+                const View& aView,
                 base::TimePoint aNow);
   /// A node is known to have ended.
   void ForgetPeer(const base::NodeId& aPeer);
@@ -51,32 +62,37 @@
   void SetFleet(size_t aHeard, size_t aKnown, base::TimePoint aNow);
   /// Units left in the team's bucket; negative while overdrawn.
   double Level(const base::TeamId& aTeam, base::TimePoint aNow);
-  /// Units left in all buckets that bound anything.
-  Totals Levels(base::TimePoint aNow);
 
 private:
   struct Bucket {
     fleet::Quota m_quota;
     double m_level = 0;
+    /// Units that this node may grant while the bucket is low.
+    double m_ownLevel = 0;
     base::TimePoint m_refilled;
     /// Whether another node's view has been taken over since the bucket was made.
     bool m_agreed = false;
   };
-  struct PeerShare {
+  /// A running total and its rate in units a second, smoothed.
+  struct Meter {
     double m_total = 0;
-    /// Units a second, smoothed.
     double m_rate = 0;
+
+    /// Takes a later total; gives the growth.
+    double Advance(double aTotal, double aSeconds);
   };
   struct Peer {
     int64_t m_born = 0;
-    std::map<base::TeamId, PeerShare> m_teams;
+    std::map<base::TeamId, Meter> m_granted;
+    std::map<base::TeamId, Meter> m_asked;
     base::TimePoint m_heard;
   };
 
   double RateOf(const fleet::Quota& aQuota) const;
   double CapacityOf(const fleet::Quota& aQuota) const;
+  double ShareOf(const base::TeamId& aTeam) const;
   double PeerRate(const base::TeamId& aTeam) const;
-  void Refill(Bucket& aBucket, base::TimePoint aNow) const;
+  void Refill(const base::TeamId& aTeam, Bucket& aBucket, base::TimePoint aNow) const;
   void Agree(const Totals& aLevels);
   void TakeHeard(const base::TeamId& aTeam, double aUnits);
 
@@ -85,7 +101,11 @@
   std::map<base::NodeId, Peer> m_peers;
   /// Part of the quota that this side of a cut may use.
   double m_part = 1;
+  size_t m_heardNodes = 1;
   Totals m_granted;
+  Totals m_asked;
+  std::map<base::TeamId, Meter> m_ownAsked;
+  base::TimePoint m_ownMeasured{};
 };
 
 } // namespace papayafield::quota
--- a/packages/serving/NewsExchange.h
+++ b/packages/serving/NewsExchange.h
@@ -3,6 +3,7 @@
 #include "adapters/http1/JsonClient.h"
 #include "adapters/http1/SmallServer.h"
 #include "adapters/peer/DatagramSocket.h"
+#include "base/Digest.h"
 #include "news/Members.h"
 #include "serving/ServingSettings.h"
 #include "sync/Image.h"
@@ -52,7 +53,7 @@
   std::map<std::string, std::unique_ptr<adapters::http1::JsonClient>> m_clients;
   bool m_fetching = false;
   std::optional<base::TimePoint> m_behindSince;
-  std::mt19937_64 m_random{ std::random_device{}() };
+  std::mt19937_64 m_random{ base::RandomSeed() };
 };
 
 } // namespace papayafield::serving
