--- a/packages/adapters/http/Transfer.cpp
+++ b/packages/adapters/http/Transfer.cpp
@@ -69,7 +69,9 @@
   evhttp_request_set_header_cb(request, &Transfer::OnHead);
   evhttp_request_set_chunked_cb(request, &Transfer::OnChunk);
   evkeyvalq* headers = evhttp_request_get_output_headers(request);
-  evhttp_add_header(headers, "Host", m_request.m_to.ToText().c_str());
+  if (!m_request.m_headers.Find("Host")) {
+    evhttp_add_header(headers, "Host", m_request.m_to.ToText().c_str());
+  }
   evhttp_add_header(headers, "Connection", "close");
   for (const Header& line : m_request.m_headers.Lines()) {
     evhttp_add_header(headers, line.m_name.c_str(), line.m_value.c_str());
--- /dev/null
+++ b/standins/fleet/main.cpp
@@ -0,0 +1,220 @@
+#include "base/Json.h"
+#include "standins/common/Arguments.h"
+#include "standins/fleet/Runner.h"
+#include "standins/fleet/Store.h"
+
+#include <csignal>
+#include <nlohmann/json.hpp>
+
+/// \file
+/// The users' platform in one process: its store, the duties' calls and some runners, spoken by the
+/// published protocol. Tests set faults and read what happened under /control/.
+
+namespace {
+
+using namespace papayafield;
+using namespace papayafield::adapters::http1;
+using namespace papayafield::standins;
+using nlohmann::json;
+
+constexpr size_t kMaxHead = 65536;
+
+class FleetStandin {
+public:
+  FleetStandin(adapters::http::EventLoop& aLoop,
+               const base::Address& aListen,
+               int aRunners,
+               const std::string& aService)
+    : m_loop(aLoop)
+    , m_service(aService)
+    , m_store(aLoop)
+    , m_listener(aLoop, aListen, kMaxHead, [this](auto aConnection) { Take(aConnection); }) {
+    for (int i = 0; i < aRunners; ++i) {
+      m_runners.push_back(std::make_unique<Runner>(
+        aLoop,
+        base::Address{ aListen.m_host, static_cast<uint16_t>(aListen.m_port + 1 + i) },
+        "i-" + std::to_string(i),
+        m_runs));
+      Register(*m_runners.back(), "ready");
+    }
+  }
+
+  bool Listening() const {
+    bool all = m_listener.Listening();
+    for (const auto& runner : m_runners) {
+      all = all && runner->Listening();
+    }
+    return all;
+  }
+
+private:
+  void Register(const Runner& aRunner, const std::string& aState) {
+    const json entry = { { "service", m_service },
+                         { "address", aRunner.At().ToText() },
+                         { "zone", "a" },
+                         { "version", "v1" },
+                         { "slots", 64 },
+                         { "state", aState },
+                         { "cold_left_ms", 0 },
+                         { "sequence", 1 },
+                         { "born", 1 } };
+    m_store.Put("servers/" + aRunner.Id(), base::DumpJson(entry));
+  }
+
+  void Take(const std::shared_ptr<ServerConnection>& aConnection) {
+    m_connections.insert(aConnection);
+    auto head = std::make_shared<RequestHead>();
+    auto body = std::make_shared<std::string>();
+    const std::weak_ptr<ServerConnection> weak = aConnection;
+    ServerConnection::Events events;
+    events.m_onHead = [head, body](RequestHead&& aHead) {
+      *head = std::move(aHead);
+      body->clear();
+    };
+    events.m_onBody = [body](std::string_view aBytes) { *body += aBytes; };
+    events.m_onComplete = [this, weak, head, body] {
+      if (const auto connection = weak.lock(); connection && !Handle(connection, *head, *body)) {
+        m_connections.erase(connection);
+        connection->Close();
+      }
+    };
+    events.m_onEnd = [this, weak](EndKind /*aKind*/, bool /*aInMessage*/) {
+      if (const auto connection = weak.lock()) {
+        m_connections.erase(connection);
+      }
+    };
+    aConnection->SetEvents(std::move(events));
+  }
+
+  /// False when the connection is to be closed without an answer.
+  bool Handle(const std::shared_ptr<ServerConnection>& aConnection,
+              const RequestHead& aHead,
+              const std::string& aBody) {
+    const auto reply = [weak = std::weak_ptr(aConnection)](int aStatus, const json& aAnswer) {
+      if (const auto connection = weak.lock()) {
+        const std::string text = base::DumpJson(aAnswer);
+        ResponseHead head;
+        head.m_status = aStatus;
+        head.m_fields.Add("Content-Type", "application/json");
+        head.m_fields.Add("Content-Length", std::to_string(text.size()));
+        connection->Write(Serialize(head) + text);
+        connection->Resume();
+      }
+    };
+    const std::string path = aHead.m_target.substr(0, aHead.m_target.find('?'));
+    if (path.starts_with("/-/kv-")) {
+      return m_store.Handle(aHead, aBody, reply);
+    }
+    const json body = base::ParseJson(aBody);
+    if (path == "/usage" || path == "/scale") {
+      Duty(path, aHead, body, reply);
+    } else if (path.starts_with("/control/")) {
+      reply(Control(path, body) ? 200 : 400, Report());
+    } else {
+      reply(404, json::object());
+    }
+    return true;
+  }
+
+  template<class Reply>
+  void Duty(const std::string& aPath,
+            const RequestHead& aHead,
+            const json& aBody,
+            const Reply& aReply) {
+    const std::string token(aHead.m_fields.Find("Papayafield-Fencing-Token").value_or("0"));
+    const uint64_t fence = std::strtoull(token.c_str(), nullptr, 10);
+    uint64_t& most = m_fences[aPath];
+    if (fence < most) {
+      aReply(409, json::object());
+      return;
+    }
+    most = fence;
+    m_duties.push_back({ { "path", aPath }, { "fence", fence }, { "body", aBody } });
+    aReply(200, json::object());
+  }
+
+  bool Control(const std::string& aPath, const json& aBody) {
+    if (aPath == "/control/report") {
+      return true;
+    }
+    if (aPath == "/control/configuration") {
+      m_store.Put("op/config", base::DumpJson(aBody));
+      return true;
+    }
+    if (aPath == "/control/compact") {
+      m_store.Compact();
+      return true;
+    }
+    if (aPath == "/control/store") {
+      const std::string mode = aBody.value("mode", "ok");
+      m_store.SetMode(mode == "silent"         ? Store::Mode::Silent
+                      : mode == "busy"         ? Store::Mode::Busy
+                      : mode == "lose_answers" ? Store::Mode::LoseAnswers
+                                               : Store::Mode::Ok);
+      return true;
+    }
+    if (aPath == "/control/runner" && aBody.is_object()) {
+      return ControlRunner(aBody);
+    }
+    return false;
+  }
+
+  bool ControlRunner(const json& aBody) {
+    const auto index = aBody.value("index", size_t{ 0 });
+    if (index >= m_runners.size()) {
+      return false;
+    }
+    Runner& runner = *m_runners[index];
+    if (const auto mode = base::ParseEnum<RunnerMode>(aBody.value("mode", "ok"))) {
+      runner.SetMode(*mode);
+    }
+    const std::string state = aBody.value("state", "");
+    if (state == "gone") {
+      m_store.Remove("servers/" + runner.Id());
+    } else if (!state.empty()) {
+      Register(runner, state);
+    }
+    return true;
+  }
+
+  json Report() const {
+    json runs = json::array();
+    for (const Run& run : m_runs) {
+      runs.push_back({ { "call", run.m_call },
+                       { "runner", run.m_runner },
+                       { "team", run.m_team },
+                       { "last_event", run.m_lastEvent } });
+    }
+    return { { "runs", runs }, { "duties", m_duties }, { "store_calls", m_store.Calls() } };
+  }
+
+  adapters::http::EventLoop& m_loop;
+  std::string m_service;
+  Store m_store;
+  std::vector<Run> m_runs;
+  std::vector<std::unique_ptr<Runner>> m_runners;
+  std::map<std::string, uint64_t> m_fences;
+  json m_duties = json::array();
+  std::set<std::shared_ptr<ServerConnection>> m_connections;
+  Listener m_listener;
+};
+
+} // namespace
+
+int main(int argc, char** argv) {
+  const Arguments arguments(
+    argc, argv, { { "listen", "127.0.0.1:9000" }, { "runners", "3" }, { "service", "engines" } });
+  std::signal(SIGPIPE, SIG_IGN);
+  adapters::http::EventLoop loop;
+  FleetStandin standin(loop,
+                       arguments.Address("listen"),
+                       static_cast<int>(arguments.Number("runners")),
+                       arguments.Text("service"));
+  if (!standin.Listening()) {
+    std::fprintf(stderr, "cannot listen at %s\n", arguments.Text("listen").c_str());
+    return 1;
+  }
+  const auto onTerm = loop.OnSignal(SIGTERM, [&] { loop.Stop(); });
+  loop.Run();
+  return 0;
+}
--- /dev/null
+++ b/tests/harness/PlatformFleet.cpp
@@ -0,0 +1,180 @@
+#include "tests/harness/PlatformFleet.h"
+
+#include "base/Digest.h"
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+#include <thread>
+
+namespace papayafield::tests {
+
+using nlohmann::json;
+
+namespace {
+
+/// Ports of one node, from its first.
+enum PortOffset : uint16_t { Callers = 0, Readiness = 1, Directory = 2, News = 3, Metrics = 4 };
+
+/// Waits end long before a test's own time limit, and long after anything that works.
+constexpr base::Millis kPatience{ 20000 };
+constexpr base::Millis kPoll{ 10 };
+
+json RouteOf(const std::string& aHost, const std::string& aPrefix, const std::string& aKind) {
+  return { { "name", aHost + aPrefix },
+           { "host", aHost },
+           { "prefix", aPrefix },
+           { "route_type", aKind },
+           { "timeout_ms", aKind == "streaming" ? 20000 : 1500 },
+           { "goal_ms", 300 },
+           { "priority", 1 },
+           { "service", "engines" },
+           { "max_attempts", aKind == "non_idempotent" ? 1 : 2 },
+           { "public", false },
+           { "resumable", aKind == "streaming" } };
+}
+
+std::string MakeFolder() {
+  std::string path = (std::filesystem::temp_directory_path() / "papayafield-XXXXXX").string();
+  if (mkdtemp(path.data()) == nullptr) {
+    throw std::runtime_error("no folder for the test");
+  }
+  return path;
+}
+
+} // namespace
+
+PlatformFleet::PlatformFleet(size_t aNodes, size_t aRunners)
+  : m_folder(MakeFolder())
+  , m_port(FreePort())
+  , m_platform{ "127.0.0.1", FreePort() } {
+  m_standin = std::make_unique<Process>(
+    "standins/standin_fleet",
+    std::vector<std::string>{
+      "--listen", m_platform.ToText(), "--runners", std::to_string(aRunners) });
+  Until([&] { return Call(m_platform, "GET", "/control/report").m_status == 200; });
+  Configure();
+  m_nodes.resize(aNodes);
+  for (size_t i = 0; i < aNodes; ++i) {
+    Start(i);
+  }
+  for (size_t i = 0; i < aNodes; ++i) {
+    Until([&] {
+      return Ready(i) && Entries(i).size() == aNodes &&
+             Metric(i, "endpoints_ready") == static_cast<double>(aRunners);
+    });
+  }
+}
+
+PlatformFleet::~PlatformFleet() {
+  m_nodes.clear();
+  m_standin.reset();
+  std::error_code ignored;
+  std::filesystem::remove_all(m_folder, ignored);
+}
+
+std::string PlatformFleet::SettingsFile(size_t aIndex) const {
+  const std::string host = HostOf(aIndex);
+  const auto port = [&](PortOffset aOffset) { return std::to_string(m_port + aOffset); };
+  const std::string path = m_folder + "/" + host + ".toml";
+  std::ofstream file(path);
+  file << "node_name = \"node-" << aIndex << "\"\nip = \"" << host << "\"\nzone = \"a\"\n"
+       << "internal_ports = [" << port(News) << ", " << port(News) << "]\n"
+       << "seeds = [\"" << HostOf(0) << ":1\"]\n[listen]\nfront = \"" << host << ":"
+       << port(PortOffset::Callers) << "\"\nready = \"" << host << ":" << port(Readiness)
+       << "\"\ndirectory = \"" << host << ":" << port(Directory)
+       << "\"\n[bounds]\ngrace_s = 8\nlease_ms = 1500\nretry_ratio = 0.2\nretry_slack = 100\n"
+       << "usage_window_s = 1\nusage_late_s = 10\n[platform]\naddress = \"" << m_platform.ToText()
+       << "\"\n[cloud]\naddress = \"" << m_platform.ToText() << "\"\nduties = [\"metering\"]\n";
+  return path;
+}
+
+void PlatformFleet::Start(size_t aIndex) {
+  m_nodes[aIndex] =
+    std::make_unique<Process>("apps/papayafieldd/papayafieldd",
+                              std::vector<std::string>{ "--platform",
+                                                        "--config",
+                                                        SettingsFile(aIndex),
+                                                        "--metrics-port",
+                                                        std::to_string(m_port + Metrics) });
+}
+
+json PlatformFleet::Control(const std::string& aWhat, const json& aBody) const {
+  return base::ParseJson(
+    Call(m_platform, "POST", "/control/" + aWhat, base::DumpJson(aBody)).m_body);
+}
+
+void PlatformFleet::Configure(const std::string& aExtraHost) {
+  json routes = json::array();
+  for (const std::string& host : { std::string("h.example"), aExtraHost }) {
+    routes.push_back(RouteOf(host, "/stream/", "streaming"));
+    routes.push_back(RouteOf(host, "/safe/", "idempotent"));
+    routes.push_back(RouteOf(host, "/once/", "non_idempotent"));
+  }
+  Control("configuration",
+          { { "version", ++m_version },
+            { "routes", routes },
+            { "services", { { { "name", "engines" }, { "max_conns", 300 } } } },
+            { "tenants", { { { "name", "team-1" }, { "api_keys", { "key-1" } } } } } });
+}
+
+CallerAnswer PlatformFleet::Send(size_t aIndex,
+                                 const std::string& aMethod,
+                                 const std::string& aTarget,
+                                 const std::string& aHost,
+                                 const std::string& aKey,
+                                 const std::string& aId) const {
+  return Call(Callers(aIndex),
+              aMethod,
+              aTarget,
+              aMethod == "POST" ? "{}" : "",
+              { { "Host", aHost },
+                { "Authorization", "Bearer " + aKey },
+                { "Papayafield-Deadline-Ms", "15000" },
+                { "Papayafield-Attempt-Id", aId.empty() ? base::RandomHex(8) : aId } });
+}
+
+std::vector<std::string> PlatformFleet::Entries(size_t aIndex) const {
+  const base::Address directory{ HostOf(aIndex), static_cast<uint16_t>(m_port + Directory) };
+  const json answer = base::ParseJson(Call(directory, "GET", "/-/resolve?name=h.example").m_body);
+  return answer.is_object() ? answer.at("addresses").get<std::vector<std::string>>()
+                            : std::vector<std::string>();
+}
+
+bool PlatformFleet::Ready(size_t aIndex) const {
+  const base::Address readiness{ HostOf(aIndex), static_cast<uint16_t>(m_port + Readiness) };
+  return Call(readiness, "GET", "/-/readyz").m_status == 200;
+}
+
+double PlatformFleet::Metric(size_t aIndex, const std::string& aName) const {
+  const base::Address metrics{ HostOf(aIndex), static_cast<uint16_t>(m_port + Metrics) };
+  const std::string page = Call(metrics, "GET", "/metrics").m_body;
+  const std::string label = "papayafield_values{value=\"" + aName + "\"} ";
+  const size_t at = page.find(label);
+  return at == std::string::npos ? -1 : std::atof(page.c_str() + at + label.size());
+}
+
+std::vector<json> PlatformFleet::RunsOf(const std::string& aId) const {
+  std::vector<json> runs;
+  const json report = Control("report");
+  for (const json& run : report.at("runs")) {
+    if (run.at("call") == aId) {
+      runs.push_back(run);
+    }
+  }
+  return runs;
+}
+
+bool PlatformFleet::Until(const std::function<bool()>& aDone) {
+  const auto until = base::BootNow() + kPatience;
+  while (!aDone()) {
+    if (base::BootNow() > until) {
+      return false;
+    }
+    std::this_thread::sleep_for(kPoll);
+  }
+  return true;
+}
+
+} // namespace papayafield::tests
