--- a/packages/adapters/http1/JsonClient.cpp
+++ b/packages/adapters/http1/JsonClient.cpp
@@ -40,7 +40,7 @@
 
 void JsonClient::Call(std::string aMethod,
                       std::string aTarget,
-                      std::string aBody,
+                      const std::string& aBody,
                       Fields aFields,
                       base::Millis aTimeout,
                       OnDone aOnDone) {
--- a/packages/adapters/http1/JsonClient.h
+++ b/packages/adapters/http1/JsonClient.h
@@ -39,7 +39,7 @@
   /// `aTimeout`, when the connection is given up.
   void Call(std::string aMethod,
             std::string aTarget,
-            std::string aBody,
+            const std::string& aBody,
             Fields aFields,
             base::Millis aTimeout,
             OnDone aOnDone);
--- a/packages/duties/Autoscaler.h
+++ b/packages/duties/Autoscaler.h
@@ -15,7 +15,7 @@
 template<DutyPort Duties>
 class Autoscaler {
 public:
-  Autoscaler(Duties& aDuties, const ScalingPolicy& aPolicy)
+  Autoscaler(Duties& aDuties, ScalingPolicy& aPolicy)
     : m_duties(aDuties)
     , m_policy(aPolicy) {}
 
@@ -29,9 +29,6 @@
       m_given.clear();
     }
     const auto now = base::BootNow();
-    if (m_policy.EnginesOfDemand() < kLeastDemand) {
-      return;
-    }
     for (const fleet::Service& service : aCatalog.Services()) {
       std::vector<fleet::Endpoint> endpoints;
       for (const auto& [id, endpoint] : aDirectory.All()) {
@@ -46,9 +43,6 @@
   }
 
 private:
-  /// Engines of demand under which nothing is ordered: before traffic begins there is nothing to
-  /// plan from.
-  static constexpr double kLeastDemand = 0.05;
   /// An accepted order is given again after this span, in case it was overtaken by a late one.
   static constexpr base::Millis kRepeatAfter{ 8000 };
   /// Pause before an order that was lost or refused is given again.
@@ -91,7 +85,7 @@
   }
 
   Duties& m_duties;
-  const ScalingPolicy& m_policy;
+  ScalingPolicy& m_policy;
   const base::Log m_log{ "scaling" };
   std::optional<Fence> m_fence;
   std::map<Subject, Given> m_given;
--- a/packages/duties/ScalingPolicy.cpp
+++ b/packages/duties/ScalingPolicy.cpp
@@ -40,23 +40,53 @@
   return m_samples.empty() ? 0 : m_samples.front().m_work / kMillisPerSecond;
 }
 
+bool ScalingPolicy::KnowsDemand(base::TimePoint aNow) const {
+  return m_firstDemand && aNow - *m_firstDemand >= m_settings.m_learnSpan;
+}
+
+/// Whether the fleet's first size is known.
+bool ScalingPolicy::NoteSize(size_t aReady, base::TimePoint aNow) {
+  if (aReady != m_ready) {
+    m_ready = aReady;
+    m_readySince = aNow;
+  }
+  if (!m_firstSize && aReady > 0 && aNow - m_readySince >= m_settings.m_settleSpan) {
+    m_firstSize = aReady;
+  }
+  return m_firstSize.has_value();
+}
+
+ScalingPolicy::Size ScalingPolicy::SizeFor(const fleet::ScalingBounds& aBounds,
+                                           base::TimePoint aNow) const {
+  const int zones = static_cast<int>(aBounds.m_zonePrices.size());
+  const int least = zones * std::max(aBounds.m_least, 1);
+  const double demand =
+    KnowsDemand(aNow) ? EnginesOfDemand()
+                      : static_cast<double>(m_firstSize.value_or(0)) * m_settings.m_targetUse;
+  Size size;
+  size.m_total = std::clamp(
+    static_cast<int>(std::ceil(demand / m_settings.m_targetUse)), least, zones * aBounds.m_most);
+  size.m_floor = std::clamp(static_cast<int>(std::ceil(demand * m_settings.m_floorPart)),
+                            std::min(size.m_total, zones),
+                            size.m_total);
+  return size;
+}
+
 std::vector<ScalingOrder> ScalingPolicy::Plan(const fleet::Service& aService,
                                               const std::vector<fleet::Endpoint>& aEndpoints,
-                                              base::TimePoint aNow) const {
+                                              base::TimePoint aNow) {
   std::vector<ScalingOrder> orders;
-  if (!aService.m_scaling || !m_firstDemand || aNow - *m_firstDemand < m_settings.m_learnSpan) {
+  const auto ready = static_cast<size_t>(
+    std::count_if(aEndpoints.begin(), aEndpoints.end(), [](const fleet::Endpoint& aEndpoint) {
+      return !aEndpoint.m_draining;
+    }));
+  if (!aService.m_scaling || (!NoteSize(ready, aNow) && !KnowsDemand(aNow))) {
     return orders;
   }
   const fleet::ScalingBounds& bounds = *aService.m_scaling;
   const std::vector<base::ZoneId> zones = ZonesByPrice(bounds);
   const int zoneCount = static_cast<int>(zones.size());
-  const double demand = EnginesOfDemand();
-  const int total = std::clamp(static_cast<int>(std::ceil(demand / m_settings.m_targetUse)),
-                               zoneCount * std::max(bounds.m_least, 1),
-                               zoneCount * bounds.m_most);
-  const int floor = std::clamp(static_cast<int>(std::ceil(demand * m_settings.m_floorPart)),
-                               std::min(total, zoneCount),
-                               total);
+  const auto [total, floor] = SizeFor(bounds, aNow);
   // Reclaimable engines that are ready now; those that are missing are stood in for.
   const auto readyReclaimable =
     std::count_if(aEndpoints.begin(), aEndpoints.end(), [](const fleet::Endpoint& aEndpoint) {
@@ -64,10 +94,16 @@
     });
   const int missing = std::max(total - floor - static_cast<int>(readyReclaimable), 0);
   const int fullPrice = std::min(floor + missing, zoneCount * bounds.m_most);
+  // Cheap engines are spread, since a reclaim takes a zone's at once; full-price ones go where they
+  // cost least.
+  int left = fullPrice;
   for (int i = 0; i < zoneCount; ++i) {
     const int reclaimable = (total - floor) / zoneCount + (i < (total - floor) % zoneCount ? 1 : 0);
-    int full = fullPrice / zoneCount + (i < fullPrice % zoneCount ? 1 : 0);
-    full = std::clamp(full, 0, std::max(bounds.m_most - reclaimable, 0));
+    const int zonesAfter = zoneCount - 1 - i;
+    const int least = std::max(bounds.m_least - reclaimable, 0);
+    const int most = std::max(bounds.m_most - reclaimable, 0);
+    const int full = std::clamp(left - zonesAfter * least, least, most);
+    left = std::max(left - full, 0);
     orders.push_back({ aService.m_id, zones[static_cast<size_t>(i)], false, full });
     orders.push_back({ aService.m_id, zones[static_cast<size_t>(i)], true, reclaimable });
   }
--- a/packages/duties/ScalingPolicy.h
+++ b/packages/duties/ScalingPolicy.h
@@ -21,11 +21,13 @@
   double m_targetUse = 0.5;
   /// Demand is watched for so long before the first order: traffic has to show its usual rate.
   base::Millis m_learnSpan{ 5000 };
+  /// A fleet whose size has not changed for so long counts as whole.
+  base::Millis m_settleSpan{ 2000 };
   /// How long a peak of demand is remembered, so that the fleet shrinks slowly.
   base::Millis m_peakSpan{ 12000 };
   /// Full-price engines kept in all zones together, for each engine of demand: they carry the
   /// urgent calls while the reclaimable ones are gone.
-  double m_floorPart = 0.6;
+  double m_floorPart = 0.4;
 };
 
 /// What is ordered in one zone.
@@ -58,11 +60,23 @@
   /// registrations of all endpoints of the service.
   std::vector<ScalingOrder> Plan(const fleet::Service& aService,
                                  const std::vector<fleet::Endpoint>& aEndpoints,
-                                 base::TimePoint aNow) const;
+                                 base::TimePoint aNow);
+  /// Whether demand has been watched for long enough to plan from it. Before that the fleet keeps its
+  /// size, and only part of it is replaced by cheaper engines.
+  bool KnowsDemand(base::TimePoint aNow) const;
   /// Engines that the remembered peak of demand keeps busy.
   double EnginesOfDemand() const;
 
 private:
+  /// How many engines there are to be, and how many of them at full price.
+  struct Size {
+    int m_total = 0;
+    int m_floor = 0;
+  };
+
+  bool NoteSize(size_t aReady, base::TimePoint aNow);
+  Size SizeFor(const fleet::ScalingBounds& aBounds, base::TimePoint aNow) const;
+
   struct Sample {
     base::TimePoint m_at;
     double m_work;
@@ -71,6 +85,11 @@
   ScalingSettings m_settings;
   std::deque<Sample> m_samples;
   std::optional<base::TimePoint> m_firstDemand;
+  /// Ready engines lately, and since when there are so many.
+  size_t m_ready = 0;
+  base::TimePoint m_readySince{};
+  /// The size that the fleet had when it was first seen whole.
+  std::optional<size_t> m_firstSize;
 };
 
 } // namespace papayafield::duties
--- a/packages/placement/Placement.h
+++ b/packages/placement/Placement.h
@@ -54,7 +54,7 @@
   double m_plainCallMs = 10.0;
   /// Delay that is taken for the sake of the prompt's shared parts, in milliseconds: about what it
   /// takes to read them again.
-  double m_affinityMs = 60.0;
+  double m_affinityMs = 120.0;
 };
 
 /// Chooses endpoints. Answers the load of many subjects of uneven weight: calls about one subject
--- a/packages/quota/QuotaLedger.cpp
+++ b/packages/quota/QuotaLedger.cpp
@@ -24,17 +24,23 @@
 constexpr double kOverdrawSeconds = 0.1;
 /// Units a second that each node's demand counts for besides, so that a new demand has a part.
 constexpr double kLeastDemand = 200;
+/// What a new bucket starts with, in seconds of its rate. After a restart of all nodes nobody knows
+/// what was granted before; this much is covered by what is not planned with.
+constexpr double kStartSeconds = 0.1;
+/// Part of the operators' overrun that is planned with.
+constexpr double kOverrunPart = 0.8;
 /// How far a bucket may be overdrawn, in seconds of its rate, so that a refusal stays bounded.
 constexpr double kMaxDebtSeconds = 2.0;
 
 } // namespace
 
 double QuotaLedger::RateOf(const fleet::Quota& aQuota) const {
-  return aQuota.m_ratePerSecond * (1 + m_tolerance.m_overrun) * m_part;
+  const double slack = m_tolerance.m_slack * kSlackPart / m_tolerance.m_windowSeconds;
+  return (aQuota.m_ratePerSecond * (1 + m_tolerance.m_overrun * kOverrunPart) + slack) * m_part;
 }
 
 double QuotaLedger::CapacityOf(const fleet::Quota& aQuota) const {
-  return (aQuota.m_burst * (1 + m_tolerance.m_overrun) + m_tolerance.m_slack * kSlackPart) * m_part;
+  return aQuota.m_burst * (1 + m_tolerance.m_overrun * kOverrunPart) * m_part;
 }
 
 double QuotaLedger::Meter::Advance(double aTotal, double aSeconds) {
@@ -48,7 +54,8 @@
   std::map<base::TeamId, Bucket> buckets;
   for (const fleet::Team& team : aCatalog.Teams()) {
     const auto old = m_buckets.find(team.m_id);
-    Bucket bucket{ team.m_quota, 0, 0, aNow, false };
+    const double start = team.m_quota.m_ratePerSecond * kStartSeconds;
+    Bucket bucket{ team.m_quota, start, 0, aNow, false };
     if (old != m_buckets.end()) {
       Refill(team.m_id, old->second, aNow);
       bucket.m_level = std::min(old->second.m_level, CapacityOf(team.m_quota));
@@ -137,13 +144,14 @@
   return view;
 }
 
-void QuotaLedger::Agree(const Totals& aLevels) {
+void QuotaLedger::Agree(const Totals& aLevels, bool aYoung) {
   for (const auto& [team, level] : aLevels) {
     const auto found = m_buckets.find(team);
     // Only once: a peer's view is older than this node's own, and so always too high under load.
-    // What an earlier life of this node granted after its last beat is in nobody's view.
+    // What an earlier life of this node granted after its last beat is not in an older peer's view.
     if (found != m_buckets.end() && !found->second.m_agreed) {
-      found->second.m_level = level - RateOf(found->second.m_quota) * kNewsAge;
+      const double unknown = aYoung ? 0 : RateOf(found->second.m_quota) * kNewsAge;
+      found->second.m_level = level - unknown;
       found->second.m_agreed = true;
     }
   }
@@ -162,7 +170,7 @@
                            bool aYoung,
                            const View& aView,
                            base::TimePoint aNow) {
-  Agree(aView.m_levels);
+  Agree(aView.m_levels, aYoung);
   Peer& peer = m_peers[aPeer];
   const bool known = peer.m_born == aBorn;
   if (!known) {
--- a/packages/quota/QuotaLedger.h
+++ b/packages/quota/QuotaLedger.h
@@ -13,6 +13,8 @@
   double m_overrun = 0;
   /// Units besides, within one window.
   double m_slack = 0;
+  /// Length of a window in seconds.
+  double m_windowSeconds = 8;
 };
 
 /// Bounds what each team uses over all nodes. Every node keeps one bucket for each team that stands
@@ -40,7 +42,7 @@
   explicit QuotaLedger(QuotaTolerance aTolerance)
     : m_tolerance(aTolerance) {}
 
-  /// Takes over the quotas of `aCatalog`. A new bucket starts empty: what other nodes, or an
+  /// Takes over the quotas of `aCatalog`. A new bucket starts nearly empty: what other nodes, or an
   /// earlier life of this one, have granted is not known yet.
   void Configure(const fleet::Catalog& aCatalog, base::TimePoint aNow);
   /// Takes `aUnits` from the team's bucket; false when the team is over its quota. Teams without a
@@ -92,7 +94,7 @@
   double ShareOf(const base::TeamId& aTeam) const;
   double PeerRate(const base::TeamId& aTeam) const;
   void Refill(const base::TeamId& aTeam, Bucket& aBucket, base::TimePoint aNow) const;
-  void Agree(const Totals& aLevels);
+  void Agree(const Totals& aLevels, bool aYoung);
   void TakeHeard(const base::TeamId& aTeam, double aUnits);
 
   QuotaTolerance m_tolerance;
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -59,7 +59,8 @@
              aStore,
              m_image,
              { { m_keys.m_configuration, m_keys.m_endpoints, m_keys.m_own } },
-             [this](bool /*aAnswers*/) { JudgeStore(); })
+             [this](bool /*aAnswers*/) { JudgeStore(); },
+             [this] { Tick(); })
     , m_members(m_self)
     , m_news(
         aLoop,
@@ -144,7 +145,7 @@
   static constexpr base::Millis kLapseGrace{ 2300 };
   /// Counts of a window's last calls come in within this span of its end.
   static constexpr base::Millis kUsageSettle{ 800 };
-  static constexpr base::Millis kUsagePatience{ 6000 };
+  static constexpr base::Millis kUsagePatience{ 8500 };
   /// Life of a node's own registration: longer than a usual outage of its connection.
   static constexpr base::Millis kRegistrationLife{ 6000 };
   static constexpr base::Millis kRegistrationRenewal{ 2000 };
--- a/packages/sync/StateFeed.h
+++ b/packages/sync/StateFeed.h
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace papayafield::sync {
@@ -37,12 +38,14 @@
             Store& aStore,
             Image& aImage,
             FeedSettings aSettings,
-            OnState aOnState)
+            OnState aOnState,
+            std::function<void()> aOnLoaded)
     : m_loop(aLoop)
     , m_store(aStore)
     , m_image(aImage)
     , m_settings(std::move(aSettings))
-    , m_onState(std::move(aOnState)) {}
+    , m_onState(std::move(aOnState))
+    , m_onLoaded(std::move(aOnLoaded)) {}
 
   /// Begins to follow. Call once.
   void Start() { ListNext(0, 0); }
@@ -79,7 +82,9 @@
   void ListNext(size_t aIndex, uint64_t aFrom) {
     if (aIndex == m_settings.m_prefixes.size()) {
       m_revision = aFrom;
-      m_loaded = true;
+      if (!std::exchange(m_loaded, true)) {
+        m_onLoaded();
+      }
       Watch();
       return;
     }
@@ -124,6 +129,7 @@
   Image& m_image;
   FeedSettings m_settings;
   OnState m_onState;
+  std::function<void()> m_onLoaded;
   const base::Log m_log{ "sync" };
   adapters::http::WatchPtr m_timer;
   base::Millis m_pause{ 60 };
