--- a/packages/quota/QuotaLedger.cpp
+++ b/packages/quota/QuotaLedger.cpp
@@ -144,14 +144,13 @@
   return view;
 }
 
-void QuotaLedger::Agree(const Totals& aLevels, bool aYoung) {
+void QuotaLedger::Agree(const Totals& aLevels) {
   for (const auto& [team, level] : aLevels) {
     const auto found = m_buckets.find(team);
     // Only once: a peer's view is older than this node's own, and so always too high under load.
-    // What an earlier life of this node granted after its last beat is not in an older peer's view.
+    // What an earlier life of this node granted after its last beat is in nobody's view.
     if (found != m_buckets.end() && !found->second.m_agreed) {
-      const double unknown = aYoung ? 0 : RateOf(found->second.m_quota) * kNewsAge;
-      found->second.m_level = level - unknown;
+      found->second.m_level = level - RateOf(found->second.m_quota) * kNewsAge;
       found->second.m_agreed = true;
     }
   }
@@ -170,7 +169,7 @@
                            bool aYoung,
                            const View& aView,
                            base::TimePoint aNow) {
-  Agree(aView.m_levels, aYoung);
+  Agree(aView.m_levels);
   Peer& peer = m_peers[aPeer];
   const bool known = peer.m_born == aBorn;
   if (!known) {
--- a/packages/quota/QuotaLedger.h
+++ b/packages/quota/QuotaLedger.h
@@ -94,7 +94,7 @@
   double ShareOf(const base::TeamId& aTeam) const;
   double PeerRate(const base::TeamId& aTeam) const;
   void Refill(const base::TeamId& aTeam, Bucket& aBucket, base::TimePoint aNow) const;
-  void Agree(const Totals& aLevels, bool aYoung);
+  void Agree(const Totals& aLevels);
   void TakeHeard(const base::TeamId& aTeam, double aUnits);
 
   QuotaTolerance m_tolerance;
