--- a/packages/duties/ScalingPolicy.cpp
+++ b/packages/duties/ScalingPolicy.cpp
@@ -66,7 +66,9 @@
   Size size;
   size.m_total = std::clamp(
     static_cast<int>(std::ceil(demand / m_settings.m_targetUse)), least, zones * aBounds.m_most);
-  size.m_floor = std::clamp(static_cast<int>(std::ceil(demand * m_settings.m_floorPart)),
+  const double floor = KnowsDemand(aNow) ? demand * m_settings.m_floorPart
+                                         : size.m_total * m_settings.m_unknownFloorPart;
+  size.m_floor = std::clamp(static_cast<int>(std::ceil(floor)),
                             std::min(size.m_total, zones),
                             size.m_total);
   return size;
--- a/packages/duties/ScalingPolicy.h
+++ b/packages/duties/ScalingPolicy.h
@@ -28,6 +28,8 @@
   /// Full-price engines kept in all zones together, for each engine of demand: they carry the
   /// urgent calls while the reclaimable ones are gone.
   double m_floorPart = 0.4;
+  /// The same, as a part of the fleet, before demand is known.
+  double m_unknownFloorPart = 0.5;
 };
 
 /// What is ordered in one zone.
--- /dev/null
+++ b/soak/Faults.cpp
@@ -0,0 +1,143 @@
+#include "soak/Faults.h"
+
+#include <array>
+#include <csignal>
+
+namespace papayafield::soak {
+
+using nlohmann::json;
+
+std::string Faults::Step() {
+  m_told.clear();
+  for (size_t i = m_active.size() / 2; i < m_active.size(); ++i) {
+    m_active[i].m_undo();
+    m_told += " -" + m_active[i].m_name;
+  }
+  m_active.resize(m_active.size() / 2);
+  const size_t count = 1 + Pick(2);
+  for (size_t i = 0; i < count; ++i) {
+    Inject();
+    m_told += " +" + m_active.back().m_name;
+  }
+  return m_told;
+}
+
+void Faults::Clear() {
+  for (const Active& active : std::exchange(m_active, {})) {
+    active.m_undo();
+  }
+}
+
+void Faults::Inject() {
+  switch (Pick(4)) {
+    case 0:
+      OnNode();
+      break;
+    case 1:
+      OnStore();
+      break;
+    case 2:
+      OnRunner();
+      break;
+    default:
+      OnProxy();
+      break;
+  }
+}
+
+void Faults::OnNode() {
+  const size_t node = Pick(m_nodes);
+  const std::string name = std::to_string(node);
+  tests::Process& process = m_fleet.Node(node);
+  switch (Pick(4)) {
+    case 0:
+      process.Signal(SIGSTOP);
+      m_active.push_back({ "pause_node_" + name, [&process] { process.Signal(SIGCONT); } });
+      break;
+    case 1:
+      process.Kill();
+      m_active.push_back({ "kill_node_" + name, [this, node] { m_fleet.Start(node); } });
+      break;
+    case 2:
+      process.Signal(SIGTERM);
+      m_active.push_back({ "term_node_" + name, [this, node] {
+                            // One that an earlier fault paused would never end.
+                            m_fleet.Node(node).Signal(SIGCONT);
+                            m_fleet.Node(node).Wait();
+                            m_fleet.Start(node);
+                          } });
+      break;
+    default:
+      process.Signal(SIGHUP);
+      m_active.push_back({ "hup_node_" + name, [] {} });
+      break;
+  }
+}
+
+void Faults::OnStore() {
+  static constexpr std::array<const char*, 3> kModes = { "silent", "busy", "lose_answers" };
+  const size_t choice = Pick(5);
+  if (choice < kModes.size()) {
+    m_fleet.Control("store", { { "mode", kModes[choice] } });
+    m_active.push_back({ std::string("store_") + kModes[choice],
+                         [this] { m_fleet.Control("store", { { "mode", "ok" } }); } });
+  } else if (choice == 3) {
+    m_fleet.Control("compact");
+    m_active.push_back({ "compact", [] {} });
+  } else {
+    m_fleet.Configure("host-" + std::to_string(++m_configurations) + ".example");
+    m_active.push_back({ "configure", [] {} });
+  }
+}
+
+void Faults::OnRunner() {
+  static constexpr std::array<const char*, 5> kModes = {
+    "hang", "lose_answers", "shed", "fail", "cut"
+  };
+  // The last runner stays sound, so that something can always be served.
+  const size_t runner = Pick(m_runners - 1);
+  const size_t choice = Pick(kModes.size() + 1);
+  const json sound = { { "index", runner }, { "mode", "ok" }, { "state", "ready" } };
+  const std::string name = std::to_string(runner);
+  if (choice < kModes.size()) {
+    m_fleet.Control("runner", { { "index", runner }, { "mode", kModes[choice] } });
+    m_active.push_back({ std::string(kModes[choice]) + "_runner_" + name,
+                         [this, sound] { m_fleet.Control("runner", sound); } });
+  } else {
+    m_fleet.Control("runner", { { "index", runner }, { "state", "draining" } });
+    m_active.push_back(
+      { "drain_runner_" + name, [this, sound] { m_fleet.Control("runner", sound); } });
+  }
+}
+
+void Faults::OnProxy() {
+  const size_t proxy = Pick(m_fleet.ProxyCount());
+  const std::string name = "_proxy_" + std::to_string(proxy);
+  const auto undo = [this, proxy](const json& aFaults) {
+    return [this, proxy, aFaults] { m_fleet.ProxyFaults(proxy, aFaults); };
+  };
+  switch (Pick(5)) {
+    case 0:
+      m_fleet.ProxyFaults(proxy, { { "delay_ms", 200 } });
+      m_active.push_back({ "delay" + name, undo({ { "delay_ms", 0 } }) });
+      break;
+    case 1:
+      m_fleet.ProxyFaults(proxy, { { "refuse", true } });
+      m_active.push_back({ "refuse" + name, undo({ { "refuse", false } }) });
+      break;
+    case 2:
+      m_fleet.ProxyFaults(proxy, { { "lose_answers", true } });
+      m_active.push_back({ "one_way" + name, undo({ { "lose_answers", false }, { "cut", true } }) });
+      break;
+    case 3:
+      m_fleet.ProxyFaults(proxy, { { "cut", true } });
+      m_active.push_back({ "reset" + name, [] {} });
+      break;
+    default:
+      m_fleet.ProxyFaults(proxy, { { "silence", true } });
+      m_active.push_back({ "silence" + name, [] {} });
+      break;
+  }
+}
+
+} // namespace papayafield::soak
--- /dev/null
+++ b/soak/Faults.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "tests/harness/PlatformFleet.h"
+
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace papayafield::soak {
+
+/// Injects faults from outside the nodes, at random by seed, and takes them back. Ends only processes
+/// of its own fleet. Not thread safe.
+class Faults {
+public:
+  Faults(tests::PlatformFleet& aFleet, size_t aNodes, size_t aRunners, uint64_t aSeed)
+    : m_fleet(aFleet)
+    , m_nodes(aNodes)
+    , m_runners(aRunners)
+    , m_random(aSeed) {}
+
+  /// Takes back half of the present faults and injects one or two more; tells which.
+  std::string Step();
+  /// Takes back all faults.
+  void Clear();
+
+private:
+  struct Active {
+    std::string m_name;
+    std::function<void()> m_undo;
+  };
+
+  void Inject();
+  void OnNode();
+  void OnStore();
+  void OnRunner();
+  void OnProxy();
+  size_t Pick(size_t aCount) { return m_random() % aCount; }
+
+  tests::PlatformFleet& m_fleet;
+  size_t m_nodes;
+  size_t m_runners;
+  std::mt19937_64 m_random;
+  std::vector<Active> m_active;
+  std::string m_told;
+  int m_configurations = 0;
+};
+
+} // namespace papayafield::soak
--- a/standins/fleet/main.cpp
+++ b/standins/fleet/main.cpp
@@ -24,9 +24,11 @@
   FleetStandin(adapters::http::EventLoop& aLoop,
                const base::Address& aListen,
                int aRunners,
-               const std::string& aService)
+               const std::string& aService,
+               uint16_t aProxyPort)
     : m_loop(aLoop)
     , m_service(aService)
+    , m_proxyPort(aProxyPort)
     , m_store(aLoop)
     , m_listener(aLoop, aListen, kMaxHead, [this](auto aConnection) { Take(aConnection); }) {
     for (int i = 0; i < aRunners; ++i) {
@@ -49,8 +51,12 @@
 
 private:
   void Register(const Runner& aRunner, const std::string& aState) {
-    const json entry = { { "service", m_service },
-                         { "address", aRunner.At().ToText() },
+    // Behind a proxy, the runners' addresses are those of their proxies.
+    base::Address address = aRunner.At();
+    if (m_proxyPort != 0) {
+      address.m_port = static_cast<uint16_t>(m_proxyPort + std::stoi(aRunner.Id().substr(2)));
+    }
+    const json entry = { { "service", m_service }, { "address", address.ToText() },
                          { "zone", "a" },
                          { "version", "v1" },
                          { "slots", 64 },
@@ -190,6 +196,7 @@
 
   adapters::http::EventLoop& m_loop;
   std::string m_service;
+  uint16_t m_proxyPort;
   Store m_store;
   std::vector<Run> m_runs;
   std::vector<std::unique_ptr<Runner>> m_runners;
@@ -203,13 +210,14 @@
 
 int main(int argc, char** argv) {
   const Arguments arguments(
-    argc, argv, { { "listen", "127.0.0.1:9000" }, { "runners", "3" }, { "service", "engines" } });
+    argc, argv, { { "listen", "127.0.0.1:9000" }, { "runners", "3" }, { "service", "engines" }, { "proxy-port", "0" } });
   std::signal(SIGPIPE, SIG_IGN);
   adapters::http::EventLoop loop;
   FleetStandin standin(loop,
                        arguments.Address("listen"),
                        static_cast<int>(arguments.Number("runners")),
-                       arguments.Text("service"));
+                       arguments.Text("service"),
+                       static_cast<uint16_t>(arguments.Number("proxy-port")));
   if (!standin.Listening()) {
     std::fprintf(stderr, "cannot listen at %s\n", arguments.Text("listen").c_str());
     return 1;
--- a/tests/harness/PlatformFleet.cpp
+++ b/tests/harness/PlatformFleet.cpp
@@ -17,6 +17,9 @@
 /// Ports of one node, from its first.
 enum PortOffset : uint16_t { Callers = 0, Readiness = 1, Directory = 2, News = 3, Metrics = 4 };
 
+/// Ports of the runners' proxies begin so far above the platform's; the runners' own lie between.
+constexpr uint16_t kProxyPorts = 64;
+
 /// Waits end long before a test's own time limit, and long after anything that works.
 constexpr base::Millis kPatience{ 20000 };
 constexpr base::Millis kPoll{ 10 };
@@ -45,15 +48,26 @@
 
 } // namespace
 
-PlatformFleet::PlatformFleet(size_t aNodes, size_t aRunners)
+PlatformFleet::PlatformFleet(size_t aNodes, size_t aRunners, Proxies aProxies)
   : m_folder(MakeFolder())
   , m_port(FreePort())
-  , m_platform{ "127.0.0.1", FreePort() } {
-  m_standin = std::make_unique<Process>(
-    "standins/standin_fleet",
-    std::vector<std::string>{
-      "--listen", m_platform.ToText(), "--runners", std::to_string(aRunners) });
+  , m_platform{ "127.0.0.1", FreePort() }
+  , m_platformEntry(m_platform) {
+  const auto proxyPort =
+    static_cast<uint16_t>(aProxies == Proxies::All ? m_platform.m_port + kProxyPorts : 0);
+  const std::vector<std::string> options{ "--listen", m_platform.ToText(), "--runners",
+                                          std::to_string(aRunners), "--proxy-port",
+                                          std::to_string(proxyPort) };
+  m_standin = std::make_unique<Process>("standins/standin_fleet", options);
   Until([&] { return Call(m_platform, "GET", "/control/report").m_status == 200; });
+  if (aProxies == Proxies::All) {
+    m_platformEntry = { "127.0.0.1", static_cast<uint16_t>(proxyPort - 1) };
+    StartProxy(m_platformEntry, m_platform);
+    for (size_t i = 0; i < aRunners; ++i) {
+      StartProxy({ "127.0.0.1", static_cast<uint16_t>(proxyPort + i) },
+                 { "127.0.0.1", static_cast<uint16_t>(m_platform.m_port + 1 + i) });
+    }
+  }
   Configure();
   m_nodes.resize(aNodes);
   for (size_t i = 0; i < aNodes; ++i) {
@@ -69,6 +83,7 @@
 
 PlatformFleet::~PlatformFleet() {
   m_nodes.clear();
+  m_proxies.clear();
   m_standin.reset();
   std::error_code ignored;
   std::filesystem::remove_all(m_folder, ignored);
@@ -85,11 +100,24 @@
        << port(PortOffset::Callers) << "\"\nready = \"" << host << ":" << port(Readiness)
        << "\"\ndirectory = \"" << host << ":" << port(Directory)
        << "\"\n[bounds]\ngrace_s = 8\nlease_ms = 1500\nretry_ratio = 0.2\nretry_slack = 100\n"
-       << "usage_window_s = 1\nusage_late_s = 10\n[platform]\naddress = \"" << m_platform.ToText()
-       << "\"\n[cloud]\naddress = \"" << m_platform.ToText() << "\"\nduties = [\"metering\"]\n";
+       << "usage_window_s = 1\nusage_late_s = 10\n[platform]\naddress = \""
+       << m_platformEntry.ToText() << "\"\n[cloud]\naddress = \"" << m_platformEntry.ToText() << "\"\nduties = [\"metering\"]\n";
   return path;
 }
 
+void PlatformFleet::StartProxy(const base::Address& aListen, const base::Address& aTo) {
+  const base::Address control{ "127.0.0.1", static_cast<uint16_t>(aListen.m_port + kProxyPorts) };
+  const std::vector<std::string> options{
+    "--listen", aListen.ToText(), "--to", aTo.ToText(), "--control", control.ToText()
+  };
+  m_proxies.push_back({ std::make_unique<Process>("standins/standin_proxy", options), control });
+  Until([&] { return Call(control, "POST", "/", "{}").m_status == 200; });
+}
+
+void PlatformFleet::ProxyFaults(size_t aProxy, const json& aFaults) const {
+  Call(m_proxies.at(aProxy).m_control, "POST", "/", base::DumpJson(aFaults));
+}
+
 void PlatformFleet::Start(size_t aIndex) {
   m_nodes[aIndex] =
     std::make_unique<Process>("apps/papayafieldd/papayafieldd",
--- a/tests/harness/PlatformFleet.h
+++ b/tests/harness/PlatformFleet.h
@@ -15,8 +15,11 @@
 /// has an address of its own on loopback. Not thread safe.
 class PlatformFleet {
 public:
+  /// Whether a proxy stands before the platform and before each runner.
+  enum class Proxies { None, All };
+
   /// Starts `aNodes` nodes and `aRunners` runners, and waits until all nodes are ready.
-  PlatformFleet(size_t aNodes, size_t aRunners);
+  PlatformFleet(size_t aNodes, size_t aRunners, Proxies aProxies = Proxies::None);
   ~PlatformFleet();
   PlatformFleet(const PlatformFleet&) = delete;
   PlatformFleet& operator=(const PlatformFleet&) = delete;
@@ -31,6 +34,10 @@
   void Start(size_t aIndex);
   /// Calls /control/`aWhat` of the platform; gives its report.
   nlohmann::json Control(const std::string& aWhat, const nlohmann::json& aBody = {}) const;
+  /// Sets faults of a proxy: 0 stands before the platform, 1 and up before the runners.
+  void ProxyFaults(size_t aProxy, const nlohmann::json& aFaults) const;
+  /// How many proxies there are.
+  size_t ProxyCount() const { return m_proxies.size(); }
   /// Writes the configuration with one more version; `aExtraHost` gets the same routes.
   void Configure(const std::string& aExtraHost = "other.example");
   /// Sends a call to node `aIndex` with a fresh id, or with `aId`.
@@ -54,10 +61,18 @@
 private:
   static std::string HostOf(size_t aIndex) { return "127.0.0." + std::to_string(10 + aIndex); }
   std::string SettingsFile(size_t aIndex) const;
+  void StartProxy(const base::Address& aListen, const base::Address& aTo);
 
   std::string m_folder;
   uint16_t m_port;
   base::Address m_platform;
+  /// Where nodes reach the platform.
+  base::Address m_platformEntry;
+  struct Proxy {
+    std::unique_ptr<Process> m_process;
+    base::Address m_control;
+  };
+  std::vector<Proxy> m_proxies;
   std::unique_ptr<Process> m_standin;
   std::vector<std::unique_ptr<Process>> m_nodes;
   int m_version = 0;
