Duties go to long-running nodes, and counts of silent nodes are waited for

Ruled out: the record in the store (one set of counts). MembersTest and PlatformPathTest have the cases.

--- a/apps/papayafieldd/main.cpp
+++ b/apps/papayafieldd/main.cpp
@@ -155,6 +155,8 @@
 } // namespace
 
 int main(int argc, char** argv) {
+  // The default action would end a node that is told of new settings while it starts.
+  std::signal(SIGHUP, SIG_IGN);
   Options options;
   if (const auto code = ReadOptions(argc, argv, options)) {
     return *code;
--- a/packages/news/Members.cpp
+++ b/packages/news/Members.cpp
@@ -27,16 +27,17 @@
            aBeat.m_ready,        aBeat.m_stopping,
            aBeat.m_storeAnswers, aBeat.m_configuration,
            aBeat.m_revision,     aBeat.m_workAsked,
-           registered,           aNow };
+           registered, aNow, aNow };
   return true;
 }
 
-void Members::Learn(const Contact& aContact, bool aRegistered) {
+void Members::Learn(const Contact& aContact, bool aRegistered, base::TimePoint aNow) {
   if (aContact.m_node == m_self.m_node || aContact.m_node.Empty()) {
     return;
   }
   Peer& peer = m_peers[aContact.m_node];
   peer.m_registered = peer.m_registered || aRegistered;
+  peer.m_known = aNow;
   if (aContact.m_born > peer.m_contact.m_born) {
     peer.m_contact = aContact;
     peer.m_heard.reset();
@@ -54,7 +55,7 @@
 std::vector<base::NodeId> Members::Forget(base::TimePoint aNow) {
   std::vector<base::NodeId> gone;
   for (const auto& [node, peer] : m_peers) {
-    const bool silent = !peer.m_heard || aNow - *peer.m_heard > kKnownFor;
+    const bool silent = aNow - peer.m_known > kKnownFor;
     const bool ended = peer.m_stopping && !Alive(peer, aNow);
     if (!peer.m_registered && (silent || ended)) {
       gone.push_back(node);
@@ -98,6 +99,23 @@
   return best;
 }
 
+bool Members::AllHeardWithin(base::Millis aSpan, base::TimePoint aNow) const {
+  return std::all_of(m_peers.begin(), m_peers.end(), [&](const auto& aEntry) {
+    const Peer& peer = aEntry.second;
+    const bool heard = peer.m_heard && aNow - *peer.m_heard <= aSpan;
+    return heard || peer.m_stopping;
+  });
+}
+
+size_t Members::OlderCount(base::TimePoint aNow) const {
+  return static_cast<size_t>(
+    std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& aEntry) {
+      const Peer& peer = aEntry.second;
+      return Alive(peer, aNow) && peer.m_ready && !peer.m_stopping &&
+             peer.m_contact.m_born < m_self.m_born;
+    }));
+}
+
 bool Members::AnyStoreAnswers(base::TimePoint aNow) const {
   return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& aEntry) {
     return aEntry.second.m_storeAnswers && Alive(aEntry.second, aNow);
--- a/packages/news/Members.h
+++ b/packages/news/Members.h
@@ -24,6 +24,8 @@
   bool m_registered = false;
   /// When its last beat came; nothing before the first.
   std::optional<base::TimePoint> m_heard;
+  /// When it was last known to be there, by a beat or otherwise.
+  base::TimePoint m_known{};
 };
 
 /// The other nodes, from their beats and their registrations in the store. Not thread safe.
@@ -36,7 +38,7 @@
   /// Takes a beat; false when it comes from this node or from an earlier life of its sender.
   bool Hear(const Beat& aBeat, base::TimePoint aNow);
   /// A node is listed in the store, or named by a peer (`aRegistered` false).
-  void Learn(const Contact& aContact, bool aRegistered);
+  void Learn(const Contact& aContact, bool aRegistered, base::TimePoint aNow);
   /// A node is no longer listed.
   void Unregister(const base::NodeId& aNode);
   /// Forgets nodes that are not listed and that have ended or have not been heard for long. Gives
@@ -56,6 +58,11 @@
   /// The live peer that knows the latest change of the store; null when none knows more than
   /// `aRevision`.
   const Peer* Ahead(uint64_t aRevision, base::TimePoint aNow) const;
+  /// Whether each known node that is not stopping has been heard within `aSpan`. One that is silent may
+  /// be frozen or cut off, and still hold news.
+  bool AllHeardWithin(base::Millis aSpan, base::TimePoint aNow) const;
+  /// Live ready nodes that started before this one, and so have heard more.
+  size_t OlderCount(base::TimePoint aNow) const;
   /// Whether the store answers any live peer.
   bool AnyStoreAnswers(base::TimePoint aNow) const;
 
--- a/packages/news/tests/MembersTest.cpp
+++ b/packages/news/tests/MembersTest.cpp
@@ -31,7 +31,7 @@
   Beat stopping = BeatOf("3");
   stopping.m_stopping = true;
   members.Hear(stopping, kNow);
-  members.Learn(ContactOf("4"), true);
+  members.Learn(ContactOf("4"), true, kNow);
   BOOST_TEST(members.ReadyHosts(kNow) == std::vector<std::string>{ "10.0.0.2" },
              boost::test_tools::per_element());
   BOOST_TEST(members.ReadyHosts(kNow + std::chrono::seconds(5)).empty());
@@ -49,7 +49,7 @@
 BOOST_AUTO_TEST_CASE(SilentNodesCountForAWhile) {
   Members members(ContactOf("1"));
   members.Hear(BeatOf("2"), kNow);
-  members.Learn(ContactOf("2"), true);
+  members.Learn(ContactOf("2"), true, kNow);
   members.Unregister(base::NodeId("2"));
   BOOST_TEST(members.Forget(kNow + std::chrono::seconds(12)).empty());
   BOOST_TEST(members.KnownCount() == 2U);
@@ -57,6 +57,30 @@
   BOOST_TEST(members.Forget(kNow + std::chrono::seconds(40)).size() == 1U);
 }
 
+// Found by the incident of Tutu Amman: a node that had just started held the duties and reported a
+// window without the counts of a node that was frozen.
+BOOST_AUTO_TEST_CASE(ListedNodeThatWasNeverHeardIsWaitedFor) {
+  Members members(ContactOf("1", 5));
+  BOOST_TEST(members.AllHeardWithin(base::Millis(1000), kNow));
+  members.Learn(ContactOf("2"), true, kNow);
+  BOOST_TEST(!members.AllHeardWithin(base::Millis(1000), kNow));
+  // Its registration lapses while it is frozen.
+  members.Unregister(base::NodeId("2"));
+  members.Forget(kNow + base::Millis(6000));
+  BOOST_TEST(!members.AllHeardWithin(base::Millis(1000), kNow + base::Millis(6000)));
+  members.Hear(BeatOf("2"), kNow);
+  BOOST_TEST(members.AllHeardWithin(base::Millis(1000), kNow));
+  BOOST_TEST(!members.AllHeardWithin(base::Millis(1000), kNow + base::Millis(1200)));
+}
+
+BOOST_AUTO_TEST_CASE(OlderLiveNodesAreCounted) {
+  Members members(ContactOf("1", 5));
+  members.Hear(BeatOf("2", 4), kNow);
+  members.Hear(BeatOf("3", 6), kNow);
+  BOOST_TEST(members.OlderCount(kNow) == 1U);
+  BOOST_TEST(members.OlderCount(kNow + std::chrono::seconds(5)) == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(StoppedNodeIsForgottenAtOnce) {
   Members members(ContactOf("1"));
   Beat stopping = BeatOf("2");
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -154,6 +154,8 @@
   static constexpr int kEntriesKeptTimes = 3;
   /// Part of the grace period that a drain may take.
   static constexpr double kGracePart = 0.92;
+  /// The duties go to one of so many nodes that have run longest.
+  static constexpr size_t kDutyCandidates = 3;
   /// Usage windows that a beat carries.
   static constexpr int64_t kWindowsTold = 3;
   /// Nodes that a beat names.
@@ -230,7 +232,8 @@
     m_members.Learn({ aNode,
                       base::ValueOr<int64_t>(node, "born", 0),
                       base::ValueOr<std::string>(node, "host", "") },
-                    true);
+                    true,
+                    base::BootNow());
   }
 
   /// Missing registrations are in doubt only while the store answers no node at all.
@@ -282,7 +285,7 @@
     m_state.m_usage.HearPeer(life, aBeat.m_usage);
     NotePeerWork(life, aBeat.m_workAsked);
     for (const news::Contact& contact : aBeat.m_contacts) {
-      m_members.Learn(contact, false);
+      m_members.Learn(contact, false, now);
     }
   }
 
@@ -294,20 +297,9 @@
     m_peerWork[aLife] = aTotal;
   }
 
-  /// Whether each live node has told its counts since `aWallMs`.
+  /// Whether each node has told its counts since `aWallMs`.
   bool CountsKnown(int64_t aWallMs) const {
-    const auto now = base::BootNow();
-    const int64_t wall = base::WallMillis();
-    for (const auto& [node, peer] : m_members.All()) {
-      if (!peer.m_heard) {
-        continue;
-      }
-      const auto silence = std::chrono::duration_cast<base::Millis>(now - *peer.m_heard).count();
-      if (peer.m_registered && !peer.m_stopping && wall - silence < aWallMs) {
-        return false;
-      }
-    }
-    return true;
+    return m_members.AllHeardWithin(base::Millis(base::WallMillis() - aWallMs), base::BootNow());
   }
 
   void Tick() {
@@ -364,7 +356,9 @@
     if (!m_settings.m_reportsUsage && !m_settings.m_scales) {
       return;
     }
-    m_holder.Tick(Ready() && m_feed.Loaded() && m_feed.Answers());
+    // Older nodes know the counts of nodes that have ended since.
+    const bool knowsEnough = m_members.OlderCount(base::BootNow()) < kDutyCandidates;
+    m_holder.Tick(Ready() && m_feed.Loaded() && m_feed.Answers() && knowsEnough);
     const auto fence = m_holder.Held();
     if (!fence || m_state.Catalog() == nullptr) {
       return;
--- a/tests/harness/PlatformFleet.cpp
+++ b/tests/harness/PlatformFleet.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 /// Ports of one node, from its first.
-enum PortOffset : uint16_t { Callers = 0, Readiness = 1, Directory = 2, News = 3, Metrics = 4 };
+enum PortOffset : uint16_t { Callers = 0, Checks = 1, Directory = 2, News = 3, Metrics = 4 };
 
 /// Ports of the runners' proxies begin so far above the platform's; the runners' own lie between.
 constexpr uint16_t kProxyPorts = 64;
@@ -97,7 +97,7 @@
   file << "node_name = \"node-" << aIndex << "\"\nip = \"" << host << "\"\nzone = \"a\"\n"
        << "internal_ports = [" << port(News) << ", " << port(News) << "]\n"
        << "seeds = [\"" << HostOf(0) << ":1\"]\n[listen]\nfront = \"" << host << ":"
-       << port(PortOffset::Callers) << "\"\nready = \"" << host << ":" << port(Readiness)
+       << port(PortOffset::Callers) << "\"\nready = \"" << host << ":" << port(Checks)
        << "\"\ndirectory = \"" << host << ":" << port(Directory)
        << "\"\n[bounds]\ngrace_s = 8\nlease_ms = 1500\nretry_ratio = 0.2\nretry_slack = 100\n"
        << "usage_window_s = 1\nusage_late_s = 10\n[platform]\naddress = \""
@@ -126,6 +126,7 @@
                                                         SettingsFile(aIndex),
                                                         "--metrics-port",
                                                         std::to_string(m_port + Metrics) });
+  Until([&] { return Readiness(aIndex) != 0; });
 }
 
 json PlatformFleet::Control(const std::string& aWhat, const json& aBody) const {
@@ -170,9 +171,13 @@
                             : std::vector<std::string>();
 }
 
+int PlatformFleet::Readiness(size_t aIndex) const {
+  const base::Address checks{ HostOf(aIndex), static_cast<uint16_t>(m_port + Checks) };
+  return Call(checks, "GET", "/-/readyz").m_status;
+}
+
 bool PlatformFleet::Ready(size_t aIndex) const {
-  const base::Address readiness{ HostOf(aIndex), static_cast<uint16_t>(m_port + Readiness) };
-  return Call(readiness, "GET", "/-/readyz").m_status == 200;
+  return Readiness(aIndex) == 200;
 }
 
 double PlatformFleet::Metric(size_t aIndex, const std::string& aName) const {
--- a/tests/harness/PlatformFleet.h
+++ b/tests/harness/PlatformFleet.h
@@ -30,7 +30,7 @@
   base::Address Callers(size_t aIndex) const { return { HostOf(aIndex), m_port }; }
   /// The process of node `aIndex`.
   Process& Node(size_t aIndex) { return *m_nodes[aIndex]; }
-  /// Starts node `aIndex` (again).
+  /// Starts node `aIndex` (again) and waits until it listens.
   void Start(size_t aIndex);
   /// Calls /control/`aWhat` of the platform; gives its report.
   nlohmann::json Control(const std::string& aWhat, const nlohmann::json& aBody = {}) const;
@@ -60,6 +60,7 @@
 
 private:
   static std::string HostOf(size_t aIndex) { return "127.0.0." + std::to_string(10 + aIndex); }
+  int Readiness(size_t aIndex) const;
   std::string SettingsFile(size_t aIndex) const;
   void StartProxy(const base::Address& aListen, const base::Address& aTo);
 
--- a/tests/integration/PlatformPathTest.cpp
+++ b/tests/integration/PlatformPathTest.cpp
@@ -160,6 +160,18 @@
   BOOST_TEST(fleet.Send(1, "POST", "/once/a").m_status == 200);
 }
 
+// Found by the soak, seed 6: SIGHUP ended a node that had just started.
+BOOST_AUTO_TEST_CASE(NodeOutlivesSighup) {
+  PlatformFleet fleet(1, 1);
+  fleet.Node(0).Kill();
+  fleet.Start(0);
+  for (int i = 0; i < 5; ++i) {
+    fleet.Node(0).Signal(SIGHUP);
+  }
+  BOOST_TEST(PlatformFleet::Until([&] { return fleet.Ready(0); }));
+  BOOST_TEST(fleet.Send(0, "POST", "/once/a").m_status == 200);
+}
+
 // SIGTERM: no new callers are sent, what is under way ends whole, and the process goes.
 BOOST_AUTO_TEST_CASE(StopCutsNothing) {
   PlatformFleet fleet(2, 2);
