Large fleets: a few nodes of each zone follow the store

Change: above 16 nodes the two longest-running of a zone follow the store and tell all others of a change at once; those fetch what changed from them (a part of the image, not all of it). Beats go in turn to 24 nodes a round, and a node counts as away after three of its own intervals. Tests: ImageTest, MembersTest.

--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -29,6 +29,16 @@
 /// Callers honour a Retry-After of up to this part of the time they have left.
 constexpr double kRetryAfterPart = 0.33;
 
+/// Routes' priorities that are told apart within one team's.
+constexpr int kRoutePriorities = 3;
+
+/// The team's priority goes first; the route's orders calls within it.
+int UrgencyOf(const fleet::Team* aTeam, const fleet::Route& aRoute) {
+  const int route = std::clamp(aRoute.m_priority, 0, kRoutePriorities - 1);
+  const int team = aTeam == nullptr ? 0 : aTeam->m_priority.value_or(0);
+  return team * kRoutePriorities + route;
+}
+
 double Seconds(base::Millis aSpan) {
   return std::chrono::duration<double>(aSpan).count();
 }
@@ -70,7 +80,7 @@
   , m_catalog(std::move(aCatalog))
   , m_route(aRoute)
   , m_team(aTeam != nullptr ? aTeam->m_id : base::TeamId())
-  , m_priority(aTeam != nullptr ? aTeam->m_priority.value_or(aRoute.m_priority) : aRoute.m_priority)
+  , m_priority(UrgencyOf(aTeam, aRoute))
   , m_call(std::move(aCall))
   , m_head(std::move(aHead))
   , m_body(std::move(aBody))
--- a/packages/news/Members.cpp
+++ b/packages/news/Members.cpp
@@ -6,8 +6,9 @@
 
 namespace {
 
-/// A node not heard for so long is taken to be away: six beats.
+/// A node not heard for so long is taken to be away, and at least for so many of its beats.
 constexpr base::Millis kAliveFor{ 1500 };
+constexpr int kAliveBeats = 3;
 /// A node that is neither listed nor heard for so long is forgotten: longer than a usual cut, in
 /// which a node goes on serving although nobody hears it.
 constexpr base::Millis kKnownFor{ 30000 };
@@ -68,7 +69,7 @@
 }
 
 bool Members::Alive(const Peer& aPeer, base::TimePoint aNow) const {
-  return aPeer.m_heard && aNow - *aPeer.m_heard < kAliveFor;
+  return aPeer.m_heard && aNow - *aPeer.m_heard < std::max(kAliveFor, m_interval * kAliveBeats);
 }
 
 std::vector<std::string> Members::ReadyHosts(base::TimePoint aNow) const {
@@ -116,6 +117,17 @@
     }));
 }
 
+size_t Members::OlderFollowers(const base::ZoneId& aZone, base::TimePoint aNow) const {
+  return static_cast<size_t>(
+    std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& aEntry) {
+      const Peer& peer = aEntry.second;
+      return peer.m_zone == aZone && peer.m_storeAnswers && !peer.m_stopping &&
+             Alive(peer, aNow) &&
+             std::pair(peer.m_contact.m_born, peer.m_contact.m_node) <
+               std::pair(m_self.m_born, m_self.m_node);
+    }));
+}
+
 bool Members::AnyStoreAnswers(base::TimePoint aNow) const {
   return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& aEntry) {
     return aEntry.second.m_storeAnswers && Alive(aEntry.second, aNow);
--- a/packages/news/Members.h
+++ b/packages/news/Members.h
@@ -45,6 +45,8 @@
   /// their names.
   std::vector<base::NodeId> Forget(base::TimePoint aNow);
 
+  /// How far apart the beats of one node are; a node counts as away after some that are missing.
+  void SetBeatInterval(base::Millis aInterval) { m_interval = aInterval; }
   /// Whether a beat came lately.
   bool Alive(const Peer& aPeer, base::TimePoint aNow) const;
   /// All other nodes, by name.
@@ -63,11 +65,14 @@
   bool AllHeardWithin(base::Millis aSpan, base::TimePoint aNow) const;
   /// Live ready nodes that started before this one, and so have heard more.
   size_t OlderCount(base::TimePoint aNow) const;
+  /// Live nodes of `aZone` that started before this one and that the store answers.
+  size_t OlderFollowers(const base::ZoneId& aZone, base::TimePoint aNow) const;
   /// Whether the store answers any live peer.
   bool AnyStoreAnswers(base::TimePoint aNow) const;
 
 private:
   Contact m_self;
+  base::Millis m_interval{ 250 };
   std::map<base::NodeId, Peer> m_peers;
 };
 
--- a/packages/news/tests/MembersTest.cpp
+++ b/packages/news/tests/MembersTest.cpp
@@ -81,6 +81,26 @@
   BOOST_TEST(members.OlderCount(kNow + std::chrono::seconds(5)) == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(OldestNodesOfAZoneFollowTheStore) {
+  Members members(ContactOf("1", 5));
+  Beat older = BeatOf("2", 4);
+  older.m_zone = base::ZoneId("a");
+  members.Hear(older, kNow);
+  BOOST_TEST(members.OlderFollowers(base::ZoneId("a"), kNow) == 0U);
+  older.m_storeAnswers = true;
+  members.Hear(older, kNow);
+  BOOST_TEST(members.OlderFollowers(base::ZoneId("a"), kNow) == 1U);
+  BOOST_TEST(members.OlderFollowers(base::ZoneId("b"), kNow) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(RareBeatsKeepANodeAliveLonger) {
+  Members members(ContactOf("1"));
+  members.SetBeatInterval(base::Millis(1000));
+  members.Hear(BeatOf("2"), kNow);
+  BOOST_TEST(members.AliveCount(kNow + base::Millis(2500)) == 2U);
+  BOOST_TEST(members.AliveCount(kNow + base::Millis(3500)) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(StoppedNodeIsForgottenAtOnce) {
   Members members(ContactOf("1"));
   Beat stopping = BeatOf("2");
--- a/packages/quota/QuotaLedger.cpp
+++ b/packages/quota/QuotaLedger.cpp
@@ -14,8 +14,6 @@
 /// Part of the operators' slack that is planned with; the rest covers what other nodes have granted
 /// and not told yet.
 constexpr double kSlackPart = 0.4;
-/// Age of what other nodes have told, in seconds: one beat and the way here.
-constexpr double kNewsAge = 0.25;
 /// A bucket under this part of its capacity counts as low.
 constexpr double kLowPart = 0.4;
 /// Seconds of its part of the rate that a node may grant at once while a bucket is low.
@@ -67,7 +65,11 @@
   m_buckets = std::move(buckets);
 }
 
-void QuotaLedger::SetFleet(size_t aHeard, size_t aKnown, base::TimePoint aNow) {
+void QuotaLedger::SetFleet(size_t aHeard,
+                           size_t aKnown,
+                           double aNewsAge,
+                           base::TimePoint aNow) {
+  m_newsAge = aNewsAge;
   for (auto& [team, bucket] : m_buckets) {
     Refill(team, bucket, aNow);
   }
@@ -116,7 +118,7 @@
   }
   Bucket& bucket = found->second;
   Refill(aTeam, bucket, aNow);
-  const double low = std::max(CapacityOf(bucket.m_quota) * kLowPart, PeerRate(aTeam) * kNewsAge);
+  const double low = std::max(CapacityOf(bucket.m_quota) * kLowPart, PeerRate(aTeam) * m_newsAge);
   if (bucket.m_level <= low) {
     if (bucket.m_ownLevel <= 0 || bucket.m_level <= -RateOf(bucket.m_quota) * kOverdrawSeconds) {
       return false;
@@ -150,7 +152,7 @@
     // Only once: a peer's view is older than this node's own, and so always too high under load.
     // What an earlier life of this node granted after its last beat is in nobody's view.
     if (found != m_buckets.end() && !found->second.m_agreed) {
-      found->second.m_level = level - RateOf(found->second.m_quota) * kNewsAge;
+      found->second.m_level = level - RateOf(found->second.m_quota) * m_newsAge;
       found->second.m_agreed = true;
     }
   }
--- a/packages/quota/QuotaLedger.h
+++ b/packages/quota/QuotaLedger.h
@@ -59,8 +59,9 @@
                 base::TimePoint aNow);
   /// A node is known to have ended.
   void ForgetPeer(const base::NodeId& aPeer);
-  /// How many nodes there are and how many of them are heard, this one included.
-  void SetFleet(size_t aHeard, size_t aKnown, base::TimePoint aNow);
+  /// How many nodes there are and how many of them are heard, this one included; `aNewsAge`: how old
+  /// the others' news is, in seconds.
+  void SetFleet(size_t aHeard, size_t aKnown, double aNewsAge, base::TimePoint aNow);
   /// Units left in the team's bucket; negative while overdrawn.
   double Level(const base::TeamId& aTeam, base::TimePoint aNow);
 
@@ -103,6 +104,7 @@
   /// Part of the quota that this side of a cut may use; nothing before the fleet is known.
   double m_part = 0;
   size_t m_heardNodes = 1;
+  double m_newsAge = 0.25;
   Totals m_granted;
   Totals m_asked;
   std::map<base::TeamId, Meter> m_ownAsked;
--- a/packages/quota/tests/QuotaLedgerTest.cpp
+++ b/packages/quota/tests/QuotaLedgerTest.cpp
@@ -105,7 +105,7 @@
           m_messages.push_back({ m_now + kDelay, from, to, node.m_born, young, view });
         }
       }
-      node.m_ledger.SetFleet(heard, m_nodes.size(), m_now);
+      node.m_ledger.SetFleet(heard, m_nodes.size(), 0.25, m_now);
     }
   }
 
--- a/packages/serving/NewsExchange.cpp
+++ b/packages/serving/NewsExchange.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 /// Nodes that one round of beats goes to; bounds the traffic of a large fleet.
-constexpr size_t kFanout = 12;
+constexpr size_t kFanout = 24;
 /// How far behind a peer a node may be while it follows the store itself: the store's answer is on
 /// its way.
 constexpr base::Millis kNormalLag{ 300 };
@@ -39,9 +39,9 @@
   , m_readable(aLoop.OnReadable(m_socket.Fd(), [this] { Receive(); }))
   , m_server(aLoop,
              { aSettings.m_host, aSettings.m_imagePort },
-             [this](const RequestHead& /*aHead*/) { return GiveImage(); }) {}
+             [this](const RequestHead& aHead) { return GiveImage(aHead); }) {}
 
-void NewsExchange::SendBeats() {
+std::vector<std::string> NewsExchange::Hosts() const {
   std::set<std::string> hosts;
   for (const auto& [node, peer] : m_members.All()) {
     hosts.insert(peer.m_contact.m_host);
@@ -50,20 +50,36 @@
     hosts.insert(m_settings.m_seeds.begin(), m_settings.m_seeds.end());
   }
   hosts.erase(m_settings.m_host);
-  std::vector<std::string> targets(hosts.begin(), hosts.end());
-  if (targets.size() > kFanout) {
-    std::shuffle(targets.begin(), targets.end(), m_random);
-    targets.resize(kFanout);
-  }
-  if (targets.empty()) {
+  return { hosts.begin(), hosts.end() };
+}
+
+size_t NewsExchange::Rounds() const {
+  return std::max<size_t>((m_members.All().size() + kFanout - 1) / kFanout, 1);
+}
+
+void NewsExchange::SendTo(const std::vector<std::string>& aHosts) {
+  if (aHosts.empty()) {
     return;
   }
   const std::string bytes = adapters::peer::EncodeBeat(m_makeBeat());
-  for (const std::string& host : targets) {
+  for (const std::string& host : aHosts) {
     m_socket.Send({ host, m_settings.m_newsPort }, bytes);
   }
 }
 
+void NewsExchange::SendToAll() {
+  SendTo(Hosts());
+}
+
+void NewsExchange::SendBeats() {
+  const std::vector<std::string> hosts = Hosts();
+  std::vector<std::string> targets;
+  for (size_t i = 0; i < std::min(hosts.size(), kFanout); ++i) {
+    targets.push_back(hosts[m_next++ % hosts.size()]);
+  }
+  SendTo(targets);
+}
+
 void NewsExchange::Receive() {
   std::string bytes;
   while (m_socket.Receive(bytes)) {
@@ -75,16 +91,30 @@
   }
 }
 
-SmallAnswer NewsExchange::GiveImage() const {
+/// Everything, or what has changed after the revision that is asked for.
+SmallAnswer NewsExchange::GiveImage(const RequestHead& aHead) const {
+  const uint64_t after =
+    std::strtoull(adapters::http1::QueryParameter(aHead.m_target, "after").c_str(), nullptr, 10);
+  const bool whole = after < m_image.RemovalsFrom();
   nlohmann::json items = nlohmann::json::array();
   for (const auto& [key, item] : m_image.Items()) {
-    items.push_back({ key,
-                      nlohmann::json::binary({ item.m_data.begin(), item.m_data.end() }),
-                      item.m_revision,
-                      item.m_created });
+    if (whole || item.m_revision > after) {
+      items.push_back({ key,
+                        nlohmann::json::binary({ item.m_data.begin(), item.m_data.end() }),
+                        item.m_revision,
+                        item.m_created });
+    }
+  }
+  nlohmann::json removed = nlohmann::json::array();
+  for (const auto& [key, revision] : m_image.Removals()) {
+    if (!whole && revision > after) {
+      removed.push_back({ key, revision });
+    }
   }
-  const auto bytes =
-    nlohmann::json::to_cbor({ { "revision", m_image.LastRevision() }, { "items", items } });
+  const auto bytes = nlohmann::json::to_cbor({ { "revision", m_image.LastRevision() },
+                                               { "whole", whole },
+                                               { "items", items },
+                                               { "removed", removed } });
   return { 200, "application/cbor", std::string(bytes.begin(), bytes.end()) };
 }
 
@@ -94,15 +124,20 @@
     m_log.Event("image dropped", { { "bytes", aBytes.size() } });
     return;
   }
-  std::vector<store::Item> items;
+  std::vector<store::Change> changes;
   for (const nlohmann::json& row : image.at("items")) {
     const auto& data = row.at(1).get_binary();
-    items.push_back({ row.at(0).get<std::string>(),
-                      std::string(data.begin(), data.end()),
-                      row.at(2).get<uint64_t>(),
-                      row.at(3).get<uint64_t>() });
+    changes.push_back({ { row.at(0).get<std::string>(),
+                          std::string(data.begin(), data.end()),
+                          row.at(2).get<uint64_t>(),
+                          row.at(3).get<uint64_t>() },
+                        false });
+  }
+  for (const nlohmann::json& row : image.at("removed")) {
+    changes.push_back(
+      { { row.at(0).get<std::string>(), {}, row.at(1).get<uint64_t>(), 0 }, true });
   }
-  m_image.CatchUp(items, image.at("revision").get<uint64_t>());
+  m_image.CatchUp(changes, image.at("whole").get<bool>(), image.at("revision").get<uint64_t>());
 }
 
 void NewsExchange::CatchUp(bool aOwnStoreAnswers) {
@@ -125,7 +160,8 @@
     client = std::make_unique<adapters::http1::JsonClient>(
       m_loop, base::Address{ host, m_settings.m_imagePort });
   }
-  client->Call("GET", "/image", {}, {}, kFetchLimit, [this, host](CallResult aResult) {
+  const std::string target = "/image?after=" + std::to_string(m_image.LastRevision());
+  client->Call("GET", target, {}, {}, kFetchLimit, [this, host](CallResult aResult) {
     m_fetching = false;
     m_behindSince.reset();
     const uint64_t before = m_image.LastRevision();
--- a/packages/serving/NewsExchange.h
+++ b/packages/serving/NewsExchange.h
@@ -11,7 +11,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <random>
 
 namespace papayafield::serving {
 
@@ -29,15 +28,21 @@
 
   /// Whether both ports could be had.
   bool Bound() const { return m_socket.Bound() && m_server.Listening(); }
-  /// Sends beats now: to all nodes of a small fleet, to some of a large one.
+  /// Sends beats now: to all nodes of a small fleet, to the next ones in turn of a large one.
   void SendBeats();
+  /// Sends beats to all nodes, after a change that they should hear of at once.
+  void SendToAll();
+  /// How many rounds it takes until each node has had a beat.
+  size_t Rounds() const;
   /// Fetches a peer's image when that peer knows more. `aOwnStoreAnswers`: the store is followed
   /// directly, so a short lag is normal.
   void CatchUp(bool aOwnStoreAnswers);
 
 private:
+  std::vector<std::string> Hosts() const;
+  void SendTo(const std::vector<std::string>& aHosts);
   void Receive();
-  adapters::http1::SmallAnswer GiveImage() const;
+  adapters::http1::SmallAnswer GiveImage(const adapters::http1::RequestHead& aHead) const;
   void TakeImage(const std::string& aBytes);
 
   adapters::http::EventLoop& m_loop;
@@ -51,9 +56,10 @@
   adapters::http::WatchPtr m_readable;
   adapters::http1::SmallServer m_server;
   std::map<std::string, std::unique_ptr<adapters::http1::JsonClient>> m_clients;
+  /// Where the next round of beats begins.
+  size_t m_next = 0;
   bool m_fetching = false;
   std::optional<base::TimePoint> m_behindSince;
-  std::mt19937_64 m_random{ base::RandomSeed() };
 };
 
 } // namespace papayafield::serving
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -156,6 +156,10 @@
   static constexpr double kGracePart = 0.92;
   /// The duties go to one of so many nodes that have run longest.
   static constexpr size_t kDutyCandidates = 3;
+  /// Up to so many nodes each follows the store itself.
+  static constexpr size_t kAllFollowUpTo = 16;
+  /// Nodes of a zone that follow the store in a larger fleet; a second one covers the loss of the first.
+  static constexpr size_t kFollowersOfZone = 2;
   /// Usage windows that a beat carries.
   static constexpr int64_t kWindowsTold = 3;
   /// Nodes that a beat names.
@@ -173,6 +177,14 @@
               const std::optional<store::Item>& aItem,
               uint64_t aRevision) {
     const std::string nodes = m_keys.m_own + "nodes/";
+    if (m_members.KnownCount() > kAllFollowUpTo && m_feed.Answers() && !m_announced) {
+      // Once for all changes of one answer.
+      m_announced = true;
+      m_loop.Defer([this] {
+        m_announced = false;
+        m_news.SendToAll();
+      });
+    }
     if (aKey == m_keys.m_configuration) {
       if (aItem) {
         OnConfiguration(*aItem);
@@ -316,8 +328,12 @@
       m_log.Event("node gone", { { "node", node.Text() } });
     }
     m_state.SetNodeCount(m_members.KnownCount());
-    m_state.m_quota.SetFleet(m_members.AliveCount(now), m_members.KnownCount(), now);
+    const std::chrono::duration<double> newsAge = kTick * m_news.Rounds();
+    m_state.m_quota.SetFleet(
+      m_members.AliveCount(now), m_members.KnownCount(), newsAge.count(), now);
     m_ticked = true;
+    m_members.SetBeatInterval(kTick * static_cast<int64_t>(m_news.Rounds()));
+    m_feed.SetFollowing(Follows(now));
     m_news.SendBeats();
     m_news.CatchUp(m_feed.Answers());
     Register(now);
@@ -329,6 +345,13 @@
     }
   }
 
+  /// In a large fleet a few nodes of each zone follow the store; the others hear of changes from them.
+  bool Follows(base::TimePoint aNow) const {
+    return m_members.KnownCount() <= kAllFollowUpTo ||
+           m_members.OlderFollowers(m_settings.m_zone, aNow) < kFollowersOfZone ||
+           m_members.OlderCount(aNow) < kDutyCandidates;
+  }
+
   void NoteReady() {
     if (Ready() != m_wasReady) {
       m_wasReady = Ready();
@@ -373,7 +396,7 @@
 
   /// Keeps this node listed in the store, so that others find it without the seeds.
   void Register(base::TimePoint aNow) {
-    if (m_registering || m_stopping || !m_feed.Answers() || aNow < m_registerAt) {
+    if (m_registering || m_stopping || !m_feed.Loaded() || aNow < m_registerAt) {
       return;
     }
     m_registering = true;
@@ -448,6 +471,8 @@
   store::LeaseNumber m_lease = 0;
   base::TimePoint m_registerAt{};
   bool m_registering = false;
+  /// A beat to all nodes is due.
+  bool m_announced = false;
   bool m_wasReady = false;
   /// Whether the fleet's size has been looked at, which quotas and budgets depend on.
   bool m_ticked = false;
--- a/packages/sync/Image.cpp
+++ b/packages/sync/Image.cpp
@@ -30,6 +30,7 @@
   if (aChange.m_removed) {
     if (m_removed.size() >= kMaxRemovals) {
       m_removed.clear();
+      m_removalsFrom = std::max(m_removalsFrom, m_lastRevision);
     }
     m_removed[item.m_key] = item.m_revision;
     if (known != m_items.end()) {
@@ -46,6 +47,8 @@
 void Image::Replace(const std::string& aPrefix,
                     const std::vector<store::Item>& aItems,
                     uint64_t aRevision) {
+  // What was removed before the list was made is not known.
+  m_removalsFrom = std::max(m_removalsFrom, m_items.empty() ? aRevision : m_removalsFrom);
   std::set<std::string> listed;
   for (const store::Item& item : aItems) {
     listed.insert(item.m_key);
@@ -71,8 +74,22 @@
   }
 }
 
-void Image::CatchUp(const std::vector<store::Item>& aItems, uint64_t aRevision) {
-  Replace("", aItems, aRevision);
+void Image::CatchUp(const std::vector<store::Change>& aChanges,
+                    bool aWhole,
+                    uint64_t aRevision) {
+  std::vector<store::Item> items;
+  for (const store::Change& change : aChanges) {
+    if (aWhole && !change.m_removed) {
+      items.push_back(change.m_item);
+    } else {
+      Apply(change);
+    }
+  }
+  if (aWhole) {
+    Replace("", items, aRevision);
+    // Removals before this one are not known.
+    m_removalsFrom = std::max(m_removalsFrom, aRevision);
+  }
   m_lastRevision = std::max(m_lastRevision, aRevision);
 }
 
--- a/packages/sync/Image.h
+++ b/packages/sync/Image.h
@@ -28,11 +28,16 @@
                const std::vector<store::Item>& aItems,
                uint64_t aRevision);
 
-  /// Everything that a peer knew when `aRevision` was the last change it had seen.
-  void CatchUp(const std::vector<store::Item>& aItems, uint64_t aRevision);
+  /// What a peer knew when `aRevision` was the last change it had seen: everything (`aWhole`), or what
+  /// had changed after this image's last revision.
+  void CatchUp(const std::vector<store::Change>& aChanges, bool aWhole, uint64_t aRevision);
 
   /// All items, by key.
   const std::map<std::string, store::Item>& Items() const { return m_items; }
+  /// Removals that are remembered, by key.
+  const std::map<std::string, uint64_t>& Removals() const { return m_removed; }
+  /// All removals after this revision are remembered.
+  uint64_t RemovalsFrom() const { return m_removalsFrom; }
   /// The item; null when there is none.
   const store::Item* Find(const std::string& aKey) const;
   /// The last change that is known.
@@ -43,6 +48,7 @@
   std::map<std::string, store::Item> m_items;
   std::map<std::string, uint64_t> m_removed;
   uint64_t m_lastRevision = 0;
+  uint64_t m_removalsFrom = 0;
 };
 
 } // namespace papayafield::sync
--- a/packages/sync/StateFeed.h
+++ b/packages/sync/StateFeed.h
@@ -49,10 +49,20 @@
 
   /// Begins to follow. Call once.
   void Start() { ListNext(0, 0); }
+  /// Whether this node follows the store itself. One that does not hears of changes from its peers; it
+  /// lists everything once when it begins to follow again.
+  void SetFollowing(bool aFollowing) {
+    const bool began = aFollowing && !m_following;
+    m_following = aFollowing;
+    if (began && m_resting) {
+      m_resting = false;
+      ListNext(0, 0);
+    }
+  }
   /// Whether everything has been listed at least once.
   bool Loaded() const { return m_loaded; }
   /// Whether the last call was answered.
-  bool Answers() const { return m_answers; }
+  bool Answers() const { return m_answers && !m_resting; }
   /// When the store last answered.
   base::TimePoint LastAnswer() const { return m_lastAnswer; }
 
@@ -104,6 +114,11 @@
   }
 
   void Watch() {
+    m_resting = !m_following;
+    if (m_resting) {
+      m_log.Event("store not followed", { { "revision", m_revision } });
+      return;
+    }
     m_store.Watch("", m_revision, m_settings.m_wait, [this](store::Result<store::Changes> aResult) {
       if (!aResult) {
         if (aResult.error() == store::Fault::HistoryGone) {
@@ -135,6 +150,9 @@
   base::Millis m_pause{ 60 };
   base::TimePoint m_lastAnswer{};
   uint64_t m_revision = 0;
+  bool m_following = true;
+  /// Nothing is under way, since the store is not followed.
+  bool m_resting = false;
   bool m_loaded = false;
   bool m_answers = false;
   bool m_noted = false;
--- a/packages/sync/tests/ImageTest.cpp
+++ b/packages/sync/tests/ImageTest.cpp
@@ -100,6 +100,60 @@
   }
 }
 
+// What a peer gives after a revision makes two images alike, removals included.
+BOOST_AUTO_TEST_CASE(PartOfAPeersImageIsEnough) {
+  Heard peer;
+  Heard behind;
+  for (uint64_t revision = 1; revision <= 4; ++revision) {
+    const store::Change change{ ItemOf(std::string(1, static_cast<char>('a' + revision)), revision),
+                                false };
+    peer.m_image.Apply(change);
+    behind.m_image.Apply(change);
+  }
+  peer.m_image.Apply({ ItemOf("b", 5), true });
+  peer.m_image.Apply({ ItemOf("c", 6), false });
+  BOOST_TEST(peer.m_image.RemovalsFrom() <= behind.m_image.LastRevision());
+  std::vector<store::Change> part;
+  for (const auto& [key, revision] : peer.m_image.Removals()) {
+    part.push_back({ { key, "", revision, 0 }, true });
+  }
+  part.push_back({ *peer.m_image.Find("c"), false });
+  behind.m_image.CatchUp(part, false, peer.m_image.LastRevision());
+  BOOST_TEST(behind.m_image.Items().size() == peer.m_image.Items().size());
+  BOOST_TEST(behind.m_image.Find("b") == nullptr);
+  BOOST_TEST(behind.m_image.Find("c")->m_revision == 6U);
+  BOOST_TEST(behind.m_image.LastRevision() == 6U);
+}
+
+BOOST_AUTO_TEST_CASE(WholeImageRemovesTheRest) {
+  Heard heard;
+  heard.m_image.Apply({ ItemOf("a", 1), false });
+  heard.m_image.CatchUp({ { ItemOf("b", 2), false } }, true, 3);
+  BOOST_TEST(heard.m_image.Find("a") == nullptr);
+  BOOST_TEST(heard.m_image.Items().size() == 1U);
+  // It cannot tell others what was removed before.
+  BOOST_TEST(heard.m_image.RemovalsFrom() == 3U);
+}
+
+// A node that does not follow the store makes no call until it follows again.
+BOOST_AUTO_TEST_CASE(FeedRestsWhileItDoesNotFollow) {
+  adapters::http::EventLoop loop;
+  ScriptedStore store;
+  Heard heard;
+  StateFeed<ScriptedStore> feed(
+    loop, store, heard.m_image, { { "p/" } }, [](bool) {}, [] {});
+  feed.Start();
+  store.m_list(store::Listing{ {}, 4 });
+  feed.SetFollowing(false);
+  store.m_watch(store::Changes{ {}, 5 });
+  BOOST_TEST(!feed.Answers());
+  BOOST_TEST(store.m_calls.size() == 2U);
+  feed.SetFollowing(true);
+  store.m_list(store::Listing{ {}, 6 });
+  BOOST_TEST(store.m_calls.back() == "watch 6");
+  BOOST_TEST(feed.Answers());
+}
+
 // Any failure but the loss of history leads to a pause and a new list; lost history to one at once.
 BOOST_AUTO_TEST_CASE(FeedListsAgainAfterEachGap) {
   adapters::http::EventLoop loop;
