--- a/packages/duties/ScalingPolicy.cpp
+++ b/packages/duties/ScalingPolicy.cpp
@@ -60,17 +60,16 @@
                                            base::TimePoint aNow) const {
   const int zones = static_cast<int>(aBounds.m_zonePrices.size());
   const int least = zones * std::max(aBounds.m_least, 1);
-  const double demand =
-    KnowsDemand(aNow) ? EnginesOfDemand()
-                      : static_cast<double>(m_firstSize.value_or(0)) * m_settings.m_targetUse;
+  const double demand = KnowsDemand(aNow)
+                          ? EnginesOfDemand()
+                          : static_cast<double>(m_firstSize.value_or(0)) * m_settings.m_targetUse;
   Size size;
   size.m_total = std::clamp(
     static_cast<int>(std::ceil(demand / m_settings.m_targetUse)), least, zones * aBounds.m_most);
   const double floor = KnowsDemand(aNow) ? demand * m_settings.m_floorPart
                                          : size.m_total * m_settings.m_unknownFloorPart;
-  size.m_floor = std::clamp(static_cast<int>(std::ceil(floor)),
-                            std::min(size.m_total, zones),
-                            size.m_total);
+  size.m_floor =
+    std::clamp(static_cast<int>(std::ceil(floor)), std::min(size.m_total, zones), size.m_total);
   return size;
 }
 
--- a/packages/duties/ScalingPolicy.h
+++ b/packages/duties/ScalingPolicy.h
@@ -63,8 +63,8 @@
   std::vector<ScalingOrder> Plan(const fleet::Service& aService,
                                  const std::vector<fleet::Endpoint>& aEndpoints,
                                  base::TimePoint aNow);
-  /// Whether demand has been watched for long enough to plan from it. Before that the fleet keeps its
-  /// size, and only part of it is replaced by cheaper engines.
+  /// Whether demand has been watched for long enough to plan from it. Before that the fleet keeps
+  /// its size, and only part of it is replaced by cheaper engines.
   bool KnowsDemand(base::TimePoint aNow) const;
   /// Engines that the remembered peak of demand keeps busy.
   double EnginesOfDemand() const;
--- a/packages/duties/UsageReporter.h
+++ b/packages/duties/UsageReporter.h
@@ -9,6 +9,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <optional>
--- a/packages/fleet/Catalog.h
+++ b/packages/fleet/Catalog.h
@@ -148,7 +148,6 @@
     std::vector<Route> m_routes;
     std::vector<Service> m_services;
     std::vector<Team> m_teams;
-    /// Whether any team is defined; without teams no call needs a key.
     CallerLimits m_limits;
   };
 
--- a/packages/fleet/EndpointDirectory.cpp
+++ b/packages/fleet/EndpointDirectory.cpp
@@ -109,7 +109,6 @@
       m_ready.push_back(endpoint);
     }
   }
-  ++m_generation;
 }
 
 } // namespace papayafield::fleet
--- a/packages/fleet/EndpointDirectory.h
+++ b/packages/fleet/EndpointDirectory.h
@@ -62,8 +62,6 @@
   const std::map<base::EndpointId, Endpoint>& All() const { return m_all; }
   /// Greatest revision seen in any registration or removal.
   uint64_t LastRevision() const { return m_lastRevision; }
-  /// Grows whenever Ready() changes.
-  uint64_t Generation() const { return m_generation; }
 
 private:
   bool InDoubt(base::TimePoint aNow) const;
@@ -77,7 +75,6 @@
   bool m_storeLost = false;
   std::optional<base::TimePoint> m_believeFrom;
   uint64_t m_lastRevision = 0;
-  uint64_t m_generation = 0;
 };
 
 } // namespace papayafield::fleet
--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -29,14 +29,9 @@
 /// Callers honour a Retry-After of up to this part of the time they have left.
 constexpr double kRetryAfterPart = 0.33;
 
-/// Routes' priorities that are told apart within one team's.
-constexpr int kRoutePriorities = 3;
-
-/// The team's priority goes first; the route's orders calls within it.
+/// A team's priority replaces its routes'.
 int UrgencyOf(const fleet::Team* aTeam, const fleet::Route& aRoute) {
-  const int route = std::clamp(aRoute.m_priority, 0, kRoutePriorities - 1);
-  const int team = aTeam == nullptr ? 0 : aTeam->m_priority.value_or(0);
-  return team * kRoutePriorities + route;
+  return aTeam == nullptr ? aRoute.m_priority : aTeam->m_priority.value_or(aRoute.m_priority);
 }
 
 double Seconds(base::Millis aSpan) {
@@ -173,7 +168,7 @@
   return std::chrono::duration_cast<base::Millis>(m_route.m_goal * kStallGoals);
 }
 
-bool Exchange::Send(const fleet::Endpoint& aEndpoint) {
+void Exchange::Send(const fleet::Endpoint& aEndpoint) {
   const auto now = base::BootNow();
   const bool careful = !m_route.Repeatable();
   Lease lease = m_node.m_pool.Take(aEndpoint, careful ? kIdlePartUnsafe : kIdlePart, now);
@@ -194,7 +189,6 @@
   Arm(run);
   run->m_connection->Write(
     adapters::http1::Serialize(m_node.m_wire.m_encodeAttempt(attempt), m_body));
-  return true;
 }
 
 void Exchange::Arm(const std::shared_ptr<Running>& aRun) {
--- a/packages/forwarding/Exchange.h
+++ b/packages/forwarding/Exchange.h
@@ -51,7 +51,7 @@
   struct Running;
 
   void Dispatch();
-  bool Send(const fleet::Endpoint& aEndpoint);
+  void Send(const fleet::Endpoint& aEndpoint);
   void Arm(const std::shared_ptr<Running>& aRun);
   void OnHead(const std::shared_ptr<Running>& aRun, adapters::http1::ResponseHead&& aHead);
   void OnBody(const std::shared_ptr<Running>& aRun, std::string_view aBytes);
--- a/packages/news/Members.cpp
+++ b/packages/news/Members.cpp
@@ -1,6 +1,7 @@
 #include "news/Members.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace papayafield::news {
 
@@ -24,11 +25,17 @@
     return false;
   }
   const bool registered = peer.m_registered;
-  peer = { aBeat.m_from,         aBeat.m_zone,
-           aBeat.m_ready,        aBeat.m_stopping,
-           aBeat.m_storeAnswers, aBeat.m_configuration,
-           aBeat.m_revision,     aBeat.m_workAsked,
-           registered, aNow, aNow };
+  peer = { aBeat.m_from,
+           aBeat.m_zone,
+           aBeat.m_ready,
+           aBeat.m_stopping,
+           aBeat.m_storeAnswers,
+           aBeat.m_configuration,
+           aBeat.m_revision,
+           aBeat.m_workAsked,
+           registered,
+           aNow,
+           aNow };
   return true;
 }
 
@@ -108,24 +115,25 @@
   });
 }
 
+/// Nodes that start within one millisecond are told apart by name.
+bool Members::Older(const Peer& aPeer) const {
+  return std::pair(aPeer.m_contact.m_born, aPeer.m_contact.m_node) <
+         std::pair(m_self.m_born, m_self.m_node);
+}
+
 size_t Members::OlderCount(base::TimePoint aNow) const {
-  return static_cast<size_t>(
-    std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& aEntry) {
-      const Peer& peer = aEntry.second;
-      return Alive(peer, aNow) && peer.m_ready && !peer.m_stopping &&
-             peer.m_contact.m_born < m_self.m_born;
-    }));
+  return static_cast<size_t>(std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& aEntry) {
+    const Peer& peer = aEntry.second;
+    return Alive(peer, aNow) && peer.m_ready && !peer.m_stopping && Older(peer);
+  }));
 }
 
 size_t Members::OlderFollowers(const base::ZoneId& aZone, base::TimePoint aNow) const {
-  return static_cast<size_t>(
-    std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& aEntry) {
-      const Peer& peer = aEntry.second;
-      return peer.m_zone == aZone && peer.m_storeAnswers && !peer.m_stopping &&
-             Alive(peer, aNow) &&
-             std::pair(peer.m_contact.m_born, peer.m_contact.m_node) <
-               std::pair(m_self.m_born, m_self.m_node);
-    }));
+  return static_cast<size_t>(std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& aEntry) {
+    const Peer& peer = aEntry.second;
+    return peer.m_zone == aZone && peer.m_storeAnswers && !peer.m_stopping && Alive(peer, aNow) &&
+           Older(peer);
+  }));
 }
 
 bool Members::AnyStoreAnswers(base::TimePoint aNow) const {
--- a/packages/news/Members.h
+++ b/packages/news/Members.h
@@ -60,8 +60,8 @@
   /// The live peer that knows the latest change of the store; null when none knows more than
   /// `aRevision`.
   const Peer* Ahead(uint64_t aRevision, base::TimePoint aNow) const;
-  /// Whether each known node that is not stopping has been heard within `aSpan`. One that is silent may
-  /// be frozen or cut off, and still hold news.
+  /// Whether each known node that is not stopping has been heard within `aSpan`. One that is silent
+  /// may be frozen or cut off, and still hold news.
   bool AllHeardWithin(base::Millis aSpan, base::TimePoint aNow) const;
   /// Live ready nodes that started before this one, and so have heard more.
   size_t OlderCount(base::TimePoint aNow) const;
@@ -71,6 +71,8 @@
   bool AnyStoreAnswers(base::TimePoint aNow) const;
 
 private:
+  bool Older(const Peer& aPeer) const;
+
   Contact m_self;
   base::Millis m_interval{ 250 };
   std::map<base::NodeId, Peer> m_peers;
--- a/packages/news/tests/MembersTest.cpp
+++ b/packages/news/tests/MembersTest.cpp
@@ -81,6 +81,17 @@
   BOOST_TEST(members.OlderCount(kNow + std::chrono::seconds(5)) == 0U);
 }
 
+// Found on the grown sites: all nodes start in one millisecond, and each took itself for the
+// oldest.
+BOOST_AUTO_TEST_CASE(NodesThatStartTogetherHaveAnOrder) {
+  Members first(ContactOf("1", 5));
+  Members second(ContactOf("2", 5));
+  first.Hear(BeatOf("2", 5), kNow);
+  second.Hear(BeatOf("1", 5), kNow);
+  BOOST_TEST(first.OlderCount(kNow) == 0U);
+  BOOST_TEST(second.OlderCount(kNow) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(OldestNodesOfAZoneFollowTheStore) {
   Members members(ContactOf("1", 5));
   Beat older = BeatOf("2", 4);
--- a/packages/quota/QuotaLedger.cpp
+++ b/packages/quota/QuotaLedger.cpp
@@ -65,10 +65,7 @@
   m_buckets = std::move(buckets);
 }
 
-void QuotaLedger::SetFleet(size_t aHeard,
-                           size_t aKnown,
-                           double aNewsAge,
-                           base::TimePoint aNow) {
+void QuotaLedger::SetFleet(size_t aHeard, size_t aKnown, double aNewsAge, base::TimePoint aNow) {
   m_newsAge = aNewsAge;
   for (auto& [team, bucket] : m_buckets) {
     Refill(team, bucket, aNow);
--- a/packages/quota/QuotaLedger.h
+++ b/packages/quota/QuotaLedger.h
@@ -59,8 +59,8 @@
                 base::TimePoint aNow);
   /// A node is known to have ended.
   void ForgetPeer(const base::NodeId& aPeer);
-  /// How many nodes there are and how many of them are heard, this one included; `aNewsAge`: how old
-  /// the others' news is, in seconds.
+  /// How many nodes there are and how many of them are heard, this one included; `aNewsAge`: how
+  /// old the others' news is, in seconds.
   void SetFleet(size_t aHeard, size_t aKnown, double aNewsAge, base::TimePoint aNow);
   /// Units left in the team's bucket; negative while overdrawn.
   double Level(const base::TeamId& aTeam, base::TimePoint aNow);
--- a/packages/serving/NewsExchange.cpp
+++ b/packages/serving/NewsExchange.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 /// Nodes that one round of beats goes to; bounds the traffic of a large fleet.
-constexpr size_t kFanout = 24;
+constexpr size_t kFanout = 12;
 /// How far behind a peer a node may be while it follows the store itself: the store's answer is on
 /// its way.
 constexpr base::Millis kNormalLag{ 300 };
@@ -37,9 +37,9 @@
   , m_onBeat(std::move(aOnBeat))
   , m_socket({ aSettings.m_host, aSettings.m_newsPort })
   , m_readable(aLoop.OnReadable(m_socket.Fd(), [this] { Receive(); }))
-  , m_server(aLoop,
-             { aSettings.m_host, aSettings.m_imagePort },
-             [this](const RequestHead& aHead) { return GiveImage(aHead); }) {}
+  , m_server(aLoop, { aSettings.m_host, aSettings.m_imagePort }, [this](const RequestHead& aHead) {
+    return GiveImage(aHead);
+  }) {}
 
 std::vector<std::string> NewsExchange::Hosts() const {
   std::set<std::string> hosts;
@@ -67,10 +67,6 @@
   }
 }
 
-void NewsExchange::SendToAll() {
-  SendTo(Hosts());
-}
-
 void NewsExchange::SendBeats() {
   const std::vector<std::string> hosts = Hosts();
   std::vector<std::string> targets;
@@ -134,8 +130,7 @@
                         false });
   }
   for (const nlohmann::json& row : image.at("removed")) {
-    changes.push_back(
-      { { row.at(0).get<std::string>(), {}, row.at(1).get<uint64_t>(), 0 }, true });
+    changes.push_back({ { row.at(0).get<std::string>(), {}, row.at(1).get<uint64_t>(), 0 }, true });
   }
   m_image.CatchUp(changes, image.at("whole").get<bool>(), image.at("revision").get<uint64_t>());
 }
--- a/packages/serving/NewsExchange.h
+++ b/packages/serving/NewsExchange.h
@@ -30,8 +30,6 @@
   bool Bound() const { return m_socket.Bound() && m_server.Listening(); }
   /// Sends beats now: to all nodes of a small fleet, to the next ones in turn of a large one.
   void SendBeats();
-  /// Sends beats to all nodes, after a change that they should hear of at once.
-  void SendToAll();
   /// How many rounds it takes until each node has had a beat.
   size_t Rounds() const;
   /// Fetches a peer's image when that peer knows more. `aOwnStoreAnswers`: the store is followed
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -55,12 +55,13 @@
     , m_image([this](const std::string& aKey,
                      const std::optional<store::Item>& aItem,
                      uint64_t aRevision) { OnItem(aKey, aItem, aRevision); })
-    , m_feed(aLoop,
-             aStore,
-             m_image,
-             { { m_keys.m_configuration, m_keys.m_endpoints, m_keys.m_own } },
-             [this](bool /*aAnswers*/) { JudgeStore(); },
-             [this] { Tick(); })
+    , m_feed(
+        aLoop,
+        aStore,
+        m_image,
+        { { m_keys.m_configuration, m_keys.m_endpoints, m_keys.m_own } },
+        [this](bool /*aAnswers*/) { JudgeStore(); },
+        [this] { Tick(); })
     , m_members(m_self)
     , m_news(
         aLoop,
@@ -158,7 +159,8 @@
   static constexpr size_t kDutyCandidates = 3;
   /// Up to so many nodes each follows the store itself.
   static constexpr size_t kAllFollowUpTo = 16;
-  /// Nodes of a zone that follow the store in a larger fleet; a second one covers the loss of the first.
+  /// Nodes of a zone that follow the store in a larger fleet; a second one covers the loss of the
+  /// first.
   static constexpr size_t kFollowersOfZone = 2;
   /// Usage windows that a beat carries.
   static constexpr int64_t kWindowsTold = 3;
@@ -177,14 +179,6 @@
               const std::optional<store::Item>& aItem,
               uint64_t aRevision) {
     const std::string nodes = m_keys.m_own + "nodes/";
-    if (m_members.KnownCount() > kAllFollowUpTo && m_feed.Answers() && !m_announced) {
-      // Once for all changes of one answer.
-      m_announced = true;
-      m_loop.Defer([this] {
-        m_announced = false;
-        m_news.SendToAll();
-      });
-    }
     if (aKey == m_keys.m_configuration) {
       if (aItem) {
         OnConfiguration(*aItem);
@@ -345,7 +339,8 @@
     }
   }
 
-  /// In a large fleet a few nodes of each zone follow the store; the others hear of changes from them.
+  /// In a large fleet a few nodes of each zone follow the store; the others hear of changes from
+  /// them.
   bool Follows(base::TimePoint aNow) const {
     return m_members.KnownCount() <= kAllFollowUpTo ||
            m_members.OlderFollowers(m_settings.m_zone, aNow) < kFollowersOfZone ||
@@ -471,8 +466,6 @@
   store::LeaseNumber m_lease = 0;
   base::TimePoint m_registerAt{};
   bool m_registering = false;
-  /// A beat to all nodes is due.
-  bool m_announced = false;
   bool m_wasReady = false;
   /// Whether the fleet's size has been looked at, which quotas and budgets depend on.
   bool m_ticked = false;
--- a/packages/sync/Image.cpp
+++ b/packages/sync/Image.cpp
@@ -74,9 +74,7 @@
   }
 }
 
-void Image::CatchUp(const std::vector<store::Change>& aChanges,
-                    bool aWhole,
-                    uint64_t aRevision) {
+void Image::CatchUp(const std::vector<store::Change>& aChanges, bool aWhole, uint64_t aRevision) {
   std::vector<store::Item> items;
   for (const store::Change& change : aChanges) {
     if (aWhole && !change.m_removed) {
--- a/packages/sync/Image.h
+++ b/packages/sync/Image.h
@@ -28,8 +28,8 @@
                const std::vector<store::Item>& aItems,
                uint64_t aRevision);
 
-  /// What a peer knew when `aRevision` was the last change it had seen: everything (`aWhole`), or what
-  /// had changed after this image's last revision.
+  /// What a peer knew when `aRevision` was the last change it had seen: everything (`aWhole`), or
+  /// what had changed after this image's last revision.
   void CatchUp(const std::vector<store::Change>& aChanges, bool aWhole, uint64_t aRevision);
 
   /// All items, by key.
--- a/packages/sync/StateFeed.h
+++ b/packages/sync/StateFeed.h
@@ -49,8 +49,8 @@
 
   /// Begins to follow. Call once.
   void Start() { ListNext(0, 0); }
-  /// Whether this node follows the store itself. One that does not hears of changes from its peers; it
-  /// lists everything once when it begins to follow again.
+  /// Whether this node follows the store itself. One that does not hears of changes from its peers;
+  /// it lists everything once when it begins to follow again.
   void SetFollowing(bool aFollowing) {
     const bool began = aFollowing && !m_following;
     m_following = aFollowing;
--- a/soak/Checks.h
+++ b/soak/Checks.h
@@ -17,9 +17,9 @@
   std::vector<std::string> m_broken;
 };
 
-/// Compares `aRecords` with the platform's report: no unsafe call ran twice, what was called not run
-/// did not run, every answer is the whole one to its own call, and each usage window was reported
-/// with one set of counts under fences that never fall.
+/// Compares `aRecords` with the platform's report: no unsafe call ran twice, what was called not
+/// run did not run, every answer is the whole one to its own call, and each usage window was
+/// reported with one set of counts under fences that never fall.
 Verdict Check(const std::vector<CallRecord>& aRecords, const nlohmann::json& aReport);
 
 } // namespace papayafield::soak
--- a/soak/Faults.cpp
+++ b/soak/Faults.cpp
@@ -79,8 +79,9 @@
   const size_t choice = Pick(5);
   if (choice < kModes.size()) {
     m_fleet.Control("store", { { "mode", kModes[choice] } });
-    m_active.push_back({ std::string("store_") + kModes[choice],
-                         [this] { m_fleet.Control("store", { { "mode", "ok" } }); } });
+    m_active.push_back({ std::string("store_") + kModes[choice], [this] {
+                          m_fleet.Control("store", { { "mode", "ok" } });
+                        } });
   } else if (choice == 3) {
     m_fleet.Control("compact");
     m_active.push_back({ "compact", [] {} });
@@ -127,7 +128,8 @@
       break;
     case 2:
       m_fleet.ProxyFaults(proxy, { { "lose_answers", true } });
-      m_active.push_back({ "one_way" + name, undo({ { "lose_answers", false }, { "cut", true } }) });
+      m_active.push_back(
+        { "one_way" + name, undo({ { "lose_answers", false }, { "cut", true } }) });
       break;
     case 3:
       m_fleet.ProxyFaults(proxy, { { "cut", true } });
--- a/soak/Faults.h
+++ b/soak/Faults.h
@@ -9,8 +9,8 @@
 
 namespace papayafield::soak {
 
-/// Injects faults from outside the nodes, at random by seed, and takes them back. Ends only processes
-/// of its own fleet. Not thread safe.
+/// Injects faults from outside the nodes, at random by seed, and takes them back. Ends only
+/// processes of its own fleet. Not thread safe.
 class Faults {
 public:
   Faults(tests::PlatformFleet& aFleet, size_t aNodes, size_t aRunners, uint64_t aSeed)
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -29,9 +29,8 @@
 /// All nodes are ready again and each serves a call.
 bool Recovers(tests::PlatformFleet& aFleet, size_t aNodes) {
   for (size_t node = 0; node < aNodes; ++node) {
-    const bool back = tests::PlatformFleet::Until([&] {
-      return aFleet.Ready(node) && aFleet.Send(node, "GET", "/safe/end").m_status == 200;
-    });
+    const bool back = tests::PlatformFleet::Until(
+      [&] { return aFleet.Ready(node) && aFleet.Send(node, "GET", "/safe/end").m_status == 200; });
     if (!back) {
       return false;
     }
--- a/standins/fleet/main.cpp
+++ b/standins/fleet/main.cpp
@@ -56,7 +56,8 @@
     if (m_proxyPort != 0) {
       address.m_port = static_cast<uint16_t>(m_proxyPort + std::stoi(aRunner.Id().substr(2)));
     }
-    const json entry = { { "service", m_service }, { "address", address.ToText() },
+    const json entry = { { "service", m_service },
+                         { "address", address.ToText() },
                          { "zone", "a" },
                          { "version", "v1" },
                          { "slots", 64 },
@@ -209,8 +210,12 @@
 } // namespace
 
 int main(int argc, char** argv) {
-  const Arguments arguments(
-    argc, argv, { { "listen", "127.0.0.1:9000" }, { "runners", "3" }, { "service", "engines" }, { "proxy-port", "0" } });
+  const Arguments arguments(argc,
+                            argv,
+                            { { "listen", "127.0.0.1:9000" },
+                              { "runners", "3" },
+                              { "service", "engines" },
+                              { "proxy-port", "0" } });
   std::signal(SIGPIPE, SIG_IGN);
   adapters::http::EventLoop loop;
   FleetStandin standin(loop,
--- a/tests/harness/PlatformFleet.cpp
+++ b/tests/harness/PlatformFleet.cpp
@@ -55,9 +55,9 @@
   , m_platformEntry(m_platform) {
   const auto proxyPort =
     static_cast<uint16_t>(aProxies == Proxies::All ? m_platform.m_port + kProxyPorts : 0);
-  const std::vector<std::string> options{ "--listen", m_platform.ToText(), "--runners",
-                                          std::to_string(aRunners), "--proxy-port",
-                                          std::to_string(proxyPort) };
+  const std::vector<std::string> options{ "--listen",     m_platform.ToText(),
+                                          "--runners",    std::to_string(aRunners),
+                                          "--proxy-port", std::to_string(proxyPort) };
   m_standin = std::make_unique<Process>("standins/standin_fleet", options);
   Until([&] { return Call(m_platform, "GET", "/control/report").m_status == 200; });
   if (aProxies == Proxies::All) {
@@ -101,15 +101,15 @@
        << "\"\ndirectory = \"" << host << ":" << port(Directory)
        << "\"\n[bounds]\ngrace_s = 8\nlease_ms = 1500\nretry_ratio = 0.2\nretry_slack = 100\n"
        << "usage_window_s = 1\nusage_late_s = 10\n[platform]\naddress = \""
-       << m_platformEntry.ToText() << "\"\n[cloud]\naddress = \"" << m_platformEntry.ToText() << "\"\nduties = [\"metering\"]\n";
+       << m_platformEntry.ToText() << "\"\n[cloud]\naddress = \"" << m_platformEntry.ToText()
+       << "\"\nduties = [\"metering\"]\n";
   return path;
 }
 
 void PlatformFleet::StartProxy(const base::Address& aListen, const base::Address& aTo) {
   const base::Address control{ "127.0.0.1", static_cast<uint16_t>(aListen.m_port + kProxyPorts) };
-  const std::vector<std::string> options{
-    "--listen", aListen.ToText(), "--to", aTo.ToText(), "--control", control.ToText()
-  };
+  const std::vector<std::string> options{ "--listen",   aListen.ToText(), "--to",
+                                          aTo.ToText(), "--control",      control.ToText() };
   m_proxies.push_back({ std::make_unique<Process>("standins/standin_proxy", options), control });
   Until([&] { return Call(control, "POST", "/", "{}").m_status == 200; });
 }
