--- a/soak/Caller.cpp
+++ b/soak/Caller.cpp
@@ -1,5 +1,7 @@
 #include "soak/Caller.h"
 
+#include "tests/harness/PlatformFleet.h"
+
 namespace papayafield::soak {
 
 using adapters::http1::ClientConnection;
@@ -59,10 +61,9 @@
   RequestHead head;
   head.m_method = kind == "/safe/" ? "GET" : "POST";
   head.m_target = m_call.m_target;
-  head.m_fields.Add("Host", "h.example");
-  head.m_fields.Add("Authorization", "Bearer key-1");
-  head.m_fields.Add("Papayafield-Attempt-Id", m_call.m_id);
-  head.m_fields.Add("Papayafield-Deadline-Ms", std::to_string(kPatience.count()));
+  for (const auto& field : tests::CallerFields("h.example", "key-1", m_call.m_id, kPatience)) {
+    head.m_fields.Add(field.m_name, field.m_value);
+  }
   m_busy = true;
   if (m_connection == nullptr || !m_connection->Open()) {
     Connect();
--- a/tests/harness/PlatformFleet.cpp
+++ b/tests/harness/PlatformFleet.cpp
@@ -20,6 +20,9 @@
 /// Ports of the runners' proxies begin so far above the platform's; the runners' own lie between.
 constexpr uint16_t kProxyPorts = 64;
 
+/// How long a caller of a test waits.
+constexpr base::Millis kCallerPatience{ 15000 };
+
 /// Waits end long before a test's own time limit, and long after anything that works.
 constexpr base::Millis kPatience{ 20000 };
 constexpr base::Millis kPoll{ 10 };
@@ -48,6 +51,16 @@
 
 } // namespace
 
+std::vector<adapters::http::Header> CallerFields(const std::string& aHost,
+                                                 const std::string& aKey,
+                                                 const std::string& aId,
+                                                 base::Millis aPatience) {
+  return { { "Host", aHost },
+           { "Authorization", "Bearer " + aKey },
+           { "Papayafield-Deadline-Ms", std::to_string(aPatience.count()) },
+           { "Papayafield-Attempt-Id", aId } };
+}
+
 PlatformFleet::PlatformFleet(size_t aNodes, size_t aRunners, Proxies aProxies)
   : m_folder(MakeFolder())
   , m_port(FreePort())
@@ -154,14 +167,12 @@
                                  const std::string& aHost,
                                  const std::string& aKey,
                                  const std::string& aId) const {
-  return Call(Callers(aIndex),
-              aMethod,
-              aTarget,
-              aMethod == "POST" ? "{}" : "",
-              { { "Host", aHost },
-                { "Authorization", "Bearer " + aKey },
-                { "Papayafield-Deadline-Ms", "15000" },
-                { "Papayafield-Attempt-Id", aId.empty() ? base::RandomHex(8) : aId } });
+  const std::string id = aId.empty() ? base::RandomHex(8) : aId;
+  adapters::http::Headers headers;
+  for (const auto& field : CallerFields(aHost, aKey, id, kCallerPatience)) {
+    headers.Add(field.m_name, field.m_value);
+  }
+  return Call(Callers(aIndex), aMethod, aTarget, aMethod == "POST" ? "{}" : "", headers);
 }
 
 std::vector<std::string> PlatformFleet::Entries(size_t aIndex) const {
--- a/tests/harness/PlatformFleet.h
+++ b/tests/harness/PlatformFleet.h
@@ -11,6 +11,12 @@
 
 namespace papayafield::tests {
 
+/// The fields that a caller sends on the users' platform.
+std::vector<adapters::http::Header> CallerFields(const std::string& aHost,
+                                                 const std::string& aKey,
+                                                 const std::string& aId,
+                                                 base::Millis aPatience);
+
 /// Nodes on the users' platform, as real processes before a stand-in of that platform. Each node
 /// has an address of its own on loopback. Not thread safe.
 class PlatformFleet {
