A node's revision covers what its whole listing found

Cause: Image counted as "last revision" whatever change it had seen last. After a listing (start, or lost history) a removal was taken without raising it, so peers that hear of changes from this node only never asked for the removal; and halfway through a listing the revision was already that of its newest item. Change: the revision is raised in order by watched changes, and by a listing once it is whole. Test: ImageTest/RevisionCoversWhatTheWholeListingFound, 3 checks failed before, none after.

--- a/packages/sync/Image.cpp
+++ b/packages/sync/Image.cpp
@@ -18,19 +18,27 @@
 }
 
 void Image::Apply(const store::Change& aChange) {
+  Take(aChange);
+  Advance(aChange.m_item.m_revision);
+}
+
+void Image::Advance(uint64_t aRevision) {
+  m_lastRevision = std::max(m_lastRevision, aRevision);
+}
+
+void Image::Take(const store::Change& aChange) {
   const store::Item& item = aChange.m_item;
   const auto known = m_items.find(item.m_key);
   const auto removed = m_removed.find(item.m_key);
   const uint64_t knownRevision = std::max(known == m_items.end() ? 0 : known->second.m_revision,
                                           removed == m_removed.end() ? 0 : removed->second);
-  m_lastRevision = std::max(m_lastRevision, item.m_revision);
   if (item.m_revision <= knownRevision) {
     return;
   }
   if (aChange.m_removed) {
     if (m_removed.size() >= kMaxRemovals) {
       m_removed.clear();
-      m_removalsFrom = std::max(m_removalsFrom, m_lastRevision);
+      m_removalsFrom = std::max({ m_removalsFrom, m_lastRevision, item.m_revision });
     }
     m_removed[item.m_key] = item.m_revision;
     if (known != m_items.end()) {
@@ -52,7 +60,7 @@
   std::set<std::string> listed;
   for (const store::Item& item : aItems) {
     listed.insert(item.m_key);
-    Apply({ item, false });
+    Take({ item, false });
   }
   std::vector<std::string> gone;
   for (auto at = m_items.lower_bound(aPrefix);
@@ -68,9 +76,7 @@
     // When exactly it went is not known; it was gone by this revision.
     change.m_item.m_revision = aRevision;
     change.m_removed = true;
-    const uint64_t last = m_lastRevision;
-    Apply(change);
-    m_lastRevision = last;
+    Take(change);
   }
 }
 
@@ -80,7 +86,7 @@
     if (aWhole && !change.m_removed) {
       items.push_back(change.m_item);
     } else {
-      Apply(change);
+      Take(change);
     }
   }
   if (aWhole) {
@@ -88,7 +94,7 @@
     // Removals before this one are not known.
     m_removalsFrom = std::max(m_removalsFrom, aRevision);
   }
-  m_lastRevision = std::max(m_lastRevision, aRevision);
+  Advance(aRevision);
 }
 
 } // namespace papayafield::sync
--- a/packages/sync/Image.h
+++ b/packages/sync/Image.h
@@ -21,13 +21,17 @@
   explicit Image(OnChange aOnChange)
     : m_onChange(std::move(aOnChange)) {}
 
-  /// One change.
+  /// The next change of the store: all earlier ones are known.
   void Apply(const store::Change& aChange);
   /// All items under `aPrefix` as they stood at `aRevision`; known ones that are missing have gone.
+  /// The last revision stays, since other prefixes may not have been listed yet.
   void Replace(const std::string& aPrefix,
                const std::vector<store::Item>& aItems,
                uint64_t aRevision);
 
+  /// All changes up to `aRevision` are known: the listing is whole.
+  void Advance(uint64_t aRevision);
+
   /// What a peer knew when `aRevision` was the last change it had seen: everything (`aWhole`), or
   /// what had changed after this image's last revision.
   void CatchUp(const std::vector<store::Change>& aChanges, bool aWhole, uint64_t aRevision);
@@ -40,10 +44,12 @@
   uint64_t RemovalsFrom() const { return m_removalsFrom; }
   /// The item; null when there is none.
   const store::Item* Find(const std::string& aKey) const;
-  /// The last change that is known.
+  /// All changes up to this one are known.
   uint64_t LastRevision() const { return m_lastRevision; }
 
 private:
+  void Take(const store::Change& aChange);
+
   OnChange m_onChange;
   std::map<std::string, store::Item> m_items;
   std::map<std::string, uint64_t> m_removed;
--- a/packages/sync/StateFeed.h
+++ b/packages/sync/StateFeed.h
@@ -92,6 +92,7 @@
   void ListNext(size_t aIndex, uint64_t aFrom) {
     if (aIndex == m_settings.m_prefixes.size()) {
       m_revision = aFrom;
+      m_image.Advance(aFrom);
       if (!std::exchange(m_loaded, true)) {
         m_onLoaded();
       }
--- a/packages/sync/tests/ImageTest.cpp
+++ b/packages/sync/tests/ImageTest.cpp
@@ -198,4 +198,24 @@
   BOOST_TEST(states == (std::vector<bool>{ true, false, true }), boost::test_tools::per_element());
 }
 
+// Peers ask a node for changes only when its revision is above theirs. A removal that it found by
+// listing again must raise it, and a listing that is not whole must not.
+BOOST_AUTO_TEST_CASE(RevisionCoversWhatTheWholeListingFound) {
+  adapters::http::EventLoop loop;
+  ScriptedStore store;
+  Heard heard;
+  StateFeed<ScriptedStore> feed(
+    loop, store, heard.m_image, { { "p/", "q/" } }, [](bool) {}, [] {});
+  feed.Start();
+  store.m_list(store::Listing{ { ItemOf("p/a", 3) }, 4 });
+  BOOST_TEST(heard.m_image.LastRevision() == 0U);
+  store.m_list(store::Listing{ { ItemOf("q/b", 2) }, 5 });
+  BOOST_TEST(heard.m_image.LastRevision() == 4U);
+  store.m_watch(tl::unexpected(store::Fault::HistoryGone));
+  store.m_list(store::Listing{ {}, 8 });
+  store.m_list(store::Listing{ { ItemOf("q/b", 2) }, 9 });
+  BOOST_TEST(heard.m_image.LastRevision() == 8U);
+  BOOST_TEST(heard.m_image.Removals().at("p/a") == 8U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
