--- a/packages/adapters/peer/BeatCodec.cpp
+++ b/packages/adapters/peer/NewsCodec.cpp
@@ -1,4 +1,4 @@
-#include "adapters/peer/BeatCodec.h"
+#include "adapters/peer/NewsCodec.h"
 
 #include "adapters/peer/news.capnp.h"
 
@@ -95,44 +95,93 @@
   return beat;
 }
 
-} // namespace
-
-std::string EncodeBeat(const news::Beat& aBeat) {
-  capnp::MallocMessageBuilder message;
-  auto root = message.initRoot<wire::NewsBeat>();
-  WriteContact(root.initFrom(), aBeat.m_from);
-  root.setZone(aBeat.m_zone.Text());
-  root.setReady(aBeat.m_ready);
-  root.setStopping(aBeat.m_stopping);
-  root.setStoreAnswers(aBeat.m_storeAnswers);
-  root.setConfiguration(aBeat.m_configuration);
-  root.setRevision(aBeat.m_revision);
-  root.setWorkAsked(aBeat.m_workAsked);
-  WriteLoads(root, aBeat);
-  WriteQuota(root, aBeat.m_quota);
-  WriteUsage(root, aBeat);
-  auto contacts = root.initContacts(static_cast<unsigned>(aBeat.m_contacts.size()));
+void WriteBeat(wire::NewsBeat::Builder aTo, const news::Beat& aBeat) {
+  WriteContact(aTo.initFrom(), aBeat.m_from);
+  aTo.setZone(aBeat.m_zone.Text());
+  aTo.setReady(aBeat.m_ready);
+  aTo.setStopping(aBeat.m_stopping);
+  aTo.setStoreAnswers(aBeat.m_storeAnswers);
+  aTo.setConfiguration(aBeat.m_configuration);
+  aTo.setRevision(aBeat.m_revision);
+  aTo.setWorkAsked(aBeat.m_workAsked);
+  WriteLoads(aTo, aBeat);
+  WriteQuota(aTo, aBeat.m_quota);
+  WriteUsage(aTo, aBeat);
+  auto contacts = aTo.initContacts(static_cast<unsigned>(aBeat.m_contacts.size()));
   for (unsigned i = 0; i < contacts.size(); ++i) {
     WriteContact(contacts[i], aBeat.m_contacts[i]);
   }
+}
+
+void WriteUpdate(wire::NewsUpdate::Builder aTo, const news::Update& aUpdate) {
+  WriteContact(aTo.initFrom(), aUpdate.m_from);
+  aTo.setAfter(aUpdate.m_after);
+  aTo.setRevision(aUpdate.m_revision);
+  auto changes = aTo.initChanges(static_cast<unsigned>(aUpdate.m_changes.size()));
+  for (unsigned i = 0; i < changes.size(); ++i) {
+    const store::Item& item = aUpdate.m_changes[i].m_item;
+    changes[i].setKey(item.m_key);
+    changes[i].setData(
+      kj::arrayPtr(reinterpret_cast<const kj::byte*>(item.m_data.data()), item.m_data.size()));
+    changes[i].setRevision(item.m_revision);
+    changes[i].setCreated(item.m_created);
+    changes[i].setRemoved(aUpdate.m_changes[i].m_removed);
+  }
+}
+
+news::Update ReadUpdate(wire::NewsUpdate::Reader aFrom) {
+  news::Update update{ ReadContact(aFrom.getFrom()), aFrom.getAfter(), aFrom.getRevision(), {} };
+  for (const auto change : aFrom.getChanges()) {
+    const auto data = change.getData();
+    update.m_changes.push_back({ { ToString(change.getKey()),
+                                   { reinterpret_cast<const char*>(data.begin()), data.size() },
+                                   change.getRevision(),
+                                   change.getCreated() },
+                                 change.getRemoved() });
+  }
+  return update;
+}
+
+News ReadNews(wire::NewsDatagram::Reader aFrom) {
+  if (aFrom.isUpdate()) {
+    return ReadUpdate(aFrom.getUpdate());
+  }
+  return ReadBeat(aFrom.getBeat());
+}
+
+std::string Pack(capnp::MessageBuilder& aMessage) {
   kj::VectorOutputStream stream;
-  capnp::writePackedMessage(stream, message);
+  capnp::writePackedMessage(stream, aMessage);
   const auto bytes = stream.getArray();
   return { reinterpret_cast<const char*>(bytes.begin()), bytes.size() };
 }
 
-std::optional<news::Beat> DecodeBeat(std::string_view aBytes) {
-  std::optional<news::Beat> beat;
+} // namespace
+
+std::string EncodeBeat(const news::Beat& aBeat) {
+  capnp::MallocMessageBuilder message;
+  WriteBeat(message.initRoot<wire::NewsDatagram>().initBeat(), aBeat);
+  return Pack(message);
+}
+
+std::string EncodeUpdate(const news::Update& aUpdate) {
+  capnp::MallocMessageBuilder message;
+  WriteUpdate(message.initRoot<wire::NewsDatagram>().initUpdate(), aUpdate);
+  return Pack(message);
+}
+
+std::optional<News> DecodeNews(std::string_view aBytes) {
+  std::optional<News> news;
   const auto failure = kj::runCatchingExceptions([&] {
     kj::ArrayInputStream stream(
       kj::arrayPtr(reinterpret_cast<const kj::byte*>(aBytes.data()), aBytes.size()));
     capnp::PackedMessageReader reader(stream);
-    beat = ReadBeat(reader.getRoot<wire::NewsBeat>());
+    news = ReadNews(reader.getRoot<wire::NewsDatagram>());
   });
   if (failure != nullptr) {
     return std::nullopt;
   }
-  return beat;
+  return news;
 }
 
 } // namespace papayafield::adapters::peer
--- /dev/null
+++ b/packages/adapters/peer/NewsCodec.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "news/Beat.h"
+#include "news/Update.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace papayafield::adapters::peer {
+
+/// What a datagram holds.
+using News = std::variant<news::Beat, news::Update>;
+
+/// A beat as a datagram: a Cap'n Proto message in packed form. Thread safe.
+std::string EncodeBeat(const news::Beat& aBeat);
+
+/// An update as a datagram. Thread safe.
+std::string EncodeUpdate(const news::Update& aUpdate);
+
+/// What a datagram holds, or nothing when its bytes are no message. Thread safe.
+std::optional<News> DecodeNews(std::string_view aBytes);
+
+} // namespace papayafield::adapters::peer
--- a/packages/adapters/peer/news.capnp
+++ b/packages/adapters/peer/news.capnp
@@ -1,6 +1,6 @@
 @0xb5c8d3f1a6e29047;
 
-# The beats that nodes of the forwarding path send one another in datagrams. Fields are only ever
+# What nodes of the forwarding path send one another in datagrams. Fields are only ever
 # added.
 
 using Cxx = import "/capnp/c++.capnp";
@@ -44,3 +44,25 @@
   levels @12 :List(NewsTotal);
   asked @13 :List(NewsTotal);
 }
+
+struct NewsChange {
+  key @0 :Text;
+  data @1 :Data;
+  revision @2 :UInt64;
+  created @3 :UInt64;
+  removed @4 :Bool;
+}
+
+struct NewsUpdate {
+  from @0 :NewsContact;
+  after @1 :UInt64;
+  revision @2 :UInt64;
+  changes @3 :List(NewsChange);
+}
+
+struct NewsDatagram {
+  union {
+    beat @0 :NewsBeat;
+    update @1 :NewsUpdate;
+  }
+}
--- a/packages/adapters/peer/news.capnp.h
+++ b/packages/adapters/peer/news.capnp.h
@@ -21,6 +21,9 @@
 CAPNP_DECLARE_SCHEMA(afc62ae918c320c8);
 CAPNP_DECLARE_SCHEMA(d83284ed9adeed1b);
 CAPNP_DECLARE_SCHEMA(962536a4c280ae89);
+CAPNP_DECLARE_SCHEMA(ce9fede55e590fea);
+CAPNP_DECLARE_SCHEMA(9b1a004f81b6ba28);
+CAPNP_DECLARE_SCHEMA(df5359de676da76c);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -105,6 +108,55 @@
   };
 };
 
+struct NewsChange {
+  NewsChange() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ce9fede55e590fea, 3, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct NewsUpdate {
+  NewsUpdate() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9b1a004f81b6ba28, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct NewsDatagram {
+  NewsDatagram() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+  enum Which: uint16_t {
+    BEAT,
+    UPDATE,
+  };
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(df5359de676da76c, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class NewsContact::Reader {
@@ -648,6 +700,311 @@
 };
 #endif  // !CAPNP_LITE
 
+class NewsChange::Reader {
+public:
+  typedef NewsChange Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKey() const;
+  inline  ::capnp::Text::Reader getKey() const;
+
+  inline bool hasData() const;
+  inline  ::capnp::Data::Reader getData() const;
+
+  inline  ::uint64_t getRevision() const;
+
+  inline  ::uint64_t getCreated() const;
+
+  inline bool getRemoved() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class NewsChange::Builder {
+public:
+  typedef NewsChange Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKey();
+  inline  ::capnp::Text::Builder getKey();
+  inline void setKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKey();
+
+  inline bool hasData();
+  inline  ::capnp::Data::Builder getData();
+  inline void setData( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initData(unsigned int size);
+  inline void adoptData(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownData();
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline  ::uint64_t getCreated();
+  inline void setCreated( ::uint64_t value);
+
+  inline bool getRemoved();
+  inline void setRemoved(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class NewsChange::Pipeline {
+public:
+  typedef NewsChange Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class NewsUpdate::Reader {
+public:
+  typedef NewsUpdate Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFrom() const;
+  inline  ::papayafield::adapters::peer::wire::NewsContact::Reader getFrom() const;
+
+  inline  ::uint64_t getAfter() const;
+
+  inline  ::uint64_t getRevision() const;
+
+  inline bool hasChanges() const;
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsChange,  ::capnp::Kind::STRUCT>::Reader getChanges() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class NewsUpdate::Builder {
+public:
+  typedef NewsUpdate Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFrom();
+  inline  ::papayafield::adapters::peer::wire::NewsContact::Builder getFrom();
+  inline void setFrom( ::papayafield::adapters::peer::wire::NewsContact::Reader value);
+  inline  ::papayafield::adapters::peer::wire::NewsContact::Builder initFrom();
+  inline void adoptFrom(::capnp::Orphan< ::papayafield::adapters::peer::wire::NewsContact>&& value);
+  inline ::capnp::Orphan< ::papayafield::adapters::peer::wire::NewsContact> disownFrom();
+
+  inline  ::uint64_t getAfter();
+  inline void setAfter( ::uint64_t value);
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline bool hasChanges();
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsChange,  ::capnp::Kind::STRUCT>::Builder getChanges();
+  inline void setChanges( ::capnp::List< ::papayafield::adapters::peer::wire::NewsChange,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsChange,  ::capnp::Kind::STRUCT>::Builder initChanges(unsigned int size);
+  inline void adoptChanges(::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsChange,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsChange,  ::capnp::Kind::STRUCT>> disownChanges();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class NewsUpdate::Pipeline {
+public:
+  typedef NewsUpdate Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::papayafield::adapters::peer::wire::NewsContact::Pipeline getFrom();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class NewsDatagram::Reader {
+public:
+  typedef NewsDatagram Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline Which which() const;
+  inline bool isBeat() const;
+  inline bool hasBeat() const;
+  inline  ::papayafield::adapters::peer::wire::NewsBeat::Reader getBeat() const;
+
+  inline bool isUpdate() const;
+  inline bool hasUpdate() const;
+  inline  ::papayafield::adapters::peer::wire::NewsUpdate::Reader getUpdate() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class NewsDatagram::Builder {
+public:
+  typedef NewsDatagram Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline Which which();
+  inline bool isBeat();
+  inline bool hasBeat();
+  inline  ::papayafield::adapters::peer::wire::NewsBeat::Builder getBeat();
+  inline void setBeat( ::papayafield::adapters::peer::wire::NewsBeat::Reader value);
+  inline  ::papayafield::adapters::peer::wire::NewsBeat::Builder initBeat();
+  inline void adoptBeat(::capnp::Orphan< ::papayafield::adapters::peer::wire::NewsBeat>&& value);
+  inline ::capnp::Orphan< ::papayafield::adapters::peer::wire::NewsBeat> disownBeat();
+
+  inline bool isUpdate();
+  inline bool hasUpdate();
+  inline  ::papayafield::adapters::peer::wire::NewsUpdate::Builder getUpdate();
+  inline void setUpdate( ::papayafield::adapters::peer::wire::NewsUpdate::Reader value);
+  inline  ::papayafield::adapters::peer::wire::NewsUpdate::Builder initUpdate();
+  inline void adoptUpdate(::capnp::Orphan< ::papayafield::adapters::peer::wire::NewsUpdate>&& value);
+  inline ::capnp::Orphan< ::papayafield::adapters::peer::wire::NewsUpdate> disownUpdate();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class NewsDatagram::Pipeline {
+public:
+  typedef NewsDatagram Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline bool NewsContact::Reader::hasNode() const {
@@ -1251,6 +1608,334 @@
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
+inline bool NewsChange::Reader::hasKey() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool NewsChange::Builder::hasKey() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NewsChange::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NewsChange::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void NewsChange::Builder::setKey( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NewsChange::Builder::initKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void NewsChange::Builder::adoptKey(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NewsChange::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool NewsChange::Reader::hasData() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool NewsChange::Builder::hasData() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader NewsChange::Reader::getData() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder NewsChange::Builder::getData() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void NewsChange::Builder::setData( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder NewsChange::Builder::initData(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void NewsChange::Builder::adoptData(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> NewsChange::Builder::disownData() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t NewsChange::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NewsChange::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void NewsChange::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t NewsChange::Reader::getCreated() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NewsChange::Builder::getCreated() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void NewsChange::Builder::setCreated( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NewsChange::Reader::getRemoved() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool NewsChange::Builder::getRemoved() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void NewsChange::Builder::setRemoved(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NewsUpdate::Reader::hasFrom() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool NewsUpdate::Builder::hasFrom() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::papayafield::adapters::peer::wire::NewsContact::Reader NewsUpdate::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::papayafield::adapters::peer::wire::NewsContact>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::papayafield::adapters::peer::wire::NewsContact::Builder NewsUpdate::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::papayafield::adapters::peer::wire::NewsContact>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::papayafield::adapters::peer::wire::NewsContact::Pipeline NewsUpdate::Pipeline::getFrom() {
+  return  ::papayafield::adapters::peer::wire::NewsContact::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void NewsUpdate::Builder::setFrom( ::papayafield::adapters::peer::wire::NewsContact::Reader value) {
+  ::capnp::_::PointerHelpers< ::papayafield::adapters::peer::wire::NewsContact>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::papayafield::adapters::peer::wire::NewsContact::Builder NewsUpdate::Builder::initFrom() {
+  return ::capnp::_::PointerHelpers< ::papayafield::adapters::peer::wire::NewsContact>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void NewsUpdate::Builder::adoptFrom(
+    ::capnp::Orphan< ::papayafield::adapters::peer::wire::NewsContact>&& value) {
+  ::capnp::_::PointerHelpers< ::papayafield::adapters::peer::wire::NewsContact>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::papayafield::adapters::peer::wire::NewsContact> NewsUpdate::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::papayafield::adapters::peer::wire::NewsContact>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t NewsUpdate::Reader::getAfter() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NewsUpdate::Builder::getAfter() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void NewsUpdate::Builder::setAfter( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t NewsUpdate::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NewsUpdate::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void NewsUpdate::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NewsUpdate::Reader::hasChanges() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool NewsUpdate::Builder::hasChanges() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsChange,  ::capnp::Kind::STRUCT>::Reader NewsUpdate::Reader::getChanges() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsChange,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsChange,  ::capnp::Kind::STRUCT>::Builder NewsUpdate::Builder::getChanges() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsChange,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void NewsUpdate::Builder::setChanges( ::capnp::List< ::papayafield::adapters::peer::wire::NewsChange,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsChange,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsChange,  ::capnp::Kind::STRUCT>::Builder NewsUpdate::Builder::initChanges(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsChange,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void NewsUpdate::Builder::adoptChanges(
+    ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsChange,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsChange,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsChange,  ::capnp::Kind::STRUCT>> NewsUpdate::Builder::disownChanges() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsChange,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::papayafield::adapters::peer::wire::NewsDatagram::Which NewsDatagram::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline  ::papayafield::adapters::peer::wire::NewsDatagram::Which NewsDatagram::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool NewsDatagram::Reader::isBeat() const {
+  return which() == NewsDatagram::BEAT;
+}
+inline bool NewsDatagram::Builder::isBeat() {
+  return which() == NewsDatagram::BEAT;
+}
+inline bool NewsDatagram::Reader::hasBeat() const {
+  if (which() != NewsDatagram::BEAT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool NewsDatagram::Builder::hasBeat() {
+  if (which() != NewsDatagram::BEAT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::papayafield::adapters::peer::wire::NewsBeat::Reader NewsDatagram::Reader::getBeat() const {
+  KJ_IREQUIRE((which() == NewsDatagram::BEAT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::papayafield::adapters::peer::wire::NewsBeat>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::papayafield::adapters::peer::wire::NewsBeat::Builder NewsDatagram::Builder::getBeat() {
+  KJ_IREQUIRE((which() == NewsDatagram::BEAT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::papayafield::adapters::peer::wire::NewsBeat>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void NewsDatagram::Builder::setBeat( ::papayafield::adapters::peer::wire::NewsBeat::Reader value) {
+  _builder.setDataField<NewsDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NewsDatagram::BEAT);
+  ::capnp::_::PointerHelpers< ::papayafield::adapters::peer::wire::NewsBeat>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::papayafield::adapters::peer::wire::NewsBeat::Builder NewsDatagram::Builder::initBeat() {
+  _builder.setDataField<NewsDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NewsDatagram::BEAT);
+  return ::capnp::_::PointerHelpers< ::papayafield::adapters::peer::wire::NewsBeat>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void NewsDatagram::Builder::adoptBeat(
+    ::capnp::Orphan< ::papayafield::adapters::peer::wire::NewsBeat>&& value) {
+  _builder.setDataField<NewsDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NewsDatagram::BEAT);
+  ::capnp::_::PointerHelpers< ::papayafield::adapters::peer::wire::NewsBeat>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::papayafield::adapters::peer::wire::NewsBeat> NewsDatagram::Builder::disownBeat() {
+  KJ_IREQUIRE((which() == NewsDatagram::BEAT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::papayafield::adapters::peer::wire::NewsBeat>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool NewsDatagram::Reader::isUpdate() const {
+  return which() == NewsDatagram::UPDATE;
+}
+inline bool NewsDatagram::Builder::isUpdate() {
+  return which() == NewsDatagram::UPDATE;
+}
+inline bool NewsDatagram::Reader::hasUpdate() const {
+  if (which() != NewsDatagram::UPDATE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool NewsDatagram::Builder::hasUpdate() {
+  if (which() != NewsDatagram::UPDATE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::papayafield::adapters::peer::wire::NewsUpdate::Reader NewsDatagram::Reader::getUpdate() const {
+  KJ_IREQUIRE((which() == NewsDatagram::UPDATE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::papayafield::adapters::peer::wire::NewsUpdate>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::papayafield::adapters::peer::wire::NewsUpdate::Builder NewsDatagram::Builder::getUpdate() {
+  KJ_IREQUIRE((which() == NewsDatagram::UPDATE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::papayafield::adapters::peer::wire::NewsUpdate>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void NewsDatagram::Builder::setUpdate( ::papayafield::adapters::peer::wire::NewsUpdate::Reader value) {
+  _builder.setDataField<NewsDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NewsDatagram::UPDATE);
+  ::capnp::_::PointerHelpers< ::papayafield::adapters::peer::wire::NewsUpdate>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::papayafield::adapters::peer::wire::NewsUpdate::Builder NewsDatagram::Builder::initUpdate() {
+  _builder.setDataField<NewsDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NewsDatagram::UPDATE);
+  return ::capnp::_::PointerHelpers< ::papayafield::adapters::peer::wire::NewsUpdate>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void NewsDatagram::Builder::adoptUpdate(
+    ::capnp::Orphan< ::papayafield::adapters::peer::wire::NewsUpdate>&& value) {
+  _builder.setDataField<NewsDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NewsDatagram::UPDATE);
+  ::capnp::_::PointerHelpers< ::papayafield::adapters::peer::wire::NewsUpdate>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::papayafield::adapters::peer::wire::NewsUpdate> NewsDatagram::Builder::disownUpdate() {
+  KJ_IREQUIRE((which() == NewsDatagram::UPDATE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::papayafield::adapters::peer::wire::NewsUpdate>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/packages/adapters/peer/tests/BeatCodecTest.cpp
+++ b/packages/adapters/peer/tests/NewsCodecTest.cpp
@@ -1,4 +1,4 @@
-#include "adapters/peer/BeatCodec.h"
+#include "adapters/peer/NewsCodec.h"
 
 #include <boost/test/unit_test.hpp>
 #include <random>
@@ -26,13 +26,33 @@
   return beat;
 }
 
+news::Update FullUpdate() {
+  return { { base::NodeId("n1"), 5, "10.1.0.14" },
+           4,
+           7,
+           { { { "p/a", std::string("\0x", 2), 5, 2 }, false }, { { "p/b", "", 7, 0 }, true } } };
+}
+
+void ChangeBytes(const std::string& aGood) {
+  for (uint64_t seed = 1; seed <= 2000; ++seed) {
+    std::mt19937_64 random(seed);
+    std::string bytes = aGood.substr(0, random() % (aGood.size() + 1));
+    for (int change = 0; change < 4 && !bytes.empty(); ++change) {
+      bytes[random() % bytes.size()] = static_cast<char>(random());
+    }
+    DecodeNews(bytes);
+  }
+}
+
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(BeatCodecTest)
+BOOST_AUTO_TEST_SUITE(NewsCodecTest)
 
 BOOST_AUTO_TEST_CASE(BeatComesBackAsItWas) {
-  const auto beat = DecodeBeat(EncodeBeat(Full()));
-  BOOST_REQUIRE(beat.has_value());
+  const auto news = DecodeNews(EncodeBeat(Full()));
+  BOOST_REQUIRE(news.has_value());
+  const auto* beat = std::get_if<news::Beat>(&*news);
+  BOOST_REQUIRE(beat != nullptr);
   BOOST_TEST(beat->m_from.Life() == "n1@1234567890123");
   BOOST_TEST(beat->m_ready);
   BOOST_TEST(!beat->m_stopping);
@@ -45,17 +65,27 @@
   BOOST_TEST(beat->m_contacts.at(0).m_host == "10.1.0.15");
 }
 
+BOOST_AUTO_TEST_CASE(UpdateComesBackAsItWas) {
+  const auto news = DecodeNews(EncodeUpdate(FullUpdate()));
+  BOOST_REQUIRE(news.has_value());
+  const auto* update = std::get_if<news::Update>(&*news);
+  BOOST_REQUIRE(update != nullptr);
+  BOOST_TEST(update->m_from.m_host == "10.1.0.14");
+  BOOST_TEST(update->m_after == 4U);
+  BOOST_TEST(update->m_revision == 7U);
+  BOOST_REQUIRE(update->m_changes.size() == 2U);
+  BOOST_TEST(update->m_changes[0].m_item.m_key == "p/a");
+  BOOST_TEST(update->m_changes[0].m_item.m_data == std::string("\0x", 2));
+  BOOST_TEST(update->m_changes[0].m_item.m_created == 2U);
+  BOOST_TEST(!update->m_changes[0].m_removed);
+  BOOST_TEST(update->m_changes[1].m_item.m_revision == 7U);
+  BOOST_TEST(update->m_changes[1].m_removed);
+}
+
 BOOST_AUTO_TEST_CASE(ChangedBytesDoNoHarm) {
-  const std::string good = EncodeBeat(Full());
-  for (uint64_t seed = 1; seed <= 2000; ++seed) {
-    std::mt19937_64 random(seed);
-    std::string bytes = good.substr(0, random() % (good.size() + 1));
-    for (int change = 0; change < 4 && !bytes.empty(); ++change) {
-      bytes[random() % bytes.size()] = static_cast<char>(random());
-    }
-    DecodeBeat(bytes);
-  }
-  BOOST_TEST(!DecodeBeat("").has_value());
+  ChangeBytes(EncodeBeat(Full()));
+  ChangeBytes(EncodeUpdate(FullUpdate()));
+  BOOST_TEST(!DecodeNews("").has_value());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/news/Members.cpp
+++ b/packages/news/Members.cpp
@@ -89,6 +89,16 @@
   return hosts;
 }
 
+std::vector<std::string> Members::HostsOf(const base::ZoneId& aZone, base::TimePoint aNow) const {
+  std::vector<std::string> hosts;
+  for (const auto& [node, peer] : m_peers) {
+    if (peer.m_zone == aZone && Alive(peer, aNow)) {
+      hosts.push_back(peer.m_contact.m_host);
+    }
+  }
+  return hosts;
+}
+
 size_t Members::AliveCount(base::TimePoint aNow) const {
   return 1 +
          static_cast<size_t>(std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& aEntry) {
@@ -96,10 +106,13 @@
          }));
 }
 
-const Peer* Members::Ahead(uint64_t aRevision, base::TimePoint aNow) const {
+const Peer* Members::Ahead(uint64_t aRevision,
+                           base::TimePoint aNow,
+                           const std::set<std::string>& aSkipped) const {
   const Peer* best = nullptr;
   for (const auto& [node, peer] : m_peers) {
     if (Alive(peer, aNow) && peer.m_revision > aRevision &&
+        !aSkipped.contains(peer.m_contact.m_host) &&
         (best == nullptr || peer.m_revision > best->m_revision)) {
       best = &peer;
     }
--- a/packages/news/Members.h
+++ b/packages/news/Members.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -51,6 +52,8 @@
   bool Alive(const Peer& aPeer, base::TimePoint aNow) const;
   /// All other nodes, by name.
   const std::map<base::NodeId, Peer>& All() const { return m_peers; }
+  /// Hosts of live nodes of `aZone`, this one left out.
+  std::vector<std::string> HostsOf(const base::ZoneId& aZone, base::TimePoint aNow) const;
   /// Hosts of other nodes that callers may be sent to.
   std::vector<std::string> ReadyHosts(base::TimePoint aNow) const;
   /// Nodes alive, this one included.
@@ -58,8 +61,10 @@
   /// Nodes known, this one included; some may serve callers without being heard.
   size_t KnownCount() const { return m_peers.size() + 1; }
   /// The live peer that knows the latest change of the store; null when none knows more than
-  /// `aRevision`.
-  const Peer* Ahead(uint64_t aRevision, base::TimePoint aNow) const;
+  /// `aRevision`. Those at `aSkipped` are passed over.
+  const Peer* Ahead(uint64_t aRevision,
+                    base::TimePoint aNow,
+                    const std::set<std::string>& aSkipped = {}) const;
   /// Whether each known node that is not stopping has been heard within `aSpan`. One that is silent
   /// may be frozen or cut off, and still hold news.
   bool AllHeardWithin(base::Millis aSpan, base::TimePoint aNow) const;
--- a/packages/news/tests/MembersTest.cpp
+++ b/packages/news/tests/MembersTest.cpp
@@ -126,6 +126,8 @@
   members.Hear(BeatOf("3", 1, 12), kNow);
   BOOST_TEST(members.Ahead(9, kNow)->m_contact.m_node.Text() == "3");
   BOOST_TEST(members.Ahead(12, kNow) == nullptr);
+  // One that did not answer is passed over, so that another is asked.
+  BOOST_TEST(members.Ahead(9, kNow, { "10.0.0.3" })->m_contact.m_node.Text() == "2");
   BOOST_TEST(members.Ahead(9, kNow + std::chrono::seconds(5)) == nullptr);
 }
 
--- /dev/null
+++ b/packages/news/tests/UpdateTest.cpp
@@ -0,0 +1,62 @@
+#include "news/Update.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace papayafield;
+using namespace papayafield::news;
+
+namespace {
+
+const Contact kSender{ base::NodeId("n1"), 1, "10.0.0.1" };
+
+std::vector<store::Change> ChangesOf(uint64_t aFirst, size_t aCount, size_t aBytes) {
+  std::vector<store::Change> changes;
+  for (uint64_t i = 0; i < aCount; ++i) {
+    changes.push_back(
+      { { "k" + std::to_string(i), std::string(aBytes, 'x'), aFirst + i, 1 }, i % 2 == 1 });
+  }
+  return changes;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(UpdateTest)
+
+// A burst of registrations goes out in datagrams that fit a link; each follows on the one before.
+BOOST_AUTO_TEST_CASE(PartsFollowOnOneAnother) {
+  const auto changes = ChangesOf(11, 12, 300);
+  const auto updates = SplitUpdate(kSender, 10, changes);
+  BOOST_TEST(updates.size() > 1U);
+  uint64_t known = 10;
+  size_t count = 0;
+  for (const Update& update : updates) {
+    size_t bytes = 0;
+    for (const store::Change& change : update.m_changes) {
+      bytes += change.m_item.m_key.size() + change.m_item.m_data.size();
+    }
+    BOOST_TEST(bytes < 1400U);
+    BOOST_TEST((JudgeUpdate(update, known) == UpdateUse::Apply));
+    known = update.m_revision;
+    count += update.m_changes.size();
+  }
+  BOOST_TEST(known == 22U);
+  BOOST_TEST(count == changes.size());
+}
+
+// A node that has lost one datagram must not take a later one for the whole truth.
+BOOST_AUTO_TEST_CASE(GapIsFetched) {
+  const auto updates = SplitUpdate(kSender, 10, ChangesOf(11, 12, 300));
+  BOOST_REQUIRE(updates.size() > 1U);
+  BOOST_TEST((JudgeUpdate(updates[1], 10) == UpdateUse::Fetch));
+  BOOST_TEST((JudgeUpdate(updates[0], 22) == UpdateUse::Nothing));
+}
+
+BOOST_AUTO_TEST_CASE(TooMuchForDatagramsIsFetched) {
+  const auto updates = SplitUpdate(kSender, 10, ChangesOf(11, 400, 300));
+  BOOST_REQUIRE(updates.size() == 1U);
+  BOOST_TEST(updates[0].m_revision == 410U);
+  BOOST_TEST((JudgeUpdate(updates[0], 10) == UpdateUse::Fetch));
+  BOOST_TEST((JudgeUpdate(updates[0], 410) == UpdateUse::Nothing));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/packages/serving/NewsExchange.cpp
+++ b/packages/serving/NewsExchange.cpp
@@ -1,6 +1,6 @@
 #include "serving/NewsExchange.h"
 
-#include "adapters/peer/BeatCodec.h"
+#include "adapters/peer/NewsCodec.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -20,17 +20,21 @@
 /// its way.
 constexpr base::Millis kNormalLag{ 300 };
 constexpr base::Millis kFetchLimit{ 800 };
+/// A peer that did not give its image is not asked for so long, so that others are.
+constexpr base::Millis kUnansweringFor{ 2000 };
 
 } // namespace
 
 NewsExchange::NewsExchange(adapters::http::EventLoop& aLoop,
                            const ServingSettings& aSettings,
+                           const news::Contact& aSelf,
                            news::Members& aMembers,
                            sync::Image& aImage,
                            std::function<news::Beat()> aMakeBeat,
                            std::function<void(const news::Beat&)> aOnBeat)
   : m_loop(aLoop)
   , m_settings(aSettings)
+  , m_self(aSelf)
   , m_members(aMembers)
   , m_image(aImage)
   , m_makeBeat(std::move(aMakeBeat))
@@ -79,14 +83,42 @@
 void NewsExchange::Receive() {
   std::string bytes;
   while (m_socket.Receive(bytes)) {
-    if (const auto beat = adapters::peer::DecodeBeat(bytes)) {
-      m_onBeat(*beat);
-    } else {
+    const auto news = adapters::peer::DecodeNews(bytes);
+    if (!news) {
+
       m_log.Event("datagram dropped", { { "bytes", bytes.size() } });
+    } else if (const auto* update = std::get_if<news::Update>(&*news)) {
+      TakeUpdate(*update);
+    } else {
+      m_onBeat(std::get<news::Beat>(*news));
     }
   }
 }
 
+void NewsExchange::SendUpdate(uint64_t aAfter, const std::vector<store::Change>& aChanges) {
+  const auto hosts = m_members.HostsOf(m_settings.m_zone, base::BootNow());
+  for (const news::Update& update : news::SplitUpdate(m_self, aAfter, aChanges)) {
+    const std::string bytes = adapters::peer::EncodeUpdate(update);
+    for (const std::string& host : hosts) {
+      m_socket.Send({ host, m_settings.m_newsPort }, bytes);
+    }
+  }
+}
+
+void NewsExchange::TakeUpdate(const news::Update& aUpdate) {
+  m_lastUpdate = base::BootNow();
+  switch (news::JudgeUpdate(aUpdate, m_image.LastRevision())) {
+    case news::UpdateUse::Nothing:
+      break;
+    case news::UpdateUse::Apply:
+      m_image.CatchUp(aUpdate.m_changes, false, aUpdate.m_revision);
+      break;
+    case news::UpdateUse::Fetch:
+      Fetch(aUpdate.m_from.m_host);
+      break;
+  }
+}
+
 /// Everything, or what has changed after the revision that is asked for.
 SmallAnswer NewsExchange::GiveImage(const RequestHead& aHead) const {
   const uint64_t after =
@@ -137,7 +169,7 @@
 
 void NewsExchange::CatchUp(bool aOwnStoreAnswers) {
   const auto now = base::BootNow();
-  const news::Peer* ahead = m_members.Ahead(m_image.LastRevision(), now);
+  const news::Peer* ahead = m_members.Ahead(m_image.LastRevision(), now, Unanswering(now));
   if (ahead == nullptr) {
     m_behindSince.reset();
     return;
@@ -145,23 +177,40 @@
   if (!m_behindSince) {
     m_behindSince = now;
   }
-  if (m_fetching || (aOwnStoreAnswers && now - *m_behindSince < kNormalLag)) {
+  if (!aOwnStoreAnswers || now - *m_behindSince >= kNormalLag) {
+    Fetch(ahead->m_contact.m_host);
+  }
+}
+
+std::set<std::string> NewsExchange::Unanswering(base::TimePoint aNow) {
+  std::erase_if(m_unanswering,
+                [&](const auto& aEntry) { return aNow - aEntry.second > kUnansweringFor; });
+  std::set<std::string> hosts;
+  for (const auto& [host, since] : m_unanswering) {
+    hosts.insert(host);
+  }
+  return hosts;
+}
+
+void NewsExchange::Fetch(const std::string& aHost) {
+  if (m_fetching) {
     return;
   }
   m_fetching = true;
-  const std::string host = ahead->m_contact.m_host;
-  auto& client = m_clients[host];
+  auto& client = m_clients[aHost];
   if (client == nullptr) {
     client = std::make_unique<adapters::http1::JsonClient>(
-      m_loop, base::Address{ host, m_settings.m_imagePort });
+      m_loop, base::Address{ aHost, m_settings.m_imagePort });
   }
   const std::string target = "/image?after=" + std::to_string(m_image.LastRevision());
-  client->Call("GET", target, {}, {}, kFetchLimit, [this, host](CallResult aResult) {
+  client->Call("GET", target, {}, {}, kFetchLimit, [this, host = aHost](CallResult aResult) {
     m_fetching = false;
     m_behindSince.reset();
     const uint64_t before = m_image.LastRevision();
     if (aResult.m_status == 200) {
       TakeImage(aResult.m_body);
+    } else {
+      m_unanswering[host] = base::BootNow();
     }
     m_log.Event("image fetched",
                 { { "host", host },
--- a/packages/serving/NewsExchange.h
+++ b/packages/serving/NewsExchange.h
@@ -5,12 +5,17 @@
 #include "adapters/peer/DatagramSocket.h"
 #include "base/Digest.h"
 #include "news/Members.h"
+#include "news/Update.h"
 #include "serving/ServingSettings.h"
 #include "sync/Image.h"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
 
 namespace papayafield::serving {
 
@@ -21,6 +26,7 @@
 public:
   NewsExchange(adapters::http::EventLoop& aLoop,
                const ServingSettings& aSettings,
+               const news::Contact& aSelf,
                news::Members& aMembers,
                sync::Image& aImage,
                std::function<news::Beat()> aMakeBeat,
@@ -32,6 +38,10 @@
   void SendBeats();
   /// How many rounds it takes until each node has had a beat.
   size_t Rounds() const;
+  /// Tells the other nodes of this zone of changes at once: all that came after `aAfter`, in order.
+  void SendUpdate(uint64_t aAfter, const std::vector<store::Change>& aChanges);
+  /// When the last update came from a node that follows the store; nothing before the first.
+  std::optional<base::TimePoint> LastUpdate() const { return m_lastUpdate; }
   /// Fetches a peer's image when that peer knows more. `aOwnStoreAnswers`: the store is followed
   /// directly, so a short lag is normal.
   void CatchUp(bool aOwnStoreAnswers);
@@ -40,11 +50,15 @@
   std::vector<std::string> Hosts() const;
   void SendTo(const std::vector<std::string>& aHosts);
   void Receive();
+  void TakeUpdate(const news::Update& aUpdate);
+  void Fetch(const std::string& aHost);
+  std::set<std::string> Unanswering(base::TimePoint aNow);
   adapters::http1::SmallAnswer GiveImage(const adapters::http1::RequestHead& aHead) const;
   void TakeImage(const std::string& aBytes);
 
   adapters::http::EventLoop& m_loop;
   const ServingSettings& m_settings;
+  const news::Contact& m_self;
   news::Members& m_members;
   sync::Image& m_image;
   std::function<news::Beat()> m_makeBeat;
@@ -57,6 +71,9 @@
   /// Where the next round of beats begins.
   size_t m_next = 0;
   bool m_fetching = false;
+  std::optional<base::TimePoint> m_lastUpdate;
+  /// Hosts that did not give their image lately.
+  std::map<std::string, base::TimePoint> m_unanswering;
   std::optional<base::TimePoint> m_behindSince;
 };
 
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -61,11 +61,17 @@
         m_image,
         { { m_keys.m_configuration, m_keys.m_endpoints, m_keys.m_own } },
         [this](bool /*aAnswers*/) { JudgeStore(); },
-        [this] { Tick(); })
+        [this] { Tick(); },
+        [this](uint64_t aAfter, const std::vector<store::Change>& aChanges) {
+          if (LargeFleet()) {
+            m_news.SendUpdate(aAfter, aChanges);
+          }
+        })
     , m_members(m_self)
     , m_news(
         aLoop,
         m_settings,
+        m_self,
         m_members,
         m_image,
         [this] { return MakeBeat(); },
@@ -162,6 +168,12 @@
   /// Nodes of a zone that follow the store in a larger fleet; a second one covers the loss of the
   /// first.
   static constexpr size_t kFollowersOfZone = 2;
+  /// Between the updates of a node that follows the store, also when nothing has changed.
+  static constexpr base::Millis kUpdateInterval{ 500 };
+  /// A node of a large fleet that has heard no update for this long follows the store itself. At
+  /// most as much again is added, drawn at random, so that the first ones to do so spare the rest;
+  /// with the listing it stays under 3 s, the platform's bound on new work for a leaving endpoint.
+  static constexpr base::Millis kUpdateSilence{ 1100 };
   /// Usage windows that a beat carries.
   static constexpr int64_t kWindowsTold = 3;
   /// Nodes that a beat names.
@@ -329,6 +341,7 @@
     m_members.SetBeatInterval(kTick * static_cast<int64_t>(m_news.Rounds()));
     m_feed.SetFollowing(Follows(now));
     m_news.SendBeats();
+    SayStillFollowing(now);
     m_news.CatchUp(m_feed.Answers());
     Register(now);
     MeasureDemand(now);
@@ -339,10 +352,21 @@
     }
   }
 
+  bool LargeFleet() const { return m_members.KnownCount() > kAllFollowUpTo; }
+
+  /// Updates without changes tell the zone that nothing has been missed.
+  void SayStillFollowing(base::TimePoint aNow) {
+    if (LargeFleet() && m_feed.Following() && m_feed.Answers() && aNow >= m_sayFollowingAt) {
+      m_sayFollowingAt = aNow + kUpdateInterval;
+      m_news.SendUpdate(m_image.LastRevision(), {});
+    }
+  }
+
   /// In a large fleet a few nodes of each zone follow the store; the others hear of changes from
-  /// them.
+  /// them, and follow it too while they hear nothing.
   bool Follows(base::TimePoint aNow) const {
-    return m_members.KnownCount() <= kAllFollowUpTo ||
+    const auto lastUpdate = m_news.LastUpdate();
+    return !LargeFleet() || !lastUpdate || aNow - *lastUpdate > m_updateSilence ||
            m_members.OlderFollowers(m_settings.m_zone, aNow) < kFollowersOfZone ||
            m_members.OlderCount(aNow) < kDutyCandidates;
   }
@@ -466,6 +490,9 @@
   store::LeaseNumber m_lease = 0;
   base::TimePoint m_registerAt{};
   bool m_registering = false;
+  base::TimePoint m_sayFollowingAt{};
+  const base::Millis m_updateSilence{ kUpdateSilence +
+                                      base::Millis(base::RandomSeed() % kUpdateSilence.count()) };
   bool m_wasReady = false;
   /// Whether the fleet's size has been looked at, which quotas and budgets depend on.
   bool m_ticked = false;
--- a/packages/sync/StateFeed.h
+++ b/packages/sync/StateFeed.h
@@ -33,19 +33,24 @@
 public:
   /// Hears whether the store answers.
   using OnState = std::function<void(bool aAnswers)>;
+  /// Hears of all changes that came after the revision `aAfter`.
+  using OnChanges =
+    std::function<void(uint64_t aAfter, const std::vector<store::Change>& aChanges)>;
 
   StateFeed(adapters::http::EventLoop& aLoop,
             Store& aStore,
             Image& aImage,
             FeedSettings aSettings,
             OnState aOnState,
-            std::function<void()> aOnLoaded)
+            std::function<void()> aOnLoaded,
+            OnChanges aOnChanges = {})
     : m_loop(aLoop)
     , m_store(aStore)
     , m_image(aImage)
     , m_settings(std::move(aSettings))
     , m_onState(std::move(aOnState))
-    , m_onLoaded(std::move(aOnLoaded)) {}
+    , m_onLoaded(std::move(aOnLoaded))
+    , m_onChanges(std::move(aOnChanges)) {}
 
   /// Begins to follow. Call once.
   void Start() { ListNext(0, 0); }
@@ -59,6 +64,8 @@
       ListNext(0, 0);
     }
   }
+  /// Whether this node is to follow the store.
+  bool Following() const { return m_following; }
   /// Whether everything has been listed at least once.
   bool Loaded() const { return m_loaded; }
   /// Whether the last call was answered.
@@ -132,20 +139,29 @@
         return;
       }
       Note(true, "watch");
-      for (const store::Change& change : aResult->m_changes) {
-        m_image.Apply(change);
-      }
-      m_revision = std::max(m_revision, aResult->m_revision);
+      Take(*aResult);
       Watch();
     });
   }
 
+  void Take(const store::Changes& aChanges) {
+    const uint64_t after = m_image.LastRevision();
+    for (const store::Change& change : aChanges.m_changes) {
+      m_image.Apply(change);
+    }
+    m_revision = std::max(m_revision, aChanges.m_revision);
+    if (m_onChanges && !aChanges.m_changes.empty()) {
+      m_onChanges(after, aChanges.m_changes);
+    }
+  }
+
   adapters::http::EventLoop& m_loop;
   Store& m_store;
   Image& m_image;
   FeedSettings m_settings;
   OnState m_onState;
   std::function<void()> m_onLoaded;
+  OnChanges m_onChanges;
   const base::Log m_log{ "sync" };
   adapters::http::WatchPtr m_timer;
   base::Millis m_pause{ 60 };
