Scaling: engines that are not to be had take up no room, those on their way are counted

And full-price ones were started for cheap ones already on their way. Change: full-price engines take the room of missing cheap ones once other room is used up; orders that were accepted count until the start-up time is over; the first size counts less and less over the span of demand that is remembered, and the fleet may grow before demand counts as known. Tests: MissingEnginesTakeUpNoRoom, EnginesOnTheirWayAreCounted, FewQuietSecondsDoNotHalveTheFleet, FleetGrowsAtOnceWhenItIsTooSmall; each failed before its change.

--- a/packages/duties/Autoscaler.h
+++ b/packages/duties/Autoscaler.h
@@ -37,7 +37,7 @@
         }
       }
       for (const ScalingOrder& order : m_policy.Plan(service, endpoints, now)) {
-        Give(order, now);
+        Give(service, order, now);
       }
     }
   }
@@ -59,7 +59,7 @@
   };
   using Subject = std::tuple<fleet::ServiceId, base::ZoneId, bool>;
 
-  void Give(const ScalingOrder& aOrder, base::TimePoint aNow) {
+  void Give(const fleet::Service& aService, const ScalingOrder& aOrder, base::TimePoint aNow) {
     const Subject subject{ aOrder.m_service, aOrder.m_zone, aOrder.m_reclaimable };
     Given& given = m_given[subject];
     const bool same = given.m_count == aOrder.m_count;
@@ -68,12 +68,15 @@
       return;
     }
     given = { aOrder.m_count, kRetryAfter, true, aNow };
-    m_duties.Order(aOrder, *m_fence, [this, subject, aOrder](DutyOutcome aOutcome) {
+    m_duties.Order(aOrder, *m_fence, [this, subject, aService, aOrder](DutyOutcome aOutcome) {
       Given& answered = m_given[subject];
       answered.m_waiting = false;
       answered.m_pause = aOutcome == DutyOutcome::Accepted   ? kRepeatAfter
                          : aOutcome == DutyOutcome::Conflict ? kNoneAfter
                                                              : kRetryAfter;
+      if (aOutcome == DutyOutcome::Accepted || aOutcome == DutyOutcome::Conflict) {
+        m_policy.NoteOutcome(aService, aOrder, aOutcome == DutyOutcome::Accepted, base::BootNow());
+      }
       m_log.Event("engines ordered",
                   { { "service", aOrder.m_service.Text() },
                     { "zone", aOrder.m_zone.Text() },
--- a/packages/duties/ScalingPolicy.cpp
+++ b/packages/duties/ScalingPolicy.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace papayafield::duties {
 
@@ -21,6 +22,31 @@
   return zones;
 }
 
+/// Engines of one zone.
+struct ZoneShare {
+  int m_reclaimable = 0;
+  /// Reclaimable ones that are there or on their way.
+  int m_expected = 0;
+  int m_full = 0;
+};
+
+/// Places full-price engines where they cost least: first beside the reclaimable ones, then in the
+/// room of those that are not to be had. `aShares` begins with the cheapest zone.
+void PlaceFullPrice(std::vector<ZoneShare>& aShares, int aCount, int aMost) {
+  int left = aCount;
+  for (const ZoneShare& share : aShares) {
+    left -= share.m_full;
+  }
+  for (const bool beside : { true, false }) {
+    for (ZoneShare& share : aShares) {
+      const int taken = share.m_full + (beside ? share.m_reclaimable : share.m_expected);
+      const int more = std::clamp(aMost - taken, 0, std::max(left, 0));
+      share.m_full += more;
+      left -= more;
+    }
+  }
+}
+
 } // namespace
 
 void ScalingPolicy::NoteDemand(double aWorkPerSecond, base::TimePoint aNow) {
@@ -56,23 +82,88 @@
   return m_firstSize.has_value();
 }
 
+/// What the fleet's first size still counts for: less and less, until a whole span of demand has
+/// been seen. A few quiet seconds say little about the peak that follows.
+double ScalingPolicy::FirstSizePart(base::TimePoint aNow) const {
+  if (!m_firstDemand || !m_firstSize) {
+    return 0;
+  }
+  const std::chrono::duration<double> seen = aNow - *m_firstDemand;
+  const std::chrono::duration<double> span = m_settings.m_peakSpan;
+  return static_cast<double>(*m_firstSize) * std::max(1 - seen / span, 0.0);
+}
+
 ScalingPolicy::Size ScalingPolicy::SizeFor(const fleet::ScalingBounds& aBounds,
                                            base::TimePoint aNow) const {
   const int zones = static_cast<int>(aBounds.m_zonePrices.size());
   const int least = zones * std::max(aBounds.m_least, 1);
+  // What little has been seen of the demand can show that the first size is too small, not that it
+  // is too large.
+  const double first = static_cast<double>(m_firstSize.value_or(0));
   const double demand = KnowsDemand(aNow)
                           ? EnginesOfDemand()
-                          : static_cast<double>(m_firstSize.value_or(0)) * m_settings.m_targetUse;
+                          : std::max(EnginesOfDemand(), first * m_settings.m_targetUse);
   Size size;
-  size.m_total = std::clamp(
-    static_cast<int>(std::ceil(demand / m_settings.m_targetUse)), least, zones * aBounds.m_most);
-  const double floor = KnowsDemand(aNow) ? demand * m_settings.m_floorPart
-                                         : size.m_total * m_settings.m_unknownFloorPart;
+  const double wanted = std::max(demand / m_settings.m_targetUse, FirstSizePart(aNow));
+  size.m_total = std::clamp(static_cast<int>(std::ceil(wanted)), least, zones * aBounds.m_most);
+  const double floor =
+    KnowsDemand(aNow) ? demand * m_settings.m_floorPart : first * m_settings.m_unknownFloorPart;
   size.m_floor =
     std::clamp(static_cast<int>(std::ceil(floor)), std::min(size.m_total, zones), size.m_total);
   return size;
 }
 
+void ScalingPolicy::NoteOutcome(const fleet::Service& aService,
+                                const ScalingOrder& aOrder,
+                                bool aAccepted,
+                                base::TimePoint aNow) {
+  if (aOrder.m_reclaimable && aService.m_scaling) {
+    m_ordered[{ aService.m_id, aOrder.m_zone }] = {
+      aAccepted ? aOrder.m_count : 0, aNow + aService.m_scaling->m_boot + m_settings.m_startSlack
+    };
+  }
+}
+
+ScalingPolicy::Running ScalingPolicy::Count(const fleet::Service& aService,
+                                            const std::vector<fleet::Endpoint>& aEndpoints,
+                                            base::TimePoint aNow) const {
+  Running running;
+  std::set<base::ZoneId> reclaimed;
+  for (const fleet::Endpoint& endpoint : aEndpoints) {
+    if (endpoint.m_reclaimable && endpoint.m_draining) {
+      reclaimed.insert(endpoint.m_zone);
+    } else if (endpoint.m_reclaimable) {
+      ++running.m_reclaimable[endpoint.m_zone];
+    } else if (!endpoint.m_draining) {
+      ++running.m_full;
+    }
+  }
+  running.m_expected = running.m_reclaimable;
+  for (const auto& [subject, ordered] : m_ordered) {
+    const auto& [service, zone] = subject;
+    if (service == aService.m_id && aNow < ordered.m_readyBy && !reclaimed.contains(zone)) {
+      running.m_expected[zone] = std::max(running.m_expected[zone], ordered.m_count);
+    }
+  }
+  return running;
+}
+
+/// Full-price engines stand in for reclaimable ones that are not to be had. Those that run stay
+/// until the reclaimable ones are ready; no more are started for ones that are on their way.
+int ScalingPolicy::FullPrice(const Size& aSize, const Running& aRunning) const {
+  const int wanted = aSize.m_total - aSize.m_floor;
+  const auto missing = [&](const std::map<base::ZoneId, int>& aCounts) {
+    int count = 0;
+    for (const auto& [zone, engines] : aCounts) {
+      count += engines;
+    }
+    return std::max(wanted - count, 0);
+  };
+  const int now = aSize.m_floor + missing(aRunning.m_reclaimable);
+  const int soon = aSize.m_floor + missing(aRunning.m_expected);
+  return std::max(soon, std::min(now, aRunning.m_full));
+}
+
 std::vector<ScalingOrder> ScalingPolicy::Plan(const fleet::Service& aService,
                                               const std::vector<fleet::Endpoint>& aEndpoints,
                                               base::TimePoint aNow) {
@@ -87,26 +178,24 @@
   const fleet::ScalingBounds& bounds = *aService.m_scaling;
   const std::vector<base::ZoneId> zones = ZonesByPrice(bounds);
   const int zoneCount = static_cast<int>(zones.size());
-  const auto [total, floor] = SizeFor(bounds, aNow);
-  // Reclaimable engines that are ready now; those that are missing are stood in for.
-  const auto readyReclaimable =
-    std::count_if(aEndpoints.begin(), aEndpoints.end(), [](const fleet::Endpoint& aEndpoint) {
-      return aEndpoint.m_reclaimable && !aEndpoint.m_draining;
-    });
-  const int missing = std::max(total - floor - static_cast<int>(readyReclaimable), 0);
-  const int fullPrice = std::min(floor + missing, zoneCount * bounds.m_most);
-  // Cheap engines are spread, since a reclaim takes a zone's at once; full-price ones go where they
-  // cost least.
-  int left = fullPrice;
+  const Size size = SizeFor(bounds, aNow);
+  const Running running = Count(aService, aEndpoints, aNow);
+  const int wanted = size.m_total - size.m_floor;
+  std::vector<ZoneShare> shares;
+  for (int i = 0; i < zoneCount; ++i) {
+    // Cheap engines are spread, since a reclaim takes a zone's at once.
+    const int share = wanted / zoneCount + (i < wanted % zoneCount ? 1 : 0);
+    const auto expected = running.m_expected.find(zones[static_cast<size_t>(i)]);
+    const int there = std::min(share, expected == running.m_expected.end() ? 0 : expected->second);
+    shares.push_back({ share, there, std::max(bounds.m_least - share, 0) });
+  }
+  PlaceFullPrice(shares, FullPrice(size, running), bounds.m_most);
   for (int i = 0; i < zoneCount; ++i) {
-    const int reclaimable = (total - floor) / zoneCount + (i < (total - floor) % zoneCount ? 1 : 0);
-    const int zonesAfter = zoneCount - 1 - i;
-    const int least = std::max(bounds.m_least - reclaimable, 0);
-    const int most = std::max(bounds.m_most - reclaimable, 0);
-    const int full = std::clamp(left - zonesAfter * least, least, most);
-    left = std::max(left - full, 0);
-    orders.push_back({ aService.m_id, zones[static_cast<size_t>(i)], false, full });
-    orders.push_back({ aService.m_id, zones[static_cast<size_t>(i)], true, reclaimable });
+    const ZoneShare& share = shares[static_cast<size_t>(i)];
+    const base::ZoneId& zone = zones[static_cast<size_t>(i)];
+    const int reclaimable = std::clamp(bounds.m_most - share.m_full, 0, share.m_reclaimable);
+    orders.push_back({ aService.m_id, zone, false, share.m_full });
+    orders.push_back({ aService.m_id, zone, true, reclaimable });
   }
   return orders;
 }
--- a/packages/duties/ScalingPolicy.h
+++ b/packages/duties/ScalingPolicy.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace papayafield::duties {
@@ -25,6 +26,8 @@
   base::Millis m_settleSpan{ 2000 };
   /// How long a peak of demand is remembered, so that the fleet shrinks slowly.
   base::Millis m_peakSpan{ 12000 };
+  /// Beyond the start-up time, until an engine that was ordered has registered.
+  base::Millis m_startSlack{ 1500 };
   /// Full-price engines kept in all zones together, for each engine of demand: they carry the
   /// urgent calls while the reclaimable ones are gone.
   double m_floorPart = 0.4;
@@ -63,6 +66,12 @@
   std::vector<ScalingOrder> Plan(const fleet::Service& aService,
                                  const std::vector<fleet::Endpoint>& aEndpoints,
                                  base::TimePoint aNow);
+  /// Notes how the platform took an order: reclaimable engines that it has accepted are expected to
+  /// be there after the service's start-up time.
+  void NoteOutcome(const fleet::Service& aService,
+                   const ScalingOrder& aOrder,
+                   bool aAccepted,
+                   base::TimePoint aNow);
   /// Whether demand has been watched for long enough to plan from it. Before that the fleet keeps
   /// its size, and only part of it is replaced by cheaper engines.
   bool KnowsDemand(base::TimePoint aNow) const;
@@ -76,7 +85,24 @@
     int m_floor = 0;
   };
 
+  /// Engines of a service that take new work, and reclaimable ones that soon will.
+  struct Running {
+    int m_full = 0;
+    std::map<base::ZoneId, int> m_reclaimable;
+    std::map<base::ZoneId, int> m_expected;
+  };
+  /// Reclaimable engines that were ordered in a zone.
+  struct Ordered {
+    int m_count = 0;
+    base::TimePoint m_readyBy{};
+  };
+
   bool NoteSize(size_t aReady, base::TimePoint aNow);
+  Running Count(const fleet::Service& aService,
+                const std::vector<fleet::Endpoint>& aEndpoints,
+                base::TimePoint aNow) const;
+  int FullPrice(const Size& aSize, const Running& aRunning) const;
+  double FirstSizePart(base::TimePoint aNow) const;
   Size SizeFor(const fleet::ScalingBounds& aBounds, base::TimePoint aNow) const;
 
   struct Sample {
@@ -90,6 +116,7 @@
   /// Ready engines lately, and since when there are so many.
   size_t m_ready = 0;
   base::TimePoint m_readySince{};
+  std::map<std::pair<fleet::ServiceId, base::ZoneId>, Ordered> m_ordered;
   /// The size that the fleet had when it was first seen whole.
   std::optional<size_t> m_firstSize;
 };
--- a/packages/duties/tests/ScalingPolicyTest.cpp
+++ b/packages/duties/tests/ScalingPolicyTest.cpp
@@ -72,6 +72,34 @@
   BOOST_TEST(Count(policy.Plan(Engines(), engines, kStart + base::Millis(7000)), false) < 9);
 }
 
+// Found on a quiet day: five quiet seconds at the start halved the fleet before the first peak.
+BOOST_AUTO_TEST_CASE(FewQuietSecondsDoNotHalveTheFleet) {
+  ScalingPolicy policy{ ScalingSettings{} };
+  const auto engines = Running(9, false);
+  const auto total = [&](int aSecond) {
+    policy.NoteDemand(1500, kStart + std::chrono::seconds(aSecond));
+    const auto orders = policy.Plan(Engines(), engines, kStart + std::chrono::seconds(aSecond));
+    return Count(orders, false);
+  };
+  policy.Plan(Engines(), engines, kStart - std::chrono::seconds(5));
+  total(0);
+  BOOST_TEST(total(5) >= 5);
+  BOOST_TEST(total(5) < 9);
+  BOOST_TEST(total(13) <= 3);
+}
+
+// Found on the grown site: cold engines were overloaded for ten seconds, since the fleet was not
+// enlarged before demand counted as known.
+BOOST_AUTO_TEST_CASE(FleetGrowsAtOnceWhenItIsTooSmall) {
+  ScalingPolicy policy{ ScalingSettings{} };
+  const auto engines = Running(9, false);
+  policy.Plan(Engines(), engines, kStart);
+  policy.Plan(Engines(), engines, kStart + std::chrono::seconds(3));
+  policy.NoteDemand(8000, kStart + std::chrono::seconds(4));
+  const auto orders = policy.Plan(Engines(), engines, kStart + std::chrono::seconds(4));
+  BOOST_TEST(Count(orders, false) + Count(orders, true) >= 16);
+}
+
 BOOST_AUTO_TEST_CASE(OrdersKeepTheBoundsOfEachZone) {
   for (const double demand : { 0.1, 1.0, 4.0, 9.0, 50.0 }) {
     std::map<base::ZoneId, int> zones;
@@ -98,6 +126,39 @@
   BOOST_TEST(Count(none, false) >= full + cheap);
 }
 
+// Found on a day of scale with no cheap engines to be had for ten seconds: room in each zone was
+// kept for those that did not come, and eight engines ran where thirty-five were planned.
+BOOST_AUTO_TEST_CASE(MissingEnginesTakeUpNoRoom) {
+  ScalingPolicy policy = Loaded(8.5);
+  const auto orders = policy.Plan(Engines(), {}, kLater);
+  BOOST_TEST(Count(orders, false) >= 17);
+  std::map<base::ZoneId, int> zones;
+  for (const ScalingOrder& order : orders) {
+    zones[order.m_zone] += order.m_count;
+  }
+  for (const auto& [zone, count] : zones) {
+    BOOST_TEST(count <= 6);
+  }
+}
+
+// No full-price engines are started for cheap ones that are on their way, and none stop before
+// those are ready. Once the platform has none, or they do not come, full-price ones stand in.
+BOOST_AUTO_TEST_CASE(EnginesOnTheirWayAreCounted) {
+  ScalingPolicy policy = Loaded(4);
+  const int floor = Count(policy.Plan(Engines(), Running(30, true), kLater), false);
+  const auto first = policy.Plan(Engines(), {}, kLater);
+  for (const ScalingOrder& order : first) {
+    policy.NoteOutcome(Engines(), order, true, kLater);
+  }
+  BOOST_TEST(Count(policy.Plan(Engines(), {}, kLater), false) == floor);
+  BOOST_TEST(Count(policy.Plan(Engines(), Running(9, false), kLater), false) >= 8);
+  BOOST_TEST(Count(policy.Plan(Engines(), {}, kLater + std::chrono::seconds(6)), false) >= 8);
+  for (const ScalingOrder& order : first) {
+    policy.NoteOutcome(Engines(), order, false, kLater);
+  }
+  BOOST_TEST(Count(policy.Plan(Engines(), {}, kLater), false) >= 8);
+}
+
 BOOST_AUTO_TEST_CASE(PeakOfDemandIsRemembered) {
   ScalingPolicy policy{ ScalingSettings{} };
   policy.NoteDemand(5000, kStart);
