Placement: a hot subject overflows to the next endpoint in its own order

Cause: a subject whose home was busy went to the least busy endpoint, a different one each time, so its shared parts were read again everywhere. The expected delay of the chosen endpoint is logged with each call.

--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -145,8 +145,7 @@
     return;
   }
   const auto& ready = m_node.m_directory.Ready();
-  const placement::Need need = MakeNeed(m_service);
-  const auto choice = m_node.m_placement.Choose(need, ready, now);
+  const auto choice = m_node.m_placement.Choose(MakeNeed(m_service), ready, now);
   if (!choice) {
     if (m_failure) {
       Deliver(m_failure->first, m_failure->second);
@@ -155,10 +154,10 @@
     Refuse(FinalStatus(m_runs > 0, false), "no_endpoint", 1.0);
     return;
   }
-  const double delay =
-    m_node.m_placement.DelayAt(ready[*choice].m_incarnation.m_endpoint, need.m_promptTokens > 0);
-  if (m_sends == 0 && delay > static_cast<double>(TimeLeft().count())) {
-    Refuse(503, "overload", delay / 1000 / 2);
+  m_expectedMs = m_node.m_placement.LoadDelayAt(ready[*choice].m_incarnation.m_endpoint,
+                                                m_call.m_promptTokens.has_value());
+  if (m_sends == 0 && m_expectedMs > static_cast<double>(TimeLeft().count())) {
+    Refuse(503, "overload", m_expectedMs / 1000 / 2);
     return;
   }
   Send(ready[*choice]);
@@ -531,6 +530,7 @@
                        { "tokens", m_call.m_promptTokens.value_or(0) + m_call.m_outputTokens },
                        { "sends", m_sends },
                        { "endpoint", m_tried.empty() ? "" : m_tried.rbegin()->Text() },
+                       { "expected_ms", m_expectedMs },
                        { "first_ms", m_firstByte == base::TimePoint{} ? -1 : span(m_firstByte) },
                        { "total_ms", span(now) },
                        { "version", m_catalog->Version() },
--- a/packages/forwarding/Exchange.h
+++ b/packages/forwarding/Exchange.h
@@ -90,6 +90,8 @@
   std::shared_ptr<Running> m_run;
   adapters::http::WatchPtr m_limitTimer;
   EventCutter m_cutter;
+  /// Delay to the first byte that was expected at the endpoint chosen last, in milliseconds.
+  double m_expectedMs = 0;
   /// Sends of any kind, for the log.
   int m_sends = 0;
   /// Endpoints that may have run the call.
--- a/packages/placement/Placement.cpp
+++ b/packages/placement/Placement.cpp
@@ -52,7 +52,7 @@
   return sound.empty() ? fitting : sound;
 }
 
-double Placement::DelayAt(const base::EndpointId& aEndpoint, bool aEngine) const {
+double Placement::LoadDelayAt(const base::EndpointId& aEndpoint, bool aEngine) const {
   Load load;
   if (const auto own = m_own.find(aEndpoint); own != m_own.end()) {
     load = own->second;
@@ -61,8 +61,12 @@
     load.m_calls += peers->second.m_calls;
     load.m_waitingTokens += peers->second.m_waitingTokens;
   }
-  double delay = load.m_waitingTokens / m_settings.m_prefillTokensPerMs +
-                 load.m_calls * (aEngine ? m_settings.m_callMs : m_settings.m_plainCallMs);
+  return load.m_waitingTokens / m_settings.m_prefillTokensPerMs +
+         load.m_calls * (aEngine ? m_settings.m_callMs : m_settings.m_plainCallMs);
+}
+
+double Placement::DelayAt(const base::EndpointId& aEndpoint, bool aEngine) const {
+  double delay = LoadDelayAt(aEndpoint, aEngine);
   if (const auto health = m_health.find(aEndpoint); health != m_health.end()) {
     delay += health->second.m_failurePart * kFailureMs;
   }
@@ -72,30 +76,33 @@
 std::optional<size_t> Placement::Choose(const Need& aNeed,
                                         const std::vector<fleet::Endpoint>& aEndpoints,
                                         base::TimePoint aNow) const {
-  std::optional<size_t> best;
-  double bestDelay = 0;
+  const std::vector<size_t> candidates = Candidates(aNeed, aEndpoints, aNow);
+  std::vector<double> delays;
+  for (const size_t i : candidates) {
+    const fleet::Endpoint& endpoint = aEndpoints[i];
+    delays.push_back(DelayAt(endpoint.m_incarnation.m_endpoint, aNeed.m_promptTokens > 0) +
+                     (endpoint.m_zone == aNeed.m_zone ? 0 : kOtherZoneMs));
+  }
+  const auto least = std::min_element(delays.begin(), delays.end());
+  if (least == delays.end()) {
+    return std::nullopt;
+  }
+  if (aNeed.m_subject.empty()) {
+    return candidates[static_cast<size_t>(least - delays.begin())];
+  }
+  // The first in the subject's order that is not much busier than the least busy one, so that a hot
+  // subject overflows to few endpoints, which then hold its shared parts too.
   std::optional<size_t> home;
-  double homeDelay = 0;
   uint64_t homeRank = 0;
-  for (const size_t i : Candidates(aNeed, aEndpoints, aNow)) {
-    const fleet::Endpoint& endpoint = aEndpoints[i];
-    const base::EndpointId& id = endpoint.m_incarnation.m_endpoint;
-    const double delay =
-      DelayAt(id, aNeed.m_promptTokens > 0) + (endpoint.m_zone == aNeed.m_zone ? 0 : kOtherZoneMs);
-    if (!best || delay < bestDelay) {
-      best = i;
-      bestDelay = delay;
-    }
-    if (!aNeed.m_subject.empty()) {
-      const uint64_t rank = Rendezvous(aNeed.m_subject, id);
-      if (!home || rank > homeRank) {
-        home = i;
-        homeDelay = delay;
-        homeRank = rank;
-      }
+  for (size_t at = 0; at < candidates.size(); ++at) {
+    const uint64_t rank =
+      Rendezvous(aNeed.m_subject, aEndpoints[candidates[at]].m_incarnation.m_endpoint);
+    if (delays[at] <= *least + m_settings.m_affinityMs && (!home || rank > homeRank)) {
+      home = candidates[at];
+      homeRank = rank;
     }
   }
-  return home && homeDelay <= bestDelay + m_settings.m_affinityMs ? home : best;
+  return home;
 }
 
 void Placement::Begin(const base::EndpointId& aEndpoint, double aPromptTokens) {
--- a/packages/placement/Placement.h
+++ b/packages/placement/Placement.h
@@ -69,8 +69,11 @@
   std::optional<size_t> Choose(const Need& aNeed,
                                const std::vector<fleet::Endpoint>& aEndpoints,
                                base::TimePoint aNow) const;
-  /// Expected delay before a new call's first byte at an endpoint, in milliseconds.
+  /// Expected delay before a new call's first byte at an endpoint, in milliseconds. What its
+  /// failures count for is added.
   double DelayAt(const base::EndpointId& aEndpoint, bool aEngine) const;
+  /// The same by its load alone.
+  double LoadDelayAt(const base::EndpointId& aEndpoint, bool aEngine) const;
 
   /// A call was sent.
   void Begin(const base::EndpointId& aEndpoint, double aPromptTokens);
