Callers are told of all nodes of a large fleet, and not of silent ones

Change: the addresses are drawn at random; a node is told until 0.7 s, or 2.2 of its beats, after it was heard last. It still counts as alive for longer, for quotas and duties.

--- a/packages/news/Members.cpp
+++ b/packages/news/Members.cpp
@@ -10,6 +10,11 @@
 /// A node not heard for so long is taken to be away, and at least for so many of its beats.
 constexpr base::Millis kAliveFor{ 1500 };
 constexpr int kAliveBeats = 3;
+/// Callers are not sent to a node that has not been heard for so long, or for a little over two of
+/// its beats: a node that is frozen holds up all that come to it, and one that is left out in error
+/// only has less to do for a moment.
+constexpr base::Millis kToldFor{ 700 };
+constexpr double kToldBeats = 2.2;
 /// A node that is neither listed nor heard for so long is forgotten: longer than a usual cut, in
 /// which a node goes on serving although nobody hears it.
 constexpr base::Millis kKnownFor{ 30000 };
@@ -79,10 +84,15 @@
   return aPeer.m_heard && aNow - *aPeer.m_heard < std::max(kAliveFor, m_interval * kAliveBeats);
 }
 
+bool Members::HeardLately(const Peer& aPeer, base::TimePoint aNow) const {
+  const auto beats = std::chrono::duration_cast<base::Millis>(m_interval * kToldBeats);
+  return aPeer.m_heard && aNow - *aPeer.m_heard < std::max(kToldFor, beats);
+}
+
 std::vector<std::string> Members::ReadyHosts(base::TimePoint aNow) const {
   std::vector<std::string> hosts;
   for (const auto& [node, peer] : m_peers) {
-    if (Alive(peer, aNow) && peer.m_ready && !peer.m_stopping) {
+    if (HeardLately(peer, aNow) && peer.m_ready && !peer.m_stopping) {
       hosts.push_back(peer.m_contact.m_host);
     }
   }
--- a/packages/news/Members.h
+++ b/packages/news/Members.h
@@ -77,6 +77,7 @@
 
 private:
   bool Older(const Peer& aPeer) const;
+  bool HeardLately(const Peer& aPeer, base::TimePoint aNow) const;
 
   Contact m_self;
   base::Millis m_interval{ 250 };
--- a/packages/news/tests/MembersTest.cpp
+++ b/packages/news/tests/MembersTest.cpp
@@ -37,6 +37,18 @@
   BOOST_TEST(members.ReadyHosts(kNow + std::chrono::seconds(5)).empty());
 }
 
+// A frozen node holds up the callers that are sent to it; it is left out before it counts as away.
+BOOST_AUTO_TEST_CASE(SilentNodeIsSoonNotTold) {
+  Members members(ContactOf("1"));
+  members.Hear(BeatOf("2"), kNow);
+  BOOST_TEST(members.ReadyHosts(kNow + base::Millis(600)).size() == 1U);
+  BOOST_TEST(members.ReadyHosts(kNow + base::Millis(800)).empty());
+  BOOST_TEST(members.AliveCount(kNow + base::Millis(800)) == 2U);
+  members.SetBeatInterval(base::Millis(1750));
+  BOOST_TEST(members.ReadyHosts(kNow + base::Millis(3700)).size() == 1U);
+  BOOST_TEST(members.ReadyHosts(kNow + base::Millis(4000)).empty());
+}
+
 BOOST_AUTO_TEST_CASE(EarlierLivesAndOwnBeatsAreDropped) {
   Members members(ContactOf("1"));
   BOOST_TEST(!members.Hear(BeatOf("1"), kNow));
--- /dev/null
+++ b/packages/serving/EntryChoice.cpp
@@ -0,0 +1,15 @@
+#include "serving/EntryChoice.h"
+
+#include <algorithm>
+
+namespace papayafield::serving {
+
+std::vector<std::string> DrawEntries(std::vector<std::string> aHosts,
+                                     size_t aMost,
+                                     std::mt19937_64& aRandom) {
+  std::shuffle(aHosts.begin(), aHosts.end(), aRandom);
+  aHosts.resize(std::min(aHosts.size(), aMost));
+  return aHosts;
+}
+
+} // namespace papayafield::serving
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -5,6 +5,7 @@
 #include "duties/UsageReporter.h"
 #include "forwarding/Gateway.h"
 #include "news/Members.h"
+#include "serving/EntryChoice.h"
 #include "serving/NewsExchange.h"
 #include "serving/ServingSettings.h"
 #include "sync/StateFeed.h"
@@ -15,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -122,13 +124,13 @@
            !m_state.m_directory.All().empty();
   }
 
-  /// Hosts of the nodes that callers may be sent to, and how long they may keep them.
-  std::vector<std::string> EntryHosts() const {
+  /// Hosts of at most `aMost` nodes that callers may be sent to, drawn at random.
+  std::vector<std::string> EntryHosts(size_t aMost) {
     std::vector<std::string> hosts = m_members.ReadyHosts(base::BootNow());
     if (Ready()) {
       hosts.push_back(m_settings.m_host);
     }
-    return hosts;
+    return DrawEntries(std::move(hosts), aMost, m_random);
   }
 
   /// The settings in use.
@@ -532,6 +534,7 @@
   duties::UsageReporter<Store, Duties> m_reporter;
   duties::Autoscaler<Duties> m_autoscaler;
   adapters::http::WatchPtr m_tick;
+  std::mt19937_64 m_random{ base::RandomSeed() };
   std::map<std::string, double> m_peerWork;
   double m_workHeard = 0;
   double m_ownWork = 0;
