Streams that go silent go on elsewhere; work for callers that have left is tested

Change: where the route lets streams be resumed, a pause of twice the operators' goal counts as a stall. Tests: SilentStreamGoesOnElsewhere (failed before: no whole answer within the caller's patience), WorkForACallerThatHasLeftIsCutOff (passed at once; a kind of fault that had no test).

--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -18,7 +18,8 @@
 /// be sent twice, since an endpoint may be closing it.
 constexpr double kIdlePart = 0.7;
 constexpr double kIdlePartUnsafe = 0.3;
-/// A call without an answer after so many times its goal is sent to another endpoint, if it may be.
+/// A call without an answer, or a stream without an event, after so many times its goal goes on at
+/// another endpoint, if it may.
 constexpr double kStallGoals = 2.0;
 /// Part of the shared prompt parts that an endpoint is expected to read again.
 constexpr double kSharedReadPart = 0.2;
@@ -221,6 +222,20 @@
   }
 }
 
+/// An engine may go silent in the middle of a stream without closing the connection.
+void Exchange::WatchPause(const std::shared_ptr<Running>& aRun) {
+  if (!m_route.Repeatable() || m_route.m_gapGoal.count() <= 0) {
+    return;
+  }
+  const auto limit = std::chrono::duration_cast<base::Millis>(m_route.m_gapGoal * kStallGoals);
+  aRun->m_stallTimer =
+    m_node.m_loop.After(limit, [self = shared_from_this(), weak = std::weak_ptr<Running>(aRun)] {
+      if (const auto run = weak.lock()) {
+        self->Fail(run, AttemptFault::Stalled, "no_event");
+      }
+    });
+}
+
 void Exchange::OnHead(const std::shared_ptr<Running>& aRun, ResponseHead&& aHead) {
   aRun->m_info = m_node.m_wire.m_decodeAnswer(aHead);
   const AnswerInfo& info = aRun->m_info;
@@ -282,6 +297,7 @@
     m_sink.m_begin(CallerHead(aRun->m_head));
   }
   m_sink.m_piece(events);
+  WatchPause(aRun);
 }
 
 void Exchange::OnComplete(const std::shared_ptr<Running>& aRun) {
--- a/packages/forwarding/Exchange.h
+++ b/packages/forwarding/Exchange.h
@@ -56,6 +56,7 @@
   void OnHead(const std::shared_ptr<Running>& aRun, adapters::http1::ResponseHead&& aHead);
   void OnBody(const std::shared_ptr<Running>& aRun, std::string_view aBytes);
   void OnStreamBytes(const std::shared_ptr<Running>& aRun, std::string_view aBytes);
+  void WatchPause(const std::shared_ptr<Running>& aRun);
   void OnComplete(const std::shared_ptr<Running>& aRun);
   void OnAnswerComplete(const std::shared_ptr<Running>& aRun);
   void Fail(const std::shared_ptr<Running>& aRun, AttemptFault aFault, const std::string& aWhy);
--- a/standins/fleet/Runner.cpp
+++ b/standins/fleet/Runner.cpp
@@ -29,6 +29,8 @@
   std::shared_ptr<ServerConnection> m_connection;
   RequestHead m_head;
   adapters::http::WatchPtr m_timer;
+  /// A whole request came and its answer is not complete.
+  bool m_working = false;
 
   ResponseHead MakeHead(int aStatus, const std::string& aRunner) const {
     ResponseHead head;
@@ -38,7 +40,8 @@
     return head;
   }
 
-  void SendWhole(ResponseHead aHead, const std::string& aBody) const {
+  void SendWhole(ResponseHead aHead, const std::string& aBody) {
+    m_working = false;
     aHead.m_fields.Add("Content-Length", std::to_string(aBody.size()));
     m_connection->Write(adapters::http1::Serialize(aHead) + aBody);
     m_connection->Resume();
@@ -48,11 +51,11 @@
 Runner::Runner(adapters::http::EventLoop& aLoop,
                const base::Address& aAddress,
                std::string aId,
-               std::vector<Run>& aRuns)
+               Seen& aSeen)
   : m_loop(aLoop)
   , m_address(aAddress)
   , m_id(std::move(aId))
-  , m_runs(aRuns)
+  , m_seen(aSeen)
   , m_listener(aLoop, aAddress, kMaxHead, [this](auto aConnection) {
     Take(std::move(aConnection));
   }) {}
@@ -70,6 +73,7 @@
   };
   events.m_onComplete = [this, weak] {
     if (const auto one = weak.lock()) {
+      one->m_working = true;
       one->m_timer = m_loop.After(kWork, [this, weak] {
         if (const auto working = weak.lock()) {
           Answer(working);
@@ -80,6 +84,9 @@
   events.m_onEnd = [this, weak](EndKind /*aKind*/, bool /*aInMessage*/) {
     if (const auto one = weak.lock()) {
       one->m_timer.reset();
+      if (one->m_working) {
+        m_seen.m_cutOff.push_back(Field(one->m_head, "Papayafield-Attempt-Id"));
+      }
       m_callers.erase(one);
     }
   };
@@ -105,10 +112,10 @@
     return;
   }
   const std::string last = Field(aCaller->m_head, "Last-Event-Id");
-  m_runs.push_back({ Field(aCaller->m_head, "Papayafield-Attempt-Id"),
-                     m_id,
-                     Field(aCaller->m_head, "Papayafield-Tenant"),
-                     last });
+  m_seen.m_runs.push_back({ Field(aCaller->m_head, "Papayafield-Attempt-Id"),
+                            m_id,
+                            Field(aCaller->m_head, "Papayafield-Tenant"),
+                            last });
   if (m_mode == RunnerMode::LoseAnswers) {
     m_callers.erase(aCaller);
     aCaller->m_connection->Close();
@@ -127,6 +134,7 @@
 
 void Runner::StreamNext(const std::shared_ptr<Caller>& aCaller, int aEvent) {
   if (aEvent > kEvents) {
+    aCaller->m_working = false;
     aCaller->m_connection->Write("0\r\n\r\n");
     aCaller->m_connection->Resume();
     return;
@@ -138,6 +146,9 @@
     m_callers.erase(aCaller);
     return;
   }
+  if (m_mode == RunnerMode::Stall && aEvent > kEvents / 2) {
+    return;
+  }
   aCaller->m_connection->Write(Chunk(event));
   aCaller->m_timer = m_loop.After(kEventPause, [this, weak = std::weak_ptr(aCaller), aEvent] {
     if (const auto caller = weak.lock()) {
--- a/standins/fleet/Runner.h
+++ b/standins/fleet/Runner.h
@@ -24,6 +24,8 @@
   Fail,
   /// Breaks streams off in the middle of an event.
   Cut,
+  /// Sends the first half of a stream and then nothing more.
+  Stall,
 };
 
 /// What a runner has run.
@@ -35,6 +37,13 @@
   std::string m_lastEvent;
 };
 
+/// What all runners have seen.
+struct Seen {
+  std::vector<Run> m_runs;
+  /// Calls whose connection was closed while a runner was at work on them.
+  std::vector<std::string> m_cutOff;
+};
+
 /// An endpoint: plain answers, and streams on paths under /stream/. Belongs to the thread of the
 /// loop.
 class Runner {
@@ -42,11 +51,11 @@
   /// Events of one stream.
   static constexpr int kEvents = 12;
 
-  /// Serves at `aAddress` as `aId`; what is run is added to `aRuns`.
+  /// Serves at `aAddress` as `aId`; what it sees is added to `aSeen`.
   Runner(adapters::http::EventLoop& aLoop,
          const base::Address& aAddress,
          std::string aId,
-         std::vector<Run>& aRuns);
+         Seen& aSeen);
 
   bool Listening() const { return m_listener.Listening(); }
   const std::string& Id() const { return m_id; }
@@ -63,7 +72,7 @@
   adapters::http::EventLoop& m_loop;
   base::Address m_address;
   std::string m_id;
-  std::vector<Run>& m_runs;
+  Seen& m_seen;
   RunnerMode m_mode = RunnerMode::Ok;
   std::set<std::shared_ptr<Caller>> m_callers;
   adapters::http1::Listener m_listener;
@@ -82,6 +91,7 @@
     { standins::RunnerMode::Shed, "shed" },
     { standins::RunnerMode::Fail, "fail" },
     { standins::RunnerMode::Cut, "cut" },
+    { standins::RunnerMode::Stall, "stall" },
   });
 
 } // namespace papayafield::base
--- a/standins/fleet/main.cpp
+++ b/standins/fleet/main.cpp
@@ -36,7 +36,7 @@
         aLoop,
         base::Address{ aListen.m_host, static_cast<uint16_t>(aListen.m_port + 1 + i) },
         "i-" + std::to_string(i),
-        m_runs));
+        m_seen));
       Register(*m_runners.back(), "ready");
     }
   }
@@ -186,20 +186,23 @@
 
   json Report() const {
     json runs = json::array();
-    for (const Run& run : m_runs) {
+    for (const Run& run : m_seen.m_runs) {
       runs.push_back({ { "call", run.m_call },
                        { "runner", run.m_runner },
                        { "team", run.m_team },
                        { "last_event", run.m_lastEvent } });
     }
-    return { { "runs", runs }, { "duties", m_duties }, { "store_calls", m_store.Calls() } };
+    return { { "runs", runs },
+             { "cut_off", m_seen.m_cutOff },
+             { "duties", m_duties },
+             { "store_calls", m_store.Calls() } };
   }
 
   adapters::http::EventLoop& m_loop;
   std::string m_service;
   uint16_t m_proxyPort;
   Store m_store;
-  std::vector<Run> m_runs;
+  Seen m_seen;
   std::vector<std::unique_ptr<Runner>> m_runners;
   std::map<std::string, uint64_t> m_fences;
   json m_duties = json::array();
--- a/tests/harness/PlatformFleet.cpp
+++ b/tests/harness/PlatformFleet.cpp
@@ -32,6 +32,7 @@
            { "host", aHost },
            { "prefix", aPrefix },
            { "route_type", aKind },
+           { "gap_target_ms", aKind == "streaming" ? 600 : 0 },
            { "timeout_ms", aKind == "streaming" ? 20000 : 1500 },
            { "goal_ms", 300 },
            { "priority", 1 },
@@ -199,6 +200,26 @@
   return at == std::string::npos ? -1 : std::atof(page.c_str() + at + label.size());
 }
 
+bool PlatformFleet::SendAndLeave(size_t aIndex,
+                                 const std::string& aTarget,
+                                 const std::string& aId) const {
+  adapters::http::HttpRequest request;
+  request.m_method = "POST";
+  request.m_to = Callers(aIndex);
+  request.m_target = aTarget;
+  request.m_body = "{}";
+  for (const auto& field : CallerFields("h.example", "key-1", aId, kCallerPatience)) {
+    request.m_headers.Add(field.m_name, field.m_value);
+  }
+  bool began = false;
+  const auto answer =
+    adapters::http::StreamBlocking(std::move(request), [&](std::string_view /*aPart*/) {
+      began = true;
+      return false;
+    });
+  return answer && began;
+}
+
 std::vector<json> PlatformFleet::RunsOf(const std::string& aId) const {
   std::vector<json> runs;
   const json report = Control("report");
--- a/tests/harness/PlatformFleet.h
+++ b/tests/harness/PlatformFleet.h
@@ -53,6 +53,9 @@
                     const std::string& aHost = "h.example",
                     const std::string& aKey = "key-1",
                     const std::string& aId = "") const;
+  /// Sends a call as `aId` to node `aIndex` and hangs up at the first part of its answer. False
+  /// when none came.
+  bool SendAndLeave(size_t aIndex, const std::string& aTarget, const std::string& aId) const;
   /// The addresses that node `aIndex` tells callers.
   std::vector<std::string> Entries(size_t aIndex) const;
   /// Whether node `aIndex` says that it takes callers.
--- a/tests/integration/PlatformPathTest.cpp
+++ b/tests/integration/PlatformPathTest.cpp
@@ -1,5 +1,6 @@
 #include "tests/harness/PlatformFleet.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <set>
@@ -88,6 +89,37 @@
   BOOST_TEST(resumed > 0);
 }
 
+// Found on a day of scale: streams of an engine that went silent were held until the route's
+// timeout.
+BOOST_AUTO_TEST_CASE(SilentStreamGoesOnElsewhere) {
+  const PlatformFleet fleet(1, 2);
+  fleet.Control("runner", { { "index", 0 }, { "mode", "stall" } });
+  size_t resumed = 0;
+  for (int i = 0; i < 6; ++i) {
+    const std::string id = "silent-" + std::to_string(i);
+    const auto answer = fleet.Send(0, "POST", "/stream/a", "h.example", "key-1", id);
+    BOOST_TEST(answer.m_status == 200);
+    BOOST_TEST(answer.m_body == WholeStream());
+    resumed += fleet.RunsOf(id).size() - 1;
+  }
+  BOOST_TEST(resumed > 0U);
+}
+
+// Work for a caller that has left is cut off, and is not begun again elsewhere.
+BOOST_AUTO_TEST_CASE(WorkForACallerThatHasLeftIsCutOff) {
+  const PlatformFleet fleet(1, 2);
+  for (int runner = 0; runner < 2; ++runner) {
+    fleet.Control("runner", { { "index", runner }, { "mode", "stall" } });
+  }
+  BOOST_TEST(fleet.SendAndLeave(0, "/stream/a", "left"));
+  BOOST_TEST(PlatformFleet::Until([&] {
+    const auto report = fleet.Control("report");
+    const auto& cutOff = report.at("cut_off");
+    return std::find(cutOff.begin(), cutOff.end(), "left") != cutOff.end();
+  }));
+  BOOST_TEST(fleet.RunsOf("left").size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(HangingRunnerIsLeftOrTimedOut) {
   const PlatformFleet fleet(1, 2);
   fleet.Control("runner", { { "index", 0 }, { "mode", "hang" } });
