--- a/packages/serving/tests/EntryChoiceTest.cpp
+++ b/packages/serving/tests/EntryChoiceTest.cpp
@@ -12,6 +12,7 @@
 BOOST_AUTO_TEST_CASE(EachNodeOfALargeFleetIsTold) {
   std::mt19937_64 random(1);
   std::vector<std::string> hosts;
+  hosts.reserve(81);
   for (int i = 0; i < 81; ++i) {
     hosts.push_back("10.0.0." + std::to_string(i));
   }
