--- a/packages/quota/QuotaLedger.cpp
+++ b/packages/quota/QuotaLedger.cpp
@@ -30,8 +30,10 @@
 constexpr double kUnknownSeconds = 0.3;
 /// A team that asked for at most this part of its quota asked for little.
 constexpr double kCalmPart = 0.6;
-/// A record of demand that is older says nothing about a team.
+/// A record of demand that is older says nothing about a team; nor does one from the future, since
+/// a clock has been set.
 constexpr base::Millis kRecordLife{ 12000 };
+constexpr base::Millis kClockSlack{ 1000 };
 /// Part of the operators' overrun that is planned with.
 constexpr double kOverrunPart = 0.8;
 /// How far a bucket may be overdrawn, in seconds of its rate, so that a refusal stays bounded.
@@ -79,10 +81,12 @@
 }
 
 void QuotaLedger::Recall(const Totals& aDemand, base::Millis aAge, base::TimePoint aNow) {
+  if (aAge > kRecordLife || aAge < -kClockSlack) {
+    return;
+  }
   for (auto& [team, bucket] : m_buckets) {
     const auto demand = aDemand.find(team);
-    if (demand == aDemand.end() || aAge > kRecordLife || bucket.m_agreed ||
-        aNow - bucket.m_made >= kAgreeSpan) {
+    if (demand == aDemand.end() || bucket.m_agreed || aNow - bucket.m_made >= kAgreeSpan) {
       continue;
     }
     const double rate = bucket.m_quota.m_ratePerSecond;
--- a/packages/quota/tests/QuotaLedgerTest.cpp
+++ b/packages/quota/tests/QuotaLedgerTest.cpp
@@ -237,12 +237,15 @@
   }
 }
 
-BOOST_AUTO_TEST_CASE(OldRecordSaysNothing) {
-  Fleet fleet(9, 1);
-  fleet.Run(base::Millis(10000), kRate * 0.4);
-  fleet.RestartAll(base::Millis(60000));
-  fleet.Run(base::Millis(300), kRate * 0.4);
-  BOOST_TEST(fleet.GrantedPart() < 0.9);
+// A clock that was set forward or back makes the age of the record wrong.
+BOOST_AUTO_TEST_CASE(RecordFromLongAgoOrTheFutureSaysNothing) {
+  for (const int age : { 60000, -60000 }) {
+    Fleet fleet(9, 1);
+    fleet.Run(base::Millis(10000), kRate * 0.4);
+    fleet.RestartAll(base::Millis(age));
+    fleet.Run(base::Millis(300), kRate * 0.4);
+    BOOST_TEST(fleet.GrantedPart() < 0.9);
+  }
 }
 
 BOOST_AUTO_TEST_CASE(RestartedNodeAgreesWithTheOthers) {
