Soak: a node that is started again is told to stop before it is waited for

The node was sound: it served, was ready, and had no signal pending or blocked. Ruled out so: a node that loses SIGTERM. Change: the undo tells the node again.

--- a/soak/Faults.cpp
+++ b/soak/Faults.cpp
@@ -61,8 +61,10 @@
     case 2:
       process.Signal(SIGTERM);
       m_active.push_back({ "term_node_" + name, [this, node] {
-                            // One that an earlier fault paused would never end.
+                            // One that an earlier fault paused, or killed and its undo started
+                            // again, would never end.
                             m_fleet.Node(node).Signal(SIGCONT);
+                            m_fleet.Node(node).Signal(SIGTERM);
                             m_fleet.Node(node).Wait();
                             m_fleet.Start(node);
                           } });
