Drain: new calls are rejected as not run once callers can have no address of the node

Change: three times the cache time after SIGTERM, Gateway answers each new call 503 "stopping" with a Retry-After of 0.05 s; other nodes can take it at once. Calls in progress go on. The stand-in's runner has a mode for slow, sound streams. Measured: PlatformPathTest/DrainingNodeRejectsCallsThatItCannotComplete; with the rejection taken out, its late stream is cut without an answer.

--- a/packages/forwarding/Gateway.cpp
+++ b/packages/forwarding/Gateway.cpp
@@ -12,6 +12,8 @@
 
 /// Retry-After of a node that has no configuration yet, in seconds.
 constexpr double kNotReadyRetrySeconds = 0.5;
+/// Retry-After of a node that is stopping, in seconds: other nodes can take the call at once.
+constexpr double kStoppingRetrySeconds = 0.05;
 /// Callers honour a Retry-After of up to this fraction of their remaining time.
 constexpr double kMaxRetryAfterFraction = 0.33;
 /// Maximum size of a request head, in bytes.
@@ -95,6 +97,10 @@
                                              base::TimePoint aArrival,
                                              AnswerSink aSink) {
   CallInfo call = m_node.m_wire.m_decodeCall(aHead);
+  if (m_rejectsNewCalls) {
+    Reject(aSink, call, 503, "stopping", kStoppingRetrySeconds);
+    return nullptr;
+  }
   const fleet::CatalogPtr catalog = m_node.Catalog();
   if (catalog == nullptr) {
     Reject(aSink, call, 503, "no_configuration", kNotReadyRetrySeconds);
--- a/packages/forwarding/Gateway.h
+++ b/packages/forwarding/Gateway.h
@@ -19,6 +19,9 @@
   bool Listening() const { return m_listener.Listening(); }
   /// Makes each answer from now on close its connection.
   void BeginDrain() { m_settings.m_closeAfterAnswer = true; }
+  /// Rejects each call from now on as not run. For a node that will stop before a new call could be
+  /// sure to end.
+  void RejectNewCalls() { m_rejectsNewCalls = true; }
   /// Returns the number of connections on which a request is being read or answered.
   size_t BusyCount() const;
   /// Returns the number of open connections.
@@ -42,6 +45,7 @@
 
   NodeState& m_node;
   CallerSettings m_settings;
+  bool m_rejectsNewCalls = false;
   std::set<std::shared_ptr<CallerConnection>> m_connections;
   adapters::http1::Listener m_listener;
 };
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -526,8 +526,11 @@
 
   void CheckDrain(base::TimePoint aNow) {
     const auto elapsed = aNow - m_drainStart;
-    const bool entriesExpired =
-      elapsed > m_settings.m_entryCacheTime * kEntryCacheFactor + kTickInterval * 2;
+    const auto entryUseTime = m_settings.m_entryCacheTime * kEntryCacheFactor;
+    if (elapsed > entryUseTime) {
+      m_gateway.RejectNewCalls();
+    }
+    const bool entriesExpired = elapsed > entryUseTime + kTickInterval * 2;
     const bool graceExpired = elapsed > std::chrono::duration_cast<base::Millis>(
                                           m_settings.m_gracePeriod * kMaxGraceFraction);
     if ((entriesExpired && m_gateway.BusyCount() == 0) || graceExpired) {
--- a/standins/fleet/Runner.cpp
+++ b/standins/fleet/Runner.cpp
@@ -15,6 +15,8 @@
 constexpr base::Millis kProcessingTime{ 10 };
 /// Delay between two events of a stream.
 constexpr base::Millis kEventInterval{ 15 };
+/// Delay between two events of a stream in the mode SlowStreams.
+constexpr base::Millis kSlowEventInterval{ 550 };
 
 std::string HeaderValue(const RequestHead& aHead, const char* aName) {
   return std::string(aHead.m_fields.Find(aName).value_or(std::string_view{}));
@@ -154,8 +156,10 @@
     return;
   }
   aCallerConnection->m_connection->Write(EncodeChunk(event));
+  const base::Millis interval =
+    m_mode == RunnerMode::SlowStreams ? kSlowEventInterval : kEventInterval;
   aCallerConnection->m_timer =
-    m_loop.After(kEventInterval, [this, weak = std::weak_ptr(aCallerConnection), aEvent] {
+    m_loop.After(interval, [this, weak = std::weak_ptr(aCallerConnection), aEvent] {
       if (const auto callerConnection = weak.lock()) {
         SendNextEvent(callerConnection, aEvent + 1);
       }
--- a/standins/fleet/Runner.h
+++ b/standins/fleet/Runner.h
@@ -26,6 +26,8 @@
   TruncateStreams,
   /// Sends the first half of a stream and then stalls without closing it.
   StallStreams,
+  /// Sends the events of a stream slowly, within the route's gap target.
+  SlowStreams,
 };
 
 /// A call that a runner executed.
@@ -92,6 +94,7 @@
     { standins::RunnerMode::Fail, "fail" },
     { standins::RunnerMode::TruncateStreams, "cut" },
     { standins::RunnerMode::StallStreams, "stall" },
+    { standins::RunnerMode::SlowStreams, "slow" },
   });
 
 } // namespace papayafield::base
--- a/tests/integration/PlatformPathTest.cpp
+++ b/tests/integration/PlatformPathTest.cpp
@@ -224,6 +224,29 @@
   BOOST_TEST(fleet.NodeProcess(0).WaitForExit() == 0);
 }
 
+// A draining node takes new calls as long as callers may still use its address, and then rejects
+// them as not run, while it completes the calls in progress. Found on a day of many callers that
+// kept an address for longer than they were told: the node took streams that it had to cut.
+BOOST_AUTO_TEST_CASE(DrainingNodeRejectsCallsThatItCannotComplete) {
+  PlatformFleet fleet(2, 1);
+  fleet.PostControl("runner", { { "index", 0 }, { "mode", "slow" } });
+  CallerAnswer slow;
+  std::thread caller(
+    [&] { slow = fleet.Send(0, "POST", "/stream/a", "h.example", "key-1", "slow"); });
+  PlatformFleet::WaitUntil([&] { return !fleet.RecordedRuns("slow").empty(); });
+  fleet.NodeProcess(0).Signal(SIGTERM);
+  std::this_thread::sleep_for(base::Millis(1500));
+  BOOST_TEST(fleet.Send(0, "POST", "/once/a").m_status == 200);
+  std::this_thread::sleep_for(base::Millis(2500));
+  const CallerAnswer late = fleet.Send(0, "POST", "/stream/a", "h.example", "key-1", "late");
+  BOOST_TEST(late.m_status == 503);
+  BOOST_TEST(late.m_headers.Find("Retry-After").has_value());
+  BOOST_TEST(fleet.RecordedRuns("late").empty());
+  caller.join();
+  BOOST_TEST(slow.m_body == CompleteStream());
+  BOOST_TEST(fleet.NodeProcess(0).WaitForExit() == 0);
+}
+
 // Each usage window is reported with a single set of counts even if the reporting leader is killed,
 // and the counts add up to the number of calls that ran.
 BOOST_AUTO_TEST_CASE(UsageIsReportedOnceDespiteLeaderFailure) {
