Leadership: no byte of a leader call is sent after the lease

A call that was waiting for its connection, or was in flight, when the lease ended could arrive up to 2.5 s later, after calls of the next leader. Change: leader calls carry a Leadership (token, valid until); LeaderElection gives one only while 0.3 s are left. JsonClient writes a call when its connection is open and looks at the validity again there; at its end it resets the connection. A resigned leader's lease is left to expire. The election takes its clock as a template argument. PausedLeaderSendsNothingAfterItsLease: real processes, four rounds. Two tests of JsonClient. Cost: after a planned stop of the leader, the next one leads up to 3 s later.

--- a/packages/adapters/http1/Connection.cpp
+++ b/packages/adapters/http1/Connection.cpp
@@ -30,7 +30,8 @@
 constexpr int kKeepAliveProbeSeconds = 1;
 constexpr int kKeepAliveProbeCount = 3;
 
-void SetOption(int aFd, int aLevel, int aName, int aValue) {
+template<class Value>
+void SetOption(int aFd, int aLevel, int aName, const Value& aValue) {
   // A failure is ignored: a socket without the option works, but detects a dead peer more slowly.
   [[maybe_unused]] const int result =
     setsockopt(aFd, aLevel, aName, &aValue, static_cast<socklen_t>(sizeof(aValue)));
@@ -311,6 +312,15 @@
   }
 }
 
+template<class Head>
+void Connection<Head>::Reset() {
+  if (m_buffer != nullptr) {
+    const linger discard{ 1, 0 };
+    SetOption(bufferevent_getfd(m_buffer), SOL_SOCKET, SO_LINGER, discard);
+    Close();
+  }
+}
+
 template<class Head>
 void Connection<Head>::CloseWhenFlushed() {
   m_closeWhenFlushed = true;
@@ -411,6 +421,10 @@
   const auto self = this->shared_from_this();
   if ((aWhat & BEV_EVENT_CONNECTED) != 0) {
     m_established = true;
+    if (m_events.m_onEstablished) {
+      const auto onEstablished = m_events.m_onEstablished;
+      onEstablished();
+    }
     return;
   }
   if (!m_established) {
--- a/packages/adapters/http1/Connection.h
+++ b/packages/adapters/http1/Connection.h
@@ -45,6 +45,8 @@
   std::function<void()> m_onUnexpectedData;
   /// Called when all written bytes have been passed to the kernel.
   std::function<void()> m_onFlushed;
+  /// Called when a connection that was being established is open.
+  std::function<void()> m_onEstablished;
 };
 
 /// An HTTP/1.1 connection on a bufferevent, parsed by http-parser. `Head` selects the side:
@@ -82,6 +84,9 @@
   void ExpectNoBody() { m_expectNoBody = true; }
   /// Closes the connection immediately. No callback follows.
   void Close();
+  /// Closes the connection immediately and discards bytes that the peer has not received yet. No
+  /// callback follows.
+  void Reset();
   /// Closes the connection once all written bytes have been passed to the kernel. No callback
   /// follows.
   void CloseWhenFlushed();
--- a/packages/adapters/http1/JsonClient.cpp
+++ b/packages/adapters/http1/JsonClient.cpp
@@ -1,5 +1,7 @@
 #include "adapters/http1/JsonClient.h"
 
+#include <algorithm>
+
 namespace papayafield::adapters::http1 {
 
 namespace {
@@ -14,6 +16,8 @@
 
 struct JsonClient::PendingCall {
   std::string m_bytes;
+  base::TimePoint m_validUntil;
+  bool m_sent = false;
   std::shared_ptr<ClientConnection> m_connection;
   CallResult m_result;
   OnDone m_onDone;
@@ -44,7 +48,8 @@
                       const std::string& aBody,
                       Fields aFields,
                       base::Millis aTimeout,
-                      OnDone aOnDone) {
+                      OnDone aOnDone,
+                      base::TimePoint aValidUntil) {
   ++m_callCount;
   RequestHead head;
   head.m_method = std::move(aMethod);
@@ -56,18 +61,36 @@
   }
   auto call = std::make_shared<PendingCall>();
   call->m_bytes = Serialize(head, aBody);
+  call->m_validUntil = aValidUntil;
   call->m_onDone = std::move(aOnDone);
   m_pendingCalls.push_back(call);
-  call->m_timer = m_loop.After(aTimeout, [this, weak = std::weak_ptr(call)] {
+  base::Millis limit = aTimeout;
+  if (aValidUntil != base::TimePoint::max()) {
+    const auto validFor = std::chrono::duration_cast<base::Millis>(aValidUntil - base::BootNow());
+    limit = std::clamp(validFor, base::Millis(0), aTimeout);
+  }
+  call->m_timer = m_loop.After(limit, [this, weak = std::weak_ptr(call)] {
     if (const auto late = weak.lock()) {
-      late->m_result.m_maybeExecuted = late->m_connection->IsEstablished();
-      late->m_result.m_status = 0;
-      Finish(late, late->m_result, false);
+      Expire(late);
     }
   });
   Start(call);
 }
 
+void JsonClient::Expire(const std::shared_ptr<PendingCall>& aCall) {
+  // Without the reset, the kernel would go on sending bytes that the service has not received yet.
+  aCall->m_connection->Reset();
+  Finish(aCall, { 0, {}, aCall->m_sent }, false);
+}
+
+void JsonClient::Send(const std::shared_ptr<PendingCall>& aCall) {
+  // The time limit ends a call that has expired; its timer may be late after a suspension.
+  if (base::BootNow() < aCall->m_validUntil) {
+    aCall->m_sent = true;
+    aCall->m_connection->Write(aCall->m_bytes);
+  }
+}
+
 void JsonClient::Start(const std::shared_ptr<PendingCall>& aCall) {
   if (m_idleConnections.empty()) {
     aCall->m_connection = ClientConnection::ConnectTo(m_loop, m_service, kUnacknowledgedTimeout);
@@ -93,13 +116,20 @@
       Finish(call, call->m_result, call->m_connection->ShouldKeepAlive());
     }
   };
+  events.m_onEstablished = [this, weak] {
+    if (const auto call = weak.lock()) {
+      Send(call);
+    }
+  };
   events.m_onEnd = [this, weak](EndKind aKind, bool /*aInMessage*/) {
     if (const auto call = weak.lock()) {
       Finish(call, { 0, {}, aKind != EndKind::NotConnected }, false);
     }
   };
   aCall->m_connection->SetEvents(std::move(events));
-  aCall->m_connection->Write(aCall->m_bytes);
+  if (aCall->m_connection->IsEstablished()) {
+    Send(aCall);
+  }
 }
 
 void JsonClient::Finish(const std::shared_ptr<PendingCall>& aCall,
--- a/packages/adapters/http1/JsonClient.h
+++ b/packages/adapters/http1/JsonClient.h
@@ -37,14 +37,15 @@
   JsonClient& operator=(JsonClient&&) = delete;
 
   /// Sends a request with the additional header fields `aFields` and calls `aOnDone` with the
-  /// result. Without a complete response after `aTimeout`, the call fails and its connection is
-  /// closed.
+  /// result. Without a complete response after `aTimeout`, or at `aValidUntil` on the boot-time
+  /// clock, the call fails and its connection is reset. Nothing is sent after `aValidUntil`.
   void Call(std::string aMethod,
             std::string aTarget,
             const std::string& aBody,
             Fields aFields,
             base::Millis aTimeout,
-            OnDone aOnDone);
+            OnDone aOnDone,
+            base::TimePoint aValidUntil = base::TimePoint::max());
   /// Returns the number of calls made so far.
   uint64_t CallCount() const { return m_callCount; }
   /// Closes all idle connections, so that the next call opens a new one.
@@ -54,6 +55,8 @@
   struct PendingCall;
 
   void Start(const std::shared_ptr<PendingCall>& aCall);
+  void Send(const std::shared_ptr<PendingCall>& aCall);
+  void Expire(const std::shared_ptr<PendingCall>& aCall);
   void Finish(const std::shared_ptr<PendingCall>& aCall, CallResult aResult, bool aReuse);
 
   http::EventLoop& m_loop;
--- a/packages/adapters/http1/tests/ConnectionTest.cpp
+++ b/packages/adapters/http1/tests/ConnectionTest.cpp
@@ -271,4 +271,63 @@
   BOOST_TEST(!result->m_maybeExecuted);
 }
 
+// A call whose validity has ended is not sent, also on an open connection.
+BOOST_AUTO_TEST_CASE(ExpiredCallIsNotSent) {
+  http::EventLoop loop;
+  const base::Address address{ "127.0.0.1", static_cast<uint16_t>(20000 + getpid() % 9000) };
+  int requests = 0;
+  SimpleServer server(loop, address, [&](const RequestHead& /*aHead*/) {
+    ++requests;
+    return SimpleResponse{ 200, "text/plain", "" };
+  });
+  BOOST_REQUIRE(server.Listening());
+  JsonClient client(loop, address);
+  std::vector<CallResult> results;
+  const auto onDone = [&](const CallResult& aResult) {
+    results.push_back(aResult);
+    loop.Stop();
+  };
+  const auto expired = base::BootNow() - base::Millis(1);
+  for (const auto validUntil : { base::TimePoint::max(), expired, base::TimePoint::max() }) {
+    client.Call("POST", "/", "{}", {}, base::Millis(60000), onDone, validUntil);
+    loop.Run();
+  }
+  BOOST_TEST(requests == 2);
+  BOOST_TEST(results[1].m_status == 0);
+  BOOST_TEST(!results[1].m_maybeExecuted);
+  BOOST_TEST(results[2].m_status == 200);
+}
+
+// A call without an answer ends with its validity, and its connection is reset, so that the kernel
+// does not go on sending it.
+BOOST_AUTO_TEST_CASE(UnansweredCallIsResetWhenItsValidityEnds) {
+  http::EventLoop loop;
+  const base::Address address{ "127.0.0.1", static_cast<uint16_t>(20000 + getpid() % 9000) };
+  std::shared_ptr<ServerConnection> served;
+  std::optional<EndKind> end;
+  std::optional<CallResult> result;
+  const Listener listener(loop, address, 4096, [&](std::shared_ptr<ServerConnection> aConnection) {
+    served = std::move(aConnection);
+    ConnectionEvents<RequestHead> events;
+    events.m_onEnd = [&](EndKind aKind, bool /*aInMessage*/) {
+      end = aKind;
+      loop.Stop();
+    };
+    served->SetEvents(std::move(events));
+  });
+  JsonClient client(loop, address);
+  client.Call(
+    "POST",
+    "/",
+    "{}",
+    {},
+    base::Millis(60000),
+    [&](const CallResult& aResult) { result = aResult; },
+    base::BootNow() + base::Millis(200));
+  loop.Run();
+  BOOST_TEST((end == EndKind::Reset));
+  BOOST_REQUIRE(result.has_value());
+  BOOST_TEST(result->m_maybeExecuted);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/base/Time.h
+++ b/packages/base/Time.h
@@ -30,6 +30,12 @@
   return TimePoint(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
 }
 
+/// The machine's boot-time clock, see BootNow(). Thread safe.
+class BootClock {
+public:
+  TimePoint Now() const { return BootNow(); }
+};
+
 /// The machine's monotonic clock. Thread safe.
 class SteadyClock {
 public:
--- a/packages/duties/Autoscaler.h
+++ b/packages/duties/Autoscaler.h
@@ -22,11 +22,11 @@
 
   /// Sends the orders that differ from the last accepted ones. Called twice a second while this
   /// node is the leader.
-  void Tick(FencingToken aFencingToken,
+  void Tick(const Leadership& aLeadership,
             const fleet::Catalog& aCatalog,
             const fleet::EndpointDirectory& aDirectory) {
-    if (m_fencingToken != aFencingToken) {
-      m_fencingToken = aFencingToken;
+    if (m_fencingToken != aLeadership.m_token) {
+      m_fencingToken = aLeadership.m_token;
       m_sentOrders.clear();
     }
     const auto now = base::BootNow();
@@ -38,7 +38,7 @@
         }
       }
       for (const ScalingOrder& order : m_policy.Plan(service, endpoints, now)) {
-        SendOrder(service, order, now);
+        SendOrder(service, order, aLeadership, now);
       }
     }
   }
@@ -61,7 +61,10 @@
   };
   using OrderKey = std::tuple<fleet::ServiceId, base::ZoneId, bool>;
 
-  void SendOrder(const fleet::Service& aService, const ScalingOrder& aOrder, base::TimePoint aNow) {
+  void SendOrder(const fleet::Service& aService,
+                 const ScalingOrder& aOrder,
+                 const Leadership& aLeadership,
+                 base::TimePoint aNow) {
     const OrderKey key{ aOrder.m_service, aOrder.m_zone, aOrder.m_reclaimable };
     SentOrder& sent = m_sentOrders[key];
     const bool same = sent.m_count == aOrder.m_count;
@@ -71,7 +74,7 @@
     }
     sent = { aOrder.m_count, kRetryDelay, true, aNow };
     m_platform.OrderEngines(
-      aOrder, *m_fencingToken, [this, key, aService, aOrder](PlatformCallOutcome aOutcome) {
+      aOrder, aLeadership, [this, key, aService, aOrder](PlatformCallOutcome aOutcome) {
         SentOrder& settled = m_sentOrders[key];
         settled.m_isPending = false;
         settled.m_repeatDelay = aOutcome == PlatformCallOutcome::Accepted   ? kRepeatInterval
--- a/packages/duties/LeaderElection.h
+++ b/packages/duties/LeaderElection.h
@@ -24,30 +24,41 @@
   base::Millis m_leaseDuration{ 3000 };
   /// Safety margin subtracted from the lease duration, for clock drift and calls in flight.
   base::Millis m_safetyMargin{ 400 };
+  /// Minimum remaining leadership with which a leader call is started, so that it usually ends
+  /// before it has to be cut off.
+  base::Millis m_minCallTime{ 300 };
 };
 
 /// Elects at most one leader of the fleet at a time. The node that creates the key under its own
 /// lease is the leader until the lease ends. The revision at which the key was created is the
 /// fencing token. Used on the event loop thread only.
-template<store::StorePort Store>
+template<store::StorePort Store, base::ClockPort Clock = base::BootClock>
 class LeaderElection {
 public:
   LeaderElection(Store& aStore,
                  const sync::StoreReplica& aReplica,
-                 LeaderElectionSettings aSettings)
+                 LeaderElectionSettings aSettings,
+                 const Clock& aClock = {})
     : m_store(aStore)
     , m_replica(aReplica)
-    , m_settings(std::move(aSettings)) {}
-
-  /// Returns the fencing token while this node is certain to be the leader, otherwise nullopt.
-  std::optional<FencingToken> CurrentFencingToken() const {
-    return m_fencingToken && base::BootNow() < m_validUntil ? m_fencingToken : std::nullopt;
+    , m_settings(std::move(aSettings))
+    , m_clock(aClock) {}
+
+  /// Returns whether this node is certain to be the leader.
+  bool IsLeader() const { return m_fencingToken && m_clock.Now() < m_validUntil; }
+  /// Returns the permission for a leader call while this node is the leader for long enough to make
+  /// one, otherwise nullopt.
+  std::optional<Leadership> CurrentLeadership() const {
+    if (!m_fencingToken || m_clock.Now() + m_settings.m_minCallTime > m_validUntil) {
+      return std::nullopt;
+    }
+    return Leadership{ *m_fencingToken, m_validUntil };
   }
 
   /// Acquires leadership if there is no leader, and renews the lease. Called several times a
   /// second. This node campaigns only if `aMayLead` is true.
   void Tick(bool aMayLead) {
-    if (m_fencingToken && base::BootNow() >= m_validUntil) {
+    if (m_fencingToken && m_clock.Now() >= m_validUntil) {
       LoseLeadership("expired");
     }
     if (m_callInFlight) {
@@ -68,10 +79,10 @@
     }
   }
 
-  /// Gives up leadership at once, so that another node can acquire it.
+  /// Gives up leadership. The lease is left to expire, since a call in progress may be sent until
+  /// then, and must not arrive after a call of the next leader.
   void Resign() {
     if (m_fencingToken) {
-      m_store.EndLease(m_lease);
       LoseLeadership("resigned");
     }
   }
@@ -83,6 +94,7 @@
   void LoseLeadership(const char* aReason) {
     m_log.Event("leadership lost", { { "fence", *m_fencingToken }, { "why", aReason } });
     m_fencingToken.reset();
+    m_leaseValidUntil = {};
   }
 
   void BecomeLeader(FencingToken aFencingToken, base::TimePoint aValidUntil) {
@@ -99,7 +111,7 @@
   void RecoverLeadership() {
     const store::Item* item = m_replica.Find(m_settings.m_key);
     if (item != nullptr && m_lease != 0 && item->m_data == LeaderValue() &&
-        base::BootNow() < m_leaseValidUntil) {
+        m_clock.Now() < m_leaseValidUntil) {
       BecomeLeader(item->m_created, m_leaseValidUntil);
     }
   }
@@ -109,7 +121,7 @@
       m_acquireAt.reset();
       return;
     }
-    const auto now = base::BootNow();
+    const auto now = m_clock.Now();
     if (!m_acquireAt) {
       m_acquireAt =
         now +
@@ -147,7 +159,7 @@
   }
 
   void RenewWhenDue() {
-    const auto now = base::BootNow();
+    const auto now = m_clock.Now();
     if (m_validUntil - now > m_settings.m_leaseDuration * 3 / 5) {
       return;
     }
@@ -168,6 +180,7 @@
   Store& m_store;
   const sync::StoreReplica& m_replica;
   LeaderElectionSettings m_settings;
+  const Clock m_clock;
   const base::Log m_log{ "duties" };
   store::LeaseId m_lease = 0;
   base::TimePoint m_leaseValidUntil{};
--- a/packages/duties/LeaderPlatformPort.h
+++ b/packages/duties/LeaderPlatformPort.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/EnumNames.h"
+#include "base/Time.h"
 #include "duties/ScalingPolicy.h"
 #include "duties/UsageLedger.h"
 
@@ -14,6 +15,14 @@
 /// whose token is smaller than one it has seen.
 using FencingToken = uint64_t;
 
+/// Permission to make leader calls until a point in time.
+struct Leadership {
+  FencingToken m_token = 0;
+  /// Time on the boot-time clock from which another node may be the leader. No byte of a leader
+  /// call may be sent after it, since the platform may not check the token.
+  base::TimePoint m_validUntil{};
+};
+
 /// Outcome of a platform call.
 enum class PlatformCallOutcome {
   Accepted,
@@ -33,10 +42,10 @@
 concept LeaderPlatformPort = requires(T& aPort,
                                       int64_t aWindow,
                                       UsageLedger::Counts aCounts,
-                                      FencingToken aFencingToken,
+                                      Leadership aLeadership,
                                       ScalingOrder aOrder) {
-  aPort.ReportUsage(aWindow, aCounts, aFencingToken, OnPlatformCallOutcome());
-  aPort.OrderEngines(aOrder, aFencingToken, OnPlatformCallOutcome());
+  aPort.ReportUsage(aWindow, aCounts, aLeadership, OnPlatformCallOutcome());
+  aPort.OrderEngines(aOrder, aLeadership, OnPlatformCallOutcome());
 };
 
 } // namespace papayafield::duties
--- a/packages/duties/UsageReporter.h
+++ b/packages/duties/UsageReporter.h
@@ -55,18 +55,18 @@
 
   /// Sends or writes the next report that is due. Called several times a second while this node is
   /// the leader.
-  void Tick(FencingToken aFencingToken) {
+  void Tick(const Leadership& aLeadership) {
     if (m_callInFlight) {
       return;
     }
-    if (m_fencingToken != aFencingToken) {
-      m_fencingToken = aFencingToken;
+    if (m_fencingToken != aLeadership.m_token) {
+      m_fencingToken = aLeadership.m_token;
       m_acceptedWindows.clear();
     }
     const int64_t now = base::WallMillis();
     m_ledger.RemoveWindowsBefore(m_ledger.WindowOf(now) - kMaxStoredWindows);
     const Reports reports = ReadStoredReports();
-    if (SendNextReport(reports, now)) {
+    if (SendNextReport(reports, now, aLeadership)) {
       return;
     }
     WriteNextReport(reports, now);
@@ -99,16 +99,18 @@
 
   /// Sends the oldest report that was not yet accepted under the present fencing token. Returns
   /// false if there is none.
-  bool SendNextReport(const Reports& aReports, int64_t aNow) {
+  bool SendNextReport(const Reports& aReports, int64_t aNow, const Leadership& aLeadership) {
     for (const auto& [window, counts] : aReports) {
       if (m_acceptedWindows.contains(window) ||
           aNow > m_ledger.WindowEndMs(window) + m_settings.m_reportDeadline.count()) {
         continue;
       }
       m_callInFlight = true;
-      const FencingToken token = *m_fencingToken;
       m_platform.ReportUsage(
-        window, counts, token, [this, token, window = window](PlatformCallOutcome aOutcome) {
+        window,
+        counts,
+        aLeadership,
+        [this, token = aLeadership.m_token, window = window](PlatformCallOutcome aOutcome) {
           m_callInFlight = false;
           m_log.Event(
             "usage sent",
--- a/packages/duties/tests/DutiesTest.cpp
+++ b/packages/duties/tests/DutiesTest.cpp
@@ -3,7 +3,6 @@
 
 #include <boost/test/unit_test.hpp>
 #include <set>
-#include <thread>
 
 using namespace papayafield;
 using namespace papayafield::duties;
@@ -54,6 +53,12 @@
     std::erase_if(m_items, [&](const auto& aItem) { return m_leases[aItem.first] == aLease; });
   }
 
+  void ExpireLeases() {
+    for (const auto& [key, lease] : std::map(m_leases)) {
+      EndLease(lease);
+    }
+  }
+
   /// Updates a replica with the present items, as a watch would.
   void UpdateReplica(sync::StoreReplica& aReplica) {
     std::vector<store::Item> items;
@@ -78,13 +83,15 @@
 public:
   void ReportUsage(int64_t aWindow,
                    const UsageLedger::Counts& aCounts,
-                   FencingToken aFencingToken,
+                   const Leadership& aLeadership,
                    const OnPlatformCallOutcome& aOnOutcome) {
     m_reports.push_back({ aWindow, aCounts });
-    m_fencingTokens.push_back(aFencingToken);
+    m_fencingTokens.push_back(aLeadership.m_token);
     aOnOutcome(m_outcome);
   }
-  void OrderEngines(const ScalingOrder&, FencingToken, const OnPlatformCallOutcome& aOnOutcome) {
+  void OrderEngines(const ScalingOrder&,
+                    const Leadership&,
+                    const OnPlatformCallOutcome& aOnOutcome) {
     aOnOutcome(m_outcome);
   }
 
@@ -97,11 +104,18 @@
 
 constexpr int64_t kWindowMs = 5000;
 
+/// Reads the manual clock of a node.
+struct NodeClock {
+  base::TimePoint Now() const { return m_clock->Now(); }
+  base::ManualClock* m_clock;
+};
+
 struct Node {
-  explicit Node(FakeStore& aStore, FakePlatform& aPlatform, const std::string& aIncarnation)
+  Node(FakeStore& aStore, FakePlatform& aPlatform, const std::string& aIncarnation)
     : m_election(aStore,
                  m_replica,
-                 { "duties", aIncarnation, base::Millis(60000), base::Millis(100) })
+                 { "duties", aIncarnation, base::Millis(60000), base::Millis(100) },
+                 NodeClock{ &m_clock })
     , m_ledger(kWindowMs)
     , m_reporter(
         aStore,
@@ -112,19 +126,22 @@
         [](int64_t) { return true; },
         [this](FencingToken aFencingToken) { m_election.OnTokenRejected(aFencingToken); }) {}
 
+  FencingToken Token() const { return m_election.CurrentLeadership()->m_token; }
+
   /// Ticks until the node is the leader; it first waits for a random delay.
   void AwaitLeadership(FakeStore& aStore) {
-    while (!m_election.CurrentFencingToken()) {
+    while (!m_election.CurrentLeadership()) {
+      m_clock.Advance(base::Millis(100));
       aStore.UpdateReplica(m_replica);
       m_election.Tick(true);
-      std::this_thread::sleep_for(base::Millis(2));
     }
   }
 
+  base::ManualClock m_clock;
   sync::StoreReplica m_replica{
     [](const std::string&, const std::optional<store::Item>&, uint64_t) {}
   };
-  LeaderElection<FakeStore> m_election;
+  LeaderElection<FakeStore, NodeClock> m_election;
   UsageLedger m_ledger;
   UsageReporter<FakeStore, FakePlatform> m_reporter;
 };
@@ -145,12 +162,15 @@
   for (int i = 0; i < 5; ++i) {
     two.m_election.Tick(true);
   }
-  BOOST_TEST(!two.m_election.CurrentFencingToken());
-  const FencingToken first = *one.m_election.CurrentFencingToken();
+  BOOST_TEST(!two.m_election.IsLeader());
+  const FencingToken first = one.Token();
   one.m_election.Resign();
-  BOOST_TEST(!one.m_election.CurrentFencingToken());
+  BOOST_TEST(!one.m_election.IsLeader());
+  // A call of the first leader may still be under way, so its lease is not ended early.
+  BOOST_TEST(store.m_items.contains("duties"));
+  store.ExpireLeases();
   two.AwaitLeadership(store);
-  BOOST_TEST(*two.m_election.CurrentFencingToken() > first);
+  BOOST_TEST(two.Token() > first);
 }
 
 BOOST_AUTO_TEST_CASE(LeadershipIsRecoveredAfterALostResponse) {
@@ -159,7 +179,7 @@
   Node one(store, platform, "one");
   store.m_loseNextResponse = true;
   one.AwaitLeadership(store);
-  BOOST_TEST(*one.m_election.CurrentFencingToken() == store.m_items["duties"].m_created);
+  BOOST_TEST(one.Token() == store.m_items["duties"].m_created);
 }
 
 BOOST_AUTO_TEST_CASE(RejectedFencingTokenEndsLeadership) {
@@ -167,8 +187,8 @@
   FakePlatform platform;
   Node one(store, platform, "one");
   one.AwaitLeadership(store);
-  one.m_election.OnTokenRejected(*one.m_election.CurrentFencingToken());
-  BOOST_TEST(!one.m_election.CurrentFencingToken());
+  one.m_election.OnTokenRejected(one.Token());
+  BOOST_TEST(!one.m_election.IsLeader());
 }
 
 // A later leader with different counts repeats the written report and never contradicts it.
@@ -186,11 +206,11 @@
   store.m_loseNextResponse = true;
   for (int tick = 0; tick < 3; ++tick) {
     store.UpdateReplica(one.m_replica);
-    one.m_reporter.Tick(1);
+    one.m_reporter.Tick(Leadership{ 1, base::TimePoint::max() });
   }
   for (int tick = 0; tick < 3; ++tick) {
     store.UpdateReplica(two.m_replica);
-    two.m_reporter.Tick(2);
+    two.m_reporter.Tick(Leadership{ 2, base::TimePoint::max() });
   }
   std::map<int64_t, std::set<uint64_t>> counts;
   for (const auto& [reported, teams] : platform.m_reports) {
@@ -208,7 +228,7 @@
   const int64_t window = late.m_ledger.WindowOf(base::WallMillis()) - 1;
   late.m_ledger.CountLocalRequest(kTeam, window * kWindowMs + 1);
   store.m_items["usage"] = { "usage", "[]", 77, 77 };
-  late.m_reporter.Tick(1);
+  late.m_reporter.Tick(Leadership{ 1, base::TimePoint::max() });
   BOOST_TEST(platform.m_reports.empty());
 }
 
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -151,7 +151,7 @@
     m_state.m_metrics.Set("configuration", static_cast<double>(ConfigurationVersion()));
     m_state.m_metrics.Set("endpoint_connects", static_cast<double>(m_state.m_pool.ConnectCount()));
     m_state.m_metrics.Set("calls_open", static_cast<double>(m_gateway.BusyCount()));
-    m_state.m_metrics.Set("holds_duties", m_leaderElection.CurrentFencingToken() ? 1 : 0);
+    m_state.m_metrics.Set("holds_duties", m_leaderElection.IsLeader() ? 1 : 0);
     return m_state.m_metrics.Page();
   }
 
@@ -471,16 +471,16 @@
     const bool hasAllCounts = m_peerTable.OlderReadyCount(base::BootNow()) < kLeaderCandidates;
     m_leaderElection.Tick(Ready() && m_storeWatcher.Loaded() && m_storeWatcher.IsStoreReachable() &&
                           hasAllCounts);
-    const auto token = m_leaderElection.CurrentFencingToken();
-    if (!token || m_state.Catalog() == nullptr) {
+    const auto leadership = m_leaderElection.CurrentLeadership();
+    if (!leadership || m_state.Catalog() == nullptr) {
       return;
     }
     WriteDemandRecord(base::BootNow());
     if (m_settings.m_reportsUsage) {
-      m_reporter.Tick(*token);
+      m_reporter.Tick(*leadership);
     }
     if (m_settings.m_autoscales) {
-      m_autoscaler.Tick(*token, *m_state.Catalog(), m_state.m_directory);
+      m_autoscaler.Tick(*leadership, *m_state.Catalog(), m_state.m_directory);
     }
   }
 
--- a/standins/fleet/main.cpp
+++ b/standins/fleet/main.cpp
@@ -135,6 +135,7 @@
     const uint64_t fencingToken = std::strtoull(token.c_str(), nullptr, 10);
     uint64_t& highest = m_fencingTokens[aPath];
     if (fencingToken < highest) {
+      ++m_staleLeaderCalls;
       aReply(409, json::object());
       return;
     }
@@ -198,6 +199,7 @@
     return { { "runs", runs },
              { "cut_off", m_callLog.m_interruptedCalls },
              { "duties", m_leaderCalls },
+             { "stale_duties", m_staleLeaderCalls },
              { "store_calls", m_store.CallCount() } };
   }
 
@@ -209,6 +211,8 @@
   std::vector<std::unique_ptr<Runner>> m_runners;
   std::map<std::string, uint64_t> m_fencingTokens;
   json m_leaderCalls = json::array();
+  /// Leader calls with a smaller fencing token than an earlier one.
+  int m_staleLeaderCalls = 0;
   std::set<std::shared_ptr<ServerConnection>> m_connections;
   Listener m_listener;
 };
--- a/tests/integration/PlatformPathTest.cpp
+++ b/tests/integration/PlatformPathTest.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <optional>
 #include <set>
 #include <thread>
 
@@ -288,4 +289,44 @@
   BOOST_TEST(total() == 2 * kCalls);
 }
 
+// A leader that was paused until another node had taken over sends nothing when it continues: on a
+// platform that does not check tokens, its call would count. The pauses begin at different moments
+// of a usage window.
+BOOST_AUTO_TEST_CASE(PausedLeaderSendsNothingAfterItsLease) {
+  PlatformFleet fleet(3, 2);
+  const auto leader = [&]() -> std::optional<size_t> {
+    for (size_t node = 0; node < 3; ++node) {
+      if (fleet.ReadMetric(node, "holds_duties") == 1) {
+        return node;
+      }
+    }
+    return std::nullopt;
+  };
+  const auto calls = [&] { return fleet.PostControl("report").at("duties").size(); };
+  for (int round = 0; round < 4; ++round) {
+    BOOST_REQUIRE(PlatformFleet::WaitUntil([&] { return leader().has_value(); }));
+    const size_t paused = *leader();
+    const size_t other = (paused + 1) % 3;
+    const size_t reported = calls();
+    for (int i = 0; i < 3; ++i) {
+      BOOST_TEST(fleet.Send(other, "POST", "/once/a").m_status == 200);
+    }
+    BOOST_TEST(PlatformFleet::WaitUntil([&] { return calls() > reported; }));
+    BOOST_TEST(fleet.Send(other, "POST", "/once/a").m_status == 200);
+    std::this_thread::sleep_for(base::Millis(260 * round));
+    fleet.NodeProcess(paused).Signal(SIGSTOP);
+    const size_t before = calls();
+    // The next leader repeats the last reports under its own token.
+    BOOST_TEST(PlatformFleet::WaitUntil([&] {
+      return (fleet.ReadMetric(other, "holds_duties") == 1 ||
+              fleet.ReadMetric((paused + 2) % 3, "holds_duties") == 1) &&
+             calls() > before;
+    }));
+    fleet.NodeProcess(paused).Signal(SIGCONT);
+    std::this_thread::sleep_for(base::Millis(500));
+    BOOST_TEST(fleet.PostControl("report").at("stale_duties") == 0);
+    BOOST_TEST(fleet.ReadMetric(paused, "holds_duties") == 0);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
