Quotas: the nodes of the working set share the rate among themselves

Change: a node of the working set shares by its size and reckons with views of 0.5 s; nodes outside go on as before.

--- a/packages/quota/QuotaLedger.cpp
+++ b/packages/quota/QuotaLedger.cpp
@@ -125,6 +125,7 @@
 
 void QuotaLedger::SetFleetSize(size_t aReachable,
                                size_t aKnownCount,
+                               size_t aSharing,
                                double aGossipAgeSeconds,
                                base::TimePoint aNow) {
   m_gossipAgeSeconds = aGossipAgeSeconds;
@@ -132,13 +133,13 @@
     m_firstFleetSizeAt = aNow;
   }
   if (aReachable * 2 < aKnownCount && aNow - *m_firstFleetSizeAt < kInitialReachabilityWait) {
-    m_reachableNodes = std::max<size_t>(aKnownCount, 1);
+    m_sharingNodes = std::max<size_t>(aKnownCount, 1);
     return;
   }
   for (auto& [team, bucket] : m_buckets) {
     Refill(team, bucket, aNow);
   }
-  m_reachableNodes = std::max<size_t>(aReachable, 1);
+  m_sharingNodes = std::max<size_t>(aSharing, 1);
   m_reachableFraction = std::min(
     static_cast<double>(aReachable) / static_cast<double>(std::max<size_t>(aKnownCount, 1)), 1.0);
 }
@@ -157,7 +158,7 @@
   const auto localMeter = m_localDemand.find(aTeam);
   const double localDemand =
     (localMeter == m_localDemand.end() ? 0 : localMeter->second.m_rate) + kMinNodeDemand;
-  double totalDemand = localDemand + kMinNodeDemand * static_cast<double>(m_reachableNodes - 1);
+  double totalDemand = localDemand + kMinNodeDemand * static_cast<double>(m_sharingNodes - 1);
   for (const auto& [name, peer] : m_peers) {
     if (const auto meter = peer.m_requested.find(aTeam); meter != peer.m_requested.end()) {
       totalDemand += meter->second.m_rate;
--- a/packages/quota/QuotaLedger.h
+++ b/packages/quota/QuotaLedger.h
@@ -70,9 +70,11 @@
   /// Updates the size of the fleet.
   /// \param aReachable number of reachable nodes, including this one.
   /// \param aKnownCount number of known nodes, including this one.
-  /// \param aGossipAgeSeconds age of the other nodes' views in seconds.
+  /// \param aSharing number of nodes that callers are directed to, if this is one of them;
+  /// otherwise `aReachable`. \param aGossipAgeSeconds age of the views of those nodes in seconds.
   void SetFleetSize(size_t aReachable,
                     size_t aKnownCount,
+                    size_t aSharing,
                     double aGossipAgeSeconds,
                     base::TimePoint aNow);
   /// Returns the units left in the team's bucket; negative if it is overdrawn.
@@ -118,7 +120,8 @@
   std::map<base::NodeId, Peer> m_peers;
   /// Fraction of the quota that this side of a partition may use; 0 before the fleet size is known.
   double m_reachableFraction = 0;
-  size_t m_reachableNodes = 1;
+  /// Number of nodes over which the demand is spread.
+  size_t m_sharingNodes = 1;
   /// Time of the first call of SetFleetSize.
   std::optional<base::TimePoint> m_firstFleetSizeAt;
   double m_gossipAgeSeconds = 0.25;
--- a/packages/quota/tests/QuotaLedgerTest.cpp
+++ b/packages/quota/tests/QuotaLedgerTest.cpp
@@ -33,8 +33,11 @@
 /// Simulates nodes that exchange heartbeats with a delay and may be partitioned or restarted.
 class FleetSimulation {
 public:
-  explicit FleetSimulation(size_t aNodes, uint64_t aSeed)
-    : m_random(aSeed) {
+  /// Calls go to `aWorkingSet` of the nodes, which exchange heartbeats each interval; a node sends
+  /// its heartbeats to 12 others in turn besides. All nodes are in the working set if it is 0.
+  FleetSimulation(size_t aNodes, uint64_t aSeed, size_t aWorkingSet = 0)
+    : m_random(aSeed)
+    , m_workingSet(aWorkingSet == 0 ? aNodes : aWorkingSet) {
     for (size_t i = 0; i < aNodes; ++i) {
       m_nodes.push_back({ QuotaLedger({ kOverrun, kSlack }), 1, false });
       m_nodes.back().m_ledger.Configure(OneTeam(), m_now);
@@ -45,6 +48,9 @@
     m_nodes[aNode].m_partitioned = aPartitioned;
   }
 
+  /// Directs the calls to the next nodes.
+  void MoveWorkingSet() { m_firstWorking += m_workingSet; }
+
   /// Restarts all nodes and gives them the record of their demand as if it were `aAge` old.
   void RestartAll(base::Millis aAge) {
     const auto record = m_nodes.front().m_ledger.Demand();
@@ -70,7 +76,7 @@
       const double calls = aDemand * std::chrono::duration<double>(kStep).count() / kUnitsPerCall;
       m_pendingCalls += calls;
       for (; m_pendingCalls >= 1; m_pendingCalls -= 1) {
-        const size_t node = m_random() % m_nodes.size();
+        const size_t node = m_firstWorking + m_random() % m_workingSet;
         ++m_requestedCalls;
         if (m_nodes[node].m_ledger.TryTake(kTeam, kUnitsPerCall, m_now)) {
           m_grants.push_back({ m_now, kUnitsPerCall });
@@ -106,7 +112,15 @@
     QuotaLedger::View m_view;
   };
 
+  bool IsWorking(size_t aNode) const {
+    return aNode >= m_firstWorking && aNode < m_firstWorking + m_workingSet;
+  }
+
   void SendHeartbeats() {
+    const bool isLarge = m_workingSet < m_nodes.size();
+    constexpr size_t kFanout = 12;
+    const size_t rounds = isLarge ? m_nodes.size() / kFanout + 1 : 1;
+    ++m_round;
     for (size_t from = 0; from < m_nodes.size(); ++from) {
       Node& node = m_nodes[from];
       const auto view = node.m_ledger.UpdateLocalView(m_now);
@@ -114,12 +128,18 @@
       for (size_t to = 0; to < m_nodes.size(); ++to) {
         if (to != from && !node.m_partitioned && !m_nodes[to].m_partitioned) {
           ++reachable;
+          const bool isDue = (to + from) % rounds == m_round % rounds;
           const bool recentlyStarted = m_now - node.m_startedAt < base::Millis(3000);
-          m_messages.push_back(
-            { m_now + kMessageDelay, from, to, node.m_incarnation, recentlyStarted, view });
+          if (isDue || (IsWorking(from) && IsWorking(to))) {
+            m_messages.push_back(
+              { m_now + kMessageDelay, from, to, node.m_incarnation, recentlyStarted, view });
+          }
         }
       }
-      node.m_ledger.SetFleetSize(reachable, m_nodes.size(), 0.25, m_now);
+      const bool isWorking = IsWorking(from);
+      const double age = !isLarge ? 0.25 : isWorking ? 0.5 : 0.25 * static_cast<double>(rounds);
+      node.m_ledger.SetFleetSize(
+        reachable, m_nodes.size(), isWorking && isLarge ? m_workingSet : reachable, age, m_now);
     }
   }
 
@@ -146,6 +166,9 @@
 
   std::vector<Node> m_nodes;
   std::mt19937_64 m_random;
+  size_t m_workingSet;
+  size_t m_firstWorking = 0;
+  size_t m_round = 0;
   base::TimePoint m_now{ std::chrono::hours(1) };
   std::deque<Message> m_messages;
   std::deque<std::pair<base::TimePoint, double>> m_grants;
@@ -267,4 +290,34 @@
   BOOST_TEST(ledger.TryTake(base::TeamId("free"), 1e12, base::TimePoint{}));
 }
 
+// A large fleet whose nodes all get calls refuses most of what is within the quota: each node's
+// share is less than a call, and what the others granted is seconds old. A working set grants it.
+BOOST_AUTO_TEST_CASE(WorkingSetOfALargeFleetGrantsWhatTheQuotaAllows) {
+  for (uint64_t seed = 1; seed <= 5; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      FleetSimulation fleet(195, seed, 35);
+      fleet.Run(base::Millis(3000), kRate * 0.3);
+      fleet.Run(base::Millis(12000), kRate * 0.85);
+      BOOST_TEST(fleet.GrantedFraction() > 0.97);
+      BOOST_TEST(fleet.MaxUnitsInWindow() <= kMaxUnitsPerWindow);
+    }
+  }
+}
+
+// A team that asks for three times its quota stays within it, also while the calls move to other
+// nodes.
+BOOST_AUTO_TEST_CASE(QuotaHoldsWhileTheWorkingSetMoves) {
+  for (uint64_t seed = 1; seed <= 5; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      FleetSimulation fleet(195, seed, 35);
+      fleet.Run(base::Millis(10000), kRate * 3);
+      fleet.MoveWorkingSet();
+      fleet.Run(base::Millis(5000), kRate * 3);
+      fleet.MoveWorkingSet();
+      fleet.Run(base::Millis(10000), kRate * 3);
+      BOOST_TEST(fleet.MaxUnitsInWindow() <= kMaxUnitsPerWindow);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -156,6 +156,8 @@
   static constexpr double kMillisPerSecond = 1000;
   /// Interval of heartbeats and other periodic work.
   static constexpr base::Millis kTickInterval{ 250 };
+  /// Age of the views that nodes of the working set have of one another: one lost heartbeat.
+  static constexpr base::Millis kWorkingSetGossipAge{ 500 };
   /// Endpoints whose registrations expired while the store was unavailable register again within
   /// two seconds of its return (the platform's promise); the remaining 300 ms cover the delay until
   /// this node receives the change.
@@ -348,14 +350,18 @@
     return most * kMillisPerSecond / static_cast<double>(m_settings.m_usageWindowMs);
   }
 
-  /// Nodes of the working set send their heartbeats to one another first, since they share the
-  /// load.
-  void SendHeartbeats(base::TimePoint aNow) {
-    std::vector<std::string> hosts = WorkingSet(aNow);
-    if (std::find(hosts.begin(), hosts.end(), m_settings.m_host) == hosts.end()) {
-      hosts.clear();
-    }
-    m_gossip.SendHeartbeats(hosts);
+  /// Updates the fleet's size that the quotas are shared by. `aWorkingSetSize` is 0 if this node is
+  /// not in the working set.
+  void UpdateQuotaShares(size_t aWorkingSetSize, base::TimePoint aNow) {
+    const size_t alive = m_peerTable.AliveCount(aNow);
+    const std::chrono::duration<double> fleetAge = kTickInterval * m_gossip.RoundsPerFleet();
+    const std::chrono::duration<double> workingSetAge = kWorkingSetGossipAge;
+    const auto gossipAge = aWorkingSetSize > 0 ? std::min(fleetAge, workingSetAge) : fleetAge;
+    m_state.m_quota.SetFleetSize(alive,
+                                 m_peerTable.KnownCount(),
+                                 aWorkingSetSize > 0 ? aWorkingSetSize : alive,
+                                 gossipAge.count(),
+                                 aNow);
   }
 
   gossip::Heartbeat MakeHeartbeat() {
@@ -431,14 +437,16 @@
       m_log.Event("node removed", { { "node", node.Text() } });
     }
     m_state.SetNodeCount(m_peerTable.KnownCount());
-    const std::chrono::duration<double> gossipAge = kTickInterval * m_gossip.RoundsPerFleet();
-    m_state.m_quota.SetFleetSize(
-      m_peerTable.AliveCount(now), m_peerTable.KnownCount(), gossipAge.count(), now);
+    const std::vector<std::string> workingSet = WorkingSet(now);
+    const bool isWorking =
+      std::find(workingSet.begin(), workingSet.end(), m_settings.m_host) != workingSet.end();
+    UpdateQuotaShares(isWorking ? workingSet.size() : 0, now);
     m_fleetSizeKnown = true;
     m_peerTable.SetHeartbeatInterval(kTickInterval *
                                      static_cast<int64_t>(m_gossip.RoundsPerFleet()));
     m_storeWatcher.SetWatchEnabled(ShouldWatchStore(now));
-    SendHeartbeats(now);
+    // Nodes of the working set inform one another first, since they share the load.
+    m_gossip.SendHeartbeats(isWorking ? workingSet : std::vector<std::string>());
     SendEmptyUpdate(now);
     m_gossip.FetchIfBehind(m_storeWatcher.IsStoreReachable());
     RenewRegistration(now);
