Retry budgets follow the size of the working set

Cause: the retries beyond the ratio were divided by all nodes (430 by 195), so a node of the working set could hold 1.65 retries at once while a quarter of its calls failed. Found besides, by reading: a budget kept the number of nodes that was known when it was made; a node that had just started knew few and had far too large a part. Change: RetryBudget::Configure; NodeState applies a new count to existing budgets. Nodes outside the working set, and small fleets, divide by all known nodes as before. Tests: StreamTest/RetryBudgetShrinksWithItsSettings.

--- a/packages/forwarding/NodeState.cpp
+++ b/packages/forwarding/NodeState.cpp
@@ -38,21 +38,27 @@
 }
 
 void NodeState::SetNodeCount(size_t aCount) {
+  if (aCount == m_nodeCount) {
+    return;
+  }
   m_nodeCount = std::max<size_t>(aCount, 1);
+  for (auto& [service, budget] : m_budgets) {
+    budget.Configure(MakeRetryBudgetSettings());
+  }
 }
 
-requests::RetryBudget& NodeState::RetryBudgetFor(const fleet::ServiceId& aService) {
-  const auto found = m_budgets.find(aService);
-  if (found != m_budgets.end()) {
-    return found->second;
-  }
+requests::RetryBudgetSettings NodeState::MakeRetryBudgetSettings() const {
   const auto nodes = static_cast<double>(m_nodeCount);
   requests::RetryBudgetSettings settings;
   settings.m_retriesPerRequest = m_retryLimits.m_perCall * kBudgetFraction;
   settings.m_maxRetries = std::max(m_retryLimits.m_extraPerWindow * kBudgetFraction / nodes, 1.0);
   settings.m_retriesPerSecond =
     settings.m_maxRetries / std::chrono::duration<double>(m_retryLimits.m_window).count() / 2;
-  return m_budgets.emplace(aService, requests::RetryBudget(settings)).first->second;
+  return settings;
+}
+
+requests::RetryBudget& NodeState::RetryBudgetFor(const fleet::ServiceId& aService) {
+  return m_budgets.try_emplace(aService, MakeRetryBudgetSettings()).first->second;
 }
 
 void NodeState::CreditRetryBudget(const fleet::ServiceId& aService) {
--- a/packages/forwarding/NodeState.h
+++ b/packages/forwarding/NodeState.h
@@ -44,7 +44,7 @@
   const fleet::CatalogPtr& Catalog() const { return m_catalog; }
   /// Activates a configuration if it is newer than the active one. Returns whether it was.
   bool ApplyCatalog(fleet::CatalogPtr aCatalog);
-  /// Sets the number of nodes that share the fleet's budgets; at least one is assumed.
+  /// Sets the number of nodes that share the fleet's retry budgets; at least one is assumed.
   void SetNodeCount(size_t aCount);
   /// Adds to the retry budget of `aService` for a new call.
   void CreditRetryBudget(const fleet::ServiceId& aService);
@@ -70,6 +70,7 @@
   Metrics m_metrics;
 
 private:
+  requests::RetryBudgetSettings MakeRetryBudgetSettings() const;
   requests::RetryBudget& RetryBudgetFor(const fleet::ServiceId& aService);
 
   fleet::CatalogPtr m_catalog;
--- a/packages/gossip/tests/PeerTableTest.cpp
+++ b/packages/gossip/tests/PeerTableTest.cpp
@@ -23,6 +23,7 @@
 
 std::vector<std::string> HostsOf(const std::vector<ReadyNode>& aNodes) {
   std::vector<std::string> hosts;
+  hosts.reserve(aNodes.size());
   for (const ReadyNode& node : aNodes) {
     hosts.push_back(node.m_host);
   }
--- a/packages/requests/RetryBudget.cpp
+++ b/packages/requests/RetryBudget.cpp
@@ -8,6 +8,11 @@
   : m_settings(aSettings)
   , m_available(aSettings.m_maxRetries) {}
 
+void RetryBudget::Configure(RetryBudgetSettings aSettings) {
+  m_settings = aSettings;
+  m_available = std::min(m_available, m_settings.m_maxRetries);
+}
+
 void RetryBudget::CreditRequest() {
   m_available = std::min(m_settings.m_maxRetries, m_available + m_settings.m_retriesPerRequest);
 }
--- a/packages/requests/RetryBudget.h
+++ b/packages/requests/RetryBudget.h
@@ -21,6 +21,8 @@
   /// Creates a budget that is full.
   explicit RetryBudget(RetryBudgetSettings aSettings);
 
+  /// Replaces the parameters. Retries above the new maximum are dropped.
+  void Configure(RetryBudgetSettings aSettings);
   /// Adds the retries of one new request to the budget.
   void CreditRequest();
   /// Takes one retry from the budget. Returns false if none is left at `aNow`.
--- a/packages/requests/tests/StreamTest.cpp
+++ b/packages/requests/tests/StreamTest.cpp
@@ -56,6 +56,22 @@
   }
 }
 
+// A node that has just started knows few others, and its part of the fleet's budget shrinks when it
+// learns of them.
+BOOST_AUTO_TEST_CASE(RetryBudgetShrinksWithItsSettings) {
+  const base::TimePoint now{ std::chrono::hours(1) };
+  RetryBudget budget({ 0.1, 5, 0 });
+  budget.Configure({ 0.1, 2, 0 });
+  BOOST_TEST(budget.TrySpend(now));
+  BOOST_TEST(budget.TrySpend(now));
+  BOOST_TEST(!budget.TrySpend(now));
+  budget.Configure({ 0.5, 8, 0 });
+  BOOST_TEST(!budget.TrySpend(now));
+  budget.CreditRequest();
+  budget.CreditRequest();
+  BOOST_TEST(budget.TrySpend(now));
+}
+
 BOOST_AUTO_TEST_CASE(RetryBudgetIsAFractionOfNewRequests) {
   base::ManualClock clock;
   RetryBudget budget({ 0.1, 5, 0 });
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -350,8 +350,8 @@
     return most * kMillisPerSecond / static_cast<double>(m_settings.m_usageWindowMs);
   }
 
-  /// Updates the fleet's size that the quotas are shared by. `aWorkingSetSize` is 0 if this node is
-  /// not in the working set.
+  /// Updates the fleet's size that the quotas are shared by. `aWorkingSetSize` is 0 if this node
+  /// does not belong to a working set that is smaller than the fleet.
   void UpdateQuotaShares(size_t aWorkingSetSize, base::TimePoint aNow) {
     const size_t alive = m_peerTable.AliveCount(aNow);
     const std::chrono::duration<double> fleetAge = kTickInterval * m_gossip.RoundsPerFleet();
@@ -436,11 +436,14 @@
       m_state.m_placement.SetPeerLoad(node.Text(), {});
       m_log.Event("node removed", { { "node", node.Text() } });
     }
-    m_state.SetNodeCount(m_peerTable.KnownCount());
     const std::vector<std::string> workingSet = WorkingSet(now);
     const bool isWorking =
       std::find(workingSet.begin(), workingSet.end(), m_settings.m_host) != workingSet.end();
-    UpdateQuotaShares(isWorking ? workingSet.size() : 0, now);
+    // Nodes outside the working set of a large fleet get few calls: those of callers that still use
+    // their address.
+    const size_t sharing = isWorking && IsLargeFleet() ? workingSet.size() : 0;
+    m_state.SetNodeCount(sharing > 0 ? sharing : m_peerTable.KnownCount());
+    UpdateQuotaShares(sharing, now);
     m_fleetSizeKnown = true;
     m_peerTable.SetHeartbeatInterval(kTickInterval *
                                      static_cast<int64_t>(m_gossip.RoundsPerFleet()));
