serving: a log line when a node joins or leaves the working set

Cause: each change of what a node believes has a line; this one decides which calls come to it. Change: "working set joined" and "working set left" with the set's size, the known nodes and the calls a second. Behaviour: none.

--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -442,6 +442,7 @@
     // Nodes outside the working set of a large fleet get few calls: those of callers that still use
     // their address.
     const size_t sharing = isWorking && IsLargeFleet() ? workingSet.size() : 0;
+    LogWorkingSet(isWorking, workingSet.size());
     m_state.SetNodeCount(sharing > 0 ? sharing : m_peerTable.KnownCount());
     UpdateQuotaShares(sharing, now);
     m_fleetSizeKnown = true;
@@ -482,6 +483,16 @@
            m_peerTable.OlderReadyCount(aNow) < kLeaderCandidates;
   }
 
+  void LogWorkingSet(bool aIsWorking, size_t aSize) {
+    if (aIsWorking != m_loggedWorking) {
+      m_loggedWorking = aIsWorking;
+      m_log.Event(aIsWorking ? "working set joined" : "working set left",
+                  { { "size", aSize },
+                    { "nodes", m_peerTable.KnownCount() },
+                    { "calls_per_s", CallsPerSecond() } });
+    }
+  }
+
   void LogReadiness() {
     if (Ready() != m_loggedReady) {
       m_loggedReady = Ready();
@@ -613,6 +624,7 @@
   const base::Millis m_updateTimeout{ kUpdateTimeout +
                                       base::Millis(base::RandomSeed() % kUpdateTimeout.count()) };
   bool m_loggedReady = false;
+  bool m_loggedWorking = false;
   /// Whether the size of the fleet, on which quotas and budgets depend, has been determined.
   bool m_fleetSizeKnown = false;
   bool m_stopping = false;
