papayafieldd: a stopped process ends without waiting for library threads

Seen by callers: at each planned stop the process stayed until SIGKILL.

Trials with a trace in each destructor, without the size of the thread pool, and with an initializer that is not destroyed all waited there or in the library's own static destructor. Sockets of callers stay open until the process ends, since connections own themselves by their callbacks. On a development machine the wait is short: the new test passes before as well.

--- a/apps/papayafieldd/main.cpp
+++ b/apps/papayafieldd/main.cpp
@@ -152,6 +152,13 @@
   return code;
 }
 
+/// Ends the process without the destructors of static objects: log4cplus's would wait for its
+/// worker threads, and open connections would stay open until they have ended.
+[[noreturn]] void Exit(int aCode) {
+  std::fflush(nullptr);
+  std::quick_exit(aCode);
+}
+
 } // namespace
 
 int main(int argc, char** argv) {
@@ -164,8 +171,8 @@
   }
   std::signal(SIGPIPE, SIG_IGN);
   if (options.m_platform) {
-    return options.m_check ? platform::CheckPlatformSettings(options.m_config)
-                           : platform::RunPlatformNode(options.m_config, options.m_metricsPort);
+    Exit(options.m_check ? platform::CheckPlatformSettings(options.m_config)
+                         : platform::RunPlatformNode(options.m_config, options.m_metricsPort));
   }
   std::ifstream file(options.m_config);
   if (!file) {
@@ -183,5 +190,5 @@
     std::puts("The settings are fine.");
     return 0;
   }
-  return Serve(*settings);
+  Exit(Serve(*settings));
 }
--- a/tests/integration/PlatformPathTest.cpp
+++ b/tests/integration/PlatformPathTest.cpp
@@ -225,6 +225,16 @@
   BOOST_TEST(fleet.NodeProcess(0).WaitForExit() == 0);
 }
 
+// A node that has nothing left to do ends well before its grace period does.
+BOOST_AUTO_TEST_CASE(DrainedNodeEndsAtOnce) {
+  PlatformFleet fleet(2, 1);
+  BOOST_TEST(fleet.Send(0, "POST", "/once/a").m_status == 200);
+  const auto start = base::BootNow();
+  fleet.NodeProcess(0).Signal(SIGTERM);
+  BOOST_TEST(fleet.NodeProcess(0).WaitForExit() == 0);
+  BOOST_TEST((base::BootNow() - start < base::Millis(5000)));
+}
+
 // A draining node takes new calls as long as callers may still use its address, and then rejects
 // them as not run, while it completes the calls in progress. Found on a day of many callers that
 // kept an address for longer than they were told: the node took streams that it had to cut.
