forwarding: a silent endpoint is kept if no other may take over

Seen by callers: a stream that had begun was broken off, or a call ended with 502, well before its deadline, beside an endpoint that was silent for a second and would have gone on. Beside a change of the configuration this counts as a call that was given up.

Cause: the limits on silence (twice the latency or gap target) ended the attempt whatever came next. Where the route's attempts or the retry budget were used up, or no other endpoint was there, the call was lost with it. Class: a time-out that frees nothing and that no other action needs.

Change: silence ends an attempt only if the call can continue at another endpoint at that moment; otherwise the limit is looked at again after the same time, until the deadline of the call. One log line names the inputs.

Both new tests failed before (stream broken; 502 instead of 200) and pass now; SilentStream..., Hanging... pass as before. That this is the users' case is not shown: their report has no trace.

--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -19,7 +19,7 @@
 constexpr double kMaxIdleFraction = 0.7;
 constexpr double kMaxIdleFractionUnsafe = 0.3;
 /// A call without an answer, or a stream without an event, is retried at another endpoint after
-/// this multiple of its latency target, if it may be repeated.
+/// this multiple of its latency or gap target, if it may be repeated.
 constexpr double kStallTimeoutFactor = 2.0;
 /// Fraction of the shared prompt parts that an endpoint is expected to process again.
 constexpr double kSharedPrefillFraction = 0.2;
@@ -60,7 +60,8 @@
   bool m_usageCounted = false;
   bool m_ended = false;
   adapters::http::EventHandlePtr m_connectTimer;
-  adapters::http::EventHandlePtr m_stallTimer;
+  adapters::http::EventHandlePtr m_silenceTimer;
+  bool m_silenceLogged = false;
 };
 
 Exchange::Exchange(NodeState& aNode,
@@ -168,6 +169,13 @@
   return std::chrono::duration_cast<base::Millis>(m_route.m_latencyTarget * kStallTimeoutFactor);
 }
 
+/// Returns the silence after which a stream is resumed elsewhere; 0 if it never is.
+base::Millis Exchange::EventTimeout() const {
+  return m_route.Repeatable()
+           ? std::chrono::duration_cast<base::Millis>(m_route.m_gapTarget * kStallTimeoutFactor)
+           : base::Millis(0);
+}
+
 void Exchange::Send(const fleet::Endpoint& aEndpoint) {
   const auto now = base::BootNow();
   const bool mustNotRepeat = !m_route.Repeatable();
@@ -219,31 +227,54 @@
     });
   }
   if (m_route.Repeatable()) {
-    aAttempt->m_stallTimer = m_node.m_loop.After(AttemptTimeout(), [self, weak] {
-      const auto attempt = weak.lock();
-      if (attempt && !attempt->m_hasHead) {
-        self->Fail(attempt, AttemptFault::Stalled, "no_answer");
-      }
-    });
+    StartSilenceTimer(aAttempt, AttemptTimeout());
   }
 }
 
-/// Limits the time to the next event: an engine may stop sending in the middle of a stream without
-/// closing the connection.
-void Exchange::StartEventTimer(const std::shared_ptr<ActiveAttempt>& aAttempt) {
-  if (!m_route.Repeatable() || m_route.m_gapTarget.count() <= 0) {
-    return;
-  }
-  const auto limit =
-    std::chrono::duration_cast<base::Millis>(m_route.m_gapTarget * kStallTimeoutFactor);
-  aAttempt->m_stallTimer = m_node.m_loop.After(
-    limit, [self = shared_from_this(), weak = std::weak_ptr<ActiveAttempt>(aAttempt)] {
+/// Limits the time to the next sign of the endpoint: an engine may stop sending in the middle of a
+/// stream without closing the connection.
+void Exchange::StartSilenceTimer(const std::shared_ptr<ActiveAttempt>& aAttempt,
+                                 base::Millis aLimit) {
+  aAttempt->m_silenceTimer = m_node.m_loop.After(
+    aLimit, [self = shared_from_this(), weak = std::weak_ptr<ActiveAttempt>(aAttempt), aLimit] {
       if (const auto attempt = weak.lock()) {
-        self->Fail(attempt, AttemptFault::Stalled, "no_event");
+        self->OnSilence(attempt, aLimit);
       }
     });
 }
 
+void Exchange::OnSilence(const std::shared_ptr<ActiveAttempt>& aAttempt, base::Millis aLimit) {
+  if (aAttempt->m_ended || (aAttempt->m_hasHead && !m_streamBegun)) {
+    return;
+  }
+  if (MayContinueElsewhere()) {
+    Fail(aAttempt, AttemptFault::Stalled, m_streamBegun ? "no_event" : "no_answer");
+    return;
+  }
+  if (!aAttempt->m_silenceLogged) {
+    aAttempt->m_silenceLogged = true;
+    m_node.m_log.Event("silent endpoint kept",
+                       { { "request", m_call.m_id },
+                         { "endpoint", aAttempt->m_endpoint.m_incarnation.m_endpoint.Text() },
+                         { "silent_ms", aLimit.count() },
+                         { "left_ms", TimeLeft().count() },
+                         { "possible_runs", m_possibleRuns + 1 },
+                         { "max_runs", m_route.m_maxAttempts } });
+  }
+  StartSilenceTimer(aAttempt, aLimit);
+}
+
+/// Returns whether another endpoint could take over from the attempt in progress now.
+bool Exchange::MayContinueElsewhere() const {
+  const AttemptState state{ m_route.m_kind,     m_route.Repeatable(),  AttemptFault::Stalled,
+                            m_possibleRuns + 1, m_route.m_maxAttempts, m_streamBegun };
+  return !m_callerDisconnected && MayRetry(state) && TimeLeft() > kMinAttemptTime &&
+         m_node.HasRetry(m_service) &&
+         m_node.m_placement
+           .Choose(MakePlacementRequest(m_service), m_node.m_directory.Ready(), base::BootNow())
+           .has_value();
+}
+
 void Exchange::OnHead(const std::shared_ptr<ActiveAttempt>& aAttempt, ResponseHead&& aHead) {
   aAttempt->m_answerInfo = m_node.m_wire.m_decodeAnswer(aHead);
   const AnswerInfo& info = aAttempt->m_answerInfo;
@@ -307,7 +338,9 @@
     m_sink.m_onStreamHead(CallerHead(aAttempt->m_head));
   }
   m_sink.m_onEvents(events);
-  StartEventTimer(aAttempt);
+  if (EventTimeout().count() > 0) {
+    StartSilenceTimer(aAttempt, EventTimeout());
+  }
 }
 
 void Exchange::OnComplete(const std::shared_ptr<ActiveAttempt>& aAttempt) {
@@ -362,7 +395,7 @@
   }
   aAttempt->m_ended = true;
   aAttempt->m_connectTimer.reset();
-  aAttempt->m_stallTimer.reset();
+  aAttempt->m_silenceTimer.reset();
   const fleet::Incarnation& incarnation = aAttempt->m_endpoint.m_incarnation;
   m_node.m_placement.RecordCallEnded(incarnation.m_endpoint, aAttempt->m_queuedTokens);
   if (aReuse && aAttempt->m_connection->ShouldKeepAlive() && !aAttempt->m_sawMisdirected) {
--- a/packages/forwarding/Exchange.h
+++ b/packages/forwarding/Exchange.h
@@ -61,7 +61,10 @@
               adapters::http1::ResponseHead&& aHead);
   void OnBody(const std::shared_ptr<ActiveAttempt>& aAttempt, std::string_view aBytes);
   void OnStreamBytes(const std::shared_ptr<ActiveAttempt>& aAttempt, std::string_view aBytes);
-  void StartEventTimer(const std::shared_ptr<ActiveAttempt>& aAttempt);
+  void StartSilenceTimer(const std::shared_ptr<ActiveAttempt>& aAttempt, base::Millis aLimit);
+  void OnSilence(const std::shared_ptr<ActiveAttempt>& aAttempt, base::Millis aLimit);
+  bool MayContinueElsewhere() const;
+  base::Millis EventTimeout() const;
   void OnComplete(const std::shared_ptr<ActiveAttempt>& aAttempt);
   void OnAnswerComplete(const std::shared_ptr<ActiveAttempt>& aAttempt);
   void Fail(const std::shared_ptr<ActiveAttempt>& aAttempt,
--- a/packages/forwarding/NodeState.cpp
+++ b/packages/forwarding/NodeState.cpp
@@ -65,6 +65,10 @@
   RetryBudgetFor(aService).CreditRequest();
 }
 
+bool NodeState::HasRetry(const fleet::ServiceId& aService) {
+  return RetryBudgetFor(aService).HasRetry(base::BootNow());
+}
+
 bool NodeState::TrySpendRetry(const fleet::ServiceId& aService) {
   return RetryBudgetFor(aService).TrySpend(base::BootNow());
 }
--- a/packages/forwarding/NodeState.h
+++ b/packages/forwarding/NodeState.h
@@ -48,6 +48,8 @@
   void SetNodeCount(size_t aCount);
   /// Adds to the retry budget of `aService` for a new call.
   void CreditRetryBudget(const fleet::ServiceId& aService);
+  /// Returns whether the budget of `aService` has a retry left.
+  bool HasRetry(const fleet::ServiceId& aService);
   /// Takes one retry from the budget of `aService`. Returns false if the budget is used up.
   bool TrySpendRetry(const fleet::ServiceId& aService);
   /// Records engine work that callers requested, in engine milliseconds.
--- a/packages/requests/RetryBudget.cpp
+++ b/packages/requests/RetryBudget.cpp
@@ -17,9 +17,13 @@
   m_available = std::min(m_settings.m_maxRetries, m_available + m_settings.m_retriesPerRequest);
 }
 
-bool RetryBudget::TrySpend(base::TimePoint aNow) {
+bool RetryBudget::HasRetry(base::TimePoint aNow) {
   Refill(aNow);
-  if (m_available < 1) {
+  return m_available >= 1;
+}
+
+bool RetryBudget::TrySpend(base::TimePoint aNow) {
+  if (!HasRetry(aNow)) {
     return false;
   }
   m_available -= 1;
--- a/packages/requests/RetryBudget.h
+++ b/packages/requests/RetryBudget.h
@@ -25,6 +25,8 @@
   void Configure(RetryBudgetSettings aSettings);
   /// Adds the retries of one new request to the budget.
   void CreditRequest();
+  /// Returns whether a retry is left at `aNow`.
+  bool HasRetry(base::TimePoint aNow);
   /// Takes one retry from the budget. Returns false if none is left at `aNow`.
   bool TrySpend(base::TimePoint aNow);
 
--- a/standins/fleet/Runner.cpp
+++ b/standins/fleet/Runner.cpp
@@ -17,6 +17,10 @@
 constexpr base::Millis kEventInterval{ 15 };
 /// Delay between two events of a stream in the mode SlowStreams.
 constexpr base::Millis kSlowEventInterval{ 550 };
+/// Length of each silence of a stream in the mode PauseStreams.
+constexpr base::Millis kPause{ 2000 };
+/// Processing time of one call in the mode RespondLate.
+constexpr base::Millis kLateProcessingTime{ 800 };
 
 std::string HeaderValue(const RequestHead& aHead, const char* aName) {
   return std::string(aHead.m_fields.Find(aName).value_or(std::string_view{}));
@@ -77,7 +81,9 @@
   events.m_onComplete = [this, weak] {
     if (const auto locked = weak.lock()) {
       locked->m_inProgress = true;
-      locked->m_timer = m_loop.After(kProcessingTime, [this, weak] {
+      const base::Millis processingTime =
+        m_mode == RunnerMode::RespondLate ? kLateProcessingTime : kProcessingTime;
+      locked->m_timer = m_loop.After(processingTime, [this, weak] {
         if (const auto active = weak.lock()) {
           Respond(active);
         }
@@ -156,14 +162,20 @@
     return;
   }
   aCallerConnection->m_connection->Write(EncodeChunk(event));
-  const base::Millis interval =
-    m_mode == RunnerMode::SlowStreams ? kSlowEventInterval : kEventInterval;
   aCallerConnection->m_timer =
-    m_loop.After(interval, [this, weak = std::weak_ptr(aCallerConnection), aEvent] {
+    m_loop.After(DelayAfterEvent(aEvent), [this, weak = std::weak_ptr(aCallerConnection), aEvent] {
       if (const auto callerConnection = weak.lock()) {
         SendNextEvent(callerConnection, aEvent + 1);
       }
     });
 }
 
+base::Millis Runner::DelayAfterEvent(int aEvent) const {
+  const bool atPause = aEvent == kEventsPerStream / 2 || aEvent == kEventsPerStream * 3 / 4;
+  if (m_mode == RunnerMode::PauseStreams && atPause) {
+    return kPause;
+  }
+  return m_mode == RunnerMode::SlowStreams ? kSlowEventInterval : kEventInterval;
+}
+
 } // namespace papayafield::standins
--- a/standins/fleet/Runner.h
+++ b/standins/fleet/Runner.h
@@ -28,6 +28,10 @@
   StallStreams,
   /// Sends the events of a stream slowly, within the route's gap target.
   SlowStreams,
+  /// Sends nothing for a while after one half and after three quarters of a stream.
+  PauseStreams,
+  /// Responds only after a while.
+  RespondLate,
 };
 
 /// A call that a runner executed.
@@ -70,6 +74,8 @@
   void AcceptConnection(std::shared_ptr<adapters::http1::ServerConnection> aConnection);
   void Respond(const std::shared_ptr<CallerConnection>& aCallerConnection);
   void SendNextEvent(const std::shared_ptr<CallerConnection>& aCallerConnection, int aEvent);
+  /// Returns the delay between event `aEvent` of a stream and the next one.
+  base::Millis DelayAfterEvent(int aEvent) const;
 
   adapters::http::EventLoop& m_loop;
   base::Address m_address;
@@ -95,6 +101,8 @@
     { standins::RunnerMode::TruncateStreams, "cut" },
     { standins::RunnerMode::StallStreams, "stall" },
     { standins::RunnerMode::SlowStreams, "slow" },
+    { standins::RunnerMode::PauseStreams, "pause" },
+    { standins::RunnerMode::RespondLate, "late" },
   });
 
 } // namespace papayafield::base
--- a/tests/integration/PlatformPathTest.cpp
+++ b/tests/integration/PlatformPathTest.cpp
@@ -107,6 +107,32 @@
   BOOST_TEST(resumed > 0U);
 }
 
+// A stream whose last permitted runner pauses is not broken off while time is left. Found on days
+// with changes of the configuration: streams ended in the middle beside sound runners.
+BOOST_AUTO_TEST_CASE(PausingStreamIsKeptIfNoRunnerMayTakeOver) {
+  for (const size_t runners : { size_t{ 1 }, size_t{ 2 } }) {
+    const PlatformFleet fleet(1, runners);
+    for (size_t runner = 0; runner < runners; ++runner) {
+      fleet.PostControl("runner", { { "index", runner }, { "mode", "pause" } });
+    }
+    const auto answer = fleet.Send(0, "POST", "/stream/a", "h.example", "key-1", "pausing");
+    BOOST_TEST(answer.m_status == 200);
+    BOOST_TEST(answer.m_body == CompleteStream());
+    BOOST_TEST(fleet.RecordedRuns("pausing").size() == runners);
+  }
+}
+
+// A call is not given up before its timeout because the last permitted runner is slow to respond.
+BOOST_AUTO_TEST_CASE(LateAnswerIsAwaitedIfNoRunnerMayTakeOver) {
+  for (const size_t runners : { size_t{ 1 }, size_t{ 2 } }) {
+    const PlatformFleet fleet(1, runners);
+    for (size_t runner = 0; runner < runners; ++runner) {
+      fleet.PostControl("runner", { { "index", runner }, { "mode", "late" } });
+    }
+    BOOST_TEST(fleet.Send(0, "GET", "/safe/a").m_status == 200);
+  }
+}
+
 // The call of a caller that disconnected is cancelled at its runner and not started at another one.
 BOOST_AUTO_TEST_CASE(CallOfDisconnectedCallerIsCancelled) {
   const PlatformFleet fleet(1, 2);
