Drain: calls still open at its end are answered, and answers are sent before the process ends

Seen by callers: at the end of the grace period connections were closed without an answer; an answer that a slow reader had not taken yet could be lost with the process.

Cause: the end of a drain closed idle connections and left the loop. Calls in progress got nothing, although a node can still say that their outcome is unknown (502) or that they were not sent (503). Connections whose last answer was being sent were no longer counted as busy, so the process could end before the kernel had the bytes.

Change: a connection counts as busy until its output has been passed on. At its end a drain ends each call through the exchange: an answer if none has begun, a visible break of a stream otherwise, one log line a call; the process ends when all is sent, or after 250 ms.

Evidence: CallStillOpenAtTheEndOfADrainIsAnswered failed before (no answer) and passes now; the connection tests cover the callback.

--- a/packages/adapters/http1/Connection.cpp
+++ b/packages/adapters/http1/Connection.cpp
@@ -322,15 +322,27 @@
 }
 
 template<class Head>
-void Connection<Head>::CloseWhenFlushed() {
+void Connection<Head>::CloseWhenFlushed(std::function<void()> aOnClosed) {
   m_closeWhenFlushed = true;
   if (m_buffer == nullptr || PendingOutput() == 0) {
     Close();
+    if (aOnClosed) {
+      aOnClosed();
+    }
     return;
   }
   // The connection keeps itself alive until then.
   Events events;
-  events.m_onFlushed = [self = this->shared_from_this()] {};
+  events.m_onFlushed = [self = this->shared_from_this(), aOnClosed] {
+    if (aOnClosed) {
+      aOnClosed();
+    }
+  };
+  events.m_onEnd = [onClosed = std::move(aOnClosed)](EndKind, bool) {
+    if (onClosed) {
+      onClosed();
+    }
+  };
   SetEvents(std::move(events));
 }
 
@@ -406,12 +418,11 @@
 template<class Head>
 void Connection<Head>::OnWritable() {
   const auto self = this->shared_from_this();
+  const auto onFlushed = m_events.m_onFlushed;
   if (m_closeWhenFlushed) {
     Close();
-    return;
   }
-  if (m_events.m_onFlushed) {
-    const auto onFlushed = m_events.m_onFlushed;
+  if (onFlushed) {
     onFlushed();
   }
 }
--- a/packages/adapters/http1/Connection.h
+++ b/packages/adapters/http1/Connection.h
@@ -87,9 +87,9 @@
   /// Closes the connection immediately and discards bytes that the peer has not received yet. No
   /// callback follows.
   void Reset();
-  /// Closes the connection once all written bytes have been passed to the kernel. No callback
-  /// follows.
-  void CloseWhenFlushed();
+  /// Closes the connection once all written bytes have been passed to the kernel, or when it ends
+  /// before, and then calls `aOnClosed`. No other callback follows.
+  void CloseWhenFlushed(std::function<void()> aOnClosed = {});
 
   /// Whether the connection is open or being established.
   bool IsOpen() const { return m_buffer != nullptr; }
--- a/packages/adapters/http1/tests/ConnectionTest.cpp
+++ b/packages/adapters/http1/tests/ConnectionTest.cpp
@@ -3,6 +3,7 @@
 #include "adapters/http1/SimpleServer.h"
 
 #include <boost/test/unit_test.hpp>
+#include <csignal>
 #include <random>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -207,6 +208,49 @@
   BOOST_TEST(pendingBytes == 0U);
 }
 
+// A stopping node waits for answers that a slow reader has not taken yet.
+BOOST_AUTO_TEST_CASE(CloseWhenFlushedReportsWhenAllBytesAreSent) {
+  ConnectionFixture<RequestHead> fixture;
+  constexpr size_t kBytes = 4U << 20U;
+  bool closed = false;
+  fixture.m_connection->Write(std::string(kBytes, 'x'));
+  fixture.m_connection->CloseWhenFlushed([&] {
+    closed = true;
+    fixture.m_loop.Stop();
+  });
+  const auto pause = fixture.m_loop.After(base::Millis(50), [&] { fixture.m_loop.Stop(); });
+  fixture.Run();
+  BOOST_TEST(!closed);
+  size_t received = 0;
+  std::vector<char> buffer(65536);
+  const auto reader = fixture.m_loop.OnReadable(fixture.m_peer, [&] {
+    const ssize_t bytes = read(fixture.m_peer, buffer.data(), buffer.size());
+    received += static_cast<size_t>(std::max<ssize_t>(bytes, 0));
+  });
+  fixture.Run();
+  BOOST_TEST(closed);
+  while (received < kBytes) {
+    const ssize_t bytes = read(fixture.m_peer, buffer.data(), buffer.size());
+    BOOST_REQUIRE(bytes > 0);
+    received += static_cast<size_t>(bytes);
+  }
+  BOOST_TEST(received == kBytes);
+}
+
+BOOST_AUTO_TEST_CASE(CloseWhenFlushedReportsAPeerThatHasGone) {
+  std::signal(SIGPIPE, SIG_IGN);
+  ConnectionFixture<RequestHead> fixture;
+  bool closed = false;
+  fixture.m_connection->Write(std::string(4U << 20U, 'x'));
+  fixture.m_connection->CloseWhenFlushed([&] {
+    closed = true;
+    fixture.m_loop.Stop();
+  });
+  fixture.ClosePeer();
+  fixture.Run();
+  BOOST_TEST(closed);
+}
+
 // With arbitrary input, a connection ends or continues, and never reads past its input.
 BOOST_AUTO_TEST_CASE(MutatedRequestsAreHandledSafely) {
   const std::string good =
--- a/packages/forwarding/CallerConnection.cpp
+++ b/packages/forwarding/CallerConnection.cpp
@@ -131,9 +131,7 @@
     // The missing last chunk tells the caller that the stream is incomplete.
     self->m_answering = false;
     self->m_exchange.reset();
-    self->m_closed = true;
-    self->m_connection->CloseWhenFlushed();
-    self->m_onClosed(self);
+    self->CloseWhenFlushed();
   };
   return sink;
 }
@@ -145,9 +143,7 @@
     return;
   }
   if (!m_keepAlive) {
-    m_closed = true;
-    m_connection->CloseWhenFlushed();
-    m_onClosed(shared_from_this());
+    CloseWhenFlushed();
     return;
   }
   StartIdleTimer();
@@ -160,10 +156,26 @@
   head.m_fields.Add("Content-Length", "0");
   head.m_fields.Add("Connection", "close");
   m_connection->Write(adapters::http1::Serialize(head));
-  m_closed = true;
   m_reading = false;
-  m_connection->CloseWhenFlushed();
-  m_onClosed(shared_from_this());
+  CloseWhenFlushed();
+}
+
+void CallerConnection::CloseWhenFlushed() {
+  m_closed = true;
+  m_flushing = true;
+  m_connection->CloseWhenFlushed([self = shared_from_this()] {
+    self->m_flushing = false;
+    self->m_onClosed(self);
+  });
+}
+
+void CallerConnection::Abort() {
+  if (const auto exchange = m_exchange) {
+    m_keepAlive = false;
+    exchange->Abort();
+  } else if (!m_flushing) {
+    Close();
+  }
 }
 
 void CallerConnection::OnEnd(EndKind aKind) {
--- a/packages/forwarding/CallerConnection.h
+++ b/packages/forwarding/CallerConnection.h
@@ -34,8 +34,11 @@
 
   /// Starts reading. Call once.
   void Start();
-  /// Returns whether a request is being read or answered.
-  bool IsBusy() const { return m_reading || m_answering; }
+  /// Returns whether a request is being read or answered, or an answer is still being sent.
+  bool IsBusy() const { return m_reading || m_answering || m_flushing; }
+  /// Ends the call in progress because the node stops, and closes the connection once its answer
+  /// has been sent. A request that has not been read completely gets no answer.
+  void Abort();
   /// Closes the connection at once.
   void Close();
 
@@ -46,6 +49,7 @@
   void OnEnd(adapters::http1::EndKind aKind);
   void Reject(int aStatus);
   void OnAnswered();
+  void CloseWhenFlushed();
   void StartIdleTimer();
   AnswerSink MakeSink();
   void WriteHead(adapters::http1::ResponseHead aHead,
@@ -66,6 +70,8 @@
   bool m_answering = false;
   bool m_keepAlive = false;
   bool m_closed = false;
+  /// Whether the connection only waits until its output has been sent.
+  bool m_flushing = false;
 };
 
 } // namespace papayafield::forwarding
--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -27,6 +27,8 @@
 constexpr base::Millis kMinAttemptTime{ 20 };
 /// Maximum size of a buffered answer, in bytes.
 constexpr size_t kMaxAnswerBytes = 16U << 20U;
+/// Retry-After of a node that is stopping, in seconds: other nodes can take the call at once.
+constexpr double kStoppingRetrySeconds = 0.05;
 /// Callers honour a Retry-After of up to this fraction of their remaining time.
 constexpr double kMaxRetryAfterFraction = 0.33;
 
@@ -475,8 +477,7 @@
   if (m_finished) {
     return;
   }
-  // An attempt in progress may have run, unless its connection was never established.
-  const bool sent = m_attempt != nullptr && m_attempt->m_connection->IsEstablished();
+  const bool sent = MayHaveBeenSent();
   if (m_attempt != nullptr && (m_route.m_kind != CallKind::Unsafe || !sent)) {
     Release(m_attempt, false);
   }
@@ -488,6 +489,28 @@
   Reject(FinalStatus(m_possibleRuns > 0 || sent, true), "timeout", 0);
 }
 
+/// Returns whether an attempt is in progress that may run: its connection has been established.
+bool Exchange::MayHaveBeenSent() const {
+  return m_attempt != nullptr && m_attempt->m_connection->IsEstablished();
+}
+
+void Exchange::Abort() {
+  const auto self = shared_from_this();
+  if (m_finished) {
+    return;
+  }
+  const bool sent = MayHaveBeenSent();
+  if (m_attempt != nullptr) {
+    Release(m_attempt, false);
+  }
+  if (m_streamBegun) {
+    m_sink.m_onStreamBroken();
+    Finish(0, "stopping");
+    return;
+  }
+  Reject(FinalStatus(m_possibleRuns > 0 || sent, false), "stopping", kStoppingRetrySeconds);
+}
+
 void Exchange::OnCallerDisconnected() {
   const auto self = shared_from_this();
   m_callerDisconnected = true;
--- a/packages/forwarding/Exchange.h
+++ b/packages/forwarding/Exchange.h
@@ -50,6 +50,9 @@
   /// Called when the caller has disconnected. Cancels the attempt in progress if the kind of call
   /// allows that.
   void OnCallerDisconnected();
+  /// Ends the call because the node stops: with an answer if none has begun, otherwise with a break
+  /// that the caller can see. Does nothing if the call has ended.
+  void Abort();
 
 private:
   struct ActiveAttempt;
@@ -74,6 +77,7 @@
   void CountUsage(const std::shared_ptr<ActiveAttempt>& aAttempt, base::TimePoint aBegan);
   void AddOutputWork();
   void OnTimeout();
+  bool MayHaveBeenSent() const;
   void Reject(int aStatus, const std::string& aReason, double aRetryAfterSeconds);
   void Deliver(const adapters::http1::ResponseHead& aHead, const std::string& aBody);
   void Finish(int aStatus, const std::string& aReason);
--- a/packages/forwarding/Gateway.cpp
+++ b/packages/forwarding/Gateway.cpp
@@ -42,11 +42,9 @@
                                            [](const auto& aCaller) { return aCaller->IsBusy(); }));
 }
 
-void Gateway::CloseIdle() {
+void Gateway::AbortCalls() {
   for (const auto& caller : std::set(m_connections)) {
-    if (!caller->IsBusy()) {
-      caller->Close();
-    }
+    caller->Abort();
   }
 }
 
--- a/packages/forwarding/Gateway.h
+++ b/packages/forwarding/Gateway.h
@@ -22,14 +22,15 @@
   /// Makes each answer from now on close its connection, and rejects new calls that `aPlan` does
   /// not take as not run.
   void BeginDrain(const DrainPlan& aPlan);
-  /// Returns the number of connections on which a request is being read or answered.
+  /// Ends all calls in progress with an answer or a visible break, and closes all connections once
+  /// that has been sent.
+  void AbortCalls();
+  /// Returns the number of connections on which a request is being read or an answer is being sent.
   size_t BusyCount() const;
   /// Returns the number of open connections.
   size_t ConnectionCount() const { return m_connections.size(); }
   /// Applies the limits for callers after a change of the configuration.
   void ApplyLimits(const fleet::CallerLimits& aLimits) { m_settings.m_limits = aLimits; }
-  /// Closes all connections without a request in progress.
-  void CloseIdle();
 
 private:
   std::shared_ptr<Exchange> OnRequest(adapters::http1::RequestHead&& aHead,
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -177,6 +177,10 @@
   /// A draining node still answers callers that use its address for up to three times the cache
   /// time that they were given.
   static constexpr int kEntryCacheFactor = 3;
+  /// Maximum time for sending the outcome of the calls that a drain ends, and interval at which
+  /// that is checked.
+  static constexpr base::Millis kMaxFlushTime{ 250 };
+  static constexpr base::Millis kFlushCheckInterval{ 10 };
   /// Number of the longest-running nodes that may become leader.
   static constexpr size_t kLeaderCandidates = 3;
   /// Up to this number of nodes, each node watches the store itself.
@@ -587,12 +591,18 @@
     }
   }
 
+  /// Ends the calls that are still open, and stops once their callers have been sent the outcome.
   void EndDrain() {
-    m_log.Event("drained", { { "busy", m_gateway.BusyCount() } });
-    m_gateway.CloseIdle();
     m_tickTimer.reset();
-    m_drainEndTimer.reset();
-    m_onDrained();
+    const size_t open = m_gateway.BusyCount();
+    m_gateway.AbortCalls();
+    const auto deadline = base::BootNow() + kMaxFlushTime;
+    m_drainEndTimer = m_loop.Every(kFlushCheckInterval, [this, open, deadline] {
+      if (m_gateway.BusyCount() == 0 || base::BootNow() >= deadline) {
+        m_log.Event("drained", { { "aborted", open }, { "unsent", m_gateway.BusyCount() } });
+        m_onDrained();
+      }
+    });
   }
 
   adapters::http::EventLoop& m_loop;
--- a/tests/integration/PlatformPathTest.cpp
+++ b/tests/integration/PlatformPathTest.cpp
@@ -301,6 +301,20 @@
   BOOST_TEST(fleet.NodeProcess(0).WaitForExit() == 0);
 }
 
+// A call that is still open at the end of the grace period gets an answer. Before, its connection
+// was closed without one.
+BOOST_AUTO_TEST_CASE(CallStillOpenAtTheEndOfADrainIsAnswered) {
+  PlatformFleet fleet(2, 1);
+  fleet.PostControl("runner", { { "index", 0 }, { "mode", "hang" } });
+  CallerAnswer open;
+  std::thread caller([&] { open = fleet.Send(0, "POST", "/stream/a"); });
+  std::this_thread::sleep_for(base::Millis(300));
+  fleet.NodeProcess(0).Signal(SIGTERM);
+  caller.join();
+  BOOST_TEST(open.m_status == 502);
+  BOOST_TEST(fleet.NodeProcess(0).WaitForExit() == 0);
+}
+
 // Each usage window is reported with a single set of counts even if the reporting leader is killed,
 // and the counts add up to the number of calls that ran.
 BOOST_AUTO_TEST_CASE(UsageIsReportedOnceDespiteLeaderFailure) {
