Callers: a raised idle limit holds for connections that are idle already

Seen by callers: after a change of the configuration had raised the idle limit, connections were closed by the old limit, and a call sent at that moment got neither an answer nor a refusal.

Cause: the limit was read when a connection became idle, and a change took effect only with the next idle period. The timer also closed the connection although a request might wait in the socket after a busy turn of the loop.

Change: a raised limit extends the present idle period; a lowered one begins with the next, since callers may not know it yet. When the timer fires, the loop looks at the sockets once more before the connection is closed.

Evidence: RaisedIdleLimitHoldsForIdleConnections failed before (closed after one second) and passes now.

--- a/packages/forwarding/CallerConnection.cpp
+++ b/packages/forwarding/CallerConnection.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/CallerConnection.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace papayafield::forwarding {
@@ -41,13 +42,36 @@
 }
 
 void CallerConnection::StartIdleTimer() {
-  m_idleTimer = m_loop.After(m_settings.m_limits.m_idleTimeout, [weak = weak_from_this()] {
-    if (const auto self = weak.lock()) {
-      self->Close();
+  m_idleSince = base::BootNow();
+  m_idleLimit = m_settings.m_limits.m_idleTimeout;
+  ArmIdleTimer(m_idleLimit);
+}
+
+void CallerConnection::ArmIdleTimer(base::Millis aDelay) {
+  m_idleTimer = m_loop.After(aDelay, [this, weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (!self) {
+      return;
     }
+    // A request may have arrived while the loop was busy; it is read before the next timer.
+    m_idleTimer = m_loop.After(base::Millis(0), [weak] {
+      if (const auto idle = weak.lock()) {
+        idle->Close();
+      }
+    });
   });
 }
 
+void CallerConnection::OnLimitsChanged() {
+  const base::Millis limit = m_settings.m_limits.m_idleTimeout;
+  if (m_idleTimer == nullptr || limit <= m_idleLimit) {
+    return;
+  }
+  m_idleLimit = limit;
+  const auto elapsed = std::chrono::duration_cast<base::Millis>(base::BootNow() - m_idleSince);
+  ArmIdleTimer(std::max(limit - elapsed, base::Millis(0)));
+}
+
 void CallerConnection::OnHead(RequestHead&& aHead) {
   m_reading = true;
   m_arrival = base::BootNow();
--- a/packages/forwarding/CallerConnection.h
+++ b/packages/forwarding/CallerConnection.h
@@ -39,6 +39,9 @@
   /// Ends the call in progress because the node stops, and closes the connection once its answer
   /// has been sent. A request that has not been read completely gets no answer.
   void Abort();
+  /// Applies a changed limit on idle time. A raised limit holds for the present idle period too; a
+  /// lowered one begins with the next, since callers may not know it yet.
+  void OnLimitsChanged();
   /// Closes the connection at once.
   void Close();
 
@@ -51,6 +54,7 @@
   void OnAnswered();
   void CloseWhenFlushed();
   void StartIdleTimer();
+  void ArmIdleTimer(base::Millis aDelay);
   AnswerSink MakeSink();
   void WriteHead(adapters::http1::ResponseHead aHead,
                  const std::string& aFraming,
@@ -61,7 +65,11 @@
   const CallerSettings& m_settings;
   OnRequest m_onRequest;
   std::function<void(const std::shared_ptr<CallerConnection>&)> m_onClosed;
+  /// Runs while the connection is idle.
   adapters::http::EventHandlePtr m_idleTimer;
+  base::TimePoint m_idleSince{};
+  /// Limit that the present idle period began with.
+  base::Millis m_idleLimit{ 0 };
   adapters::http1::RequestHead m_head;
   std::string m_body;
   base::TimePoint m_arrival{};
--- a/packages/forwarding/Gateway.cpp
+++ b/packages/forwarding/Gateway.cpp
@@ -42,6 +42,13 @@
                                            [](const auto& aCaller) { return aCaller->IsBusy(); }));
 }
 
+void Gateway::ApplyLimits(const fleet::CallerLimits& aLimits) {
+  m_settings.m_limits = aLimits;
+  for (const auto& caller : m_connections) {
+    caller->OnLimitsChanged();
+  }
+}
+
 void Gateway::AbortCalls() {
   for (const auto& caller : std::set(m_connections)) {
     caller->Abort();
--- a/packages/forwarding/Gateway.h
+++ b/packages/forwarding/Gateway.h
@@ -30,7 +30,7 @@
   /// Returns the number of open connections.
   size_t ConnectionCount() const { return m_connections.size(); }
   /// Applies the limits for callers after a change of the configuration.
-  void ApplyLimits(const fleet::CallerLimits& aLimits) { m_settings.m_limits = aLimits; }
+  void ApplyLimits(const fleet::CallerLimits& aLimits);
 
 private:
   std::shared_ptr<Exchange> OnRequest(adapters::http1::RequestHead&& aHead,
--- a/tests/harness/PlatformFleet.cpp
+++ b/tests/harness/PlatformFleet.cpp
@@ -156,7 +156,7 @@
     Call(m_platform, "POST", "/control/" + aWhat, base::DumpJson(aBody)).m_body);
 }
 
-void PlatformFleet::ApplyConfiguration(const std::string& aExtraHost) {
+void PlatformFleet::ApplyConfiguration(const std::string& aExtraHost, const json& aLimits) {
   json routes = json::array();
   for (const std::string& host : { std::string("h.example"), aExtraHost }) {
     routes.push_back(MakeRoute(host, "/stream/", "streaming"));
@@ -166,6 +166,7 @@
   PostControl("configuration",
               { { "version", ++m_version },
                 { "routes", routes },
+                { "limits", aLimits },
                 { "services", { { { "name", "engines" }, { "max_conns", 300 } } } },
                 { "tenants", { { { "name", "team-1" }, { "api_keys", { "key-1" } } } } } });
 }
--- a/tests/harness/PlatformFleet.h
+++ b/tests/harness/PlatformFleet.h
@@ -42,8 +42,10 @@
   /// Injects faults into a proxy: 0 is the platform's, 1 and above are those of the runners.
   void SetProxyFaults(size_t aProxy, const nlohmann::json& aFaults) const;
   size_t ProxyCount() const { return m_proxies.size(); }
-  /// Writes the next version of the configuration; `aExtraHost` gets the same routes.
-  void ApplyConfiguration(const std::string& aExtraHost = "other.example");
+  /// Writes the next version of the configuration; `aExtraHost` gets the same routes, and callers
+  /// the limits `aLimits`.
+  void ApplyConfiguration(const std::string& aExtraHost = "other.example",
+                          const nlohmann::json& aLimits = nlohmann::json::object());
   /// Sends a call to node `aIndex` with the id `aId`, or a random one if that is empty.
   CallerAnswer Send(size_t aIndex,
                     const std::string& aMethod,
--- a/tests/integration/PlatformPathTest.cpp
+++ b/tests/integration/PlatformPathTest.cpp
@@ -1,3 +1,4 @@
+#include "adapters/http1/Connection.h"
 #include "tests/harness/PlatformFleet.h"
 
 #include <algorithm>
@@ -315,6 +316,29 @@
   BOOST_TEST(fleet.NodeProcess(0).WaitForExit() == 0);
 }
 
+// A connection that became idle under a short limit stays open when the configuration raises it:
+// callers reuse connections by the limit in force.
+BOOST_AUTO_TEST_CASE(RaisedIdleLimitHoldsForIdleConnections) {
+  PlatformFleet fleet(1, 1);
+  fleet.ApplyConfiguration("short.example", { { "idle_timeout_ms", 1000 } });
+  BOOST_TEST(PlatformFleet::WaitUntil(
+    [&] { return fleet.Send(0, "GET", "/safe/a", "short.example").m_status == 200; }));
+  adapters::http::EventLoop loop;
+  const auto connection =
+    adapters::http1::ClientConnection::ConnectTo(loop, fleet.CallerAddress(0), base::Millis(3000));
+  bool ended = false;
+  adapters::http1::ClientConnection::Events events;
+  events.m_onEnd = [&](adapters::http1::EndKind, bool) { ended = true; };
+  connection->SetEvents(std::move(events));
+  const auto raise = loop.After(base::Millis(500), [&] {
+    fleet.ApplyConfiguration("long.example", { { "idle_timeout_ms", 2500 } });
+  });
+  const auto stillOpen = loop.After(base::Millis(1800), [&] { BOOST_TEST(!ended); });
+  const auto end = loop.After(base::Millis(3200), [&] { loop.Stop(); });
+  loop.Run();
+  BOOST_TEST(ended);
+}
+
 // Each usage window is reported with a single set of counts even if the reporting leader is killed,
 // and the counts add up to the number of calls that ran.
 BOOST_AUTO_TEST_CASE(UsageIsReportedOnceDespiteLeaderFailure) {
