Callers: a request whose body stalls is rejected as not run

Seen by callers: a request whose body stopped arriving got neither an answer nor a refusal, and kept its connection, and a draining node, busy until the end of the grace period.

Cause: the idle timer ended with the head, and none ran until the call began.

Change: while a body is read, its silence is limited by the idle limit in force; the request is then rejected with 408 and a log line, and the connection is closed.

Evidence: StalledBodyIsRejected failed before (no answer) and passes now.

--- a/packages/forwarding/CallerConnection.cpp
+++ b/packages/forwarding/CallerConnection.cpp
@@ -1,7 +1,10 @@
 #include "forwarding/CallerConnection.h"
 
+#include "base/Log.h"
+
 #include <algorithm>
 #include <charconv>
+#include <nlohmann/json.hpp>
 
 namespace papayafield::forwarding {
 
@@ -87,11 +90,37 @@
     Reject(413);
   } else if (m_head.m_fields.Count("Host") != 1) {
     Reject(400);
-  } else if (m_head.m_fields.Find("Expect")) {
-    m_connection->Write("HTTP/1.1 100 Continue\r\n\r\n");
+  } else {
+    if (m_head.m_fields.Find("Expect")) {
+      m_connection->Write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    m_lastInputAt = m_arrival;
+    StartBodyTimer(m_settings.m_limits.m_idleTimeout);
   }
 }
 
+/// Rejects the request as not run if its body stalls for as long as a connection may be idle.
+void CallerConnection::StartBodyTimer(base::Millis aDelay) {
+  m_bodyTimer = m_loop.After(aDelay, [this, weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (!self || !m_reading) {
+      return;
+    }
+    const auto silence = std::chrono::duration_cast<base::Millis>(base::BootNow() - m_lastInputAt);
+    const base::Millis limit = m_settings.m_limits.m_idleTimeout;
+    if (silence >= limit) {
+      base::Log("callers").Event("request body stalled",
+                                 { { "peer", m_connection->PeerHost() },
+                                   { "target", m_head.m_target },
+                                   { "received", m_body.size() },
+                                   { "silent_ms", silence.count() } });
+      Reject(408);
+    } else {
+      StartBodyTimer(limit - silence);
+    }
+  });
+}
+
 void CallerConnection::OnBody(std::string_view aBytes) {
   if (m_closed) {
     return;
@@ -101,6 +130,7 @@
     return;
   }
   m_body += aBytes;
+  m_lastInputAt = base::BootNow();
 }
 
 void CallerConnection::OnComplete() {
@@ -108,6 +138,7 @@
     return;
   }
   m_reading = false;
+  m_bodyTimer.reset();
   m_answering = true;
   m_keepAlive = m_connection->ShouldKeepAlive();
   auto exchange = m_onRequest(std::move(m_head), std::move(m_body), m_arrival, MakeSink());
@@ -186,6 +217,7 @@
 
 void CallerConnection::CloseWhenFlushed() {
   m_closed = true;
+  m_bodyTimer.reset();
   m_flushing = true;
   m_connection->CloseWhenFlushed([self = shared_from_this()] {
     self->m_flushing = false;
@@ -222,6 +254,7 @@
   m_closed = true;
   m_reading = false;
   m_idleTimer.reset();
+  m_bodyTimer.reset();
   m_connection->Close();
   if (const auto exchange = std::exchange(m_exchange, nullptr)) {
     exchange->OnCallerDisconnected();
--- a/packages/forwarding/CallerConnection.h
+++ b/packages/forwarding/CallerConnection.h
@@ -55,6 +55,7 @@
   void CloseWhenFlushed();
   void StartIdleTimer();
   void ArmIdleTimer(base::Millis aDelay);
+  void StartBodyTimer(base::Millis aDelay);
   AnswerSink MakeSink();
   void WriteHead(adapters::http1::ResponseHead aHead,
                  const std::string& aFraming,
@@ -70,6 +71,10 @@
   base::TimePoint m_idleSince{};
   /// Limit that the present idle period began with.
   base::Millis m_idleLimit{ 0 };
+  /// Runs while the body of a request is being read.
+  adapters::http::EventHandlePtr m_bodyTimer;
+  /// Time of the last bytes of a request.
+  base::TimePoint m_lastInputAt{};
   adapters::http1::RequestHead m_head;
   std::string m_body;
   base::TimePoint m_arrival{};
--- a/tests/integration/PlatformPathTest.cpp
+++ b/tests/integration/PlatformPathTest.cpp
@@ -339,6 +339,26 @@
   BOOST_TEST(ended);
 }
 
+// A request whose body stops arriving is rejected as not run, and does not hold its connection.
+BOOST_AUTO_TEST_CASE(StalledBodyIsRejected) {
+  PlatformFleet fleet(1, 1);
+  fleet.ApplyConfiguration("short.example", { { "idle_timeout_ms", 1000 } });
+  BOOST_TEST(PlatformFleet::WaitUntil(
+    [&] { return fleet.Send(0, "GET", "/safe/a", "short.example").m_status == 200; }));
+  adapters::http::EventLoop loop;
+  const auto connection =
+    adapters::http1::ClientConnection::ConnectTo(loop, fleet.CallerAddress(0), base::Millis(3000));
+  int status = 0;
+  adapters::http1::ClientConnection::Events events;
+  events.m_onHead = [&](adapters::http1::ResponseHead&& aHead) { status = aHead.m_status; };
+  events.m_onEnd = [&](adapters::http1::EndKind, bool) { loop.Stop(); };
+  connection->SetEvents(std::move(events));
+  connection->Write("POST /once/a HTTP/1.1\r\nHost: h.example\r\nContent-Length: 9\r\n\r\nhalf");
+  const auto end = loop.After(base::Millis(4000), [&] { loop.Stop(); });
+  loop.Run();
+  BOOST_TEST(status == 408);
+}
+
 // Each usage window is reported with a single set of counts even if the reporting leader is killed,
 // and the counts add up to the number of calls that ran.
 BOOST_AUTO_TEST_CASE(UsageIsReportedOnceDespiteLeaderFailure) {
