standins: runners of the fleet state that they leave or pause

A runner can put Server-Leaving into all its answers while its registration still says ready, and Retry-After fields into its 503 answers. The report lists the calls that reached each incarnation of a runner and the answers with such a statement, with their times by the boot-time clock, so that a test can count the calls that came after it. A runner can register as a new incarnation.

--- a/standins/fleet/Runner.cpp
+++ b/standins/fleet/Runner.cpp
@@ -77,6 +77,8 @@
   events.m_onComplete = [this, weak] {
     if (const auto locked = weak.lock()) {
       locked->m_inProgress = true;
+      m_callLog.m_arrivals.push_back(
+        { HeaderValue(locked->m_head, "Papayafield-Attempt-Id"), m_id, m_born, base::BootNow() });
       locked->m_timer = m_loop.After(kProcessingTime, [this, weak] {
         if (const auto active = weak.lock()) {
           Respond(active);
@@ -97,6 +99,21 @@
   callerConnection->m_connection->SetEvents(std::move(events));
 }
 
+void Runner::AddSignals(ResponseHead& aHead) const {
+  if (m_signals.m_leaving) {
+    aHead.m_fields.Add("Server-Leaving", "1");
+  }
+  if (aHead.m_status == 503) {
+    for (const std::string& value : m_signals.m_retryAfter) {
+      aHead.m_fields.Add("Retry-After", value);
+    }
+  }
+  if (m_signals.m_leaving || (aHead.m_status == 503 && !m_signals.m_retryAfter.empty())) {
+    m_callLog.m_signalledAnswers.push_back(
+      { m_id, m_born, aHead.m_status, m_signals, base::BootNow() });
+  }
+}
+
 void Runner::Respond(const std::shared_ptr<CallerConnection>& aCallerConnection) {
   if (m_mode == RunnerMode::Hang) {
     return;
@@ -105,6 +122,7 @@
     ResponseHead head;
     head.m_status = 421;
     head.m_fields.Add("Papayafield-Instance-Id", m_id);
+    AddSignals(head);
     aCallerConnection->SendResponse(head, "");
     return;
   }
@@ -112,6 +130,7 @@
     ResponseHead head;
     head.m_status = 503;
     head.m_fields.Add("Papayafield-Not-Executed", "1");
+    AddSignals(head);
     aCallerConnection->SendResponse(head, "");
     return;
   }
@@ -125,16 +144,20 @@
     m_callerConnections.erase(aCallerConnection);
     aCallerConnection->m_connection->Close();
   } else if (m_mode == RunnerMode::Fail) {
-    aCallerConnection->SendResponse(aCallerConnection->MakeResponseHead(500, m_id), "failed");
+    ResponseHead head = aCallerConnection->MakeResponseHead(500, m_id);
+    AddSignals(head);
+    aCallerConnection->SendResponse(head, "failed");
   } else if (aCallerConnection->m_head.m_target.starts_with("/stream/")) {
     ResponseHead head = aCallerConnection->MakeResponseHead(200, m_id);
     head.m_fields.Add("Content-Type", "text/event-stream");
     head.m_fields.Add("Transfer-Encoding", "chunked");
+    AddSignals(head);
     aCallerConnection->m_connection->Write(adapters::http1::Serialize(head));
     SendNextEvent(aCallerConnection, std::atoi(lastEventId.c_str()) + 1);
   } else {
-    aCallerConnection->SendResponse(aCallerConnection->MakeResponseHead(200, m_id),
-                                    "answer to " + aCallerConnection->m_head.m_target);
+    ResponseHead head = aCallerConnection->MakeResponseHead(200, m_id);
+    AddSignals(head);
+    aCallerConnection->SendResponse(head, "answer to " + aCallerConnection->m_head.m_target);
   }
 }
 
--- a/standins/fleet/Runner.h
+++ b/standins/fleet/Runner.h
@@ -39,8 +39,36 @@
   std::string m_lastEventId;
 };
 
+/// A call that reached a runner, whether or not it ran.
+struct Arrival {
+  std::string m_attemptId;
+  std::string m_runner;
+  /// Start time of the runner's incarnation that the call reached.
+  int64_t m_born = 0;
+  base::TimePoint m_time;
+};
+
+/// What a runner states about itself in its answers.
+struct RunnerSignals {
+  /// Whether it states that it is about to stop.
+  bool m_leaving = false;
+  /// Values of the Retry-After fields of its 503 answers.
+  std::vector<std::string> m_retryAfter;
+};
+
+/// An answer in which a runner stated something about itself.
+struct SignalledAnswer {
+  std::string m_runner;
+  int64_t m_born = 0;
+  int m_status = 0;
+  RunnerSignals m_signals;
+  base::TimePoint m_time;
+};
+
 /// Record of the calls to all runners.
 struct CallLog {
+  std::vector<Arrival> m_arrivals;
+  std::vector<SignalledAnswer> m_signalledAnswers;
   std::vector<ExecutedCall> m_executedCalls;
   /// Attempt ids of calls whose connection was closed before the response was complete.
   std::vector<std::string> m_interruptedCalls;
@@ -63,12 +91,17 @@
   const std::string& Id() const { return m_id; }
   const base::Address& ListenAddress() const { return m_address; }
   void SetMode(RunnerMode aMode) { m_mode = aMode; }
+  void SetSignals(RunnerSignals aSignals) { m_signals = std::move(aSignals); }
+  /// Start time that the runner registers; another one makes it a new incarnation.
+  int64_t Born() const { return m_born; }
+  void SetBorn(int64_t aBorn) { m_born = aBorn; }
 
 private:
   struct CallerConnection;
 
   void AcceptConnection(std::shared_ptr<adapters::http1::ServerConnection> aConnection);
   void Respond(const std::shared_ptr<CallerConnection>& aCallerConnection);
+  void AddSignals(adapters::http1::ResponseHead& aHead) const;
   void SendNextEvent(const std::shared_ptr<CallerConnection>& aCallerConnection, int aEvent);
 
   adapters::http::EventLoop& m_loop;
@@ -76,6 +109,8 @@
   std::string m_id;
   CallLog& m_callLog;
   RunnerMode m_mode = RunnerMode::Ok;
+  RunnerSignals m_signals;
+  int64_t m_born = 1;
   std::set<std::shared_ptr<CallerConnection>> m_callerConnections;
   adapters::http1::Listener m_listener;
 };
--- a/standins/fleet/main.cpp
+++ b/standins/fleet/main.cpp
@@ -20,6 +20,11 @@
 
 constexpr size_t kMaxHeadBytes = 65536;
 
+/// Returns a point in time as milliseconds of the boot-time clock, which all processes share.
+double ToBootMillis(base::TimePoint aTime) {
+  return std::chrono::duration<double, std::milli>(aTime.time_since_epoch()).count();
+}
+
 class FleetStandin {
 public:
   FleetStandin(adapters::http::EventLoop& aLoop,
@@ -59,15 +64,11 @@
     if (m_proxyPort != 0) {
       address.m_port = static_cast<uint16_t>(m_proxyPort + std::stoi(aRunner.Id().substr(2)));
     }
-    const json entry = { { "service", m_service },
-                         { "address", address.ToText() },
-                         { "zone", "a" },
-                         { "version", "v1" },
-                         { "slots", 64 },
-                         { "state", aState },
-                         { "cold_left_ms", 0 },
-                         { "sequence", 1 },
-                         { "born", 1 } };
+    const json entry = { { "service", m_service },  { "address", address.ToText() },
+                         { "zone", "a" },           { "version", "v1" },
+                         { "slots", 64 },           { "state", aState },
+                         { "cold_left_ms", 0 },     { "sequence", 1 },
+                         { "born", aRunner.Born() } };
     m_store.Put("servers/" + aRunner.Id(), base::DumpJson(entry));
   }
 
@@ -179,6 +180,9 @@
     if (const auto mode = base::ParseEnum<RunnerMode>(aBody.value("mode", "ok"))) {
       runner.SetMode(*mode);
     }
+    runner.SetSignals(
+      { aBody.value("leaving", false), aBody.value("retry_after", std::vector<std::string>()) });
+    runner.SetBorn(aBody.value("born", runner.Born()));
     const std::string state = aBody.value("state", "");
     if (state == "gone") {
       m_store.Remove("servers/" + runner.Id());
@@ -196,7 +200,25 @@
                        { "team", run.m_team },
                        { "last_event", run.m_lastEventId } });
     }
+    json arrivals = json::array();
+    for (const Arrival& arrival : m_callLog.m_arrivals) {
+      arrivals.push_back({ { "call", arrival.m_attemptId },
+                           { "runner", arrival.m_runner },
+                           { "born", arrival.m_born },
+                           { "at_ms", ToBootMillis(arrival.m_time) } });
+    }
+    json signals = json::array();
+    for (const SignalledAnswer& answer : m_callLog.m_signalledAnswers) {
+      signals.push_back({ { "runner", answer.m_runner },
+                          { "born", answer.m_born },
+                          { "status", answer.m_status },
+                          { "leaving", answer.m_signals.m_leaving },
+                          { "retry_after", answer.m_signals.m_retryAfter },
+                          { "at_ms", ToBootMillis(answer.m_time) } });
+    }
     return { { "runs", runs },
+             { "arrivals", arrivals },
+             { "signals", signals },
              { "cut_off", m_callLog.m_interruptedCalls },
              { "duties", m_leaderCalls },
              { "stale_duties", m_staleLeaderCalls },
