--- a/packages/placement/Placement.cpp
+++ b/packages/placement/Placement.cpp
@@ -27,7 +27,8 @@
 
 bool Placement::Matches(const PlacementRequest& aRequest, const fleet::Endpoint& aEndpoint) const {
   return aEndpoint.m_service == aRequest.m_service &&
-         !aRequest.m_tried.contains(aEndpoint.m_incarnation.m_endpoint);
+         !aRequest.m_tried.contains(aEndpoint.m_incarnation.m_endpoint) &&
+         !aRequest.m_unavailable.contains(aEndpoint.m_incarnation);
 }
 
 bool Placement::IsAvoided(const base::EndpointId& aEndpoint, base::TimePoint aNow) const {
--- a/packages/placement/Placement.h
+++ b/packages/placement/Placement.h
@@ -41,6 +41,8 @@
   base::ZoneId m_zone;
   /// Endpoints that this call has already been sent to.
   std::set<base::EndpointId> m_tried;
+  /// Incarnations that must not get the call, even if there is no other one.
+  std::set<fleet::Incarnation> m_unavailable;
 };
 
 /// Cost model of the load.
--- a/packages/placement/tests/PlacementTest.cpp
+++ b/packages/placement/tests/PlacementTest.cpp
@@ -98,6 +98,20 @@
   BOOST_TEST(placement.Choose(MakeRequest(""), endpoints, kNow).has_value());
 }
 
+// Unlike an endpoint that fails, one that must not get calls is not used even if it is the last
+// one. Another incarnation of it is.
+BOOST_AUTO_TEST_CASE(UnavailableEndpointsAreNeverChosen) {
+  const Placement placement{ PlacementSettings{} };
+  auto endpoints = Engines(2);
+  PlacementRequest request = MakeRequest("s");
+  request.m_unavailable = { endpoints[0].m_incarnation };
+  BOOST_TEST(*placement.Choose(request, endpoints, kNow) == 1U);
+  request.m_unavailable.insert(endpoints[1].m_incarnation);
+  BOOST_TEST(!placement.Choose(request, endpoints, kNow).has_value());
+  endpoints[0].m_incarnation.m_startMs = 7;
+  BOOST_TEST(*placement.Choose(request, endpoints, kNow) == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(TriedEndpointsAreNotChosenAgain) {
   const Placement placement{ PlacementSettings{} };
   PlacementRequest request = MakeRequest("s");
