Endpoints whose answers say that they leave get no more calls

What callers saw: calls went on to endpoints that stated in each answer that they were about to stop, until their registration said so or was removed; the header was read nowhere. It was also passed on to callers.

Cause: the only evidence of leaving was the store's registration.

Change: EndpointSignals applies the head of each answer before anything else is done with it: the incarnation is marked in EndpointAvailability, its idle connections are closed and connections in use are not pooled again. First attempts, retries and resumed streams all pass Exchange::Dispatch, which never chooses a marked incarnation. If a service has no other endpoint, the call is refused at once as not run, or a begun stream is broken. Other nodes are told within 10 ms and beside each heartbeat for 30 s after the statement. The notice is a datagram of its own in plain text. The mark does not depend on the registration; a new incarnation starts clean. The header is for the node, so callers do not see it.

A 421 or another answer that names another endpoint marks nothing: the incarnation that the call was meant for has not spoken.

--- a/packages/adapters/peer/GossipCodec.cpp
+++ b/packages/adapters/peer/GossipCodec.cpp
@@ -2,8 +2,10 @@
 
 #include "adapters/peer/news.capnp.h"
 
+#include <algorithm>
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
+#include <charconv>
 #include <kj/exception.h>
 #include <kj/io.h>
 
@@ -11,6 +13,12 @@
 
 namespace {
 
+/// First line of a notice of leaving endpoints. No packed Cap'n Proto message begins like this: it
+/// would have millions of segments.
+constexpr std::string_view kLeavingNotice = "leaving\n";
+/// Maximum number of endpoints that are read from a notice.
+constexpr size_t kMaxLeavingMarks = 256;
+
 std::string ToString(capnp::Text::Reader aText) {
   return { aText.begin(), aText.size() };
 }
@@ -149,6 +157,35 @@
   return ReadHeartbeat(aFrom.getBeat());
 }
 
+/// Takes the number and the space after it from the front of `aText`.
+std::optional<int64_t> TakeNumber(std::string_view& aText) {
+  int64_t number = 0;
+  const auto [end, error] = std::from_chars(aText.data(), aText.data() + aText.size(), number);
+  const auto length = static_cast<size_t>(end - aText.data());
+  if (error != std::errc{} || length >= aText.size() || aText[length] != ' ') {
+    return std::nullopt;
+  }
+  aText.remove_prefix(length + 1);
+  return number;
+}
+
+/// Reads the lines after the first one. Returns nullopt if one is malformed.
+std::optional<gossip::LeavingNotice> ReadLeavingNotice(std::string_view aLines) {
+  gossip::LeavingNotice notice;
+  while (!aLines.empty() && notice.m_marks.size() < kMaxLeavingMarks) {
+    std::string_view line = aLines.substr(0, aLines.find('\n'));
+    aLines.remove_prefix(std::min(aLines.size(), line.size() + 1));
+    const auto age = TakeNumber(line);
+    const auto startMs = age ? TakeNumber(line) : std::nullopt;
+    if (!startMs || line.empty()) {
+      return std::nullopt;
+    }
+    notice.m_marks.push_back(
+      { { base::EndpointId(std::string(line)), *startMs }, base::Millis(*age) });
+  }
+  return notice;
+}
+
 std::string Pack(capnp::MessageBuilder& aMessage) {
   kj::VectorOutputStream stream;
   capnp::writePackedMessage(stream, aMessage);
@@ -170,7 +207,22 @@
   return Pack(message);
 }
 
+std::string EncodeLeavingNotice(const gossip::LeavingNotice& aNotice) {
+  std::string text(kLeavingNotice);
+  for (const fleet::LeavingMark& mark : aNotice.m_marks) {
+    const std::string& id = mark.m_incarnation.m_endpoint.Text();
+    if (!id.empty() && id.find('\n') == std::string::npos) {
+      text += std::to_string(mark.m_age.count()) + ' ' +
+              std::to_string(mark.m_incarnation.m_startMs) + ' ' + id + '\n';
+    }
+  }
+  return text;
+}
+
 std::optional<GossipMessage> DecodeGossip(std::string_view aBytes) {
+  if (aBytes.starts_with(kLeavingNotice)) {
+    return ReadLeavingNotice(aBytes.substr(kLeavingNotice.size()));
+  }
   std::optional<GossipMessage> news;
   const auto failure = kj::runCatchingExceptions([&] {
     kj::ArrayInputStream stream(
--- a/packages/adapters/peer/GossipCodec.h
+++ b/packages/adapters/peer/GossipCodec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gossip/Heartbeat.h"
+#include "gossip/LeavingNotice.h"
 #include "gossip/Update.h"
 
 #include <optional>
@@ -11,7 +12,7 @@
 namespace papayafield::adapters::peer {
 
 /// The content of a gossip datagram.
-using GossipMessage = std::variant<gossip::Heartbeat, gossip::Update>;
+using GossipMessage = std::variant<gossip::Heartbeat, gossip::Update, gossip::LeavingNotice>;
 
 /// Encodes a heartbeat as a packed Cap'n Proto message. Thread safe.
 std::string EncodeHeartbeat(const gossip::Heartbeat& aHeartbeat);
@@ -19,6 +20,10 @@
 /// Encodes a store update as a packed Cap'n Proto message. Thread safe.
 std::string EncodeUpdate(const gossip::Update& aUpdate);
 
+/// Encodes a notice as text: a line that names the kind of datagram, then one line for each
+/// endpoint with its age in milliseconds, its start time and its ID. Thread safe.
+std::string EncodeLeavingNotice(const gossip::LeavingNotice& aNotice);
+
 /// Decodes a datagram. Returns nullopt if it is malformed. Thread safe.
 std::optional<GossipMessage> DecodeGossip(std::string_view aBytes);
 
--- a/packages/adapters/peer/tests/GossipCodecTest.cpp
+++ b/packages/adapters/peer/tests/GossipCodecTest.cpp
@@ -33,6 +33,11 @@
            { { { "p/a", std::string("\0x", 2), 5, 2 }, false }, { { "p/b", "", 7, 0 }, true } } };
 }
 
+gossip::LeavingNotice MakeLeavingNotice() {
+  return { { { { base::EndpointId("i-1"), 1234567890123 }, base::Millis(250) },
+             { { base::EndpointId("with a space"), -1 }, base::Millis(0) } } };
+}
+
 void DecodeMutatedBytes(const std::string& aValidBytes) {
   for (uint64_t seed = 1; seed <= 2000; ++seed) {
     std::mt19937_64 random(seed);
@@ -82,7 +87,27 @@
   BOOST_TEST(update->m_changes[1].m_removed);
 }
 
+BOOST_AUTO_TEST_CASE(LeavingNoticeRoundTrips) {
+  const auto news = DecodeGossip(EncodeLeavingNotice(MakeLeavingNotice()));
+  BOOST_REQUIRE(news.has_value());
+  const auto* notice = std::get_if<gossip::LeavingNotice>(&*news);
+  BOOST_REQUIRE(notice != nullptr);
+  BOOST_REQUIRE(notice->m_marks.size() == 2U);
+  BOOST_TEST((notice->m_marks[0].m_incarnation ==
+              fleet::Incarnation{ base::EndpointId("i-1"), 1234567890123 }));
+  BOOST_TEST(notice->m_marks[0].m_age.count() == 250);
+  BOOST_TEST(notice->m_marks[1].m_incarnation.m_endpoint.Text() == "with a space");
+}
+
+BOOST_AUTO_TEST_CASE(MalformedLeavingNoticeIsDropped) {
+  for (const char* lines : { "x\n", "1\n", "1 2\n", "1 2 \n", "1 x i-1\n", " 1 2 i-1\n", "\n" }) {
+    BOOST_TEST(!DecodeGossip(std::string("leaving\n") + lines).has_value(), lines);
+  }
+  BOOST_TEST(!DecodeGossip("leaving\n99999999999999999999 2 i-1\n").has_value());
+}
+
 BOOST_AUTO_TEST_CASE(MutatedBytesAreHandledSafely) {
+  DecodeMutatedBytes(EncodeLeavingNotice(MakeLeavingNotice()));
   DecodeMutatedBytes(EncodeHeartbeat(MakeFullHeartbeat()));
   DecodeMutatedBytes(EncodeUpdate(MakeFullUpdate()));
   BOOST_TEST(!DecodeGossip("").has_value());
--- a/packages/forwarding/Call.h
+++ b/packages/forwarding/Call.h
@@ -76,6 +76,10 @@
   bool m_eventStream = false;
   /// How long the endpoint keeps an idle connection open, if it states that.
   std::optional<base::Millis> m_keepAlive;
+  /// ID of the endpoint that answers, if it states that.
+  std::string m_instance;
+  /// Whether the endpoint states that it is about to stop.
+  bool m_leaving = false;
 };
 
 /// Encoding of calls, attempts and answers on the wire.
@@ -85,6 +89,8 @@
   std::function<AnswerInfo(const adapters::http1::ResponseHead&)> m_decodeAnswer;
   /// Name of the header field that returns the ID of a call to its caller.
   std::string m_idField;
+  /// Names of the header fields of an answer that are meant for this node and not for callers.
+  std::vector<std::string> m_hopFields;
 };
 
 } // namespace papayafield::forwarding
--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -29,6 +29,10 @@
 constexpr size_t kMaxAnswerBytes = 16U << 20U;
 /// Callers honour a Retry-After of up to this fraction of their remaining time.
 constexpr double kMaxRetryAfterFraction = 0.33;
+/// Retry-After in seconds while all endpoints of a service leave: others may register soon.
+constexpr double kLeavingRetrySeconds = 1.0;
+/// Mean time in seconds over which callers return after the end of an endpoint's pause.
+constexpr double kReturnSpreadSeconds = 0.2;
 
 /// Returns the priority of a call: the team's, if it has one, otherwise the route's.
 int PriorityOf(const fleet::Team* aTeam, const fleet::Route& aRoute) {
@@ -93,6 +97,11 @@
   return std::chrono::duration_cast<base::Millis>(m_deadline - base::BootNow());
 }
 
+base::Millis Exchange::CallerTimeLeft() const {
+  const auto elapsed = std::chrono::duration_cast<base::Millis>(base::BootNow() - m_arrival);
+  return m_call.m_callerTimeout ? *m_call.m_callerTimeout - elapsed : TimeLeft();
+}
+
 double Exchange::UncachedTokens() const {
   if (!m_call.m_promptTokens) {
     return 0;
@@ -124,6 +133,7 @@
   request.m_promptTokens = UncachedTokens();
   request.m_zone = m_node.m_zone;
   request.m_tried = m_tried;
+  request.m_unavailable = m_node.m_availability.Unavailable(base::BootNow());
   return request;
 }
 
@@ -152,6 +162,10 @@
       Deliver(m_errorAnswer->first, m_errorAnswer->second);
       return;
     }
+    if (const auto outage = m_node.m_availability.FindOutage(m_service, ready, now)) {
+      EndForOutage(*outage);
+      return;
+    }
     Reject(FinalStatus(m_possibleRuns > 0, false), "no_endpoint", 1.0);
     return;
   }
@@ -164,6 +178,28 @@
   Send(ready[*choice]);
 }
 
+/// Ends the call because every endpoint of its service leaves or has asked for a pause.
+void Exchange::EndForOutage(const fleet::ServiceOutage& aOutage) {
+  m_node.m_log.Event("service out",
+                     { { "request", m_call.m_id },
+                       { "service", m_service.Text() },
+                       { "reason", base::NameOf(aOutage.m_reason) },
+                       { "leaving", aOutage.m_leaving },
+                       { "waiting", aOutage.m_waiting },
+                       { "first_end_ms", aOutage.m_firstEnd.count() },
+                       { "possible_runs", m_possibleRuns } });
+  if (m_streamBegun) {
+    m_sink.m_onStreamBroken();
+    Finish(0, "stream_broken");
+    return;
+  }
+  const bool waiting = aOutage.m_reason == fleet::Unavailability::Waiting;
+  Reject(FinalStatus(m_possibleRuns > 0, false),
+         std::string(base::NameOf(aOutage.m_reason)),
+         waiting ? kReturnSpreadSeconds : kLeavingRetrySeconds,
+         aOutage.m_firstEnd);
+}
+
 base::Millis Exchange::AttemptTimeout() const {
   return std::chrono::duration_cast<base::Millis>(m_route.m_latencyTarget * kStallTimeoutFactor);
 }
@@ -247,6 +283,7 @@
 void Exchange::OnHead(const std::shared_ptr<ActiveAttempt>& aAttempt, ResponseHead&& aHead) {
   aAttempt->m_answerInfo = m_node.m_wire.m_decodeAnswer(aHead);
   const AnswerInfo& info = aAttempt->m_answerInfo;
+  m_node.m_signals.OnAnswer(aAttempt->m_endpoint.m_incarnation, info, m_call.m_id);
   aAttempt->m_isMisdirected = !info.m_id.empty() && info.m_id != m_call.m_id;
   if (aAttempt->m_isMisdirected) {
     aAttempt->m_sawMisdirected = true;
@@ -365,7 +402,10 @@
   aAttempt->m_stallTimer.reset();
   const fleet::Incarnation& incarnation = aAttempt->m_endpoint.m_incarnation;
   m_node.m_placement.RecordCallEnded(incarnation.m_endpoint, aAttempt->m_queuedTokens);
-  if (aReuse && aAttempt->m_connection->ShouldKeepAlive() && !aAttempt->m_sawMisdirected) {
+  const bool leaving =
+    m_node.m_availability.Check(incarnation, base::BootNow()) == fleet::Unavailability::Leaving;
+  if (aReuse && aAttempt->m_connection->ShouldKeepAlive() && !aAttempt->m_sawMisdirected &&
+      !leaving) {
     m_node.m_pool.Return(
       incarnation, aAttempt->m_connection, aAttempt->m_answerInfo.m_keepAlive, base::BootNow());
   } else {
@@ -475,7 +515,13 @@
   head.m_status = aHead.m_status;
   head.m_reason = aHead.m_reason;
   for (const auto& field : aHead.m_fields.List()) {
-    if (!adapters::http1::IsHopByHop(field.m_name)) {
+    const bool isHopField =
+      std::any_of(m_node.m_wire.m_hopFields.begin(),
+                  m_node.m_wire.m_hopFields.end(),
+                  [&](const std::string& aName) {
+                    return adapters::http1::EqualsIgnoreCase(aName, field.m_name);
+                  });
+    if (!isHopField && !adapters::http1::IsHopByHop(field.m_name)) {
       head.m_fields.Add(field.m_name, field.m_value);
     }
   }
@@ -498,7 +544,10 @@
                                      : "endpoint_failure");
 }
 
-void Exchange::Reject(int aStatus, const std::string& aReason, double aRetryAfterSeconds) {
+void Exchange::Reject(int aStatus,
+                      const std::string& aReason,
+                      double aRetryAfterSeconds,
+                      base::Millis aMinRetryAfter) {
   if (m_finished) {
     return;
   }
@@ -512,8 +561,11 @@
   if (aStatus == 503 && aRetryAfterSeconds > 0) {
     // Spread over 0.5 to 1.5 times the delay, so that callers do not return at the same time.
     const double maxDelay = Seconds(TimeLeft()) * kMaxRetryAfterFraction;
-    const double delay =
-      std::min(aRetryAfterSeconds * (0.5 + m_node.Random()), std::max(maxDelay, 0.0));
+    double delay = std::min(aRetryAfterSeconds * (0.5 + m_node.Random()), std::max(maxDelay, 0.0));
+    if (aMinRetryAfter.count() > 0) {
+      delay = std::min(Seconds(aMinRetryAfter) + delay,
+                       std::max(Seconds(CallerTimeLeft()) * kMaxRetryAfterFraction, 0.0));
+    }
     char text[16];
     std::snprintf(text, sizeof(text), "%.2f", delay);
     head.m_fields.Add("Retry-After", text);
--- a/packages/forwarding/Exchange.h
+++ b/packages/forwarding/Exchange.h
@@ -71,13 +71,18 @@
   void CountUsage(const std::shared_ptr<ActiveAttempt>& aAttempt, base::TimePoint aBegan);
   void AddOutputWork();
   void OnTimeout();
-  void Reject(int aStatus, const std::string& aReason, double aRetryAfterSeconds);
+  void Reject(int aStatus,
+              const std::string& aReason,
+              double aRetryAfterSeconds,
+              base::Millis aMinRetryAfter = base::Millis(0));
+  void EndForOutage(const fleet::ServiceOutage& aOutage);
   void Deliver(const adapters::http1::ResponseHead& aHead, const std::string& aBody);
   void Finish(int aStatus, const std::string& aReason);
   adapters::http1::ResponseHead CallerHead(const adapters::http1::ResponseHead& aHead) const;
   placement::PlacementRequest MakePlacementRequest(const fleet::ServiceId& aService) const;
   fleet::ServiceId SelectService();
   base::Millis TimeLeft() const;
+  base::Millis CallerTimeLeft() const;
   base::Millis AttemptTimeout() const;
   double UncachedTokens() const;
 
--- a/packages/forwarding/NodeState.cpp
+++ b/packages/forwarding/NodeState.cpp
@@ -18,12 +18,14 @@
                      RetryLimits aRetryLimits,
                      quota::QuotaTolerance aQuotaTolerance,
                      base::Millis aExpiryGrace,
-                     int64_t aWindowMs)
+                     int64_t aWindowMs,
+                     std::function<void()> aOnEndpointLeaving)
   : m_loop(aLoop)
   , m_wire(std::move(aWire))
   , m_zone(std::move(aZone))
   , m_directory(aExpiryGrace)
   , m_pool(aLoop)
+  , m_signals(m_availability, m_pool, std::move(aOnEndpointLeaving))
   , m_quota(aQuotaTolerance)
   , m_usage(aWindowMs)
   , m_retryLimits(aRetryLimits) {}
--- a/packages/forwarding/NodeState.h
+++ b/packages/forwarding/NodeState.h
@@ -8,6 +8,7 @@
 #include "fleet/EndpointDirectory.h"
 #include "forwarding/Call.h"
 #include "forwarding/EndpointPool.h"
+#include "forwarding/EndpointSignals.h"
 #include "forwarding/Metrics.h"
 #include "placement/Placement.h"
 #include "quota/QuotaLedger.h"
@@ -31,14 +32,16 @@
 /// State shared by all calls of one node. Belongs to the event loop's thread.
 class NodeState {
 public:
-  /// `aWindowMs` is the length of a usage window.
+  /// `aWindowMs` is the length of a usage window. `aOnEndpointLeaving` is called when this node
+  /// learns that an endpoint leaves.
   NodeState(adapters::http::EventLoop& aLoop,
             WireFormat aWire,
             base::ZoneId aZone,
             RetryLimits aRetryLimits,
             quota::QuotaTolerance aQuotaTolerance,
             base::Millis aExpiryGrace,
-            int64_t aWindowMs);
+            int64_t aWindowMs,
+            std::function<void()> aOnEndpointLeaving);
 
   /// Returns the active configuration; null before the first one.
   const fleet::CatalogPtr& Catalog() const { return m_catalog; }
@@ -64,7 +67,9 @@
   fleet::EndpointDirectory m_directory;
   placement::Placement m_placement{ placement::PlacementSettings{} };
   duties::ScalingPolicy m_scaling{ duties::ScalingSettings{} };
+  fleet::EndpointAvailability m_availability{ fleet::AvailabilitySettings{} };
   EndpointPool m_pool;
+  EndpointSignals m_signals;
   quota::QuotaLedger m_quota;
   duties::UsageLedger m_usage;
   Metrics m_metrics;
--- /dev/null
+++ b/packages/forwarding/tests/AnswerSignalsTest.cpp
@@ -0,0 +1,64 @@
+#include "forwarding/EndpointSignals.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace papayafield;
+using namespace papayafield::forwarding;
+using fleet::Unavailability;
+
+namespace {
+
+const fleet::Incarnation kEndpoint{ base::EndpointId("i-1"), 5 };
+
+/// An answer's statements and what they mean for the endpoint that the call was sent to.
+struct Row {
+  bool m_leaving;
+  std::string m_instance;
+  std::optional<Unavailability> m_result;
+};
+
+const Row kRows[] = {
+  { false, "", std::nullopt },
+  { true, "", Unavailability::Leaving },
+  { true, "i-1", Unavailability::Leaving },
+  { true, "i-2", std::nullopt },
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(AnswerSignalsTest)
+
+// At an address that is used again, the answer of the new endpoint says nothing about the old one.
+BOOST_AUTO_TEST_CASE(StatementsApplyToTheEndpointThatMakesThem) {
+  for (const Row& row : kRows) {
+    adapters::http::EventLoop loop;
+    EndpointPool pool(loop);
+    fleet::EndpointAvailability availability{ fleet::AvailabilitySettings{} };
+    int marks = 0;
+    EndpointSignals signals(availability, pool, [&] { ++marks; });
+    AnswerInfo info;
+    info.m_leaving = row.m_leaving;
+    info.m_instance = row.m_instance;
+    signals.OnAnswer(kEndpoint, info, "call");
+    signals.OnAnswer(kEndpoint, info, "call");
+    BOOST_TEST_CONTEXT("row " << &row - kRows) {
+      BOOST_TEST((availability.Check(kEndpoint, base::BootNow()) == row.m_result));
+      BOOST_TEST(marks == (row.m_result == Unavailability::Leaving ? 1 : 0));
+    }
+  }
+}
+
+// A report is announced again only by nodes that did not know of it.
+BOOST_AUTO_TEST_CASE(KnownReportIsNotAnnouncedAgain) {
+  adapters::http::EventLoop loop;
+  EndpointPool pool(loop);
+  fleet::EndpointAvailability availability{ fleet::AvailabilitySettings{} };
+  int marks = 0;
+  EndpointSignals signals(availability, pool, [&] { ++marks; });
+  signals.OnPeerReport({ { kEndpoint, base::Millis(100) } });
+  signals.OnPeerReport({ { kEndpoint, base::Millis(200) } });
+  BOOST_TEST((availability.Check(kEndpoint, base::BootNow()) == Unavailability::Leaving));
+  BOOST_TEST(marks == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/packages/serving/GossipExchange.cpp
+++ b/packages/serving/GossipExchange.cpp
@@ -3,6 +3,7 @@
 #include "adapters/peer/GossipCodec.h"
 
 #include <algorithm>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <set>
 
@@ -17,6 +18,8 @@
 /// Maximum number of nodes that one round of heartbeats goes to; bounds the traffic of a large
 /// fleet.
 constexpr size_t kFanout = 12;
+/// Delay of an announcement, in which endpoints that become known to leave are collected.
+constexpr base::Millis kAnnounceDelay{ 10 };
 /// Lag behind a peer that is tolerated while this node watches the store itself, because the
 /// store's own notification is under way.
 constexpr base::Millis kNormalLag{ 300 };
@@ -33,7 +36,9 @@
                                gossip::PeerTable& aPeerTable,
                                sync::StoreReplica& aReplica,
                                std::function<gossip::Heartbeat()> aMakeHeartbeat,
-                               std::function<void(const gossip::Heartbeat&)> aOnHeartbeat)
+                               std::function<void(const gossip::Heartbeat&)> aOnHeartbeat,
+                               std::function<gossip::LeavingNotice()> aMakeLeavingNotice,
+                               std::function<void(const gossip::LeavingNotice&)> aOnLeavingNotice)
   : m_loop(aLoop)
   , m_settings(aSettings)
   , m_self(aSelf)
@@ -41,6 +46,8 @@
   , m_replica(aReplica)
   , m_makeHeartbeat(std::move(aMakeHeartbeat))
   , m_onHeartbeat(std::move(aOnHeartbeat))
+  , m_makeLeavingNotice(std::move(aMakeLeavingNotice))
+  , m_onLeavingNotice(std::move(aOnLeavingNotice))
   , m_socket({ aSettings.m_host, aSettings.m_gossipPort })
   , m_readable(aLoop.OnReadable(m_socket.Fd(), [this] { Receive(); }))
   , m_server(aLoop,
@@ -71,6 +78,31 @@
   for (const std::string& host : aHosts) {
     m_socket.Send({ host, m_settings.m_gossipPort }, bytes);
   }
+  SendLeavingNotice(aHosts);
+}
+
+void GossipExchange::SendLeavingNotice(const std::vector<std::string>& aHosts) {
+  const gossip::LeavingNotice notice = m_makeLeavingNotice();
+  if (notice.m_marks.empty()) {
+    return;
+  }
+  const std::string bytes = adapters::peer::EncodeLeavingNotice(notice);
+  for (const std::string& host : aHosts) {
+    m_socket.Send({ host, m_settings.m_gossipPort }, bytes);
+  }
+}
+
+void GossipExchange::AnnounceLeaving() {
+  if (m_announceTimer != nullptr) {
+    return;
+  }
+  m_announceTimer = m_loop.After(kAnnounceDelay, [this] {
+    m_announceTimer.reset();
+    const std::vector<std::string> hosts = Hosts();
+    std::vector<std::string> targets;
+    std::sample(hosts.begin(), hosts.end(), std::back_inserter(targets), kFanout, m_random);
+    SendLeavingNotice(targets);
+  });
 }
 
 void GossipExchange::SendHeartbeats(const std::vector<std::string>& aAlways) {
@@ -91,6 +123,8 @@
       m_log.Event("invalid datagram dropped", { { "bytes", bytes.size() } });
     } else if (const auto* update = std::get_if<gossip::Update>(&*message)) {
       HandleUpdate(*update);
+    } else if (const auto* notice = std::get_if<gossip::LeavingNotice>(&*message)) {
+      m_onLeavingNotice(*notice);
     } else {
       m_onHeartbeat(std::get<gossip::Heartbeat>(*message));
     }
--- a/packages/serving/GossipExchange.h
+++ b/packages/serving/GossipExchange.h
@@ -4,6 +4,7 @@
 #include "adapters/http1/SimpleServer.h"
 #include "adapters/peer/DatagramSocket.h"
 #include "base/Digest.h"
+#include "gossip/LeavingNotice.h"
 #include "gossip/PeerTable.h"
 #include "gossip/Update.h"
 #include "serving/ServingSettings.h"
@@ -13,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -30,7 +32,9 @@
                  gossip::PeerTable& aPeerTable,
                  sync::StoreReplica& aReplica,
                  std::function<gossip::Heartbeat()> aMakeHeartbeat,
-                 std::function<void(const gossip::Heartbeat&)> aOnHeartbeat);
+                 std::function<void(const gossip::Heartbeat&)> aOnHeartbeat,
+                 std::function<gossip::LeavingNotice()> aMakeLeavingNotice,
+                 std::function<void(const gossip::LeavingNotice&)> aOnLeavingNotice);
 
   /// Returns whether both ports could be bound.
   bool Bound() const { return m_socket.Bound() && m_server.Listening(); }
@@ -42,6 +46,10 @@
   /// Sends changes to the other nodes of this zone at once: all changes after revision `aAfter`, in
   /// order.
   void SendUpdate(uint64_t aAfter, const std::vector<store::Change>& aChanges);
+  /// Informs other nodes of the endpoints that leave: all nodes of a small fleet, some of a large
+  /// one, which pass it on. Several calls in a short time cause one datagram to each of them. Each
+  /// round of heartbeats repeats it.
+  void AnnounceLeaving();
   /// Returns when the last update from a node that watches the store arrived, or nullopt before the
   /// first one.
   std::optional<base::TimePoint> LastUpdateTime() const { return m_lastUpdateTime; }
@@ -52,6 +60,7 @@
 private:
   std::vector<std::string> Hosts() const;
   void SendTo(const std::vector<std::string>& aHosts);
+  void SendLeavingNotice(const std::vector<std::string>& aHosts);
   void Receive();
   void HandleUpdate(const gossip::Update& aUpdate);
   void Fetch(const std::string& aHost);
@@ -67,6 +76,8 @@
   sync::StoreReplica& m_replica;
   std::function<gossip::Heartbeat()> m_makeHeartbeat;
   std::function<void(const gossip::Heartbeat&)> m_onHeartbeat;
+  std::function<gossip::LeavingNotice()> m_makeLeavingNotice;
+  std::function<void(const gossip::LeavingNotice&)> m_onLeavingNotice;
   const base::Log m_log{ "news" };
   adapters::peer::DatagramSocket m_socket;
   adapters::http::EventHandlePtr m_readable;
@@ -74,6 +85,9 @@
   std::map<std::string, std::unique_ptr<adapters::http1::JsonClient>> m_clients;
   /// Index of the host at which the next round of heartbeats begins.
   size_t m_nextHost = 0;
+  /// Set while an announcement of leaving endpoints is about to be sent.
+  adapters::http::EventHandlePtr m_announceTimer;
+  std::mt19937_64 m_random{ base::RandomSeed() };
   bool m_fetching = false;
   std::optional<base::TimePoint> m_lastUpdateTime;
   /// Hosts that recently failed to return their replica, with the time of the failure.
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -56,7 +56,8 @@
               m_settings.m_retries,
               m_settings.m_quotaTolerance,
               kExpiryGrace,
-              m_settings.m_usageWindowMs)
+              m_settings.m_usageWindowMs,
+              [this] { m_gossip.AnnounceLeaving(); })
     , m_replica([this](const std::string& aKey,
                        const std::optional<store::Item>& aItem,
                        uint64_t aRevision) { OnItem(aKey, aItem, aRevision); })
@@ -80,7 +81,13 @@
         m_peerTable,
         m_replica,
         [this] { return MakeHeartbeat(); },
-        [this](const gossip::Heartbeat& aHeartbeat) { OnHeartbeat(aHeartbeat); })
+        [this](const gossip::Heartbeat& aHeartbeat) { OnHeartbeat(aHeartbeat); },
+        [this] {
+          return gossip::LeavingNotice{ m_state.m_availability.Announcement(base::BootNow()) };
+        },
+        [this](const gossip::LeavingNotice& aNotice) {
+          m_state.m_signals.OnPeerReport(aNotice.m_marks);
+        })
     , m_gateway(m_state, m_settings.m_callerAddress)
     , m_leaderElection(
         aStore,
@@ -431,6 +438,7 @@
     }
     m_state.m_pool.CloseExpired(m_state.m_directory.All(), now);
     m_state.m_placement.RetainEndpoints(m_state.m_directory.All());
+    m_state.m_availability.RemoveObsolete(m_state.m_directory.All(), now);
     for (const base::NodeId& node : m_peerTable.RemoveStale(now)) {
       m_state.m_quota.RemovePeer(node);
       m_state.m_placement.SetPeerLoad(node.Text(), {});
