Endpoints that ask for a pause get no calls until it ends

What callers and endpoints saw: an endpoint that refused calls with 503 and said in Retry-After for how long it wanted none got further calls all the while, from first attempts and retries; calls that could not be served were sent there instead of being refused at once.

Cause: the Retry-After of an endpoint's answer was read nowhere. Placement avoids an endpoint for one second after three failures, and only if there is another one.

Change: the longest valid Retry-After of a 503 (with or without the statement that the call was not run) keeps the incarnation from getting calls until its end by the boot-time clock. Seconds and fractions count; dates, negative numbers and other text are logged and ignored.

--- a/packages/forwarding/Call.h
+++ b/packages/forwarding/Call.h
@@ -80,6 +80,10 @@
   std::string m_instance;
   /// Whether the endpoint states that it is about to stop.
   bool m_leaving = false;
+  /// How long the endpoint wants no further calls from this node, if it states that.
+  std::optional<base::Millis> m_retryAfter;
+  /// Whether the answer contains such a time in a form that cannot be used.
+  bool m_hasInvalidRetryAfter = false;
 };
 
 /// Encoding of calls, attempts and answers on the wire.
--- a/packages/forwarding/EndpointSignals.cpp
+++ b/packages/forwarding/EndpointSignals.cpp
@@ -8,7 +8,10 @@
                                const AnswerInfo& aInfo,
                                const std::string& aCallId) {
   const std::string& id = aEndpoint.m_endpoint.Text();
-  if (!aInfo.m_leaving) {
+  if (aInfo.m_hasInvalidRetryAfter) {
+    m_log.Event("invalid retry time ignored", { { "endpoint", id }, { "request", aCallId } });
+  }
+  if (!aInfo.m_leaving && !aInfo.m_retryAfter) {
     return;
   }
   if (!aInfo.m_instance.empty() && aInfo.m_instance != id) {
@@ -19,7 +22,7 @@
     return;
   }
   const auto now = base::BootNow();
-  if (m_availability.MarkLeaving(aEndpoint, now)) {
+  if (aInfo.m_leaving && m_availability.MarkLeaving(aEndpoint, now)) {
     m_log.Event("endpoint leaves",
                 { { "endpoint", id },
                   { "born", aEndpoint.m_startMs },
@@ -27,6 +30,15 @@
                   { "request", aCallId } });
     OnLeaving(aEndpoint);
   }
+  if (aInfo.m_retryAfter) {
+    const base::Millis pause = m_availability.Pause(aEndpoint, *aInfo.m_retryAfter, now);
+    m_log.Event("endpoint pauses",
+                { { "endpoint", id },
+                  { "born", aEndpoint.m_startMs },
+                  { "asked_ms", aInfo.m_retryAfter->count() },
+                  { "pause_ms", pause.count() },
+                  { "request", aCallId } });
+  }
 }
 
 void EndpointSignals::OnPeerReport(const std::vector<fleet::LeavingMark>& aMarks) {
--- a/packages/forwarding/EndpointSignals.h
+++ b/packages/forwarding/EndpointSignals.h
@@ -11,8 +11,8 @@
 
 namespace papayafield::forwarding {
 
-/// Applies what endpoints state about themselves in their answers, such as that they leave. Belongs
-/// to the event loop's thread.
+/// Applies what endpoints state about themselves in their answers: that they leave, or that they
+/// want no calls for some time. Belongs to the event loop's thread.
 class EndpointSignals {
 public:
   /// `aOnMarked` is called when this node learns that an endpoint leaves.
--- a/packages/forwarding/tests/AnswerSignalsTest.cpp
+++ b/packages/forwarding/tests/AnswerSignalsTest.cpp
@@ -13,15 +13,20 @@
 /// An answer's statements and what they mean for the endpoint that the call was sent to.
 struct Row {
   bool m_leaving;
+  std::optional<base::Millis> m_retryAfter;
   std::string m_instance;
   std::optional<Unavailability> m_result;
 };
 
 const Row kRows[] = {
-  { false, "", std::nullopt },
-  { true, "", Unavailability::Leaving },
-  { true, "i-1", Unavailability::Leaving },
-  { true, "i-2", std::nullopt },
+  { false, std::nullopt, "", std::nullopt },
+  { true, std::nullopt, "", Unavailability::Leaving },
+  { true, std::nullopt, "i-1", Unavailability::Leaving },
+  { true, std::nullopt, "i-2", std::nullopt },
+  { false, base::Millis(5000), "", Unavailability::Waiting },
+  { false, base::Millis(0), "", std::nullopt },
+  { false, base::Millis(5000), "i-2", std::nullopt },
+  { true, base::Millis(5000), "", Unavailability::Leaving },
 };
 
 } // namespace
@@ -38,6 +43,7 @@
     EndpointSignals signals(availability, pool, [&] { ++marks; });
     AnswerInfo info;
     info.m_leaving = row.m_leaving;
+    info.m_retryAfter = row.m_retryAfter;
     info.m_instance = row.m_instance;
     signals.OnAnswer(kEndpoint, info, "call");
     signals.OnAnswer(kEndpoint, info, "call");
--- a/tests/integration/EndpointSignalsTest.cpp
+++ b/tests/integration/EndpointSignalsTest.cpp
@@ -16,8 +16,12 @@
 constexpr int kSeeds = 20;
 /// Time after a statement at which an endpoint may still get a call that was under way.
 constexpr double kLeavingGraceMs = 2000;
+constexpr double kPauseGraceMs = 500;
 /// Time after which a caller that was refused sends its next call.
 constexpr base::Millis kRetryDelay{ 10 };
+/// Calls that an endpoint may get during the rest of a pause.
+constexpr int kMaxCallsInPause = 2;
+
 /// Callers that send calls of all kinds to the nodes until they are destroyed.
 class Callers {
 public:
@@ -105,6 +109,24 @@
     }));
 }
 
+/// Returns the largest number of calls that reached an endpoint between the grace after one of its
+/// refusals and the end of the pause that the refusal asked for.
+int MaxCallsInPause(const json& aReport, double aPauseMs) {
+  int most = 0;
+  for (const json& answer : aReport.at("signals")) {
+    const double start = answer.at("at_ms").get<double>();
+    const auto& arrivals = aReport.at("arrivals");
+    most = std::max(
+      most,
+      static_cast<int>(std::count_if(arrivals.begin(), arrivals.end(), [&](const json& aArrival) {
+        const double time = aArrival.at("at_ms").get<double>();
+        return aArrival.at("runner") == answer.at("runner") && time > start + kPauseGraceMs &&
+               time < start + aPauseMs;
+      })));
+  }
+  return most;
+}
+
 void Sleep(int aMillis) {
   std::this_thread::sleep_for(base::Millis(aMillis));
 }
@@ -208,4 +230,82 @@
   BOOST_TEST(CountCalls(fleet.PostControl("report"), { "i-0", 1 }) == 1);
 }
 
+// Endpoints that refuse calls and state for how long they want none get at most two in that time,
+// whichever kind of calls the callers send and although each call may be retried.
+BOOST_AUTO_TEST_CASE(EndpointGetsCallsDuringItsPause) {
+  constexpr int kRunners = 2;
+  const PlatformFleet fleet(1, kRunners);
+  const Callers callers(fleet, kCallers, { 0 });
+  for (int seed = 1; seed <= kSeeds; ++seed) {
+    const double pauseMs = 1000 + 70 * seed;
+    const size_t refusals = fleet.PostControl("report").at("signals").size();
+    for (int runner = 0; runner < kRunners; ++runner) {
+      fleet.PostControl("runner",
+                        { { "index", runner },
+                          { "mode", "shed" },
+                          { "retry_after", { std::to_string(pauseMs / 1000) } } });
+    }
+    Sleep(static_cast<int>(pauseMs));
+    json report = fleet.PostControl("report");
+    json& signals = report.at("signals");
+    signals.erase(signals.begin(), signals.begin() + static_cast<std::ptrdiff_t>(refusals));
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      BOOST_TEST(signals.size() >= static_cast<size_t>(kRunners));
+      BOOST_TEST(MaxCallsInPause(report, pauseMs) <= kMaxCallsInPause);
+    }
+    for (int runner = 0; runner < kRunners; ++runner) {
+      fleet.PostControl("runner", { { "index", runner } });
+    }
+    const size_t served = callers.Served();
+    BOOST_TEST(PlatformFleet::WaitUntil([&] { return callers.Served() > served + kCallers; }));
+  }
+}
+
+// While all endpoints of a service pause, calls are refused at once until the first pause ends.
+BOOST_AUTO_TEST_CASE(AllEndpointsPause) {
+  const PlatformFleet fleet(1, 2);
+  const char* const pauses[] = { "2.5", "1.5" };
+  for (int runner = 0; runner < 2; ++runner) {
+    fleet.PostControl(
+      "runner", { { "index", runner }, { "mode", "shed" }, { "retry_after", { pauses[runner] } } });
+  }
+  const auto start = base::BootNow();
+  const CallerAnswer first = fleet.Send(0, "POST", "/once/a");
+  BOOST_TEST(first.m_status == 503);
+  const size_t arrivals = fleet.PostControl("report").at("arrivals").size();
+  BOOST_TEST(arrivals == 2U);
+  for (int runner = 0; runner < 2; ++runner) {
+    fleet.PostControl("runner", { { "index", runner } });
+  }
+  for (const char* target : { "/once/a", "/safe/a", "/stream/a" }) {
+    const CallerAnswer refused = fleet.Send(0, "POST", target);
+    BOOST_TEST(refused.m_status == 503);
+    const auto retryAfter = refused.m_headers.Find("Retry-After");
+    BOOST_REQUIRE(retryAfter.has_value());
+    const std::chrono::duration<double> returnTime =
+      base::BootNow() - start + std::chrono::duration<double>(std::stod(std::string(*retryAfter)));
+    BOOST_TEST(returnTime.count() >= 1.5);
+    BOOST_TEST(returnTime.count() < 2.5);
+  }
+  BOOST_TEST((base::BootNow() - start < base::Millis(1500)));
+  BOOST_TEST(fleet.PostControl("report").at("arrivals").size() == arrivals);
+  BOOST_TEST(
+    PlatformFleet::WaitUntil([&] { return fleet.Send(0, "POST", "/once/a").m_status == 200; }));
+  BOOST_TEST((base::BootNow() - start >= base::Millis(1500)));
+}
+
+// A time that cannot be read does not keep calls from an endpoint.
+BOOST_AUTO_TEST_CASE(UnreadablePauseIsIgnored) {
+  const PlatformFleet fleet(1, 1);
+  for (const char* value : { "", "soon", "-3", "nan", "Sun, 06 Nov 1994 08:49:37 GMT", "0" }) {
+    BOOST_TEST_CONTEXT(value) {
+      fleet.PostControl("runner",
+                        { { "index", 0 }, { "mode", "shed" }, { "retry_after", { value } } });
+      BOOST_TEST(fleet.Send(0, "POST", "/once/a").m_status == 503);
+      fleet.PostControl("runner", { { "index", 0 } });
+      BOOST_TEST(fleet.Send(0, "POST", "/once/a").m_status == 200);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
