forwarding: no limit on silence between events without a gap target

Seen in a review: a stream of a route without a gap target, delivering an event every 550 ms, was ended as stalled after the limit for its first event, and run once more.

Change: each event ends the running timer; a new one starts only if the route has a gap target.

--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -377,7 +377,8 @@
     m_sink.m_onStreamHead(CallerHead(aAttempt->m_head));
   }
   m_sink.m_onEvents(events);
-  if (EventTimeout().count() > 0) {
+  aAttempt->m_silenceTimer.reset();
+  if (!aAttempt->m_ended && EventTimeout().count() > 0) {
     StartSilenceTimer(aAttempt, EventTimeout());
   }
 }
--- a/tests/harness/PlatformFleet.cpp
+++ b/tests/harness/PlatformFleet.cpp
@@ -160,6 +160,8 @@
   json routes = json::array();
   for (const std::string& host : { std::string("h.example"), aExtraHost }) {
     routes.push_back(MakeRoute(host, "/stream/", "streaming"));
+    routes.push_back(MakeRoute(host, "/stream/ungapped/", "streaming"));
+    routes.back()["gap_target_ms"] = 0;
     routes.push_back(MakeRoute(host, "/safe/", "idempotent"));
     routes.push_back(MakeRoute(host, "/once/", "non_idempotent"));
   }
--- a/tests/integration/PlatformPathTest.cpp
+++ b/tests/integration/PlatformPathTest.cpp
@@ -123,6 +123,17 @@
   }
 }
 
+// A stream of a route without a gap target is not ended by the limit for its first event.
+BOOST_AUTO_TEST_CASE(SlowStreamWithoutGapTargetRunsOnce) {
+  const PlatformFleet fleet(1, 2);
+  for (int runner = 0; runner < 2; ++runner) {
+    fleet.PostControl("runner", { { "index", runner }, { "mode", "slow" } });
+  }
+  const auto answer = fleet.Send(0, "POST", "/stream/ungapped/a", "h.example", "key-1", "ungapped");
+  BOOST_TEST(answer.m_body == CompleteStream());
+  BOOST_TEST(fleet.RecordedRuns("ungapped").size() == 1U);
+}
+
 // A call is not given up before its timeout because the last permitted runner is slow to respond.
 BOOST_AUTO_TEST_CASE(LateAnswerIsAwaitedIfNoRunnerMayTakeOver) {
   for (const size_t runners : { size_t{ 1 }, size_t{ 2 } }) {
