Forwarding keeps prompt parts that crash engines from endpoints

What callers saw: calls with one prompt part ended engine after engine, and calls in progress there were lost with them.

Cause: nothing between two attempts, calls or nodes remembered the part. A resumed stream took it to the next engine, each new call did the same at another node.

Change: CrashGuard, held by NodeState, feeds the quarantine from the attempts, and Exchange asks it before each dispatch. A call that has not run gets 503 with Retry-After, one that may have run 502, a stream that has begun is broken. Nodes exchange the evidence in a datagram of its own, 10 ms after new evidence and with each round of heartbeats; it is text, is bounded when read, and most of the time there is none. Reports that waited while the process did not run count for bans only, since their ages are too small.

The fleet's stand-in crashes runners on a configured part.

PlatformPathTest (18 cases) and the tests of forwarding, adapters_peer, serving and quarantine pass.

--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -58,6 +58,11 @@
   bool m_sawMisdirected = false;
   bool m_isStream = false;
   bool m_usageCounted = false;
+  /// Whether the endpoint closed or reset the connection.
+  bool m_connectionLost = false;
+  /// Number of complete events that this attempt has returned, and when the first one arrived.
+  size_t m_events = 0;
+  base::TimePoint m_firstEventAt{};
   bool m_ended = false;
   adapters::http::EventHandlePtr m_connectTimer;
   adapters::http::EventHandlePtr m_stallTimer;
@@ -145,6 +150,10 @@
     OnTimeout();
     return;
   }
+  if (const auto refusal = m_node.m_crashGuard.RefusalTime(m_call, now)) {
+    RefuseQuarantined(*refusal);
+    return;
+  }
   const auto& ready = m_node.m_directory.Ready();
   const auto choice = m_node.m_placement.Choose(MakePlacementRequest(m_service), ready, now);
   if (!choice) {
@@ -164,6 +173,15 @@
   Send(ready[*choice]);
 }
 
+void Exchange::RefuseQuarantined(base::Millis aRemaining) {
+  if (m_streamBegun) {
+    m_sink.m_onStreamBroken();
+    Finish(0, "prompt_quarantined");
+  } else {
+    Reject(FinalStatus(m_possibleRuns > 0, false), "prompt_quarantined", Seconds(aRemaining));
+  }
+}
+
 base::Millis Exchange::AttemptTimeout() const {
   return std::chrono::duration_cast<base::Millis>(m_route.m_latencyTarget * kStallTimeoutFactor);
 }
@@ -204,6 +222,7 @@
   events.m_onBody = [self, aAttempt](std::string_view aBytes) { self->OnBody(aAttempt, aBytes); };
   events.m_onComplete = [self, aAttempt] { self->OnComplete(aAttempt); };
   events.m_onEnd = [self, aAttempt](EndKind aKind, bool /*aInMessage*/) {
+    aAttempt->m_connectionLost = aKind == EndKind::Finished || aKind == EndKind::Reset;
     self->Fail(aAttempt,
                aKind == EndKind::NotConnected ? AttemptFault::NotSent : AttemptFault::Lost,
                std::string(base::NameOf(aKind)));
@@ -291,10 +310,12 @@
 
 void Exchange::OnStreamBytes(const std::shared_ptr<ActiveAttempt>& aAttempt,
                              std::string_view aBytes) {
+  const size_t eventsBefore = m_splitter.EventCount();
   const std::string events = m_splitter.Feed(aBytes);
   if (events.empty()) {
     return;
   }
+  CountEvents(aAttempt, m_splitter.EventCount() - eventsBefore);
   if (aAttempt->m_queuedTokens > 0) {
     m_node.m_placement.RecordAnswerStarted(aAttempt->m_endpoint.m_incarnation.m_endpoint,
                                            aAttempt->m_queuedTokens);
@@ -310,6 +331,18 @@
   StartEventTimer(aAttempt);
 }
 
+void Exchange::CountEvents(const std::shared_ptr<ActiveAttempt>& aAttempt, size_t aCount) {
+  const auto now = base::BootNow();
+  const size_t before = aAttempt->m_events;
+  if (before == 0) {
+    aAttempt->m_firstEventAt = now;
+  }
+  aAttempt->m_events += aCount;
+  if (before < CrashGuard::kFirstEvents && aAttempt->m_events >= CrashGuard::kFirstEvents) {
+    m_node.m_crashGuard.OnAnswered(m_call, aAttempt->m_firstEventAt, now);
+  }
+}
+
 void Exchange::OnComplete(const std::shared_ptr<ActiveAttempt>& aAttempt) {
   if (aAttempt->m_ended) {
     return;
@@ -334,11 +367,15 @@
 void Exchange::OnAnswerComplete(const std::shared_ptr<ActiveAttempt>& aAttempt) {
   if (aAttempt->m_isStream) {
     if (m_splitter.HasPartialEvent() || !m_streamBegun) {
+      aAttempt->m_connectionLost = true;
       Fail(aAttempt, AttemptFault::Lost, "stream_cut");
       return;
     }
     m_node.m_placement.RecordOutcome(
       aAttempt->m_endpoint.m_incarnation.m_endpoint, true, base::BootNow());
+    if (aAttempt->m_events > 0 && aAttempt->m_events < CrashGuard::kFirstEvents) {
+      m_node.m_crashGuard.OnAnswered(m_call, aAttempt->m_firstEventAt, base::BootNow());
+    }
     Release(aAttempt, true);
     m_sink.m_onStreamEnd();
     Finish(aAttempt->m_head.m_status, "served");
@@ -352,6 +389,7 @@
   }
   m_node.m_placement.RecordOutcome(
     aAttempt->m_endpoint.m_incarnation.m_endpoint, true, base::BootNow());
+  m_node.m_crashGuard.OnAnswered(m_call, base::BootNow(), base::BootNow());
   Release(aAttempt, true);
   Deliver(aAttempt->m_head, aAttempt->m_body);
 }
@@ -396,6 +434,10 @@
     m_node.m_pool.CloseIdle(endpoint.m_incarnation);
   }
   m_node.m_placement.RecordOutcome(endpoint.m_incarnation.m_endpoint, false, now);
+  if (aFault == AttemptFault::Lost && aAttempt->m_connectionLost) {
+    m_node.m_crashGuard.OnConnectionLost(
+      m_call, endpoint.m_incarnation.m_endpoint, aAttempt->m_events, now);
+  }
   Release(aAttempt, aFault == AttemptFault::NotExecuted || aFault == AttemptFault::Failed);
   m_splitter.DiscardPartialEvent();
   const AttemptState state{ m_route.m_kind, m_route.Repeatable(),  aFault,
--- a/packages/forwarding/Exchange.h
+++ b/packages/forwarding/Exchange.h
@@ -62,6 +62,7 @@
   void OnBody(const std::shared_ptr<ActiveAttempt>& aAttempt, std::string_view aBytes);
   void OnStreamBytes(const std::shared_ptr<ActiveAttempt>& aAttempt, std::string_view aBytes);
   void StartEventTimer(const std::shared_ptr<ActiveAttempt>& aAttempt);
+  void CountEvents(const std::shared_ptr<ActiveAttempt>& aAttempt, size_t aCount);
   void OnComplete(const std::shared_ptr<ActiveAttempt>& aAttempt);
   void OnAnswerComplete(const std::shared_ptr<ActiveAttempt>& aAttempt);
   void Fail(const std::shared_ptr<ActiveAttempt>& aAttempt,
@@ -70,6 +71,7 @@
   void Release(const std::shared_ptr<ActiveAttempt>& aAttempt, bool aReuse);
   void CountUsage(const std::shared_ptr<ActiveAttempt>& aAttempt, base::TimePoint aBegan);
   void AddOutputWork();
+  void RefuseQuarantined(base::Millis aRemaining);
   void OnTimeout();
   void Reject(int aStatus, const std::string& aReason, double aRetryAfterSeconds);
   void Deliver(const adapters::http1::ResponseHead& aHead, const std::string& aBody);
--- a/packages/forwarding/NodeState.h
+++ b/packages/forwarding/NodeState.h
@@ -7,6 +7,7 @@
 #include "duties/UsageLedger.h"
 #include "fleet/EndpointDirectory.h"
 #include "forwarding/Call.h"
+#include "forwarding/CrashGuard.h"
 #include "forwarding/EndpointPool.h"
 #include "forwarding/Metrics.h"
 #include "placement/Placement.h"
@@ -68,6 +69,7 @@
   quota::QuotaLedger m_quota;
   duties::UsageLedger m_usage;
   Metrics m_metrics;
+  CrashGuard m_crashGuard{ m_metrics };
 
 private:
   requests::RetryBudgetSettings MakeRetryBudgetSettings() const;
--- a/packages/quarantine/PromptQuarantine.cpp
+++ b/packages/quarantine/PromptQuarantine.cpp
@@ -202,11 +202,11 @@
   Report report;
   std::set<std::string_view> parts;
   for (auto crash = m_crashes.rbegin(); crash != m_crashes.rend(); ++crash) {
-    parts.insert(crash->m_parts.begin(), crash->m_parts.end());
     const Millis age = Elapsed(crash->m_at, aNow);
     if (report.m_crashes.size() < m_settings.m_maxReportedCrashes &&
         age < m_settings.m_reportTime) {
       report.m_crashes.push_back({ crash->m_endpoint, crash->m_call, crash->m_parts, age });
+      parts.insert(crash->m_parts.begin(), crash->m_parts.end());
     }
   }
   for (const auto& [part, ban] : m_bans) {
--- a/packages/quarantine/PromptQuarantine.h
+++ b/packages/quarantine/PromptQuarantine.h
@@ -127,6 +127,8 @@
   Report MakeReport(base::TimePoint aNow) const;
   /// Evaluates the evidence and returns all changes since the last call.
   std::vector<BanEvent> Update(base::TimePoint aNow);
+  /// Returns whether any part is banned or on probation, or was lately.
+  bool HasBans() const { return !m_bans.empty(); }
   /// Returns the number of bans in force.
   size_t BannedCount(base::TimePoint aNow) const;
   /// Returns the number of crashes that are remembered.
--- a/packages/serving/GossipExchange.cpp
+++ b/packages/serving/GossipExchange.cpp
@@ -1,6 +1,7 @@
 #include "serving/GossipExchange.h"
 
 #include "adapters/peer/GossipCodec.h"
+#include "adapters/peer/QuarantineCodec.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -33,7 +34,8 @@
                                gossip::PeerTable& aPeerTable,
                                sync::StoreReplica& aReplica,
                                std::function<gossip::Heartbeat()> aMakeHeartbeat,
-                               std::function<void(const gossip::Heartbeat&)> aOnHeartbeat)
+                               std::function<void(const gossip::Heartbeat&)> aOnHeartbeat,
+                               std::function<void(const quarantine::Report&)> aOnQuarantineReport)
   : m_loop(aLoop)
   , m_settings(aSettings)
   , m_self(aSelf)
@@ -41,6 +43,7 @@
   , m_replica(aReplica)
   , m_makeHeartbeat(std::move(aMakeHeartbeat))
   , m_onHeartbeat(std::move(aOnHeartbeat))
+  , m_onQuarantineReport(std::move(aOnQuarantineReport))
   , m_socket({ aSettings.m_host, aSettings.m_gossipPort })
   , m_readable(aLoop.OnReadable(m_socket.Fd(), [this] { Receive(); }))
   , m_server(aLoop,
@@ -83,9 +86,35 @@
   SendTo({ targets.begin(), targets.end() });
 }
 
+void GossipExchange::SendQuarantineReport(const quarantine::Report& aReport,
+                                          const std::vector<std::string>& aAlways) {
+  std::vector<std::string> hosts = Hosts();
+  std::shuffle(hosts.begin(), hosts.end(), m_random);
+  hosts.resize(std::min(hosts.size(), kFanout));
+  std::set<std::string> targets(aAlways.begin(), aAlways.end());
+  targets.insert(hosts.begin(), hosts.end());
+  targets.erase(m_settings.m_host);
+  const std::string bytes = adapters::peer::EncodeQuarantineReport(aReport);
+  for (const std::string& host : targets) {
+    m_socket.Send({ host, m_settings.m_gossipPort }, bytes);
+  }
+}
+
+void GossipExchange::ReceiveQuarantineReport(const std::string& aBytes) {
+  if (const auto report = adapters::peer::DecodeQuarantineReport(aBytes)) {
+    m_onQuarantineReport(*report);
+  } else {
+    m_log.Event("invalid quarantine report dropped", { { "bytes", aBytes.size() } });
+  }
+}
+
 void GossipExchange::Receive() {
   std::string bytes;
   while (m_socket.Receive(bytes)) {
+    if (adapters::peer::IsQuarantineReport(bytes)) {
+      ReceiveQuarantineReport(bytes);
+      continue;
+    }
     const auto message = adapters::peer::DecodeGossip(bytes);
     if (!message) {
       m_log.Event("invalid datagram dropped", { { "bytes", bytes.size() } });
--- a/packages/serving/GossipExchange.h
+++ b/packages/serving/GossipExchange.h
@@ -6,6 +6,7 @@
 #include "base/Digest.h"
 #include "gossip/PeerTable.h"
 #include "gossip/Update.h"
+#include "quarantine/Report.h"
 #include "serving/ServingSettings.h"
 #include "sync/StoreReplica.h"
 
@@ -13,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -30,13 +32,18 @@
                  gossip::PeerTable& aPeerTable,
                  sync::StoreReplica& aReplica,
                  std::function<gossip::Heartbeat()> aMakeHeartbeat,
-                 std::function<void(const gossip::Heartbeat&)> aOnHeartbeat);
+                 std::function<void(const gossip::Heartbeat&)> aOnHeartbeat,
+                 std::function<void(const quarantine::Report&)> aOnQuarantineReport);
 
   /// Returns whether both ports could be bound.
   bool Bound() const { return m_socket.Bound() && m_server.Listening(); }
   /// Sends a heartbeat now: to all nodes of a small fleet, to the next ones in rotation of a large
   /// fleet, and to the hosts `aAlways` in each case.
   void SendHeartbeats(const std::vector<std::string>& aAlways = {});
+  /// Sends a quarantine report now: to all nodes of a small fleet, to some drawn at random of a
+  /// large one, and to the hosts `aAlways` in each case. Nodes pass reports on.
+  void SendQuarantineReport(const quarantine::Report& aReport,
+                            const std::vector<std::string>& aAlways);
   /// Returns the number of rounds after which each node has been sent a heartbeat.
   size_t RoundsPerFleet() const;
   /// Sends changes to the other nodes of this zone at once: all changes after revision `aAfter`, in
@@ -53,6 +60,7 @@
   std::vector<std::string> Hosts() const;
   void SendTo(const std::vector<std::string>& aHosts);
   void Receive();
+  void ReceiveQuarantineReport(const std::string& aBytes);
   void HandleUpdate(const gossip::Update& aUpdate);
   void Fetch(const std::string& aHost);
   std::set<std::string> UnresponsiveHosts(base::TimePoint aNow);
@@ -67,11 +75,13 @@
   sync::StoreReplica& m_replica;
   std::function<gossip::Heartbeat()> m_makeHeartbeat;
   std::function<void(const gossip::Heartbeat&)> m_onHeartbeat;
+  std::function<void(const quarantine::Report&)> m_onQuarantineReport;
   const base::Log m_log{ "news" };
   adapters::peer::DatagramSocket m_socket;
   adapters::http::EventHandlePtr m_readable;
   adapters::http1::SimpleServer m_server;
   std::map<std::string, std::unique_ptr<adapters::http1::JsonClient>> m_clients;
+  std::mt19937_64 m_random{ base::RandomSeed() };
   /// Index of the host at which the next round of heartbeats begins.
   size_t m_nextHost = 0;
   bool m_fetching = false;
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -80,7 +80,10 @@
         m_peerTable,
         m_replica,
         [this] { return MakeHeartbeat(); },
-        [this](const gossip::Heartbeat& aHeartbeat) { OnHeartbeat(aHeartbeat); })
+        [this](const gossip::Heartbeat& aHeartbeat) { OnHeartbeat(aHeartbeat); },
+        [this](const quarantine::Report& aReport) {
+          m_state.m_crashGuard.Merge(aReport, base::BootNow());
+        })
     , m_gateway(m_state, m_settings.m_callerAddress)
     , m_leaderElection(
         aStore,
@@ -105,6 +108,7 @@
   /// Starts watching the store and serving callers. Call once.
   void Start() {
     m_storeWatcher.Start();
+    m_state.m_crashGuard.SetUrgentHandler([this] { ScheduleQuarantineReport(); });
     m_tickTimer = m_loop.Every(kTickInterval, [this] { Tick(); });
   }
 
@@ -156,6 +160,8 @@
   static constexpr double kMillisPerSecond = 1000;
   /// Interval of heartbeats and other periodic work.
   static constexpr base::Millis kTickInterval{ 250 };
+  /// Delay of a quarantine report on new evidence.
+  static constexpr base::Millis kQuarantineReportDelay{ 10 };
   /// Age of the views that nodes of the working set have of one another: one lost heartbeat.
   static constexpr base::Millis kWorkingSetGossipAge{ 500 };
   /// Endpoints whose registrations expired while the store was unavailable register again within
@@ -409,6 +415,25 @@
     }
   }
 
+  /// Sends a quarantine report soon, without waiting for the next tick. Crashes at the same moment
+  /// share one.
+  void ScheduleQuarantineReport() {
+    if (!m_reportScheduled) {
+      m_reportScheduled = true;
+      m_reportTimer = m_loop.After(kQuarantineReportDelay, [this] {
+        m_reportScheduled = false;
+        SendQuarantineReport(WorkingSet(base::BootNow()));
+      });
+    }
+  }
+
+  void SendQuarantineReport(const std::vector<std::string>& aWorkingSet) {
+    const quarantine::Report report = m_state.m_crashGuard.MakeReport(base::BootNow());
+    if (!report.Empty()) {
+      m_gossip.SendQuarantineReport(report, aWorkingSet);
+    }
+  }
+
   void AddPeerWork(const std::string& aIncarnation, double aTotal) {
     const auto previous = m_peerWork.find(aIncarnation);
     if (previous != m_peerWork.end()) {
@@ -451,6 +476,8 @@
     m_storeWatcher.SetWatchEnabled(ShouldWatchStore(now));
     // Nodes of the working set inform one another first, since they share the load.
     m_gossip.SendHeartbeats(isWorking ? workingSet : std::vector<std::string>());
+    m_state.m_crashGuard.Tick(now);
+    SendQuarantineReport(isWorking ? workingSet : std::vector<std::string>());
     SendEmptyUpdate(now);
     m_gossip.FetchIfBehind(m_storeWatcher.IsStoreReachable());
     RenewRegistration(now);
@@ -611,6 +638,8 @@
   duties::UsageReporter<Store, Duties> m_reporter;
   duties::Autoscaler<Duties> m_autoscaler;
   adapters::http::EventHandlePtr m_tickTimer;
+  adapters::http::EventHandlePtr m_reportTimer;
+  bool m_reportScheduled = false;
   std::mt19937_64 m_random{ base::RandomSeed() };
   std::map<std::string, double> m_peerWork;
   double m_newPeerWork = 0;
--- a/standins/fleet/Runner.cpp
+++ b/standins/fleet/Runner.cpp
@@ -54,14 +54,53 @@
 Runner::Runner(adapters::http::EventLoop& aLoop,
                const base::Address& aAddress,
                std::string aId,
-               CallLog& aCallLog)
+               CallLog& aCallLog,
+               const DeadlyPart& aDeadlyPart,
+               std::function<void()> aOnRestart)
   : m_loop(aLoop)
   , m_address(aAddress)
   , m_id(std::move(aId))
   , m_callLog(aCallLog)
-  , m_listener(aLoop, aAddress, kMaxHeadBytes, [this](auto aConnection) {
-    AcceptConnection(std::move(aConnection));
-  }) {}
+  , m_deadlyPart(aDeadlyPart)
+  , m_onRestart(std::move(aOnRestart)) {
+  Listen();
+}
+
+void Runner::Listen() {
+  m_listener = std::make_unique<adapters::http1::Listener>(
+    m_loop, m_address, kMaxHeadBytes, [this](auto aConnection) {
+      AcceptConnection(std::move(aConnection));
+    });
+}
+
+/// Returns whether a part other than the last one, which belongs to the call alone, is deadly.
+bool Runner::HasDeadlyPart(const RequestHead& aHead) const {
+  const std::string parts = "," + HeaderValue(aHead, "Papayafield-Prefix-Hash");
+  const std::string shared = parts.substr(0, parts.rfind(','));
+  return !m_deadlyPart.m_id.empty() &&
+         shared.find("," + m_deadlyPart.m_id + ":") != std::string::npos;
+}
+
+void Runner::RecordDeadlyCall(const RequestHead& aHead) {
+  if (HasDeadlyPart(aHead)) {
+    m_callLog.m_deadlyCalls.push_back(
+      { m_id, HeaderValue(aHead, "Papayafield-Attempt-Id"), base::WallMillis() });
+  }
+}
+
+void Runner::Crash(const std::string& aAttemptId) {
+  m_callLog.m_crashes.push_back({ m_id, aAttemptId, base::WallMillis() });
+  m_listener.reset();
+  for (const auto& callerConnection : std::exchange(m_callerConnections, {})) {
+    callerConnection->m_timer.reset();
+    callerConnection->m_connection->Close();
+  }
+  m_restartTimer = m_loop.After(m_deadlyPart.m_downtime, [this] {
+    m_startMs = base::WallMillis();
+    Listen();
+    m_onRestart();
+  });
+}
 
 void Runner::AcceptConnection(std::shared_ptr<ServerConnection> aConnection) {
   auto callerConnection = std::make_shared<CallerConnection>();
@@ -77,6 +116,7 @@
   events.m_onComplete = [this, weak] {
     if (const auto locked = weak.lock()) {
       locked->m_inProgress = true;
+      RecordDeadlyCall(locked->m_head);
       locked->m_timer = m_loop.After(kProcessingTime, [this, weak] {
         if (const auto active = weak.lock()) {
           Respond(active);
@@ -121,7 +161,9 @@
       m_id,
       HeaderValue(aCallerConnection->m_head, "Papayafield-Tenant"),
       lastEventId });
-  if (m_mode == RunnerMode::DropResponses) {
+  if (HasDeadlyPart(aCallerConnection->m_head)) {
+    Crash(HeaderValue(aCallerConnection->m_head, "Papayafield-Attempt-Id"));
+  } else if (m_mode == RunnerMode::DropResponses) {
     m_callerConnections.erase(aCallerConnection);
     aCallerConnection->m_connection->Close();
   } else if (m_mode == RunnerMode::Fail) {
--- a/standins/fleet/Runner.h
+++ b/standins/fleet/Runner.h
@@ -3,6 +3,7 @@
 #include "adapters/http1/Listener.h"
 #include "base/EnumNames.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -39,11 +40,30 @@
   std::string m_lastEventId;
 };
 
+/// A prompt part on which a runner crashes when it begins to answer.
+struct DeadlyPart {
+  /// Empty if there is none.
+  std::string m_id;
+  /// Time after a crash in which the runner refuses connections.
+  base::Millis m_downtime{ 2000 };
+};
+
+/// A call with the deadly part that reached a runner, or a crash of a runner.
+struct DeadlyEvent {
+  std::string m_runner;
+  std::string m_attemptId;
+  /// Time in Unix milliseconds.
+  int64_t m_atMs = 0;
+};
+
 /// Record of the calls to all runners.
 struct CallLog {
   std::vector<ExecutedCall> m_executedCalls;
   /// Attempt ids of calls whose connection was closed before the response was complete.
   std::vector<std::string> m_interruptedCalls;
+  /// Calls with the deadly part, and the crashes that they caused.
+  std::vector<DeadlyEvent> m_deadlyCalls;
+  std::vector<DeadlyEvent> m_crashes;
 };
 
 /// Simulates an endpoint that sends plain responses, and event streams for paths below /stream/.
@@ -53,13 +73,18 @@
   /// Number of events of a stream.
   static constexpr int kEventsPerStream = 12;
 
-  /// Listens on `aAddress` as instance `aId` and appends its calls to `aCallLog`.
+  /// Listens on `aAddress` as instance `aId` and appends its calls to `aCallLog`. `aOnRestart` is
+  /// called when the runner is back after a crash.
   Runner(adapters::http::EventLoop& aLoop,
          const base::Address& aAddress,
          std::string aId,
-         CallLog& aCallLog);
+         CallLog& aCallLog,
+         const DeadlyPart& aDeadlyPart,
+         std::function<void()> aOnRestart);
 
-  bool Listening() const { return m_listener.Listening(); }
+  bool Listening() const { return m_listener != nullptr && m_listener->Listening(); }
+  /// Returns the start time in Unix milliseconds; 1 before the first crash.
+  int64_t StartMs() const { return m_startMs; }
   const std::string& Id() const { return m_id; }
   const base::Address& ListenAddress() const { return m_address; }
   void SetMode(RunnerMode aMode) { m_mode = aMode; }
@@ -67,6 +92,10 @@
 private:
   struct CallerConnection;
 
+  void Listen();
+  bool HasDeadlyPart(const adapters::http1::RequestHead& aHead) const;
+  void RecordDeadlyCall(const adapters::http1::RequestHead& aHead);
+  void Crash(const std::string& aAttemptId);
   void AcceptConnection(std::shared_ptr<adapters::http1::ServerConnection> aConnection);
   void Respond(const std::shared_ptr<CallerConnection>& aCallerConnection);
   void SendNextEvent(const std::shared_ptr<CallerConnection>& aCallerConnection, int aEvent);
@@ -75,9 +104,14 @@
   base::Address m_address;
   std::string m_id;
   CallLog& m_callLog;
+  const DeadlyPart& m_deadlyPart;
+  std::function<void()> m_onRestart;
+  int64_t m_startMs = 1;
   RunnerMode m_mode = RunnerMode::Ok;
   std::set<std::shared_ptr<CallerConnection>> m_callerConnections;
-  adapters::http1::Listener m_listener;
+  /// Null after a crash.
+  std::unique_ptr<adapters::http1::Listener> m_listener;
+  adapters::http::EventHandlePtr m_restartTimer;
 };
 
 } // namespace papayafield::standins
--- a/standins/fleet/main.cpp
+++ b/standins/fleet/main.cpp
@@ -39,7 +39,9 @@
         aLoop,
         base::Address{ aListen.m_host, static_cast<uint16_t>(aListen.m_port + 1 + i) },
         "i-" + std::to_string(i),
-        m_callLog));
+        m_callLog,
+        m_deadlyPart,
+        [this, i] { Register(*m_runners[static_cast<size_t>(i)], "ready"); }));
       Register(*m_runners.back(), "ready");
     }
   }
@@ -67,7 +69,7 @@
                          { "state", aState },
                          { "cold_left_ms", 0 },
                          { "sequence", 1 },
-                         { "born", 1 } };
+                         { "born", aRunner.StartMs() } };
     m_store.Put("servers/" + aRunner.Id(), base::DumpJson(entry));
   }
 
@@ -164,6 +166,11 @@
                                                : Store::Mode::Ok);
       return true;
     }
+    if (aPath == "/control/deadly_part" && aBody.is_object()) {
+      m_deadlyPart = { aBody.value("part", ""),
+                       base::Millis(aBody.value("down_ms", int64_t{ 2000 })) };
+      return true;
+    }
     if (aPath == "/control/runner" && aBody.is_object()) {
       return ControlRunner(aBody);
     }
@@ -196,7 +203,17 @@
                        { "team", run.m_team },
                        { "last_event", run.m_lastEventId } });
     }
+    const auto listEvents = [](const std::vector<DeadlyEvent>& aEvents) {
+      json list = json::array();
+      for (const DeadlyEvent& event : aEvents) {
+        list.push_back(
+          { { "runner", event.m_runner }, { "call", event.m_attemptId }, { "at", event.m_atMs } });
+      }
+      return list;
+    };
     return { { "runs", runs },
+             { "deadly_calls", listEvents(m_callLog.m_deadlyCalls) },
+             { "crashes", listEvents(m_callLog.m_crashes) },
              { "cut_off", m_callLog.m_interruptedCalls },
              { "duties", m_leaderCalls },
              { "stale_duties", m_staleLeaderCalls },
@@ -208,6 +225,7 @@
   uint16_t m_proxyPort;
   Store m_store;
   CallLog m_callLog;
+  DeadlyPart m_deadlyPart;
   std::vector<std::unique_ptr<Runner>> m_runners;
   std::map<std::string, uint64_t> m_fencingTokens;
   json m_leaderCalls = json::array();
