--- a/packages/forwarding/Exchange.h
+++ b/packages/forwarding/Exchange.h
@@ -68,6 +68,7 @@
   void OnSilence(const std::shared_ptr<ActiveAttempt>& aAttempt, base::Millis aLimit);
   bool MayContinueElsewhere() const;
   base::Millis EventTimeout() const;
+  void CountEvents(const std::shared_ptr<ActiveAttempt>& aAttempt, size_t aCount);
   void OnComplete(const std::shared_ptr<ActiveAttempt>& aAttempt);
   void OnAnswerComplete(const std::shared_ptr<ActiveAttempt>& aAttempt);
   void Fail(const std::shared_ptr<ActiveAttempt>& aAttempt,
@@ -76,6 +77,7 @@
   void Release(const std::shared_ptr<ActiveAttempt>& aAttempt, bool aReuse);
   void CountUsage(const std::shared_ptr<ActiveAttempt>& aAttempt, base::TimePoint aBegan);
   void AddOutputWork();
+  void RefuseQuarantined(base::Millis aRemaining);
   void OnTimeout();
   bool MayHaveBeenSent() const;
   void Reject(int aStatus,
--- a/packages/forwarding/NodeState.h
+++ b/packages/forwarding/NodeState.h
@@ -8,6 +8,7 @@
 #include "fleet/EndpointDirectory.h"
 #include "forwarding/Call.h"
 #include "forwarding/CallDurations.h"
+#include "forwarding/CrashGuard.h"
 #include "forwarding/EndpointPool.h"
 #include "forwarding/EndpointSignals.h"
 #include "forwarding/Metrics.h"
@@ -77,6 +78,7 @@
   quota::QuotaLedger m_quota;
   duties::UsageLedger m_usage;
   Metrics m_metrics;
+  CrashGuard m_crashGuard{ m_metrics };
 
 private:
   requests::RetryBudgetSettings MakeRetryBudgetSettings() const;
