forwarding: take no answer without an ID for a call's own on a reused connection

Cause: an answer that does not repeat the ID of its call was taken as the answer to the waiting call, even on a connection where the endpoint had answered other calls. A rejection that an endpoint repeats there was passed on as "not run" for a call that it was running, or the call was sent to a second endpoint. Errors without an ID were delivered in the same way.

Change: OriginOf decides which call an answer belongs to. An answer without an ID is believed only if nothing else was sent or answered on its connection. Otherwise the attempt fails as `unattributed`: the call may have run, so it is repeated only if that is allowed and ends with 502 if not. After the first answer without an ID, calls that must not be repeated use new connections to that incarnation, where its rejections count again. The stand-in runner repeats the ID in rejections; new modes reject without it and repeat an earlier rejection.

--- a/packages/forwarding/EndpointPool.cpp
+++ b/packages/forwarding/EndpointPool.cpp
@@ -42,6 +42,10 @@
     connection->Resume();
     return { connection, true };
   }
+  return Connect(aEndpoint);
+}
+
+PooledConnection EndpointPool::Connect(const fleet::Endpoint& aEndpoint) {
   ++m_connectCount;
   return { ClientConnection::ConnectTo(m_loop, aEndpoint.m_address, kUnacknowledgedTimeout),
            false };
@@ -78,6 +82,10 @@
 
 void EndpointPool::CloseExpired(const std::map<base::EndpointId, fleet::Endpoint>& aEndpoints,
                                 base::TimePoint aNow) {
+  std::erase_if(m_answersWithoutId, [&](const fleet::Incarnation& aIncarnation) {
+    const auto known = aEndpoints.find(aIncarnation.m_endpoint);
+    return known == aEndpoints.end() || known->second.m_incarnation != aIncarnation;
+  });
   for (auto at = m_idle.begin(); at != m_idle.end();) {
     const auto known = aEndpoints.find(at->first.m_endpoint);
     const bool current = known != aEndpoints.end() && known->second.m_incarnation == at->first;
--- a/packages/forwarding/EndpointPool.h
+++ b/packages/forwarding/EndpointPool.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 
 namespace papayafield::forwarding {
 
@@ -32,6 +33,16 @@
   PooledConnection Acquire(const fleet::Endpoint& aEndpoint,
                            double aMaxIdleFraction,
                            base::TimePoint aNow);
+  /// Returns a new connection.
+  PooledConnection Connect(const fleet::Endpoint& aEndpoint);
+  /// Records that `aEndpoint` has sent an answer that does not name its call.
+  void RecordAnswerWithoutId(const fleet::Incarnation& aEndpoint) {
+    m_answersWithoutId.insert(aEndpoint);
+  }
+  /// Returns whether RecordAnswerWithoutId was called for an endpoint that is still known.
+  bool AnswersWithoutId(const fleet::Incarnation& aEndpoint) const {
+    return m_answersWithoutId.contains(aEndpoint);
+  }
   /// Puts a connection whose answer is complete back into the pool. `aKeepAlive`: how long the
   /// endpoint states that it keeps the connection open.
   void Return(const fleet::Incarnation& aEndpoint,
@@ -56,6 +67,7 @@
 
   adapters::http::EventLoop& m_loop;
   std::map<fleet::Incarnation, std::deque<IdleConnection>> m_idle;
+  std::set<fleet::Incarnation> m_answersWithoutId;
   uint64_t m_connectCount = 0;
 };
 
--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/Exchange.h"
 
+#include "forwarding/AnswerOrigin.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -171,8 +173,14 @@
 void Exchange::Send(const fleet::Endpoint& aEndpoint) {
   const auto now = base::BootNow();
   const bool mustNotRepeat = !m_route.Repeatable();
-  PooledConnection pooled = m_node.m_pool.Acquire(
-    aEndpoint, mustNotRepeat ? kMaxIdleFractionUnsafe : kMaxIdleFraction, now);
+  // A refusal without an ID is proof only on a connection that no other call has used.
+  const bool needsNewConnection =
+    mustNotRepeat && m_node.m_pool.AnswersWithoutId(aEndpoint.m_incarnation);
+  PooledConnection pooled =
+    needsNewConnection
+      ? m_node.m_pool.Connect(aEndpoint)
+      : m_node.m_pool.Acquire(
+          aEndpoint, mustNotRepeat ? kMaxIdleFractionUnsafe : kMaxIdleFraction, now);
   auto attempt = std::make_shared<ActiveAttempt>();
   attempt->m_endpoint = aEndpoint;
   attempt->m_connection = std::move(pooled.m_connection);
@@ -247,11 +255,20 @@
 void Exchange::OnHead(const std::shared_ptr<ActiveAttempt>& aAttempt, ResponseHead&& aHead) {
   aAttempt->m_answerInfo = m_node.m_wire.m_decodeAnswer(aHead);
   const AnswerInfo& info = aAttempt->m_answerInfo;
-  aAttempt->m_isMisdirected = !info.m_id.empty() && info.m_id != m_call.m_id;
+  const AnswerOrigin origin =
+    OriginOf(info.m_id, m_call.m_id, aAttempt->m_reused || aAttempt->m_sawMisdirected);
+  aAttempt->m_isMisdirected = origin == AnswerOrigin::OtherCall;
   if (aAttempt->m_isMisdirected) {
     aAttempt->m_sawMisdirected = true;
     return;
   }
+  if (info.m_id.empty()) {
+    m_node.m_pool.RecordAnswerWithoutId(aAttempt->m_endpoint.m_incarnation);
+  }
+  if (origin == AnswerOrigin::Unknown) {
+    Fail(aAttempt, AttemptFault::Unattributed, std::to_string(aHead.m_status));
+    return;
+  }
   aAttempt->m_hasHead = true;
   aAttempt->m_head = std::move(aHead);
   const bool success = aAttempt->m_head.m_status / 100 == 2;
@@ -388,7 +405,8 @@
   const bool mayHaveRun = aFault != AttemptFault::NotSent && aFault != AttemptFault::NotExecuted;
   if (mayHaveRun) {
     ++m_possibleRuns;
-    if (m_route.m_kind != CallKind::Stream) {
+    // An unattributed answer is most likely this call's own refusal.
+    if (m_route.m_kind != CallKind::Stream && aFault != AttemptFault::Unattributed) {
       CountUsage(aAttempt, aAttempt->m_sentAt);
     }
   }
--- a/packages/forwarding/RetryDecision.h
+++ b/packages/forwarding/RetryDecision.h
@@ -13,6 +13,8 @@
   NotExecuted,
   /// The connection was lost, or the answer was invalid, after bytes were sent.
   Lost,
+  /// The answer carries no ID and may belong to an earlier call on the same connection.
+  Unattributed,
   /// The endpoint sent nothing within the time limit of an attempt.
   Stalled,
   /// The endpoint ran the call and answered with an error.
@@ -42,6 +44,7 @@
       return aState.m_possibleRuns < aState.m_maxRuns &&
              (aState.m_possibleRuns == 0 || aState.m_repeatable);
     case AttemptFault::Lost:
+    case AttemptFault::Unattributed:
     case AttemptFault::Stalled:
       return aState.m_repeatable && aState.m_possibleRuns < aState.m_maxRuns;
     case AttemptFault::Failed:
@@ -70,6 +73,7 @@
     { forwarding::AttemptFault::NotSent, "not_sent" },
     { forwarding::AttemptFault::NotExecuted, "not_executed" },
     { forwarding::AttemptFault::Lost, "lost" },
+    { forwarding::AttemptFault::Unattributed, "unattributed" },
     { forwarding::AttemptFault::Stalled, "stalled" },
     { forwarding::AttemptFault::Failed, "failed" },
   });
--- a/packages/forwarding/tests/ForwardingTest.cpp
+++ b/packages/forwarding/tests/ForwardingTest.cpp
@@ -1,3 +1,4 @@
+#include "forwarding/AnswerOrigin.h"
 #include "forwarding/EventSplitter.h"
 #include "forwarding/RetryDecision.h"
 
@@ -24,11 +25,13 @@
   { CallKind::Unsafe, false, AttemptFault::NotSent, 0, 1, true },
   { CallKind::Unsafe, false, AttemptFault::NotExecuted, 0, 1, true },
   { CallKind::Unsafe, false, AttemptFault::Lost, 1, 3, false },
+  { CallKind::Unsafe, false, AttemptFault::Unattributed, 1, 3, false },
   { CallKind::Unsafe, false, AttemptFault::Stalled, 1, 3, false },
   { CallKind::Unsafe, false, AttemptFault::Failed, 1, 3, false },
   { CallKind::Unsafe, false, AttemptFault::NotExecuted, 1, 3, false },
   { CallKind::Idempotent, true, AttemptFault::Lost, 1, 2, true },
   { CallKind::Idempotent, true, AttemptFault::Lost, 2, 2, false },
+  { CallKind::Idempotent, true, AttemptFault::Unattributed, 1, 2, true },
   { CallKind::Idempotent, true, AttemptFault::Failed, 1, 2, true },
   { CallKind::Idempotent, true, AttemptFault::Failed, 1, 1, false },
   { CallKind::Idempotent, true, AttemptFault::NotSent, 1, 2, true },
@@ -55,6 +58,15 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(AnswerWithoutIdBelongsToTheOnlyCallOfAConnection) {
+  BOOST_TEST((OriginOf("a", "a", false) == AnswerOrigin::ThisCall));
+  BOOST_TEST((OriginOf("a", "a", true) == AnswerOrigin::ThisCall));
+  BOOST_TEST((OriginOf("b", "a", false) == AnswerOrigin::OtherCall));
+  BOOST_TEST((OriginOf("b", "a", true) == AnswerOrigin::OtherCall));
+  BOOST_TEST((OriginOf("", "a", false) == AnswerOrigin::ThisCall));
+  BOOST_TEST((OriginOf("", "a", true) == AnswerOrigin::Unknown));
+}
+
 BOOST_AUTO_TEST_CASE(Status503OnlyIfTheCallHasNotRun) {
   BOOST_TEST(FinalStatus(false, false) == 503);
   BOOST_TEST(FinalStatus(false, true) == 503);
--- a/standins/fleet/Runner.cpp
+++ b/standins/fleet/Runner.cpp
@@ -34,6 +34,18 @@
   adapters::http::EventHandlePtr m_timer;
   /// True from a complete request until its response is complete.
   bool m_inProgress = false;
+  /// Attempt id of the previous call on this connection; empty if there was none.
+  std::string m_previousId;
+
+  ResponseHead MakeRejectionHead(int aStatus, const std::string& aAttemptId) const {
+    ResponseHead head;
+    head.m_status = aStatus;
+    if (!aAttemptId.empty()) {
+      head.m_fields.Add("Papayafield-Attempt-Id", aAttemptId);
+    }
+    head.m_fields.Add("Papayafield-Not-Executed", "1");
+    return head;
+  }
 
   ResponseHead MakeResponseHead(int aStatus, const std::string& aRunner) const {
     ResponseHead head;
@@ -102,25 +114,29 @@
     return;
   }
   if (HeaderValue(aCallerConnection->m_head, "Papayafield-Target-Instance") != m_id) {
-    ResponseHead head;
-    head.m_status = 421;
+    ResponseHead head = aCallerConnection->MakeRejectionHead(
+      421, HeaderValue(aCallerConnection->m_head, "Papayafield-Attempt-Id"));
     head.m_fields.Add("Papayafield-Instance-Id", m_id);
     aCallerConnection->SendResponse(head, "");
     return;
   }
-  if (m_mode == RunnerMode::Shed) {
-    ResponseHead head;
-    head.m_status = 503;
-    head.m_fields.Add("Papayafield-Not-Executed", "1");
-    aCallerConnection->SendResponse(head, "");
+  const std::string attemptId = HeaderValue(aCallerConnection->m_head, "Papayafield-Attempt-Id");
+  if (m_mode == RunnerMode::Shed || m_mode == RunnerMode::ShedWithoutId) {
+    aCallerConnection->SendResponse(
+      aCallerConnection->MakeRejectionHead(503, m_mode == RunnerMode::Shed ? attemptId : ""), "");
     return;
   }
+  const std::string previousId = std::exchange(aCallerConnection->m_previousId, attemptId);
+  const bool repeatsId = m_mode == RunnerMode::RepeatRejection;
+  if (!previousId.empty() && (repeatsId || m_mode == RunnerMode::RepeatRejectionWithoutId)) {
+    ResponseHead head =
+      aCallerConnection->MakeRejectionHead(503, repeatsId ? previousId : std::string());
+    head.m_fields.Add("Content-Length", "0");
+    aCallerConnection->m_connection->Write(adapters::http1::Serialize(head));
+  }
   const std::string lastEventId = HeaderValue(aCallerConnection->m_head, "Last-Event-Id");
   m_callLog.m_executedCalls.push_back(
-    { HeaderValue(aCallerConnection->m_head, "Papayafield-Attempt-Id"),
-      m_id,
-      HeaderValue(aCallerConnection->m_head, "Papayafield-Tenant"),
-      lastEventId });
+    { attemptId, m_id, HeaderValue(aCallerConnection->m_head, "Papayafield-Tenant"), lastEventId });
   if (m_mode == RunnerMode::DropResponses) {
     m_callerConnections.erase(aCallerConnection);
     aCallerConnection->m_connection->Close();
--- a/standins/fleet/Runner.h
+++ b/standins/fleet/Runner.h
@@ -20,6 +20,13 @@
   DropResponses,
   /// Rejects calls with 503 and states that they were not executed.
   Shed,
+  /// Like Shed, without the attempt id in the response.
+  ShedWithoutId,
+  /// Runs calls, but first repeats the rejection of an earlier call on connections that have served
+  /// one.
+  RepeatRejection,
+  /// Like RepeatRejection, without the attempt id in the rejection.
+  RepeatRejectionWithoutId,
   /// Runs calls and responds with 500.
   Fail,
   /// Closes the connection of a stream in the middle of an event.
@@ -91,6 +98,9 @@
     { standins::RunnerMode::Hang, "hang" },
     { standins::RunnerMode::DropResponses, "lose_answers" },
     { standins::RunnerMode::Shed, "shed" },
+    { standins::RunnerMode::ShedWithoutId, "shed_without_id" },
+    { standins::RunnerMode::RepeatRejection, "repeat_rejection" },
+    { standins::RunnerMode::RepeatRejectionWithoutId, "repeat_rejection_without_id" },
     { standins::RunnerMode::Fail, "fail" },
     { standins::RunnerMode::TruncateStreams, "cut" },
     { standins::RunnerMode::StallStreams, "stall" },
