forwarding: never write an answer's head into a stream that has begun

Cause: Dispatch rejected a call, or delivered a kept error answer, when no endpoint was left, although the caller had received events. The caller found the head of a 502 after its last event.

Change: Conclude is the only place that passes on a complete answer, and breaks a stream off visibly if one has begun. Deliver, Reject and OnTimeout end through it. The stand-in runner gets modes for streams that are resumed wrongly.

Evidence: before the change BrokenStreamsTest failed with one runner that cuts its streams, and with a second runner that rejects the resumed stream, with or without an ID; the bytes after event 5 were the head of a 502. After it: no errors.

--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -32,6 +32,9 @@
 /// Callers honour a Retry-After of up to this fraction of their remaining time.
 constexpr double kMaxRetryAfterFraction = 0.33;
 
+/// Reason in the log of a call that ended because its time was over.
+constexpr const char* kTimeoutReason = "timeout";
+
 /// Returns the priority of a call: the team's, if it has one, otherwise the route's.
 int PriorityOf(const fleet::Team* aTeam, const fleet::Route& aRoute) {
   return aTeam == nullptr ? aRoute.m_priority : aTeam->m_priority.value_or(aRoute.m_priority);
@@ -445,9 +448,6 @@
   }
   if (willRetry) {
     Dispatch();
-  } else if (m_streamBegun) {
-    m_sink.m_onStreamBroken();
-    Finish(0, "stream_broken");
   } else if (m_errorAnswer) {
     Deliver(m_errorAnswer->first, m_errorAnswer->second);
   } else {
@@ -465,12 +465,7 @@
   if (m_attempt != nullptr && (m_route.m_kind != CallKind::Unsafe || !sent)) {
     Release(m_attempt, false);
   }
-  if (m_streamBegun) {
-    m_sink.m_onStreamBroken();
-    Finish(0, "stream_timeout");
-    return;
-  }
-  Reject(FinalStatus(m_possibleRuns > 0 || sent, true), "timeout", 0);
+  Reject(FinalStatus(m_possibleRuns > 0 || sent, true), kTimeoutReason, 0);
 }
 
 void Exchange::OnCallerDisconnected() {
@@ -501,29 +496,13 @@
 }
 
 void Exchange::Deliver(const ResponseHead& aHead, const std::string& aBody) {
-  if (m_finished) {
-    return;
-  }
   if (m_firstByteAt == base::TimePoint{}) {
     m_firstByteAt = base::BootNow();
   }
-  if (!m_callerDisconnected) {
-    m_sink.m_onAnswer(CallerHead(aHead), aBody);
-  }
-  Finish(aHead.m_status,
-         m_callerDisconnected        ? "caller_gone"
-         : aHead.m_status / 100 == 2 ? "served"
-                                     : "endpoint_failure");
+  Conclude(CallerHead(aHead), aBody, aHead.m_status / 100 == 2 ? "served" : "endpoint_failure");
 }
 
 void Exchange::Reject(int aStatus, const std::string& aReason, double aRetryAfterSeconds) {
-  if (m_finished) {
-    return;
-  }
-  if (m_callerDisconnected) {
-    Finish(0, "caller_gone");
-    return;
-  }
   ResponseHead head;
   head.m_status = aStatus;
   head.m_fields.Add(m_node.m_wire.m_idField, m_call.m_id);
@@ -536,8 +515,28 @@
     std::snprintf(text, sizeof(text), "%.2f", delay);
     head.m_fields.Add("Retry-After", text);
   }
-  m_sink.m_onAnswer(head, {});
-  Finish(aStatus, aReason);
+  Conclude(head, {}, aReason);
+}
+
+/// Ends the call with a complete answer. Only events may follow the head of a stream, so a stream
+/// that has begun is broken off instead.
+void Exchange::Conclude(const ResponseHead& aHead,
+                        std::string_view aBody,
+                        const std::string& aReason) {
+  if (m_finished) {
+    return;
+  }
+  if (m_callerDisconnected) {
+    Finish(0, "caller_gone");
+    return;
+  }
+  if (m_streamBegun) {
+    m_sink.m_onStreamBroken();
+    Finish(0, aReason == kTimeoutReason ? "stream_timeout" : "stream_broken");
+    return;
+  }
+  m_sink.m_onAnswer(aHead, aBody);
+  Finish(aHead.m_status, aReason);
 }
 
 /// Adds the engine work of the output to the requested work. The output is known only at the end of
--- a/packages/forwarding/Exchange.h
+++ b/packages/forwarding/Exchange.h
@@ -73,6 +73,9 @@
   void OnTimeout();
   void Reject(int aStatus, const std::string& aReason, double aRetryAfterSeconds);
   void Deliver(const adapters::http1::ResponseHead& aHead, const std::string& aBody);
+  void Conclude(const adapters::http1::ResponseHead& aHead,
+                std::string_view aBody,
+                const std::string& aReason);
   void Finish(int aStatus, const std::string& aReason);
   adapters::http1::ResponseHead CallerHead(const adapters::http1::ResponseHead& aHead) const;
   placement::PlacementRequest MakePlacementRequest(const fleet::ServiceId& aService) const;
--- a/standins/fleet/Runner.cpp
+++ b/standins/fleet/Runner.cpp
@@ -22,8 +22,17 @@
   return std::string(aHead.m_fields.Find(aName).value_or(std::string_view{}));
 }
 
-std::string EventText(int aNumber) {
-  return "id: " + std::to_string(aNumber) + "\ndata: piece " + std::to_string(aNumber) + "\n\n";
+std::string EventText(int aNumber, bool aWithId) {
+  const std::string number = std::to_string(aNumber);
+  return (aWithId ? "id: " + number + "\n" : "") + "data: piece " + number + "\n\n";
+}
+
+/// Returns the number of the first event of a stream that is requested after the event `aLast`.
+int FirstEvent(RunnerMode aMode, int aLast) {
+  if (aMode == RunnerMode::RestartStreams) {
+    return 1;
+  }
+  return aLast + (aMode == RunnerMode::SkipEvents && aLast > 0 ? 2 : 1);
 }
 
 } // namespace
@@ -142,12 +151,16 @@
     aCallerConnection->m_connection->Close();
   } else if (m_mode == RunnerMode::Fail) {
     aCallerConnection->SendResponse(aCallerConnection->MakeResponseHead(500, m_id), "failed");
-  } else if (aCallerConnection->m_head.m_target.starts_with("/stream/")) {
+  } else if (aCallerConnection->m_head.m_target.starts_with("/stream/") &&
+             m_mode != RunnerMode::PlainStreams) {
     ResponseHead head = aCallerConnection->MakeResponseHead(200, m_id);
     head.m_fields.Add("Content-Type", "text/event-stream");
     head.m_fields.Add("Transfer-Encoding", "chunked");
+    if (m_mode == RunnerMode::ContradictStreams) {
+      head.m_fields.Add("Papayafield-Not-Executed", "1");
+    }
     aCallerConnection->m_connection->Write(adapters::http1::Serialize(head));
-    SendNextEvent(aCallerConnection, std::atoi(lastEventId.c_str()) + 1);
+    SendNextEvent(aCallerConnection, FirstEvent(m_mode, std::atoi(lastEventId.c_str())));
   } else {
     aCallerConnection->SendResponse(aCallerConnection->MakeResponseHead(200, m_id),
                                     "answer to " + aCallerConnection->m_head.m_target);
@@ -161,8 +174,10 @@
     aCallerConnection->m_connection->Resume();
     return;
   }
-  const std::string event = EventText(aEvent);
-  if (m_mode == RunnerMode::TruncateStreams && aEvent == kEventsPerStream / 2) {
+  const std::string event = EventText(aEvent, m_mode != RunnerMode::TruncateUnnumberedStreams);
+  const bool truncates =
+    m_mode == RunnerMode::TruncateStreams || m_mode == RunnerMode::TruncateUnnumberedStreams;
+  if (truncates && aEvent == kEventsPerStream / 2) {
     aCallerConnection->m_connection->Write(EncodeChunk(event.substr(0, event.size() / 2)));
     aCallerConnection->m_connection->CloseWhenFlushed();
     m_callerConnections.erase(aCallerConnection);
--- a/standins/fleet/Runner.h
+++ b/standins/fleet/Runner.h
@@ -31,6 +31,16 @@
   Fail,
   /// Closes the connection of a stream in the middle of an event.
   TruncateStreams,
+  /// Starts resumed streams at their first event again.
+  RestartStreams,
+  /// Omits an event where a stream is resumed.
+  SkipEvents,
+  /// Responds to streams with a signed text that is no stream.
+  PlainStreams,
+  /// Responds with a stream that states that the call was not executed.
+  ContradictStreams,
+  /// Like TruncateStreams, with events that have no id.
+  TruncateUnnumberedStreams,
   /// Sends the first half of a stream and then stalls without closing it.
   StallStreams,
   /// Sends the events of a stream slowly, within the route's gap target.
@@ -103,6 +113,11 @@
     { standins::RunnerMode::RepeatRejectionWithoutId, "repeat_rejection_without_id" },
     { standins::RunnerMode::Fail, "fail" },
     { standins::RunnerMode::TruncateStreams, "cut" },
+    { standins::RunnerMode::RestartStreams, "restart" },
+    { standins::RunnerMode::SkipEvents, "skip" },
+    { standins::RunnerMode::PlainStreams, "plain" },
+    { standins::RunnerMode::ContradictStreams, "contradict" },
+    { standins::RunnerMode::TruncateUnnumberedStreams, "cut_unnumbered" },
     { standins::RunnerMode::StallStreams, "stall" },
     { standins::RunnerMode::SlowStreams, "slow" },
   });
