forwarding: join to a stream only a run that continues it

Cause: the events of a resumed stream were passed on whatever their IDs, so that events came twice if the endpoint started again, or were missing if it omitted some. A 2xx answer that states that the call was not executed was passed on as events as well. A stream without event IDs was repeated from its start after the caller had received some of it.

Change: EventSplitter compares the first event of each run with the last event before it, and holds the run back if it comes again, has no ID, or leaves a gap larger than the constant step of the stream. The attempt then fails as lost (`not_continuous`), and the caller never receives these bytes. Contradictory answers fail before their body. MayRetry refuses a stream that has begun without IDs.

--- a/packages/forwarding/EventSplitter.h
+++ b/packages/forwarding/EventSplitter.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "forwarding/StreamContinuity.h"
+
 #include <string>
 #include <string_view>
 #include <utility>
@@ -10,25 +12,36 @@
 /// thread safe.
 class EventSplitter {
 public:
-  /// Appends bytes and returns the events that are now complete, concatenated.
+  /// Appends bytes and returns the events that are now complete, concatenated. Returns nothing once
+  /// the run does not continue the stream.
   std::string Feed(std::string_view aBytes);
   /// Returns the last ID that a complete event carried; empty if none has carried one.
   const std::string& LastEventId() const { return m_lastEventId; }
   /// Returns whether an incomplete event is buffered.
   bool HasPartialEvent() const { return !m_partialEvent.empty(); }
+  /// Returns false if the first event of the present run does not follow the last one of the
+  /// stream: it comes again, events before it are missing, or it has no ID although earlier events
+  /// have.
+  bool IsContinuous() const { return m_continuous; }
   /// Sets the ID of the event after which the stream begins.
   void Resume(std::string aLastEventId) { m_lastEventId = std::move(aLastEventId); }
   /// Returns the number of complete events so far.
   size_t EventCount() const { return m_eventCount; }
-  /// Discards the incomplete event, if any, before the stream resumes at another endpoint.
-  void DiscardPartialEvent() { m_partialEvent.clear(); }
+  /// Starts a new run, which continues the stream at another endpoint. Discards the incomplete
+  /// event of the previous one, if any.
+  void StartRun();
 
 private:
-  void ParseEvents(std::string_view aEvents);
+  /// Takes a complete event into account. Returns false if it does not continue the stream.
+  bool TakeEvent(std::string_view aEvent);
 
   std::string m_partialEvent;
   std::string m_lastEventId;
+  EventStep m_step;
   size_t m_eventCount = 0;
+  /// Whether an event of the present run has been compared with the last one before it.
+  bool m_runChecked = false;
+  bool m_continuous = true;
 };
 
 } // namespace papayafield::forwarding
--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -280,6 +280,10 @@
     Fail(aAttempt, AttemptFault::Lost, "unsigned_answer");
     return;
   }
+  if (success && info.m_notExecuted) {
+    Fail(aAttempt, AttemptFault::Lost, "contradictory_answer");
+    return;
+  }
   aAttempt->m_isStream = success && m_route.m_kind == CallKind::Stream && info.m_eventStream;
   if (m_streamBegun && !aAttempt->m_isStream && !info.m_notExecuted) {
     Fail(aAttempt, AttemptFault::Lost, "not_resumed");
@@ -312,6 +316,10 @@
 void Exchange::OnStreamBytes(const std::shared_ptr<ActiveAttempt>& aAttempt,
                              std::string_view aBytes) {
   const std::string events = m_splitter.Feed(aBytes);
+  if (!m_splitter.IsContinuous()) {
+    Fail(aAttempt, AttemptFault::Lost, "not_continuous");
+    return;
+  }
   if (events.empty()) {
     return;
   }
@@ -418,9 +426,11 @@
   }
   m_node.m_placement.RecordOutcome(endpoint.m_incarnation.m_endpoint, false, now);
   Release(aAttempt, aFault == AttemptFault::NotExecuted || aFault == AttemptFault::Failed);
-  m_splitter.DiscardPartialEvent();
-  const AttemptState state{ m_route.m_kind, m_route.Repeatable(),  aFault,
-                            m_possibleRuns, m_route.m_maxAttempts, m_streamBegun };
+  m_splitter.StartRun();
+  const AttemptState state{
+    m_route.m_kind, m_route.Repeatable(),  aFault,
+    m_possibleRuns, m_route.m_maxAttempts, m_streamBegun && m_splitter.LastEventId().empty()
+  };
   const bool willRetry = !m_callerDisconnected && !m_finished && MayRetry(state) &&
                          TimeLeft() > kMinAttemptTime &&
                          (aFault == AttemptFault::NotSent || m_node.TrySpendRetry(m_service));
--- a/packages/forwarding/RetryDecision.h
+++ b/packages/forwarding/RetryDecision.h
@@ -31,13 +31,16 @@
   int m_possibleRuns = 0;
   /// Maximum number of endpoints that the route allows to run one call.
   int m_maxRuns = 1;
-  /// Whether the caller has already received a part of the answer.
-  bool m_answerBegun = false;
+  /// Whether the caller has received a part of the answer that another endpoint cannot continue.
+  bool m_cannotContinue = false;
 };
 
 /// Returns whether a call may be sent to another endpoint, provided that time and retry budget are
 /// left. Thread safe.
 constexpr bool MayRetry(const AttemptState& aState) {
+  if (aState.m_cannotContinue) {
+    return false;
+  }
   switch (aState.m_fault) {
     case AttemptFault::NotSent:
     case AttemptFault::NotExecuted:
--- a/packages/forwarding/tests/ForwardingTest.cpp
+++ b/packages/forwarding/tests/ForwardingTest.cpp
@@ -74,6 +74,71 @@
   BOOST_TEST(FinalStatus(true, true) == 504);
 }
 
+struct ContinuityRow {
+  const char* m_last;
+  const char* m_first;
+  std::optional<uint64_t> m_step;
+  bool m_continues;
+};
+
+BOOST_AUTO_TEST_CASE(RunContinuesAStreamOnlyAfterItsLastEvent) {
+  const ContinuityRow rows[] = {
+    { "5", "6", 1, true },
+    { "5", "7", 1, false },
+    { "5", "7", std::nullopt, true },
+    { "5", "5", std::nullopt, false },
+    { "5", "1", std::nullopt, false },
+    { "5", "", 1, false },
+    { "20", "24", 4, true },
+    { "20", "22", 4, true },
+    { "20", "28", 4, false },
+    { "a", "b", std::nullopt, true },
+    { "a", "a", std::nullopt, false },
+    { "9", "10", 1, true },
+    { "18446744073709551615", "1", 1, false },
+    { "5", "99999999999999999999", 1, true },
+  };
+  for (const ContinuityRow& row : rows) {
+    BOOST_TEST(ContinuesStream(row.m_last, row.m_first, row.m_step) == row.m_continues,
+               row.m_last << " then " << row.m_first);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(SplitterHoldsBackARunThatDoesNotContinue) {
+  const auto event = [](int aId) { return "id: " + std::to_string(aId) + "\ndata: x\n\n"; };
+  for (const char* first : { "id: 1\ndata: x\n\n",
+                             "id: 3\ndata: x\n\n",
+                             "id: 5\ndata: x\n\n",
+                             "data: x\n\n",
+                             ": note\n\ndata: x\n\n" }) {
+    EventSplitter splitter;
+    BOOST_TEST(splitter.Feed(event(1) + event(2) + event(3)).size() == 3 * event(1).size());
+    splitter.StartRun();
+    const std::string returned = splitter.Feed(first + event(4));
+    BOOST_TEST(returned.find("data") == std::string::npos);
+    BOOST_TEST(!splitter.IsContinuous());
+    BOOST_TEST(splitter.LastEventId() == "3");
+    splitter.StartRun();
+    BOOST_TEST(splitter.Feed(": note\n\n" + event(4)) == ": note\n\n" + event(4));
+    BOOST_TEST(splitter.IsContinuous());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(StepThatVariesShowsNoGap) {
+  EventSplitter splitter;
+  splitter.Feed("id: 4\ndata: x\n\nid: 8\ndata: x\n\nid: 10\ndata: x\n\n");
+  splitter.StartRun();
+  BOOST_TEST(!splitter.Feed("id: 16\ndata: x\n\n").empty());
+  BOOST_TEST(splitter.IsContinuous());
+}
+
+BOOST_AUTO_TEST_CASE(BegunStreamWithoutEventIdsIsNotRepeated) {
+  for (const AttemptFault fault : { AttemptFault::NotSent, AttemptFault::Lost }) {
+    BOOST_TEST(MayRetry({ CallKind::Stream, true, fault, 1, 2, false }));
+    BOOST_TEST(!MayRetry({ CallKind::Stream, true, fault, 1, 2, true }));
+  }
+}
+
 // Regardless of where the bytes are split, complete events pass unchanged and an incomplete one is
 // held back.
 BOOST_AUTO_TEST_CASE(SplitterReturnsCompleteEventsOnly) {
@@ -87,7 +152,7 @@
     BOOST_TEST(returned == complete);
     BOOST_TEST(splitter.LastEventId() == "7");
     BOOST_TEST(splitter.HasPartialEvent());
-    splitter.DiscardPartialEvent();
+    splitter.StartRun();
     BOOST_TEST(!splitter.HasPartialEvent());
     BOOST_TEST(splitter.LastEventId() == "7");
   }
--- a/tests/integration/BrokenStreamsTest.cpp
+++ b/tests/integration/BrokenStreamsTest.cpp
@@ -128,4 +128,28 @@
   }
 }
 
+// Events came twice, or were missing, after the runner had changed.
+BOOST_AUTO_TEST_CASE(RunThatDoesNotContinueAStreamIsNotJoinedToIt) {
+  CheckResumption("restart");
+  CheckResumption("skip");
+}
+
+// Events of an answer that states that the call was not executed reached the caller, and again
+// those of the next runner.
+BOOST_AUTO_TEST_CASE(ContradictoryAnswerIsNoPartOfAStream) {
+  CheckResumption("contradict");
+}
+
+// Without IDs, the second runner started the stream again after the events of the first one.
+BOOST_AUTO_TEST_CASE(StreamWithoutIdsIsNotStartedAgain) {
+  const PlatformFleet fleet(1, 2);
+  SetMode(fleet, 0, "cut_unnumbered");
+  SetMode(fleet, 1, "cut_unnumbered");
+  const std::string bytes = ReceiveStream(fleet);
+  BOOST_TEST(!bytes.ends_with(kLastChunk));
+  const size_t first = bytes.find("data: piece 1\n");
+  BOOST_REQUIRE(first != std::string::npos);
+  BOOST_TEST(bytes.find("data: piece 1\n", first + 1) == std::string::npos, bytes);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
