base: convert numbers from other systems with checks

Cause: numbers of JSON, header fields and datagrams were converted to integers by static_cast, which is undefined out of range.

--- a/packages/adapters/peer/GossipCodec.cpp
+++ b/packages/adapters/peer/GossipCodec.cpp
@@ -1,12 +1,15 @@
 #include "adapters/peer/GossipCodec.h"
 
 #include "adapters/peer/news.capnp.h"
+#include "base/Numbers.h"
 
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
 #include <kj/exception.h>
 #include <kj/io.h>
 
+#include <cmath>
+
 namespace papayafield::adapters::peer {
 
 namespace {
@@ -36,7 +39,9 @@
 
 void ReadTotals(capnp::List<wire::NewsTotal>::Reader aFrom, quota::QuotaLedger::Totals& aTotals) {
   for (const auto total : aFrom) {
-    aTotals[base::TeamId(ToString(total.getTeam()))] = total.getUnits();
+    if (std::isfinite(total.getUnits())) {
+      aTotals[base::TeamId(ToString(total.getTeam()))] = total.getUnits();
+    }
   }
 }
 
@@ -75,10 +80,11 @@
   heartbeat.m_storeReachable = aFrom.getStoreAnswers();
   heartbeat.m_configuration = aFrom.getConfiguration();
   heartbeat.m_revision = aFrom.getRevision();
-  heartbeat.m_requestedWorkMs = aFrom.getWorkAsked();
+  heartbeat.m_requestedWorkMs = base::FiniteAmount(aFrom.getWorkAsked());
   for (const auto load : aFrom.getLoads()) {
-    heartbeat.m_loads[base::EndpointId(ToString(load.getEndpoint()))] = { load.getCalls(),
-                                                                          load.getWaitingTokens() };
+    heartbeat.m_loads[base::EndpointId(ToString(load.getEndpoint()))] = {
+      base::FiniteAmount(load.getCalls()), base::FiniteAmount(load.getWaitingTokens())
+    };
   }
   ReadTotals(aFrom.getGranted(), heartbeat.m_quota.m_granted);
   ReadTotals(aFrom.getAsked(), heartbeat.m_quota.m_requested);
@@ -86,7 +92,7 @@
   for (const auto window : aFrom.getUsage()) {
     for (const auto total : window.getCounts()) {
       heartbeat.m_usage[window.getNumber()][base::TeamId(ToString(total.getTeam()))] =
-        static_cast<uint64_t>(total.getUnits());
+        base::SaturatingCast<uint64_t>(total.getUnits());
     }
   }
   for (const auto contact : aFrom.getContacts()) {
