serving: reject a malformed replica of a peer

Cause: ApplyReplica read the reply of a peer with functions that throw on another type, and an exception in the event loop ends the process.

Evidence: ReplicaCodecTest passes (odd replies, and 5000 replies with random byte changes). It was not run on the code before, which had no function that could be tested alone.

--- a/packages/serving/GossipExchange.cpp
+++ b/packages/serving/GossipExchange.cpp
@@ -1,6 +1,7 @@
 #include "serving/GossipExchange.h"
 
 #include "adapters/peer/GossipCodec.h"
+#include "serving/ReplicaCodec.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -121,54 +122,19 @@
   }
 }
 
-/// Returns the whole replica, or only the changes after the requested revision if all removals
-/// since then are still known.
 SimpleResponse GossipExchange::HandleReplicaRequest(const RequestHead& aHead) const {
   const uint64_t after =
     std::strtoull(adapters::http1::QueryParameter(aHead.m_target, "after").c_str(), nullptr, 10);
-  const bool whole = after < m_replica.TombstonesFrom();
-  nlohmann::json items = nlohmann::json::array();
-  for (const auto& [key, item] : m_replica.Items()) {
-    if (whole || item.m_revision > after) {
-      items.push_back({ key,
-                        nlohmann::json::binary({ item.m_data.begin(), item.m_data.end() }),
-                        item.m_revision,
-                        item.m_created });
-    }
-  }
-  nlohmann::json removed = nlohmann::json::array();
-  for (const auto& [key, revision] : m_replica.Tombstones()) {
-    if (!whole && revision > after) {
-      removed.push_back({ key, revision });
-    }
-  }
-  const auto bytes = nlohmann::json::to_cbor({ { "revision", m_replica.LastRevision() },
-                                               { "whole", whole },
-                                               { "items", items },
-                                               { "removed", removed } });
-  return { 200, "application/cbor", std::string(bytes.begin(), bytes.end()) };
+  return { 200, "application/cbor", EncodeReplica(m_replica, after) };
 }
 
 void GossipExchange::ApplyReplica(const std::string& aBytes) {
-  const nlohmann::json replica = nlohmann::json::from_cbor(aBytes, true, false);
-  if (!replica.is_object()) {
+  const auto snapshot = DecodeReplica(aBytes);
+  if (!snapshot) {
     m_log.Event("invalid store replica dropped", { { "bytes", aBytes.size() } });
     return;
   }
-  std::vector<store::Change> changes;
-  for (const nlohmann::json& row : replica.at("items")) {
-    const auto& data = row.at(1).get_binary();
-    changes.push_back({ { row.at(0).get<std::string>(),
-                          std::string(data.begin(), data.end()),
-                          row.at(2).get<uint64_t>(),
-                          row.at(3).get<uint64_t>() },
-                        false });
-  }
-  for (const nlohmann::json& row : replica.at("removed")) {
-    changes.push_back({ { row.at(0).get<std::string>(), {}, row.at(1).get<uint64_t>(), 0 }, true });
-  }
-  m_replica.CatchUp(
-    changes, replica.at("whole").get<bool>(), replica.at("revision").get<uint64_t>());
+  m_replica.CatchUp(snapshot->m_changes, snapshot->m_complete, snapshot->m_revision);
 }
 
 void GossipExchange::FetchIfBehind(bool aOwnStoreReachable) {
--- /dev/null
+++ b/packages/serving/ReplicaCodec.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "store/StorePort.h"
+#include "sync/StoreReplica.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace papayafield::serving {
+
+/// The store's content as a node returns it to another one.
+struct ReplicaSnapshot {
+  std::vector<store::Change> m_changes;
+  /// Whether all items are included, not only the changes after a revision.
+  bool m_complete = false;
+  uint64_t m_revision = 0;
+};
+
+/// Encodes the replica, or only the changes after the revision `aAfter` if all removals since then
+/// are still known. Thread safe for a constant replica.
+std::string EncodeReplica(const sync::StoreReplica& aReplica, uint64_t aAfter);
+
+/// Decodes the result of EncodeReplica. Returns nullopt if `aBytes` is malformed. Thread safe.
+std::optional<ReplicaSnapshot> DecodeReplica(const std::string& aBytes);
+
+} // namespace papayafield::serving
--- /dev/null
+++ b/packages/serving/tests/ReplicaCodecTest.cpp
@@ -0,0 +1,87 @@
+#include "serving/ReplicaCodec.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <nlohmann/json.hpp>
+#include <random>
+
+using namespace papayafield;
+using namespace papayafield::serving;
+using nlohmann::json;
+
+namespace {
+
+sync::StoreReplica MakeReplica() {
+  sync::StoreReplica replica([](const auto&, const auto&, auto) {});
+  replica.Apply({ { "servers/a", std::string("\0x", 2), 5, 2 }, false });
+  replica.Apply({ { "servers/b", "y", 6, 6 }, false });
+  replica.Apply({ { "servers/b", "", 7, 0 }, true });
+  return replica;
+}
+
+std::string ToCbor(const json& aValue) {
+  const auto bytes = json::to_cbor(aValue);
+  return { bytes.begin(), bytes.end() };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ReplicaCodecTest)
+
+BOOST_AUTO_TEST_CASE(ReplicaRoundTrips) {
+  const auto snapshot = DecodeReplica(EncodeReplica(MakeReplica(), 4));
+  BOOST_REQUIRE(snapshot.has_value());
+  BOOST_TEST(snapshot->m_revision == 7U);
+  BOOST_TEST(!snapshot->m_complete);
+  BOOST_REQUIRE(snapshot->m_changes.size() == 2U);
+  BOOST_TEST(snapshot->m_changes[0].m_item.m_data == std::string("\0x", 2));
+  BOOST_TEST(snapshot->m_changes[1].m_removed);
+  BOOST_TEST(snapshot->m_changes[1].m_item.m_key == "servers/b");
+}
+
+// A reply of another form ended the process by an exception.
+BOOST_AUTO_TEST_CASE(RepliesOfAnotherFormAreRejected) {
+  const json valid = { { "revision", 7 },
+                       { "whole", true },
+                       { "items", { { "k", json::binary({ 1 }), 5, 5 } } },
+                       { "removed", json::array() } };
+  BOOST_TEST(DecodeReplica(ToCbor(valid)).has_value());
+  const std::vector<std::pair<const char*, json>> odd = {
+    { "revision", "x" },
+    { "revision", -1 },
+    { "revision", 1e300 },
+    { "whole", 1 },
+    { "items", 5 },
+    { "items", { { "k", "text", 5, 5 } } },
+    { "items", { 1 } },
+    { "items", { { "k", json::binary({ 1 }), 5 } } },
+    { "items", { { 1, json::binary({ 1 }), 5, 5 } } },
+    { "removed", { 1 } },
+    { "removed", { { "k", "v" } } },
+    { "removed", { { "k", -1 } } },
+  };
+  for (const auto& [key, value] : odd) {
+    json root = valid;
+    root[key] = value;
+    BOOST_TEST(!DecodeReplica(ToCbor(root)).has_value(), root.dump());
+    root.erase(key);
+    BOOST_TEST(!DecodeReplica(ToCbor(root)).has_value(), root.dump());
+  }
+  BOOST_TEST(!DecodeReplica("").has_value());
+  BOOST_TEST(!DecodeReplica(ToCbor(json::array())).has_value());
+  BOOST_TEST(!DecodeReplica(std::string(4000000, '\x81')).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(RandomBytesAreRejectedOrDecoded) {
+  const std::string valid = EncodeReplica(MakeReplica(), 4);
+  for (uint64_t seed = 1; seed <= 5000; ++seed) {
+    std::mt19937_64 random(seed);
+    std::string bytes = valid.substr(0, seed % 2 == 0 ? valid.size() : random() % valid.size());
+    for (int change = 0; change < 4 && !bytes.empty(); ++change) {
+      bytes[random() % bytes.size()] = static_cast<char>(random());
+    }
+    BOOST_CHECK_NO_THROW(DecodeReplica(bytes));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
