duties: omit odd entries of the usage record

Cause: ReadStoredReports threw on an entry without counts or with counts of another type, which ended every node that became the leader. A window in the far future suppressed all later reports.

Change: ParseUsageReports omits such entries. ClaimLedger also rejects a list of owners that is no array.

--- a/packages/claims/ClaimLedger.cpp
+++ b/packages/claims/ClaimLedger.cpp
@@ -21,7 +21,7 @@
   }
   const nlohmann::json value = base::ParseJson(aText);
   if (base::ValueOr(value, "format", 0) != kFormat || !value.contains("owners") ||
-      !value.contains("claims") || !value.contains("sealed")) {
+      !value.contains("claims") || !value.contains("sealed") || !value["owners"].is_array()) {
     return std::nullopt;
   }
   // A claim is stored as [key, index of its owner, number, done, expiry].
--- a/packages/duties/UsageReporter.h
+++ b/packages/duties/UsageReporter.h
@@ -4,6 +4,7 @@
 #include "base/Log.h"
 #include "duties/LeaderPlatformPort.h"
 #include "duties/UsageLedger.h"
+#include "duties/UsageRecord.h"
 #include "store/StorePort.h"
 #include "sync/StoreReplica.h"
 
@@ -65,7 +66,7 @@
     }
     const int64_t now = base::WallMillis();
     m_ledger.RemoveWindowsBefore(m_ledger.WindowOf(now) - kMaxStoredWindows);
-    const Reports reports = ReadStoredReports();
+    const Reports reports = ReadStoredReports(now);
     if (SendNextReport(reports, now, aLeadership)) {
       return;
     }
@@ -73,28 +74,21 @@
   }
 
 private:
-  using Reports = std::map<int64_t, UsageLedger::Counts>;
+  using Reports = UsageReports;
   /// Number of windows in the stored record; older windows can no longer be reported.
   static constexpr int64_t kMaxStoredWindows = 4;
 
-  Reports ReadStoredReports() const {
-    Reports reports;
+  Reports ReadStoredReports(int64_t aNow) const {
     const store::Item* item = m_replica.Find(m_settings.m_key);
     if (item == nullptr) {
-      return reports;
+      return {};
     }
-    const nlohmann::json record = base::ParseJson(item->m_data);
-    if (!record.is_array()) {
+    auto reports = ParseUsageReports(item->m_data, m_ledger.WindowOf(aNow));
+    if (!reports) {
       m_log.Event("usage record unreadable", { { "revision", item->m_revision } });
-      return reports;
+      return {};
     }
-    for (const nlohmann::json& entry : record) {
-      UsageLedger::Counts& report = reports[base::ValueOr<int64_t>(entry, "window", 0)];
-      for (const auto& [team, count] : entry.at("counts").items()) {
-        report[base::TeamId(team)] = count.template get<uint64_t>();
-      }
-    }
-    return reports;
+    return std::move(*reports);
   }
 
   /// Sends the oldest report that was not yet accepted under the present fencing token. Returns
