platform: ignore entries of the store that name no usable endpoint

A registration of a node without a host held back the usage reports.

The stand-in's /control/put writes any bytes under any key.

--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -237,7 +237,8 @@
         }
       }
     }
-    const base::Millis age(base::WallMillis() - base::ValueOr<int64_t>(record, "at", 0));
+    const int64_t writtenAt = std::max<int64_t>(base::ValueOr<int64_t>(record, "at", 0), 0);
+    const base::Millis age(base::WallMillis() - writtenAt);
     m_state.m_quota.RestoreDemand(demand, age, base::BootNow());
   }
 
@@ -309,11 +310,15 @@
       return;
     }
     const nlohmann::json node = base::ParseJson(aItem->m_data);
-    m_peerTable.RecordContact({ aNode,
-                                base::ValueOr<int64_t>(node, "born", 0),
-                                base::ValueOr<std::string>(node, "host", "") },
-                              true,
-                              base::BootNow());
+    const auto host = base::ValueOr<std::string>(node, "host", "");
+    if (host.empty()) {
+      // Usage reports would wait for the counts of a node that never sends any.
+      m_log.Event("invalid node registration ignored",
+                  { { "node", aNode.Text() }, { "revision", aItem->m_revision } });
+      return;
+    }
+    m_peerTable.RecordContact(
+      { aNode, base::ValueOr<int64_t>(node, "born", 0), host }, true, base::BootNow());
   }
 
   /// Informs the directory whether any node still receives answers from the store. Missing
--- a/standins/fleet/Store.cpp
+++ b/standins/fleet/Store.cpp
@@ -63,8 +63,12 @@
 }
 
 void Store::Put(const std::string& aKey, const std::string& aData) {
+  PutEncoded(aKey, EncodeBase64(aData));
+}
+
+void Store::PutEncoded(const std::string& aKey, const std::string& aBase64) {
   ++m_revision;
-  Write(aKey, EncodeBase64(aData), 0);
+  Write(aKey, aBase64, 0);
   NotifyWatchers();
 }
 
--- a/standins/fleet/Store.h
+++ b/standins/fleet/Store.h
@@ -39,6 +39,8 @@
   void SetMode(Mode aMode);
   /// Writes an item on behalf of the operator or an endpoint.
   void Put(const std::string& aKey, const std::string& aData);
+  /// Writes an item with data that callers receive as it is, in place of base64.
+  void PutEncoded(const std::string& aKey, const std::string& aBase64);
   /// Removes an item.
   void Remove(const std::string& aKey);
   /// Discards the revision history, so that watches from an older revision are rejected with 410.
--- a/standins/fleet/main.cpp
+++ b/standins/fleet/main.cpp
@@ -152,6 +152,17 @@
       m_store.Put("op/config", base::DumpJson(aBody));
       return true;
     }
+    if (aPath == "/control/put") {
+      // `data` is stored as it is, whether or not it is valid base64.
+      const std::string key = base::ValueOr<std::string>(aBody, "key", "");
+      const std::string data = base::ValueOr<std::string>(aBody, "data", "");
+      if (data.empty()) {
+        m_store.Put(key, base::ValueOr<std::string>(aBody, "text", ""));
+      } else {
+        m_store.PutEncoded(key, data);
+      }
+      return true;
+    }
     if (aPath == "/control/compact") {
       m_store.Compact();
       return true;
