--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/Exchange.h"
 
+#include "forwarding/AnswerOrigin.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -36,6 +38,9 @@
 /// Mean time in seconds over which callers return after the end of an endpoint's pause.
 constexpr double kReturnSpreadSeconds = 0.2;
 
+/// Reason in the log of a call that ended because its time was over.
+constexpr const char* kTimeoutReason = "timeout";
+
 /// Returns the priority of a call: the team's, if it has one, otherwise the route's.
 int PriorityOf(const fleet::Team* aTeam, const fleet::Route& aRoute) {
   return aTeam == nullptr ? aRoute.m_priority : aTeam->m_priority.value_or(aRoute.m_priority);
@@ -200,11 +205,6 @@
                        { "waiting", aOutage.m_waiting },
                        { "first_end_ms", aOutage.m_firstEnd.count() },
                        { "possible_runs", m_possibleRuns } });
-  if (m_streamBegun) {
-    m_sink.m_onStreamBroken();
-    Finish(0, "stream_broken");
-    return;
-  }
   const bool waiting = aOutage.m_reason == fleet::Unavailability::Waiting;
   Reject(FinalStatus(m_possibleRuns > 0, false),
          std::string(base::NameOf(aOutage.m_reason)),
@@ -235,8 +235,14 @@
 void Exchange::Send(const fleet::Endpoint& aEndpoint) {
   const auto now = base::BootNow();
   const bool mustNotRepeat = !m_route.Repeatable();
-  PooledConnection pooled = m_node.m_pool.Acquire(
-    aEndpoint, mustNotRepeat ? kMaxIdleFractionUnsafe : kMaxIdleFraction, now);
+  // A refusal without an ID is proof only on a connection that no other call has used.
+  const bool needsNewConnection =
+    mustNotRepeat && m_node.m_pool.AnswersWithoutId(aEndpoint.m_incarnation);
+  PooledConnection pooled =
+    needsNewConnection
+      ? m_node.m_pool.Connect(aEndpoint)
+      : m_node.m_pool.Acquire(
+          aEndpoint, mustNotRepeat ? kMaxIdleFractionUnsafe : kMaxIdleFraction, now);
   auto attempt = std::make_shared<ActiveAttempt>();
   attempt->m_endpoint = aEndpoint;
   attempt->m_connection = std::move(pooled.m_connection);
@@ -323,8 +329,10 @@
 
 /// Returns whether another endpoint could take over from the attempt in progress now.
 bool Exchange::MayContinueElsewhere() const {
-  const AttemptState state{ m_route.m_kind,     m_route.Repeatable(),  AttemptFault::Stalled,
-                            m_possibleRuns + 1, m_route.m_maxAttempts, m_streamBegun };
+  const AttemptState state{
+    m_route.m_kind,     m_route.Repeatable(),  AttemptFault::Stalled,
+    m_possibleRuns + 1, m_route.m_maxAttempts, m_streamBegun && m_splitter.LastEventId().empty()
+  };
   return !m_callerDisconnected && MayRetry(state) && TimeLeft() > kMinAttemptTime &&
          m_node.HasRetry(m_service) &&
          m_node.m_placement
@@ -336,11 +344,20 @@
   aAttempt->m_answerInfo = m_node.m_wire.m_decodeAnswer(aHead);
   const AnswerInfo& info = aAttempt->m_answerInfo;
   m_node.m_signals.OnAnswer(aAttempt->m_endpoint.m_incarnation, info, m_call.m_id);
-  aAttempt->m_isMisdirected = !info.m_id.empty() && info.m_id != m_call.m_id;
+  const AnswerOrigin origin =
+    OriginOf(info.m_id, m_call.m_id, aAttempt->m_reused || aAttempt->m_sawMisdirected);
+  aAttempt->m_isMisdirected = origin == AnswerOrigin::OtherCall;
   if (aAttempt->m_isMisdirected) {
     aAttempt->m_sawMisdirected = true;
     return;
   }
+  if (info.m_id.empty()) {
+    m_node.m_pool.RecordAnswerWithoutId(aAttempt->m_endpoint.m_incarnation);
+  }
+  if (origin == AnswerOrigin::Unknown) {
+    Fail(aAttempt, AttemptFault::Unattributed, std::to_string(aHead.m_status));
+    return;
+  }
   aAttempt->m_hasHead = true;
   aAttempt->m_head = std::move(aHead);
   const bool success = aAttempt->m_head.m_status / 100 == 2;
@@ -349,6 +366,10 @@
     Fail(aAttempt, AttemptFault::Lost, "unsigned_answer");
     return;
   }
+  if (success && info.m_notExecuted) {
+    Fail(aAttempt, AttemptFault::Lost, "contradictory_answer");
+    return;
+  }
   aAttempt->m_isStream = success && m_route.m_kind == CallKind::Stream && info.m_eventStream;
   if (m_streamBegun && !aAttempt->m_isStream && !info.m_notExecuted) {
     Fail(aAttempt, AttemptFault::Lost, "not_resumed");
@@ -382,6 +403,10 @@
                              std::string_view aBytes) {
   const size_t eventsBefore = m_splitter.EventCount();
   const std::string events = m_splitter.Feed(aBytes);
+  if (!m_splitter.IsContinuous()) {
+    Fail(aAttempt, AttemptFault::Lost, "not_continuous");
+    return;
+  }
   if (events.empty()) {
     return;
   }
@@ -502,7 +527,8 @@
   const bool mayHaveRun = aFault != AttemptFault::NotSent && aFault != AttemptFault::NotExecuted;
   if (mayHaveRun) {
     ++m_possibleRuns;
-    if (m_route.m_kind != CallKind::Stream) {
+    // An unattributed answer is most likely this call's own refusal.
+    if (m_route.m_kind != CallKind::Stream && aFault != AttemptFault::Unattributed) {
       CountUsage(aAttempt, aAttempt->m_sentAt);
     }
   }
@@ -515,9 +541,11 @@
       m_call, endpoint.m_incarnation.m_endpoint, aAttempt->m_events, now);
   }
   Release(aAttempt, aFault == AttemptFault::NotExecuted || aFault == AttemptFault::Failed);
-  m_splitter.DiscardPartialEvent();
-  const AttemptState state{ m_route.m_kind, m_route.Repeatable(),  aFault,
-                            m_possibleRuns, m_route.m_maxAttempts, m_streamBegun };
+  m_splitter.StartRun();
+  const AttemptState state{
+    m_route.m_kind, m_route.Repeatable(),  aFault,
+    m_possibleRuns, m_route.m_maxAttempts, m_streamBegun && m_splitter.LastEventId().empty()
+  };
   const bool willRetry = !m_callerDisconnected && !m_finished && MayRetry(state) &&
                          TimeLeft() > kMinAttemptTime &&
                          (aFault == AttemptFault::NotSent || m_node.TrySpendRetry(m_service));
@@ -545,9 +573,6 @@
   }
   if (willRetry) {
     Dispatch();
-  } else if (m_streamBegun) {
-    m_sink.m_onStreamBroken();
-    Finish(0, "stream_broken");
   } else if (m_errorAnswer) {
     Deliver(m_errorAnswer->first, m_errorAnswer->second);
   } else {
@@ -564,12 +589,7 @@
   if (m_attempt != nullptr && (m_route.m_kind != CallKind::Unsafe || !sent)) {
     Release(m_attempt, false);
   }
-  if (m_streamBegun) {
-    m_sink.m_onStreamBroken();
-    Finish(0, "stream_timeout");
-    return;
-  }
-  Reject(FinalStatus(m_possibleRuns > 0 || sent, true), "timeout", 0);
+  Reject(FinalStatus(m_possibleRuns > 0 || sent, true), kTimeoutReason, 0);
 }
 
 /// Returns whether an attempt is in progress that may run: its connection has been established.
@@ -628,32 +648,16 @@
 }
 
 void Exchange::Deliver(const ResponseHead& aHead, const std::string& aBody) {
-  if (m_finished) {
-    return;
-  }
   if (m_firstByteAt == base::TimePoint{}) {
     m_firstByteAt = base::BootNow();
   }
-  if (!m_callerDisconnected) {
-    m_sink.m_onAnswer(CallerHead(aHead), aBody);
-  }
-  Finish(aHead.m_status,
-         m_callerDisconnected        ? "caller_gone"
-         : aHead.m_status / 100 == 2 ? "served"
-                                     : "endpoint_failure");
+  Conclude(CallerHead(aHead), aBody, aHead.m_status / 100 == 2 ? "served" : "endpoint_failure");
 }
 
 void Exchange::Reject(int aStatus,
                       const std::string& aReason,
                       double aRetryAfterSeconds,
                       base::Millis aMinRetryAfter) {
-  if (m_finished) {
-    return;
-  }
-  if (m_callerDisconnected) {
-    Finish(0, "caller_gone");
-    return;
-  }
   ResponseHead head;
   head.m_status = aStatus;
   head.m_fields.Add(m_node.m_wire.m_idField, m_call.m_id);
@@ -669,8 +673,28 @@
     std::snprintf(text, sizeof(text), "%.2f", delay);
     head.m_fields.Add("Retry-After", text);
   }
-  m_sink.m_onAnswer(head, {});
-  Finish(aStatus, aReason);
+  Conclude(head, {}, aReason);
+}
+
+/// Ends the call with a complete answer. Only events may follow the head of a stream, so a stream
+/// that has begun is broken off instead.
+void Exchange::Conclude(const ResponseHead& aHead,
+                        std::string_view aBody,
+                        const std::string& aReason) {
+  if (m_finished) {
+    return;
+  }
+  if (m_callerDisconnected) {
+    Finish(0, "caller_gone");
+    return;
+  }
+  if (m_streamBegun) {
+    m_sink.m_onStreamBroken();
+    Finish(0, aReason == kTimeoutReason ? "stream_timeout" : "stream_broken");
+    return;
+  }
+  m_sink.m_onAnswer(aHead, aBody);
+  Finish(aHead.m_status, aReason);
 }
 
 /// Adds the engine work of the output to the requested work. The output is known only at the end of
--- a/packages/forwarding/RetryDecision.h
+++ b/packages/forwarding/RetryDecision.h
@@ -13,6 +13,8 @@
   NotExecuted,
   /// The connection was lost, or the answer was invalid, after bytes were sent.
   Lost,
+  /// The answer carries no ID and may belong to an earlier call on the same connection.
+  Unattributed,
   /// The endpoint sent nothing within the time limit of an attempt.
   Stalled,
   /// The endpoint ran the call and answered with an error.
@@ -29,19 +31,23 @@
   int m_possibleRuns = 0;
   /// Maximum number of endpoints that the route allows to run one call.
   int m_maxRuns = 1;
-  /// Whether the caller has already received a part of the answer.
-  bool m_answerBegun = false;
+  /// Whether the caller has received a part of the answer that another endpoint cannot continue.
+  bool m_cannotContinue = false;
 };
 
 /// Returns whether a call may be sent to another endpoint, provided that time and retry budget are
 /// left. Thread safe.
 constexpr bool MayRetry(const AttemptState& aState) {
+  if (aState.m_cannotContinue) {
+    return false;
+  }
   switch (aState.m_fault) {
     case AttemptFault::NotSent:
     case AttemptFault::NotExecuted:
       return aState.m_possibleRuns < aState.m_maxRuns &&
              (aState.m_possibleRuns == 0 || aState.m_repeatable);
     case AttemptFault::Lost:
+    case AttemptFault::Unattributed:
     case AttemptFault::Stalled:
       return aState.m_repeatable && aState.m_possibleRuns < aState.m_maxRuns;
     case AttemptFault::Failed:
@@ -70,6 +76,7 @@
     { forwarding::AttemptFault::NotSent, "not_sent" },
     { forwarding::AttemptFault::NotExecuted, "not_executed" },
     { forwarding::AttemptFault::Lost, "lost" },
+    { forwarding::AttemptFault::Unattributed, "unattributed" },
     { forwarding::AttemptFault::Stalled, "stalled" },
     { forwarding::AttemptFault::Failed, "failed" },
   });
--- a/standins/fleet/Runner.cpp
+++ b/standins/fleet/Runner.cpp
@@ -26,8 +26,17 @@
   return std::string(aHead.m_fields.Find(aName).value_or(std::string_view{}));
 }
 
-std::string EventText(int aNumber) {
-  return "id: " + std::to_string(aNumber) + "\ndata: piece " + std::to_string(aNumber) + "\n\n";
+std::string EventText(int aNumber, bool aWithId) {
+  const std::string number = std::to_string(aNumber);
+  return (aWithId ? "id: " + number + "\n" : "") + "data: piece " + number + "\n\n";
+}
+
+/// Returns the number of the first event of a stream that is requested after the event `aLast`.
+int FirstEvent(RunnerMode aMode, int aLast) {
+  if (aMode == RunnerMode::RestartStreams) {
+    return 1;
+  }
+  return aLast + (aMode == RunnerMode::SkipEvents && aLast > 0 ? 2 : 1);
 }
 
 } // namespace
@@ -38,6 +47,18 @@
   adapters::http::EventHandlePtr m_timer;
   /// True from a complete request until its response is complete.
   bool m_inProgress = false;
+  /// Attempt id of the previous call on this connection; empty if there was none.
+  std::string m_previousId;
+
+  ResponseHead MakeRejectionHead(int aStatus, const std::string& aAttemptId) const {
+    ResponseHead head;
+    head.m_status = aStatus;
+    if (!aAttemptId.empty()) {
+      head.m_fields.Add("Papayafield-Attempt-Id", aAttemptId);
+    }
+    head.m_fields.Add("Papayafield-Not-Executed", "1");
+    return head;
+  }
 
   ResponseHead MakeResponseHead(int aStatus, const std::string& aRunner) const {
     ResponseHead head;
@@ -165,29 +186,34 @@
     return;
   }
   if (HeaderValue(aCallerConnection->m_head, "Papayafield-Target-Instance") != m_id) {
-    ResponseHead head;
-    head.m_status = 421;
+    ResponseHead head = aCallerConnection->MakeRejectionHead(
+      421, HeaderValue(aCallerConnection->m_head, "Papayafield-Attempt-Id"));
     head.m_fields.Add("Papayafield-Instance-Id", m_id);
     AddSignals(head);
     aCallerConnection->SendResponse(head, "");
     return;
   }
-  if (m_mode == RunnerMode::Shed) {
-    ResponseHead head;
-    head.m_status = 503;
-    head.m_fields.Add("Papayafield-Not-Executed", "1");
+  const std::string attemptId = HeaderValue(aCallerConnection->m_head, "Papayafield-Attempt-Id");
+  if (m_mode == RunnerMode::Shed || m_mode == RunnerMode::ShedWithoutId) {
+    ResponseHead head =
+      aCallerConnection->MakeRejectionHead(503, m_mode == RunnerMode::Shed ? attemptId : "");
     AddSignals(head);
     aCallerConnection->SendResponse(head, "");
     return;
   }
+  const std::string previousId = std::exchange(aCallerConnection->m_previousId, attemptId);
+  const bool repeatsId = m_mode == RunnerMode::RepeatRejection;
+  if (!previousId.empty() && (repeatsId || m_mode == RunnerMode::RepeatRejectionWithoutId)) {
+    ResponseHead head =
+      aCallerConnection->MakeRejectionHead(503, repeatsId ? previousId : std::string());
+    head.m_fields.Add("Content-Length", "0");
+    aCallerConnection->m_connection->Write(adapters::http1::Serialize(head));
+  }
   const std::string lastEventId = HeaderValue(aCallerConnection->m_head, "Last-Event-Id");
   m_callLog.m_executedCalls.push_back(
-    { HeaderValue(aCallerConnection->m_head, "Papayafield-Attempt-Id"),
-      m_id,
-      HeaderValue(aCallerConnection->m_head, "Papayafield-Tenant"),
-      lastEventId });
+    { attemptId, m_id, HeaderValue(aCallerConnection->m_head, "Papayafield-Tenant"), lastEventId });
   if (HasDeadlyPart(aCallerConnection->m_head)) {
-    Crash(HeaderValue(aCallerConnection->m_head, "Papayafield-Attempt-Id"));
+    Crash(attemptId);
   } else if (m_mode == RunnerMode::DropResponses) {
     m_callerConnections.erase(aCallerConnection);
     aCallerConnection->m_connection->Close();
@@ -195,13 +221,17 @@
     ResponseHead head = aCallerConnection->MakeResponseHead(500, m_id);
     AddSignals(head);
     aCallerConnection->SendResponse(head, "failed");
-  } else if (aCallerConnection->m_head.m_target.starts_with("/stream/")) {
+  } else if (aCallerConnection->m_head.m_target.starts_with("/stream/") &&
+             m_mode != RunnerMode::PlainStreams) {
     ResponseHead head = aCallerConnection->MakeResponseHead(200, m_id);
     head.m_fields.Add("Content-Type", "text/event-stream");
     head.m_fields.Add("Transfer-Encoding", "chunked");
+    if (m_mode == RunnerMode::ContradictStreams) {
+      head.m_fields.Add("Papayafield-Not-Executed", "1");
+    }
     AddSignals(head);
     aCallerConnection->m_connection->Write(adapters::http1::Serialize(head));
-    SendNextEvent(aCallerConnection, std::atoi(lastEventId.c_str()) + 1);
+    SendNextEvent(aCallerConnection, FirstEvent(m_mode, std::atoi(lastEventId.c_str())));
   } else {
     ResponseHead head = aCallerConnection->MakeResponseHead(200, m_id);
     AddSignals(head);
@@ -216,8 +246,10 @@
     aCallerConnection->m_connection->Resume();
     return;
   }
-  const std::string event = EventText(aEvent);
-  if (m_mode == RunnerMode::TruncateStreams && aEvent == kEventsPerStream / 2) {
+  const std::string event = EventText(aEvent, m_mode != RunnerMode::TruncateUnnumberedStreams);
+  const bool truncates =
+    m_mode == RunnerMode::TruncateStreams || m_mode == RunnerMode::TruncateUnnumberedStreams;
+  if (truncates && aEvent == kEventsPerStream / 2) {
     aCallerConnection->m_connection->Write(EncodeChunk(event.substr(0, event.size() / 2)));
     aCallerConnection->m_connection->CloseWhenFlushed();
     m_callerConnections.erase(aCallerConnection);
--- a/standins/fleet/Runner.h
+++ b/standins/fleet/Runner.h
@@ -21,10 +21,27 @@
   DropResponses,
   /// Rejects calls with 503 and states that they were not executed.
   Shed,
+  /// Like Shed, without the attempt id in the response.
+  ShedWithoutId,
+  /// Runs calls, but first repeats the rejection of an earlier call on connections that have served
+  /// one.
+  RepeatRejection,
+  /// Like RepeatRejection, without the attempt id in the rejection.
+  RepeatRejectionWithoutId,
   /// Runs calls and responds with 500.
   Fail,
   /// Closes the connection of a stream in the middle of an event.
   TruncateStreams,
+  /// Starts resumed streams at their first event again.
+  RestartStreams,
+  /// Omits an event where a stream is resumed.
+  SkipEvents,
+  /// Responds to streams with a signed text that is no stream.
+  PlainStreams,
+  /// Responds with a stream that states that the call was not executed.
+  ContradictStreams,
+  /// Like TruncateStreams, with events that have no id.
+  TruncateUnnumberedStreams,
   /// Sends the first half of a stream and then stalls without closing it.
   StallStreams,
   /// Sends the events of a stream slowly, within the route's gap target.
@@ -163,8 +180,16 @@
     { standins::RunnerMode::Hang, "hang" },
     { standins::RunnerMode::DropResponses, "lose_answers" },
     { standins::RunnerMode::Shed, "shed" },
+    { standins::RunnerMode::ShedWithoutId, "shed_without_id" },
+    { standins::RunnerMode::RepeatRejection, "repeat_rejection" },
+    { standins::RunnerMode::RepeatRejectionWithoutId, "repeat_rejection_without_id" },
     { standins::RunnerMode::Fail, "fail" },
     { standins::RunnerMode::TruncateStreams, "cut" },
+    { standins::RunnerMode::RestartStreams, "restart" },
+    { standins::RunnerMode::SkipEvents, "skip" },
+    { standins::RunnerMode::PlainStreams, "plain" },
+    { standins::RunnerMode::ContradictStreams, "contradict" },
+    { standins::RunnerMode::TruncateUnnumberedStreams, "cut_unnumbered" },
     { standins::RunnerMode::StallStreams, "stall" },
     { standins::RunnerMode::SlowStreams, "slow" },
     { standins::RunnerMode::PauseStreams, "pause" },
