Drain: open calls and unknown streams count in what a new call may take

Found by a review: a node without a history of a route took a slow stream 1.5 s after the signal and cut it 5.9 s later. Without a sample the expected duration was the latency target, which for a stream is the time to its first event; and calls that do not end yet, the first sign of engines that have become slow, were not looked at.

Change: a stream of a route without a call in the last 30 s may take its timeout; the age of the route's oldest open call counts like a finished one.

--- a/packages/forwarding/CallDurations.cpp
+++ b/packages/forwarding/CallDurations.cpp
@@ -10,6 +10,8 @@
 
 /// Time constant of the decay of a maximum, in seconds.
 constexpr double kDecaySeconds = 10;
+/// The longest call of a route says nothing about its streams once it is older than this.
+constexpr base::Millis kRecent{ 30000 };
 /// A new call may take this much longer than the longest of the latest ones.
 constexpr double kMargin = 1.25;
 
@@ -30,12 +32,19 @@
   }
 }
 
-base::Millis CallDurations::Expected(const fleet::Route& aRoute, base::TimePoint aNow) const {
-  auto millis = static_cast<double>(aRoute.m_latencyTarget.count());
-  if (const auto found = m_longest.find(aRoute.m_name); found != m_longest.end()) {
-    millis = std::max(millis, found->second.Decayed(aNow) * kMargin);
+base::Millis CallDurations::Expected(const fleet::Route& aRoute,
+                                     base::Millis aOldestOpen,
+                                     base::TimePoint aNow) const {
+  const auto found = m_longest.find(aRoute.m_name);
+  const bool recent = found != m_longest.end() && aNow - found->second.m_at < kRecent;
+  if (aRoute.m_kind == fleet::CallKind::Stream && !recent) {
+    return aRoute.m_timeout;
   }
-  return std::min(base::Millis(static_cast<int64_t>(millis)), aRoute.m_timeout);
+  auto millis = static_cast<double>(std::max(aRoute.m_latencyTarget, aOldestOpen).count());
+  if (found != m_longest.end()) {
+    millis = std::max(millis, found->second.Decayed(aNow));
+  }
+  return std::min(base::Millis(static_cast<int64_t>(millis * kMargin)), aRoute.m_timeout);
 }
 
 void CallDurations::RetainRoutes(const fleet::Catalog& aCatalog) {
--- a/packages/forwarding/CallDurations.h
+++ b/packages/forwarding/CallDurations.h
@@ -14,9 +14,12 @@
 public:
   /// Records that a call of the route named `aRoute` ended after `aDuration`.
   void Record(const std::string& aRoute, base::Millis aDuration, base::TimePoint aNow);
-  /// Returns the time that a new call may take: at least the route's latency target, at most its
-  /// timeout.
-  base::Millis Expected(const fleet::Route& aRoute, base::TimePoint aNow) const;
+  /// Returns the time that a new call may take, at most the route's timeout. `aOldestOpen` is the
+  /// age of the route's oldest call in progress, 0 if there is none. For a stream without a recent
+  /// call, it is the timeout, since the latency target only limits the time to its first event.
+  base::Millis Expected(const fleet::Route& aRoute,
+                        base::Millis aOldestOpen,
+                        base::TimePoint aNow) const;
   /// Forgets routes that are not in `aCatalog`.
   void RetainRoutes(const fleet::Catalog& aCatalog);
 
--- a/packages/forwarding/CallerConnection.cpp
+++ b/packages/forwarding/CallerConnection.cpp
@@ -225,6 +225,13 @@
   });
 }
 
+base::Millis CallerConnection::OpenCallAge(const std::string& aRoute, base::TimePoint aNow) const {
+  if (m_exchange == nullptr || m_exchange->RouteName() != aRoute) {
+    return base::Millis(0);
+  }
+  return std::chrono::duration_cast<base::Millis>(aNow - m_arrival);
+}
+
 void CallerConnection::Abort() {
   if (const auto exchange = m_exchange) {
     m_keepAlive = false;
--- a/packages/forwarding/CallerConnection.h
+++ b/packages/forwarding/CallerConnection.h
@@ -36,6 +36,9 @@
   void Start();
   /// Returns whether a request is being read or answered, or an answer is still being sent.
   bool IsBusy() const { return m_reading || m_answering || m_flushing; }
+  /// Returns the age of the call in progress if it belongs to the route named `aRoute`, otherwise
+  /// 0.
+  base::Millis OpenCallAge(const std::string& aRoute, base::TimePoint aNow) const;
   /// Ends the call in progress because the node stops, and closes the connection once its answer
   /// has been sent. A request that has not been read completely gets no answer.
   void Abort();
--- a/packages/forwarding/Exchange.h
+++ b/packages/forwarding/Exchange.h
@@ -53,6 +53,8 @@
   /// Ends the call because the node stops: with an answer if none has begun, otherwise with a break
   /// that the caller can see. Does nothing if the call has ended.
   void Abort();
+  /// Returns the name of the call's route.
+  const std::string& RouteName() const { return m_route.m_name; }
 
 private:
   struct ActiveAttempt;
--- a/packages/forwarding/Gateway.cpp
+++ b/packages/forwarding/Gateway.cpp
@@ -97,7 +97,11 @@
 bool Gateway::FitsDrain(const fleet::Route& aRoute,
                         const CallInfo& aCall,
                         base::TimePoint aNow) const {
-  const base::Millis expected = std::min(m_node.m_durations.Expected(aRoute, aNow),
+  base::Millis oldestOpen{ 0 };
+  for (const auto& caller : m_connections) {
+    oldestOpen = std::max(oldestOpen, caller->OpenCallAge(aRoute.m_name, aNow));
+  }
+  const base::Millis expected = std::min(m_node.m_durations.Expected(aRoute, oldestOpen, aNow),
                                          aCall.m_callerTimeout.value_or(base::Millis::max()));
   if (m_drainPlan->MayAccept(expected, aNow)) {
     return true;
