gossip: a late heartbeat does not bring back a node that stops

Found by a review, by reading: datagrams may overtake one another, and an older heartbeat cleared the mark of a node that stops. Callers were then directed to it again; they lost no call, but were refused.

Change: within an incarnation the mark stays. OvertakenHeartbeatDoesNotReviveAStoppingNode.

--- a/packages/gossip/PeerTable.cpp
+++ b/packages/gossip/PeerTable.cpp
@@ -32,10 +32,12 @@
     return false;
   }
   const bool registered = peer.m_registered;
+  // Datagrams may overtake one another; a node that stops does not return in the same incarnation.
+  const bool stopping = peer.m_stopping && aHeartbeat.m_from.m_startMs == peer.m_contact.m_startMs;
   peer = { aHeartbeat.m_from,
            aHeartbeat.m_zone,
            aHeartbeat.m_ready,
-           aHeartbeat.m_stopping,
+           aHeartbeat.m_stopping || stopping,
            aHeartbeat.m_storeReachable,
            aHeartbeat.m_configuration,
            aHeartbeat.m_revision,
--- a/packages/gossip/tests/PeerTableTest.cpp
+++ b/packages/gossip/tests/PeerTableTest.cpp
@@ -46,6 +46,20 @@
   BOOST_TEST(peers.ReadyNodes(kNow + std::chrono::seconds(5)).empty());
 }
 
+// A late datagram does not bring back a node that stops; its next incarnation does.
+BOOST_AUTO_TEST_CASE(OvertakenHeartbeatDoesNotReviveAStoppingNode) {
+  PeerTable peers(ContactOf("1"));
+  Heartbeat stopping = HeartbeatOf("2");
+  stopping.m_stopping = true;
+  peers.MergeHeartbeat(stopping, kNow);
+  peers.MergeHeartbeat(HeartbeatOf("2"), kNow);
+  BOOST_TEST(peers.ReadyNodes(kNow).empty());
+  Heartbeat restarted = HeartbeatOf("2");
+  ++restarted.m_from.m_startMs;
+  peers.MergeHeartbeat(restarted, kNow);
+  BOOST_TEST(peers.ReadyNodes(kNow).size() == 1U);
+}
+
 // A frozen node delays the clients directed to it, so it must be excluded from the ready hosts
 // before it counts as unavailable.
 BOOST_AUTO_TEST_CASE(SilentNodeSoonLeavesReadyNodes) {
