Drain: its end runs once, within the grace period, and passes on the last counts

Found by a review, by reading: the periodic work is also called when a listing ends, so a drain could end twice and restart its wait; the wait of 250 ms exceeded what is left of a grace period under three seconds; and usage counts of the last calls were not passed on, since the node's periodic work had stopped.

Change: a flag, a bound by the grace period, and one more heartbeat.

--- a/packages/forwarding/DrainPlan.cpp
+++ b/packages/forwarding/DrainPlan.cpp
@@ -15,7 +15,8 @@
   : m_entriesExpireAt(aStart + aSettings.m_entryUseTime)
   , m_lastAcceptance(m_entriesExpireAt - kSignalDelay)
   , m_end(aStart +
-          std::chrono::duration_cast<base::Millis>(aSettings.m_gracePeriod * kMaxGraceFraction)) {}
+          std::chrono::duration_cast<base::Millis>(aSettings.m_gracePeriod * kMaxGraceFraction))
+  , m_forcedEnd(aStart + aSettings.m_gracePeriod) {}
 
 bool DrainPlan::MayAccept(base::Millis aExpectedDuration, base::TimePoint aNow) const {
   return aNow < m_lastAcceptance && aNow + aExpectedDuration <= m_end;
--- a/packages/forwarding/DrainPlan.h
+++ b/packages/forwarding/DrainPlan.h
@@ -26,11 +26,14 @@
   base::TimePoint EntriesExpireAt() const { return m_entriesExpireAt; }
   /// Returns the time at which the node ends all calls that are still open.
   base::TimePoint End() const { return m_end; }
+  /// Returns the end of the grace period.
+  base::TimePoint ForcedEnd() const { return m_forcedEnd; }
 
 private:
   base::TimePoint m_entriesExpireAt;
   base::TimePoint m_lastAcceptance;
   base::TimePoint m_end;
+  base::TimePoint m_forcedEnd;
 };
 
 } // namespace papayafield::forwarding
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -633,10 +633,16 @@
 
   /// Ends the calls that are still open, and stops once their callers have been sent the outcome.
   void EndDrain() {
+    if (std::exchange(m_drainEnding, true)) {
+      return;
+    }
     m_tickTimer.reset();
+    // The peers receive the counts of the last calls.
+    m_gossip.SendHeartbeats();
     const size_t open = m_gateway.BusyCount();
     m_gateway.AbortCalls();
-    const auto deadline = base::BootNow() + kMaxFlushTime;
+    const auto deadline =
+      std::min(base::BootNow() + kMaxFlushTime, m_drainPlan->ForcedEnd() - kFlushCheckInterval * 2);
     m_drainEndTimer = m_loop.Every(kFlushCheckInterval, [this, open, deadline] {
       if (m_gateway.BusyCount() == 0 || base::BootNow() >= deadline) {
         m_log.Event("drained", { { "aborted", open }, { "unsent", m_gateway.BusyCount() } });
@@ -684,6 +690,8 @@
   /// Set while the node is stopping.
   std::optional<forwarding::DrainPlan> m_drainPlan;
   adapters::http::EventHandlePtr m_drainEndTimer;
+  /// Whether the drain only waits until the outcome of its calls has been sent.
+  bool m_drainEnding = false;
   std::function<void()> m_onDrained;
 };
 
