harness: nodes can be restarted without waiting; the idle timeout of callers can be changed

The soak needs both: its callers have to go on while a node stops and starts, and the configuration has to raise and lower the idle timeout.

StartNode is LaunchNode followed by the wait until the node listens, so existing tests behave as before. A configuration without an idle timeout is written as before.

--- a/tests/harness/PlatformFleet.cpp
+++ b/tests/harness/PlatformFleet.cpp
@@ -140,7 +140,7 @@
   Call(m_proxies.at(aProxy).m_control, "POST", "/", base::DumpJson(aFaults));
 }
 
-void PlatformFleet::StartNode(size_t aIndex) {
+void PlatformFleet::LaunchNode(size_t aIndex) {
   m_nodes[aIndex] =
     std::make_unique<Process>("apps/papayafieldd/papayafieldd",
                               std::vector<std::string>{ "--platform",
@@ -148,6 +148,10 @@
                                                         WriteSettingsFile(aIndex),
                                                         "--metrics-port",
                                                         std::to_string(m_port + MetricsPort) });
+}
+
+void PlatformFleet::StartNode(size_t aIndex) {
+  LaunchNode(aIndex);
   WaitUntil([&] { return ReadinessStatus(aIndex) != 0; });
 }
 
@@ -156,18 +160,22 @@
     Call(m_platform, "POST", "/control/" + aWhat, base::DumpJson(aBody)).m_body);
 }
 
-void PlatformFleet::ApplyConfiguration(const std::string& aExtraHost) {
+void PlatformFleet::ApplyConfiguration(const std::string& aExtraHost,
+                                       std::optional<base::Millis> aIdleTimeout) {
   json routes = json::array();
   for (const std::string& host : { std::string("h.example"), aExtraHost }) {
     routes.push_back(MakeRoute(host, "/stream/", "streaming"));
     routes.push_back(MakeRoute(host, "/safe/", "idempotent"));
     routes.push_back(MakeRoute(host, "/once/", "non_idempotent"));
   }
-  PostControl("configuration",
-              { { "version", ++m_version },
-                { "routes", routes },
-                { "services", { { { "name", "engines" }, { "max_conns", 300 } } } },
-                { "tenants", { { { "name", "team-1" }, { "api_keys", { "key-1" } } } } } });
+  json configuration = { { "version", ++m_version },
+                         { "routes", routes },
+                         { "services", { { { "name", "engines" }, { "max_conns", 300 } } } },
+                         { "tenants", { { { "name", "team-1" }, { "api_keys", { "key-1" } } } } } };
+  if (aIdleTimeout) {
+    configuration["limits"] = { { "idle_timeout_ms", aIdleTimeout->count() } };
+  }
+  PostControl("configuration", configuration);
 }
 
 CallerAnswer PlatformFleet::Send(size_t aIndex,
--- a/tests/harness/PlatformFleet.h
+++ b/tests/harness/PlatformFleet.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,13 +38,17 @@
   Process& NodeProcess(size_t aIndex) { return *m_nodes[aIndex]; }
   /// Starts or restarts node `aIndex` and waits until it listens.
   void StartNode(size_t aIndex);
+  /// Starts or restarts node `aIndex` without waiting.
+  void LaunchNode(size_t aIndex);
   /// Posts `aBody` to /control/`aWhat` of the platform and returns its JSON reply.
   nlohmann::json PostControl(const std::string& aWhat, const nlohmann::json& aBody = {}) const;
   /// Injects faults into a proxy: 0 is the platform's, 1 and above are those of the runners.
   void SetProxyFaults(size_t aProxy, const nlohmann::json& aFaults) const;
   size_t ProxyCount() const { return m_proxies.size(); }
-  /// Writes the next version of the configuration; `aExtraHost` gets the same routes.
-  void ApplyConfiguration(const std::string& aExtraHost = "other.example");
+  /// Writes the next version of the configuration; `aExtraHost` gets the same routes. Callers may
+  /// be idle for `aIdleTimeout`, or for the default time if it is not given.
+  void ApplyConfiguration(const std::string& aExtraHost = "other.example",
+                          std::optional<base::Millis> aIdleTimeout = std::nullopt);
   /// Sends a call to node `aIndex` with the id `aId`, or a random one if that is empty.
   CallerAnswer Send(size_t aIndex,
                     const std::string& aMethod,
