soak: calls beside planned work must end with a complete answer

The soak did not find the calls that were lost around planned stops. It accepted incomplete calls everywhere, and its callers stood still while a node stopped: the wait for the end of the process blocked their event loop.

Change: calls carry their times, their node and how they ended; the injector records the spans of unplanned faults. A call outside of these spans (3 s of recovery included) must end with a complete answer. A request that crosses the close of its connection and never ran, and a long call that still runs in the last sixth of the grace period, are counted apart. A process that outlives its grace period is reported. Restarts, SIGHUP and changes of the configuration go on while callers work, in the mixed rounds too.

--- a/soak/Caller.cpp
+++ b/soak/Caller.cpp
@@ -11,9 +11,7 @@
 
 namespace {
 
-/// Maximum time that a caller waits for a complete answer.
-constexpr base::Millis kAnswerTimeout{ 6000 };
-constexpr base::Millis kPauseBetweenCalls{ 15 };
+constexpr base::Millis kMinPause{ 15 };
 constexpr base::Millis kUnacknowledgedTimeout{ 3000 };
 
 } // namespace
@@ -21,10 +19,12 @@
 Caller::Caller(adapters::http::EventLoop& aLoop,
                uint64_t aSeed,
                std::string aName,
+               CallerSettings aSettings,
                AddressProvider aAddressProvider)
   : m_loop(aLoop)
   , m_random(aSeed)
   , m_name(std::move(aName))
+  , m_settings(aSettings)
   , m_addressProvider(std::move(aAddressProvider)) {}
 
 Caller::~Caller() {
@@ -35,34 +35,41 @@
 
 void Caller::Connect() {
   const auto addresses = m_addressProvider();
-  m_connection = ClientConnection::ConnectTo(
-    m_loop, addresses[m_random() % addresses.size()], kUnacknowledgedTimeout);
+  m_node = addresses[m_random() % addresses.size()];
+  m_connection = ClientConnection::ConnectTo(m_loop, m_node, kUnacknowledgedTimeout);
   ClientConnection::Events events;
-  events.m_onHead = [this](ResponseHead&& aHead) { m_currentCall.m_status = aHead.m_status; };
+  events.m_onHead = [this](ResponseHead&& aHead) {
+    m_currentCall.m_status = aHead.m_status;
+    m_currentCall.m_answerBegan = true;
+  };
   events.m_onBody = [this](std::string_view aBytes) { m_currentCall.m_body += aBytes; };
-  events.m_onComplete = [this] { CompleteCall(false); };
-  events.m_onEnd = [this](EndKind /*aKind*/, bool /*aInMessage*/) {
+  events.m_onComplete = [this] { CompleteCall(CallEnd::Answered); };
+  events.m_onEnd = [this](EndKind aKind, bool /*aInMessage*/) {
     if (m_callInFlight) {
-      CompleteCall(true);
+      CompleteCall(aKind == EndKind::NotConnected ? CallEnd::NotConnected : CallEnd::Closed);
     }
   };
   m_connection->SetEvents(std::move(events));
 }
 
+std::string Caller::ChooseKind() {
+  static constexpr const char* kKinds[] = { "/once/", "/once/", "/safe/", "/stream/" };
+  return m_settings.m_sendsOnlyStreams ? "/stream/" : kKinds[m_random() % 4];
+}
+
 void Caller::SendNext() {
   if (m_stopped || m_callInFlight) {
     return;
   }
-  static constexpr const char* kKinds[] = { "/once/", "/once/", "/safe/", "/stream/" };
-  const std::string kind = kKinds[m_random() % 4];
+  const std::string kind = ChooseKind();
   m_currentCall = {};
   m_currentCall.m_id = m_name + "-" + std::to_string(m_records.size());
   m_currentCall.m_target = kind + m_currentCall.m_id;
   RequestHead head;
   head.m_method = kind == "/safe/" ? "GET" : "POST";
   head.m_target = m_currentCall.m_target;
-  for (const auto& field :
-       tests::MakeCallerHeaders("h.example", "key-1", m_currentCall.m_id, kAnswerTimeout)) {
+  for (const auto& field : tests::MakeCallerHeaders(
+         "h.example", "key-1", m_currentCall.m_id, m_settings.m_answerTimeout)) {
     head.m_fields.Add(field.m_name, field.m_value);
   }
   m_callInFlight = true;
@@ -70,23 +77,32 @@
     Connect();
   } else {
     m_connection->Resume();
+    m_currentCall.m_connectionWasUsed = true;
   }
-  m_timeoutTimer = m_loop.After(kAnswerTimeout, [this] { CompleteCall(true); });
+  m_currentCall.m_node = m_node;
+  m_currentCall.m_sentAt = base::BootNow();
+  m_timeoutTimer = m_loop.After(m_settings.m_answerTimeout + m_settings.m_extraWait,
+                                [this] { CompleteCall(CallEnd::TimedOut); });
   m_connection->Write(adapters::http1::Serialize(head, head.m_method == "POST" ? "{}" : ""));
 }
 
-void Caller::CompleteCall(bool aIncomplete) {
+void Caller::CompleteCall(CallEnd aEnd) {
+  const bool incomplete = aEnd != CallEnd::Answered;
   m_callInFlight = false;
   m_timeoutTimer.reset();
-  m_currentCall.m_isIncomplete = aIncomplete;
-  if (aIncomplete) {
+  m_currentCall.m_end = aEnd;
+  m_currentCall.m_endedAt = base::BootNow();
+  if (incomplete) {
     m_currentCall.m_status = 0;
   }
   m_records.push_back(m_currentCall);
-  if (aIncomplete || !m_connection->ShouldKeepAlive()) {
+  if (incomplete || !m_connection->ShouldKeepAlive()) {
     m_connection->Close();
   }
-  m_pauseTimer = m_loop.After(kPauseBetweenCalls, [this] { SendNext(); });
+  const auto extraPause =
+    static_cast<uint64_t>((std::max(m_settings.m_maxPause, kMinPause) - kMinPause).count()) + 1;
+  m_pauseTimer =
+    m_loop.After(kMinPause + base::Millis(m_random() % extraPause), [this] { SendNext(); });
 }
 
 } // namespace papayafield::soak
--- a/soak/Caller.h
+++ b/soak/Caller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/http1/Connection.h"
+#include "base/EnumNames.h"
 
 #include <functional>
 #include <memory>
@@ -10,6 +11,18 @@
 
 namespace papayafield::soak {
 
+/// How a call ended for its caller.
+enum class CallEnd {
+  /// A complete answer was received.
+  Answered,
+  /// The node closed the connection before the answer was complete.
+  Closed,
+  /// The connection could not be established, so that no byte was sent.
+  NotConnected,
+  /// No complete answer was received until after the deadline of the call.
+  TimedOut,
+};
+
 /// A call and the response that the caller received.
 struct CallRecord {
   std::string m_id;
@@ -17,8 +30,27 @@
   /// HTTP status; 0 if no complete answer was received.
   int m_status = 0;
   std::string m_body;
-  /// Whether the connection closed or the caller timed out before the answer was complete.
-  bool m_isIncomplete = false;
+  CallEnd m_end = CallEnd::Answered;
+  /// When the last byte of the request was sent.
+  base::TimePoint m_sentAt{};
+  base::TimePoint m_endedAt{};
+  /// Address of the node that the call was sent to.
+  base::Address m_node;
+  /// Whether the connection had carried an earlier call.
+  bool m_connectionWasUsed = false;
+  /// Whether the head of an answer was received.
+  bool m_answerBegan = false;
+};
+
+/// Behaviour of a caller.
+struct CallerSettings {
+  /// Deadline that the caller sends with its calls, in milliseconds.
+  base::Millis m_answerTimeout{ 6000 };
+  /// Time for which the caller waits for an answer beyond the deadline, in milliseconds.
+  base::Millis m_extraWait{ 0 };
+  /// Maximum pause between two calls, in milliseconds.
+  base::Millis m_maxPause{ 15 };
+  bool m_sendsOnlyStreams = false;
 };
 
 /// Sends calls sequentially over a connection that it reuses as long as the server keeps it open.
@@ -31,6 +63,7 @@
   Caller(adapters::http::EventLoop& aLoop,
          uint64_t aSeed,
          std::string aName,
+         CallerSettings aSettings,
          AddressProvider aAddressProvider);
   ~Caller();
   Caller(const Caller&) = delete;
@@ -49,13 +82,16 @@
 
 private:
   void Connect();
-  void CompleteCall(bool aIncomplete);
+  std::string ChooseKind();
+  void CompleteCall(CallEnd aEnd);
 
   adapters::http::EventLoop& m_loop;
   std::mt19937_64 m_random;
   std::string m_name;
+  CallerSettings m_settings;
   AddressProvider m_addressProvider;
   std::shared_ptr<adapters::http1::ClientConnection> m_connection;
+  base::Address m_node;
   adapters::http::EventHandlePtr m_timeoutTimer;
   adapters::http::EventHandlePtr m_pauseTimer;
   CallRecord m_currentCall;
@@ -65,3 +101,15 @@
 };
 
 } // namespace papayafield::soak
+
+namespace papayafield::base {
+
+template<>
+inline constexpr auto kEnumNames<soak::CallEnd> = std::to_array<EnumName<soak::CallEnd>>({
+  { soak::CallEnd::Answered, "answered" },
+  { soak::CallEnd::Closed, "closed" },
+  { soak::CallEnd::NotConnected, "not_connected" },
+  { soak::CallEnd::TimedOut, "timed_out" },
+});
+
+} // namespace papayafield::base
--- a/soak/Checks.cpp
+++ b/soak/Checks.cpp
@@ -1,5 +1,6 @@
 #include "soak/Checks.h"
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -12,6 +13,15 @@
 /// Number of events of a stream; must match Runner::kEventsPerStream of the fleet stand-in.
 constexpr int kEventsPerStream = 12;
 
+/// An unplanned fault may still show this long after its end.
+constexpr base::Millis kRecoveryTime{ 3000 };
+/// A request that crosses the close of its connection learns of it within this time.
+constexpr base::Millis kMaxCrossingTime{ 200 };
+/// A call that was sent up to this time after SIGTERM, and still runs in the last sixth of the
+/// grace period, may be ended by the node.
+constexpr base::Millis kLongCallSendTime{ 3000 };
+constexpr base::Millis kLongCallTime = PlannedWork::kGracePeriod * 5 / 6;
+
 std::string ExpectedBody(const std::string& aTarget) {
   if (!aTarget.starts_with("/stream/")) {
     return "answer to " + aTarget;
@@ -56,6 +66,75 @@
   }
 }
 
+bool Overlaps(const std::vector<FaultSpan>& aUnplanned,
+              base::TimePoint aStart,
+              base::TimePoint aEnd) {
+  return std::any_of(aUnplanned.begin(), aUnplanned.end(), [&](const FaultSpan& aSpan) {
+    return aSpan.m_start <= aEnd && aSpan.m_end + kRecoveryTime >= aStart;
+  });
+}
+
+bool OutlastedAStop(const CallRecord& aRecord, const std::vector<PlannedStop>& aStops) {
+  return std::any_of(aStops.begin(), aStops.end(), [&](const PlannedStop& aStop) {
+    return aStop.m_address == aRecord.m_node &&
+           aRecord.m_sentAt <= aStop.m_start + kLongCallSendTime &&
+           aRecord.m_endedAt >= aStop.m_start + kLongCallTime &&
+           aRecord.m_endedAt <= aStop.m_end.value_or(base::TimePoint::max()) + kMaxCrossingTime;
+  });
+}
+
+bool CrossedAClose(const CallRecord& aRecord) {
+  return aRecord.m_connectionWasUsed && !aRecord.m_answerBegan &&
+         aRecord.m_endedAt - aRecord.m_sentAt <= kMaxCrossingTime;
+}
+
+std::string Describe(const CallRecord& aRecord, int aRuns) {
+  const auto took =
+    std::chrono::duration_cast<base::Millis>(aRecord.m_endedAt - aRecord.m_sentAt).count();
+  return aRecord.m_target + " at " + aRecord.m_node.ToText() +
+         " had no complete answer: " + std::string(base::NameOf(aRecord.m_end)) + " after " +
+         std::to_string(took) + " ms, " + std::to_string(aRuns) + " runs, " +
+         std::to_string(aRecord.m_body.size()) + " bytes" +
+         (aRecord.m_connectionWasUsed ? ", kept connection" : ", new connection");
+}
+
+void CheckCompleteness(const std::vector<CallRecord>& aRecords,
+                       const std::map<std::string, int>& aRuns,
+                       const std::vector<PlannedStop>& aStops,
+                       const std::vector<FaultSpan>& aUnplanned,
+                       CheckResult& aResult) {
+  for (const CallRecord& record : aRecords) {
+    if (record.m_end == CallEnd::NotConnected ||
+        Overlaps(aUnplanned, record.m_sentAt, record.m_endedAt)) {
+      continue;
+    }
+    ++aResult.m_undisturbed;
+    if (record.m_end == CallEnd::Answered) {
+      continue;
+    }
+    const auto found = aRuns.find(record.m_id);
+    const int runs = found == aRuns.end() ? 0 : found->second;
+    if (runs > 0 && OutlastedAStop(record, aStops)) {
+      ++aResult.m_outlasting;
+    } else if (runs == 0 && CrossedAClose(record)) {
+      ++aResult.m_crossed;
+    } else {
+      aResult.m_violations.push_back(Describe(record, runs));
+    }
+  }
+}
+
+void CheckStops(const std::vector<PlannedStop>& aStops,
+                const std::vector<FaultSpan>& aUnplanned,
+                CheckResult& aResult) {
+  for (const PlannedStop& stop : aStops) {
+    if (stop.m_killed && !Overlaps(aUnplanned, stop.m_start, *stop.m_end)) {
+      aResult.m_violations.push_back(stop.m_address.ToText() +
+                                     " still ran at the end of its grace period");
+    }
+  }
+}
+
 void CheckLeaderCalls(const json& aLeaderCalls, CheckResult& aResult) {
   std::map<int64_t, std::set<std::string>> counts;
   uint64_t lastFencingToken = 0;
@@ -76,13 +155,18 @@
 
 } // namespace
 
-CheckResult CheckGuarantees(const std::vector<CallRecord>& aRecords, const json& aReport) {
+CheckResult CheckGuarantees(const std::vector<CallRecord>& aRecords,
+                            const json& aReport,
+                            const std::vector<PlannedStop>& aStops,
+                            const std::vector<FaultSpan>& aUnplanned) {
   std::map<std::string, int> runs;
   for (const json& run : aReport.at("runs")) {
     ++runs[run.at("call").get<std::string>()];
   }
   CheckResult result;
   CheckCalls(aRecords, runs, result);
+  CheckCompleteness(aRecords, runs, aStops, aUnplanned, result);
+  CheckStops(aStops, aUnplanned, result);
   CheckLeaderCalls(aReport.at("duties"), result);
   return result;
 }
--- a/soak/Checks.h
+++ b/soak/Checks.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "soak/Caller.h"
+#include "soak/FaultInjector.h"
 
 #include <nlohmann/json.hpp>
 #include <string>
@@ -14,6 +15,13 @@
   size_t m_calls = 0;
   size_t m_served = 0;
   size_t m_rejected = 0;
+  /// Calls that had to end with a complete answer, because only planned work took place.
+  size_t m_undisturbed = 0;
+  /// Calls that crossed the close of an idle connection and were not passed on.
+  size_t m_crossed = 0;
+  /// Long calls that still ran shortly before the end of a grace period, and were ended by the
+  /// node.
+  size_t m_outlasting = 0;
   /// One line for each violated guarantee.
   std::vector<std::string> m_violations;
 };
@@ -21,6 +29,11 @@
 /// Checks `aRecords` against the platform's report: no unsafe call ran twice, calls reported as not
 /// run did not run, every answer is complete and belongs to its call, and each usage window was
 /// reported with one set of counts and with fencing tokens that never decrease.
-CheckResult CheckGuarantees(const std::vector<CallRecord>& aRecords, const nlohmann::json& aReport);
+/// `aStops` and `aUnplanned` state what was done to the nodes: a call beside which only planned
+/// work took place must end with a complete answer.
+CheckResult CheckGuarantees(const std::vector<CallRecord>& aRecords,
+                            const nlohmann::json& aReport,
+                            const std::vector<PlannedStop>& aStops,
+                            const std::vector<FaultSpan>& aUnplanned);
 
 } // namespace papayafield::soak
--- a/soak/FaultInjector.cpp
+++ b/soak/FaultInjector.cpp
@@ -10,7 +10,7 @@
 std::string FaultInjector::Advance() {
   m_stepSummary.clear();
   for (size_t i = m_active.size() / 2; i < m_active.size(); ++i) {
-    m_active[i].m_revert();
+    Revert(m_active[i]);
     m_stepSummary += " -" + m_active[i].m_name;
   }
   m_active.resize(m_active.size() / 2);
@@ -24,7 +24,14 @@
 
 void FaultInjector::RevertAll() {
   for (const ActiveFault& active : std::exchange(m_active, {})) {
-    active.m_revert();
+    Revert(active);
+  }
+}
+
+void FaultInjector::Revert(const ActiveFault& aFault) {
+  aFault.m_revert();
+  if (!aFault.m_isPlanned) {
+    m_unplannedSpans.push_back({ aFault.m_start, base::BootNow() });
   }
 }
 
@@ -52,27 +59,21 @@
   switch (RandomIndex(4)) {
     case 0:
       process.Signal(SIGSTOP);
-      m_active.push_back({ "pause_node_" + name, [&process] { process.Signal(SIGCONT); } });
+      m_active.push_back(
+        { "pause_node_" + name, [this, node] { m_fleet.NodeProcess(node).Signal(SIGCONT); } });
       break;
     case 1:
       process.Kill();
-      m_active.push_back({ "kill_node_" + name, [this, node] { m_fleet.StartNode(node); } });
+      m_active.push_back(
+        { "kill_node_" + name, [this, node] { m_plannedWork.EnsureRunning(node); } });
       break;
     case 2:
-      process.Signal(SIGTERM);
-      m_active.push_back({ "term_node_" + name, [this, node] {
-                            // If an earlier fault paused the node, or killed it and its undo
-                            // restarted it, the wait for its exit would never end without these
-                            // signals.
-                            m_fleet.NodeProcess(node).Signal(SIGCONT);
-                            m_fleet.NodeProcess(node).Signal(SIGTERM);
-                            m_fleet.NodeProcess(node).WaitForExit();
-                            m_fleet.StartNode(node);
-                          } });
+      m_plannedWork.Restart(node);
+      m_active.push_back({ "term_node_" + name, [] {}, true });
       break;
     default:
-      process.Signal(SIGHUP);
-      m_active.push_back({ "hup_node_" + name, [] {} });
+      m_plannedWork.Reload(node);
+      m_active.push_back({ "hup_node_" + name, [] {}, true });
       break;
   }
 }
@@ -89,8 +90,8 @@
     m_fleet.PostControl("compact");
     m_active.push_back({ "compact", [] {} });
   } else {
-    m_fleet.ApplyConfiguration("host-" + std::to_string(++m_configurationCount) + ".example");
-    m_active.push_back({ "configure", [] {} });
+    m_plannedWork.Configure();
+    m_active.push_back({ "configure", [] {}, true });
   }
 }
 
--- a/soak/FaultInjector.h
+++ b/soak/FaultInjector.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "tests/harness/PlatformFleet.h"
+#include "soak/PlannedWork.h"
 
 #include <functional>
 #include <random>
@@ -9,12 +9,23 @@
 
 namespace papayafield::soak {
 
+/// A time at which an unplanned fault was active.
+struct FaultSpan {
+  base::TimePoint m_start{};
+  base::TimePoint m_end{};
+};
+
 /// Injects seeded random faults from outside the nodes and reverts them. Terminates only processes
 /// of its own fleet. Not thread safe.
 class FaultInjector {
 public:
-  FaultInjector(tests::PlatformFleet& aFleet, size_t aNodes, size_t aRunners, uint64_t aSeed)
+  FaultInjector(tests::PlatformFleet& aFleet,
+                PlannedWork& aPlannedWork,
+                size_t aNodes,
+                size_t aRunners,
+                uint64_t aSeed)
     : m_fleet(aFleet)
+    , m_plannedWork(aPlannedWork)
     , m_nodes(aNodes)
     , m_runners(aRunners)
     , m_random(aSeed) {}
@@ -24,14 +35,20 @@
   std::string Advance();
   /// Reverts all active faults.
   void RevertAll();
+  /// Returns the spans of all unplanned faults that have been reverted.
+  const std::vector<FaultSpan>& UnplannedSpans() const { return m_unplannedSpans; }
 
 private:
   struct ActiveFault {
     std::string m_name;
     std::function<void()> m_revert;
+    /// Planned work is allowed at any time and is no reason to lose a call.
+    bool m_isPlanned = false;
+    base::TimePoint m_start = base::BootNow();
   };
 
   void InjectRandom();
+  void Revert(const ActiveFault& aFault);
   void InjectNodeFault();
   void InjectStoreFault();
   void InjectRunnerFault();
@@ -39,12 +56,13 @@
   size_t RandomIndex(size_t aCount) { return m_random() % aCount; }
 
   tests::PlatformFleet& m_fleet;
+  PlannedWork& m_plannedWork;
   size_t m_nodes;
   size_t m_runners;
   std::mt19937_64 m_random;
   std::vector<ActiveFault> m_active;
+  std::vector<FaultSpan> m_unplannedSpans;
   std::string m_stepSummary;
-  int m_configurationCount = 0;
 };
 
 } // namespace papayafield::soak
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -3,6 +3,8 @@
 #include "soak/FaultInjector.h"
 #include "standins/common/Arguments.h"
 
+#include <algorithm>
+#include <array>
 #include <csignal>
 #include <cstdio>
 
@@ -15,17 +17,55 @@
 using namespace papayafield;
 using soak::Caller;
 
-constexpr size_t kCallers = 8;
 /// Time between two fault steps.
 constexpr base::Millis kRoundDuration{ 1500 };
-/// Time for callers to complete calls in flight: their timeout plus a margin.
-constexpr base::Millis kDrainDuration{ 8000 };
+/// Deadline of calls beside planned work; above the duration of a slow stream.
+constexpr base::Millis kLongAnswerTimeout{ 15000 };
+/// A node answers a call at its deadline at the latest; callers see that after this time.
+constexpr base::Millis kExtraWait{ 1000 };
+constexpr base::Millis kLongPause{ 7000 };
+constexpr base::Millis kCheckInterval{ 50 };
+/// Time for all planned stops to end.
+constexpr base::Millis kSettleDuration = soak::PlannedWork::kGracePeriod + base::Millis(500);
 
 void RunFor(adapters::http::EventLoop& aLoop, base::Millis aDuration) {
   const auto timer = aLoop.After(aDuration, [&] { aLoop.Stop(); });
   aLoop.Run();
 }
 
+/// Runs until `aCondition` holds, at most for `aMaxDuration`.
+void RunUntil(adapters::http::EventLoop& aLoop,
+              base::Millis aMaxDuration,
+              const std::function<bool()>& aCondition) {
+  const auto timer = aLoop.Every(kCheckInterval, [&] {
+    if (aCondition()) {
+      aLoop.Stop();
+    }
+  });
+  RunFor(aLoop, aMaxDuration);
+}
+
+/// Returns the behaviour of caller `aIndex` beside planned work: some send only streams, some leave
+/// their connection idle for long.
+soak::CallerSettings PlannedWorkCaller(size_t aIndex) {
+  soak::CallerSettings settings;
+  settings.m_answerTimeout = kLongAnswerTimeout;
+  settings.m_extraWait = kExtraWait;
+  settings.m_sendsOnlyStreams = aIndex % 4 == 3;
+  settings.m_maxPause = aIndex % 4 == 2 ? kLongPause : base::Millis(0);
+  return settings;
+}
+
+/// Lets some runners send slow streams, or streams that pause; the first one is fast.
+void SlowDownRunners(tests::PlatformFleet& aFleet, size_t aRunners, uint64_t aSeed) {
+  static constexpr std::array<const char*, 3> kModes = { "ok", "slow", "pause" };
+  std::mt19937_64 random(aSeed);
+  for (size_t runner = 1; runner < aRunners; ++runner) {
+    aFleet.PostControl("runner",
+                       { { "index", runner }, { "mode", kModes[random() % kModes.size()] } });
+  }
+}
+
 /// Waits until all nodes are ready again and each serves a call. Returns false if a node does not
 /// recover.
 bool AllNodesRecover(tests::PlatformFleet& aFleet, size_t aNodes) {
@@ -43,41 +83,60 @@
 } // namespace
 
 int main(int argc, char** argv) {
-  const standins::Arguments arguments(
-    argc, argv, { { "seed", "1" }, { "rounds", "10" }, { "nodes", "3" }, { "runners", "3" } });
+  const standins::Arguments arguments(argc,
+                                      argv,
+                                      { { "seed", "1" },
+                                        { "rounds", "10" },
+                                        { "nodes", "3" },
+                                        { "runners", "3" },
+                                        { "callers", "8" },
+                                        { "plan", "0" } });
   const auto seed = static_cast<uint64_t>(arguments.Number("seed"));
   const auto nodes = static_cast<size_t>(arguments.Number("nodes"));
   const auto runners = static_cast<size_t>(arguments.Number("runners"));
+  const bool onlyPlannedWork = arguments.Number("plan") != 0;
   std::signal(SIGPIPE, SIG_IGN);
-  tests::PlatformFleet fleet(nodes, runners, tests::PlatformFleet::Proxies::All);
-  adapters::http::EventLoop loop;
-  std::vector<base::Address> addresses;
-  for (size_t node = 0; node < nodes; ++node) {
-    addresses.push_back(fleet.CallerAddress(node));
+  using Proxies = tests::PlatformFleet::Proxies;
+  tests::PlatformFleet fleet(nodes, runners, onlyPlannedWork ? Proxies::None : Proxies::All);
+  if (onlyPlannedWork) {
+    SlowDownRunners(fleet, runners, seed);
   }
+  adapters::http::EventLoop loop;
+  soak::PlannedWork plannedWork(fleet, loop, nodes, seed);
   std::vector<std::unique_ptr<Caller>> callers;
-  for (size_t i = 0; i < kCallers; ++i) {
-    callers.push_back(std::make_unique<Caller>(
-      loop, seed * 100 + i, "c" + std::to_string(i), [&] { return addresses; }));
+  for (size_t i = 0; i < static_cast<size_t>(arguments.Number("callers")); ++i) {
+    callers.push_back(
+      std::make_unique<Caller>(loop,
+                               seed * 100 + i,
+                               "c" + std::to_string(i),
+                               onlyPlannedWork ? PlannedWorkCaller(i) : soak::CallerSettings(),
+                               [&] { return plannedWork.CallerAddresses(); }));
     callers.back()->SendNext();
   }
-  soak::FaultInjector faults(fleet, nodes, runners, seed);
+  soak::FaultInjector faults(fleet, plannedWork, nodes, runners, seed);
   const int rounds = static_cast<int>(arguments.Number("rounds"));
   for (int round = 0; round < rounds; ++round) {
-    std::fprintf(stderr, "seed %lu round %d:%s\n", seed, round, faults.Advance().c_str());
+    const std::string summary =
+      onlyPlannedWork ? plannedWork.Schedule(kRoundDuration) : faults.Advance();
+    std::fprintf(stderr, "seed %lu round %d:%s\n", seed, round, summary.c_str());
     RunFor(loop, kRoundDuration);
   }
   faults.RevertAll();
-  const bool recovered = AllNodesRecover(fleet, nodes);
+  RunUntil(loop, kSettleDuration, [&] { return plannedWork.IsSettled(); });
   for (const auto& caller : callers) {
     caller->Stop();
   }
-  RunFor(loop, kDrainDuration);
+  RunUntil(loop, kLongAnswerTimeout + kExtraWait, [&] {
+    return std::all_of(
+      callers.begin(), callers.end(), [](const auto& aCaller) { return aCaller->IsIdle(); });
+  });
+  const bool recovered = AllNodesRecover(fleet, nodes);
   std::vector<soak::CallRecord> records;
   for (const auto& caller : callers) {
     records.insert(records.end(), caller->Records().begin(), caller->Records().end());
   }
-  soak::CheckResult result = soak::CheckGuarantees(records, fleet.PostControl("report"));
+  soak::CheckResult result = soak::CheckGuarantees(
+    records, fleet.PostControl("report"), plannedWork.Stops(), faults.UnplannedSpans());
   if (!recovered) {
     result.m_violations.emplace_back("a node did not serve again after the faults");
   }
@@ -85,11 +144,16 @@
     std::fprintf(stderr, "BROKEN: %s\n", line.c_str());
   }
   std::fprintf(stderr,
-               "seed %lu: %zu calls, %zu served, %zu refused, %zu promises broken\n",
+               "seed %lu: %zu calls, %zu served, %zu refused, %zu undisturbed, %zu crossed, "
+               "%zu outlasting, "
+               "%zu promises broken\n",
                seed,
                result.m_calls,
                result.m_served,
                result.m_rejected,
+               result.m_undisturbed,
+               result.m_crossed,
+               result.m_outlasting,
                result.m_violations.size());
   return result.m_violations.empty() ? 0 : 1;
 }
