Drain: the end of an answer on a kept connection is sent before the node ends

Seen by callers: a stream that its runner had completed lacked its last chunk, beside a planned stop.

Cause: an answer whose head was written before SIGTERM keeps its connection open.

Change: a connection with pending output is busy, and the end of a drain closes every connection only when its output has been sent.

--- a/packages/forwarding/CallerConnection.cpp
+++ b/packages/forwarding/CallerConnection.cpp
@@ -173,8 +173,10 @@
   if (const auto exchange = m_exchange) {
     m_keepAlive = false;
     exchange->Abort();
-  } else if (!m_flushing) {
-    Close();
+  } else if (!m_closed) {
+    m_reading = false;
+    m_idleTimer.reset();
+    CloseWhenFlushed();
   }
 }
 
--- a/packages/forwarding/CallerConnection.h
+++ b/packages/forwarding/CallerConnection.h
@@ -35,7 +35,9 @@
   /// Starts reading. Call once.
   void Start();
   /// Returns whether a request is being read or answered, or an answer is still being sent.
-  bool IsBusy() const { return m_reading || m_answering || m_flushing; }
+  bool IsBusy() const {
+    return m_reading || m_answering || m_flushing || m_connection->PendingOutput() > 0;
+  }
   /// Ends the call in progress because the node stops, and closes the connection once its answer
   /// has been sent. A request that has not been read completely gets no answer.
   void Abort();
