--- a/packages/forwarding/CallerConnection.h
+++ b/packages/forwarding/CallerConnection.h
@@ -35,7 +35,9 @@
   /// Starts reading. Call once.
   void Start();
   /// Returns whether a request is being read or answered, or an answer is still being sent.
-  bool IsBusy() const { return m_reading || m_answering || m_flushing; }
+  bool IsBusy() const {
+    return m_reading || m_answering || m_flushing || m_connection->PendingOutput() > 0;
+  }
   /// Returns the age of the call in progress if it belongs to the route named `aRoute`, otherwise
   /// 0.
   base::Millis OpenCallAge(const std::string& aRoute, base::TimePoint aNow) const;
--- a/tests/integration/PlatformPathTest.cpp
+++ b/tests/integration/PlatformPathTest.cpp
@@ -331,7 +331,7 @@
 // callers reuse connections by the limit in force.
 BOOST_AUTO_TEST_CASE(RaisedIdleLimitHoldsForIdleConnections) {
   PlatformFleet fleet(1, 1);
-  fleet.ApplyConfiguration("short.example", { { "idle_timeout_ms", 1000 } });
+  fleet.ApplyConfiguration("short.example", base::Millis(1000));
   BOOST_TEST(PlatformFleet::WaitUntil(
     [&] { return fleet.Send(0, "GET", "/safe/a", "short.example").m_status == 200; }));
   adapters::http::EventLoop loop;
@@ -341,9 +341,8 @@
   adapters::http1::ClientConnection::Events events;
   events.m_onEnd = [&](adapters::http1::EndKind, bool) { ended = true; };
   connection->SetEvents(std::move(events));
-  const auto raise = loop.After(base::Millis(500), [&] {
-    fleet.ApplyConfiguration("long.example", { { "idle_timeout_ms", 2500 } });
-  });
+  const auto raise = loop.After(
+    base::Millis(500), [&] { fleet.ApplyConfiguration("long.example", base::Millis(2500)); });
   const auto stillOpen = loop.After(base::Millis(1800), [&] { BOOST_TEST(!ended); });
   const auto end = loop.After(base::Millis(3200), [&] { loop.Stop(); });
   loop.Run();
@@ -353,7 +352,7 @@
 // A request whose body stops arriving is rejected as not run, and does not hold its connection.
 BOOST_AUTO_TEST_CASE(StalledBodyIsRejected) {
   PlatformFleet fleet(1, 1);
-  fleet.ApplyConfiguration("short.example", { { "idle_timeout_ms", 1000 } });
+  fleet.ApplyConfiguration("short.example", base::Millis(1000));
   BOOST_TEST(PlatformFleet::WaitUntil(
     [&] { return fleet.Send(0, "GET", "/safe/a", "short.example").m_status == 200; }));
   adapters::http::EventLoop loop;
