Callers: a slow reader keeps its answer, and a request read in part is rejected when a drain ends

Change: the idle limit begins anew while output is pending; a request read in part gets 503, not run. What is rejected before it is complete has a log line.

The slow reader beside the idle limit has no test of its own here.

--- a/packages/forwarding/CallerConnection.cpp
+++ b/packages/forwarding/CallerConnection.cpp
@@ -58,7 +58,14 @@
     }
     // A request may have arrived while the loop was busy; it is read before the next timer.
     m_idleTimer = m_loop.After(base::Millis(0), [weak] {
-      if (const auto idle = weak.lock()) {
+      const auto idle = weak.lock();
+      if (!idle) {
+        return;
+      }
+      // The caller is still reading the last answer.
+      if (idle->m_connection->PendingOutput() > 0) {
+        idle->StartIdleTimer();
+      } else {
         idle->Close();
       }
     });
@@ -206,6 +213,11 @@
 }
 
 void CallerConnection::Reject(int aStatus) {
+  base::Log("callers").Event("request rejected before it was complete",
+                             { { "peer", m_connection->PeerHost() },
+                               { "target", m_head.m_target },
+                               { "received", m_body.size() },
+                               { "status", aStatus } });
   ResponseHead head;
   head.m_status = aStatus;
   head.m_fields.Add("Content-Length", "0");
@@ -217,6 +229,7 @@
 
 void CallerConnection::CloseWhenFlushed() {
   m_closed = true;
+  m_idleTimer.reset();
   m_bodyTimer.reset();
   m_flushing = true;
   m_connection->CloseWhenFlushed([self = shared_from_this()] {
@@ -236,9 +249,9 @@
   if (const auto exchange = m_exchange) {
     m_keepAlive = false;
     exchange->Abort();
+  } else if (m_reading) {
+    Reject(503);
   } else if (!m_closed) {
-    m_reading = false;
-    m_idleTimer.reset();
     CloseWhenFlushed();
   }
 }
--- a/packages/forwarding/CallerConnection.h
+++ b/packages/forwarding/CallerConnection.h
@@ -42,7 +42,7 @@
   /// 0.
   base::Millis OpenCallAge(const std::string& aRoute, base::TimePoint aNow) const;
   /// Ends the call in progress because the node stops, and closes the connection once its answer
-  /// has been sent. A request that has not been read completely gets no answer.
+  /// has been sent. A request that has not been read completely is rejected as not run.
   void Abort();
   /// Applies a changed limit on idle time. A raised limit holds for the present idle period too; a
   /// lowered one begins with the next, since callers may not know it yet.
--- a/tests/integration/PlatformPathTest.cpp
+++ b/tests/integration/PlatformPathTest.cpp
@@ -349,6 +349,25 @@
   BOOST_TEST(ended);
 }
 
+// A request that is still being read when a drain ends is rejected as not run.
+BOOST_AUTO_TEST_CASE(RequestReadInPartIsRejectedAtTheEndOfADrain) {
+  PlatformFleet fleet(2, 1);
+  adapters::http::EventLoop loop;
+  const auto connection =
+    adapters::http1::ClientConnection::ConnectTo(loop, fleet.CallerAddress(0), base::Millis(3000));
+  int status = 0;
+  adapters::http1::ClientConnection::Events events;
+  events.m_onHead = [&](adapters::http1::ResponseHead&& aHead) { status = aHead.m_status; };
+  events.m_onEnd = [&](adapters::http1::EndKind, bool) { loop.Stop(); };
+  connection->SetEvents(std::move(events));
+  connection->Write("POST /once/a HTTP/1.1\r\nHost: h.example\r\nContent-Length: 9\r\n\r\nhalf");
+  const auto stop = loop.After(base::Millis(300), [&] { fleet.NodeProcess(0).Signal(SIGTERM); });
+  const auto end = loop.After(base::Millis(9000), [&] { loop.Stop(); });
+  loop.Run();
+  BOOST_TEST(status == 503);
+  BOOST_TEST(fleet.NodeProcess(0).WaitForExit() == 0);
+}
+
 // A request whose body stops arriving is rejected as not run, and does not hold its connection.
 BOOST_AUTO_TEST_CASE(StalledBodyIsRejected) {
   PlatformFleet fleet(1, 1);
