Callers: a refusal that an endpoint did not mark as not executed is not passed on as one

Found by two reviews, by reading: an endpoint's 503, 429, 408 or 421 without its statement that the call was not executed was delivered unchanged, also for calls that must not run twice.

Change: such an answer becomes this node's own 502, which guarantees nothing.

Evidence: CallThatRanIsNotReportedAsRefused failed before (503) and passes now.

--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -648,6 +648,11 @@
 }
 
 void Exchange::Deliver(const ResponseHead& aHead, const std::string& aBody) {
+  if (GuaranteesNotRun(aHead.m_status)) {
+    // The endpoint did not say that it has not run the call.
+    Reject(FinalStatus(true, false), "ambiguous_refusal", 0);
+    return;
+  }
   if (m_firstByteAt == base::TimePoint{}) {
     m_firstByteAt = base::BootNow();
   }
--- a/packages/forwarding/RetryDecision.h
+++ b/packages/forwarding/RetryDecision.h
@@ -66,6 +66,12 @@
   return aTimedOut ? 504 : 502;
 }
 
+/// Returns whether callers take the status for a guarantee that the call has not run and never
+/// will. Thread safe.
+constexpr bool GuaranteesNotRun(int aStatus) {
+  return aStatus == 408 || aStatus == 421 || aStatus == 429 || aStatus == 503;
+}
+
 } // namespace papayafield::forwarding
 
 namespace papayafield::base {
--- a/packages/forwarding/tests/ForwardingTest.cpp
+++ b/packages/forwarding/tests/ForwardingTest.cpp
@@ -67,6 +67,13 @@
   BOOST_TEST((OriginOf("", "a", true) == AnswerOrigin::Unknown));
 }
 
+BOOST_AUTO_TEST_CASE(OwnStatusOfACallThatMayHaveRunGuaranteesNothing) {
+  for (const bool timedOut : { false, true }) {
+    BOOST_TEST(!GuaranteesNotRun(FinalStatus(true, timedOut)));
+    BOOST_TEST(GuaranteesNotRun(FinalStatus(false, timedOut)));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(Status503OnlyIfTheCallHasNotRun) {
   BOOST_TEST(FinalStatus(false, false) == 503);
   BOOST_TEST(FinalStatus(false, true) == 503);
--- a/standins/fleet/Runner.cpp
+++ b/standins/fleet/Runner.cpp
@@ -217,8 +217,9 @@
   } else if (m_mode == RunnerMode::DropResponses) {
     m_callerConnections.erase(aCallerConnection);
     aCallerConnection->m_connection->Close();
-  } else if (m_mode == RunnerMode::Fail) {
-    ResponseHead head = aCallerConnection->MakeResponseHead(500, m_id);
+  } else if (m_mode == RunnerMode::Fail || m_mode == RunnerMode::FailAsRefusal) {
+    const int status = m_mode == RunnerMode::Fail ? 500 : 503;
+    ResponseHead head = aCallerConnection->MakeResponseHead(status, m_id);
     AddSignals(head);
     aCallerConnection->SendResponse(head, "failed");
   } else if (aCallerConnection->m_head.m_target.starts_with("/stream/") &&
--- a/standins/fleet/Runner.h
+++ b/standins/fleet/Runner.h
@@ -48,6 +48,8 @@
   SlowStreams,
   /// Sends nothing for a while after one half and after three quarters of a stream.
   PauseStreams,
+  /// Runs calls and responds with 503, without stating that they were not executed.
+  FailAsRefusal,
   /// Responds only after a while.
   RespondLate,
 };
@@ -194,6 +196,7 @@
     { standins::RunnerMode::SlowStreams, "slow" },
     { standins::RunnerMode::PauseStreams, "pause" },
     { standins::RunnerMode::RespondLate, "late" },
+    { standins::RunnerMode::FailAsRefusal, "fail_503" },
   });
 
 } // namespace papayafield::base
--- a/tests/integration/PlatformPathTest.cpp
+++ b/tests/integration/PlatformPathTest.cpp
@@ -61,6 +61,15 @@
   BOOST_TEST(fleet.RecordedRuns("safe").size() == 2U);
 }
 
+// A runner's 503 without its statement that the call was not executed is not passed on as one.
+BOOST_AUTO_TEST_CASE(CallThatRanIsNotReportedAsRefused) {
+  const PlatformFleet fleet(1, 1);
+  fleet.PostControl("runner", { { "index", 0 }, { "mode", "fail_503" } });
+  BOOST_TEST(fleet.Send(0, "POST", "/once/a", "h.example", "key-1", "ran").m_status == 502);
+  BOOST_TEST(fleet.RecordedRuns("ran").size() == 1U);
+  BOOST_TEST(fleet.Send(0, "GET", "/safe/a").m_status == 502);
+}
+
 BOOST_AUTO_TEST_CASE(CallRejectedByAllRunnersIsReportedNotRun) {
   const PlatformFleet fleet(1, 2);
   fleet.PostControl("runner", { { "index", 0 }, { "mode", "shed" } });
