--- a/packages/forwarding/CrashGuard.cpp
+++ b/packages/forwarding/CrashGuard.cpp
@@ -47,8 +47,8 @@
   }
   m_log.Event("call refused",
               { { "request", aCall.m_id },
-                { "part", refusal->m_part },
-                { "level", refusal->m_level },
+                { "prompt_part", refusal->m_part },
+                { "ban_level", refusal->m_level },
                 { "ban_age_ms", refusal->m_age.count() },
                 { "remaining_ms", refusal->m_remaining.count() } });
   m_metrics.Count("quarantine_refused");
@@ -109,8 +109,8 @@
   bool isUrgent = false;
   for (const quarantine::BanEvent& event : m_quarantine.Update(aNow)) {
     m_log.Event("part " + std::string(base::NameOf(event.m_change)),
-                { { "part", event.m_part },
-                  { "level", event.m_level },
+                { { "prompt_part", event.m_part },
+                  { "ban_level", event.m_level },
                   { "crashes", event.m_crashes },
                   { "endpoints", event.m_endpoints },
                   { "calls", event.m_calls },
