--- a/packages/forwarding/tests/CallerConnectionTest.cpp
+++ b/packages/forwarding/tests/CallerConnectionTest.cpp
@@ -21,7 +21,7 @@
     loop,
     adapters::http1::ServerConnection::FromAcceptedSocket(loop, sockets[0], 4096),
     settings,
-    [&](auto&&, auto&&, auto, AnswerSink aSink) {
+    [&](auto&&, auto&&, auto, const AnswerSink& aSink) {
       aSink.m_onAnswer({}, std::string(kBytes, 'x'));
       loop.Stop();
       return nullptr;
