duties: a usage report by a node whose clock is ahead stays in the record

Found in the read-through: the reader of the usage record drops windows later than this node's, so that an odd entry in the far future cannot stop all reports. A window that a node with a clock ahead had reported was dropped as well, and would have been written and sent again, possibly with other counts.

Change: up to twelve windows ahead are kept.

Evidence: ReportOfANodeWhoseClockIsAheadIsKept fails with a lead of 0 (the record is overwritten) and passes with 12.

--- a/packages/duties/UsageReporter.h
+++ b/packages/duties/UsageReporter.h
@@ -77,13 +77,16 @@
   using Reports = UsageReports;
   /// Number of windows in the stored record; older windows can no longer be reported.
   static constexpr int64_t kMaxStoredWindows = 4;
+  /// Number of windows by which the clock of the node that wrote the record may be ahead of this
+  /// node's. A report that was dropped as wrong would be written again with other counts.
+  static constexpr int64_t kMaxClockLeadWindows = 12;
 
   Reports ReadStoredReports(int64_t aNow) const {
     const store::Item* item = m_replica.Find(m_settings.m_key);
     if (item == nullptr) {
       return {};
     }
-    auto reports = ParseUsageReports(item->m_data, m_ledger.WindowOf(aNow));
+    auto reports = ParseUsageReports(item->m_data, m_ledger.WindowOf(aNow) + kMaxClockLeadWindows);
     if (!reports) {
       m_log.Event("usage record unreadable", { { "revision", item->m_revision } });
       return {};
--- a/packages/duties/tests/DutiesTest.cpp
+++ b/packages/duties/tests/DutiesTest.cpp
@@ -220,6 +220,26 @@
   BOOST_TEST(platform.m_fencingTokens.back() == 2U);
 }
 
+// A report by a node whose clock is ahead stays in the record; written again, it could have other
+// counts.
+BOOST_AUTO_TEST_CASE(ReportOfANodeWhoseClockIsAheadIsKept) {
+  FakeStore store;
+  FakePlatform platform;
+  Node node(store, platform, "behind");
+  const int64_t window = node.m_ledger.WindowOf(base::WallMillis());
+  node.m_ledger.CountLocalRequest(kTeam, (window - 1) * kWindowMs + 1);
+  const std::string record =
+    R"([{"window":)" + std::to_string(window + 2) + R"(,"counts":{"team":5}}])";
+  store.m_items["usage"] = { "usage", record, 7, 7 };
+  for (int tick = 0; tick < 3; ++tick) {
+    store.UpdateReplica(node.m_replica);
+    node.m_reporter.Tick(Leadership{ 1, base::TimePoint::max() });
+  }
+  BOOST_TEST(store.m_items["usage"].m_data == record);
+  BOOST_REQUIRE(platform.m_reports.size() == 1U);
+  BOOST_TEST(platform.m_reports[0].first == window + 2);
+}
+
 // A node whose conditional write failed does not send its own counts.
 BOOST_AUTO_TEST_CASE(UnwrittenReportIsNotSent) {
   FakeStore store;
