forwarding: a connection that is closed in a request leaves a log line

Callers report requests without an answer beside changes of the configuration. A connection that is closed while a request is arriving left no line, so the log could not tell a caller that leaves from a limit that cuts it. The line states who closed it and how much had arrived.

--- a/packages/adapters/http1/Connection.cpp
+++ b/packages/adapters/http1/Connection.cpp
@@ -356,6 +356,11 @@
   return m_buffer == nullptr ? 0 : evbuffer_get_length(bufferevent_get_input(m_buffer));
 }
 
+template<class Head>
+bool Connection<Head>::IsInMessage() const {
+  return m_parser->m_inMessage;
+}
+
 template<class Head>
 std::string Connection<Head>::PeerHost() const {
   sockaddr_in peer{};
--- a/packages/adapters/http1/Connection.h
+++ b/packages/adapters/http1/Connection.h
@@ -101,6 +101,8 @@
   size_t PendingOutput() const;
   /// Returns the number of bytes received but not yet parsed.
   size_t PendingInput() const;
+  /// Whether a message has begun and is not complete.
+  bool IsInMessage() const;
   /// Returns the IP address of the peer, or an empty string if it is unknown.
   std::string PeerHost() const;
 
--- a/packages/forwarding/CallerConnection.cpp
+++ b/packages/forwarding/CallerConnection.cpp
@@ -252,6 +252,7 @@
   } else if (m_reading) {
     Reject(503);
   } else if (!m_closed) {
+    LogIncompleteRequest();
     CloseWhenFlushed();
   }
 }
@@ -268,11 +269,25 @@
   Close();
 }
 
+/// Logs that the connection ends although a request has begun to arrive.
+void CallerConnection::LogIncompleteRequest() const {
+  if (!m_connection->IsInMessage()) {
+    return;
+  }
+  // The connection is no longer open if the caller has closed it.
+  base::Log("callers").Event("connection closed in a request",
+                             { { "by", m_connection->IsOpen() ? "node" : "caller" },
+                               { "target", m_reading ? m_head.m_target : "" },
+                               { "received", m_body.size() },
+                               { "unread", m_connection->PendingInput() } });
+}
+
 void CallerConnection::Close() {
   const auto self = shared_from_this();
   if (m_closed) {
     return;
   }
+  LogIncompleteRequest();
   m_closed = true;
   m_reading = false;
   m_idleTimer.reset();
--- a/packages/forwarding/CallerConnection.h
+++ b/packages/forwarding/CallerConnection.h
@@ -58,6 +58,7 @@
   void Reject(int aStatus);
   void OnAnswered();
   void CloseWhenFlushed();
+  void LogIncompleteRequest() const;
   void StartIdleTimer();
   void ArmIdleTimer(base::Millis aDelay);
   void StartBodyTimer(base::Millis aDelay);
