forwarding: a lowered limit spares connections and bodies that are in use

Callers saw a whole request without an answer beside a change of the configuration: a lowered idle limit held from the next idle period of every connection, while callers reuse their connections by the limit that they know, so the node closed connections with requests on their way. A body that was arriving was likewise measured by the new limits and refused with 408. Each connection now keeps the longest idle limit that was in force since it was accepted, and a body is read under the limit in force at the end of its head. Why it works: a limit that a caller may still rely on is never undercut; connections accepted later get the lower one, so the change takes effect as connections are replaced.

--- a/packages/forwarding/CallerConnection.cpp
+++ b/packages/forwarding/CallerConnection.cpp
@@ -41,12 +41,12 @@
   events.m_onComplete = [self] { self->OnComplete(); };
   events.m_onEnd = [self](EndKind aKind, bool /*aInMessage*/) { self->OnEnd(aKind); };
   m_connection->SetEvents(std::move(events));
+  m_idleLimit = m_settings.m_limits.m_idleTimeout;
   StartIdleTimer();
 }
 
 void CallerConnection::StartIdleTimer() {
   m_idleSince = base::BootNow();
-  m_idleLimit = m_settings.m_limits.m_idleTimeout;
   ArmIdleTimer(m_idleLimit);
 }
 
@@ -74,12 +74,14 @@
 
 void CallerConnection::OnLimitsChanged() {
   const base::Millis limit = m_settings.m_limits.m_idleTimeout;
-  if (m_idleTimer == nullptr || limit <= m_idleLimit) {
+  if (limit <= m_idleLimit) {
     return;
   }
   m_idleLimit = limit;
-  const auto elapsed = std::chrono::duration_cast<base::Millis>(base::BootNow() - m_idleSince);
-  ArmIdleTimer(std::max(limit - elapsed, base::Millis(0)));
+  if (m_idleTimer != nullptr) {
+    const auto elapsed = std::chrono::duration_cast<base::Millis>(base::BootNow() - m_idleSince);
+    ArmIdleTimer(std::max(limit - elapsed, base::Millis(0)));
+  }
 }
 
 void CallerConnection::OnHead(RequestHead&& aHead) {
@@ -88,12 +90,13 @@
   m_head = std::move(aHead);
   m_body.clear();
   m_idleTimer.reset();
+  m_bodyLimit = m_settings.m_limits.m_bodyBytes;
   const auto length = m_head.m_fields.Find("Content-Length");
   uint64_t bytes = 0;
   if (length) {
     std::from_chars(length->data(), length->data() + length->size(), bytes);
   }
-  if (bytes > m_settings.m_limits.m_bodyBytes) {
+  if (bytes > m_bodyLimit) {
     Reject(413);
   } else if (m_head.m_fields.Count("Host") != 1) {
     Reject(400);
@@ -102,7 +105,7 @@
       m_connection->Write("HTTP/1.1 100 Continue\r\n\r\n");
     }
     m_lastInputAt = m_arrival;
-    StartBodyTimer(m_settings.m_limits.m_idleTimeout);
+    StartBodyTimer(m_idleLimit);
   }
 }
 
@@ -114,8 +117,7 @@
       return;
     }
     const auto silence = std::chrono::duration_cast<base::Millis>(base::BootNow() - m_lastInputAt);
-    const base::Millis limit = m_settings.m_limits.m_idleTimeout;
-    if (silence >= limit) {
+    if (silence >= m_idleLimit) {
       base::Log("callers").Event("request body stalled",
                                  { { "peer", m_connection->PeerHost() },
                                    { "target", m_head.m_target },
@@ -123,7 +125,7 @@
                                    { "silent_ms", silence.count() } });
       Reject(408);
     } else {
-      StartBodyTimer(limit - silence);
+      StartBodyTimer(m_idleLimit - silence);
     }
   });
 }
@@ -132,7 +134,7 @@
   if (m_closed) {
     return;
   }
-  if (m_body.size() + aBytes.size() > m_settings.m_limits.m_bodyBytes) {
+  if (m_body.size() + aBytes.size() > m_bodyLimit) {
     Reject(413);
     return;
   }
--- a/packages/forwarding/CallerConnection.h
+++ b/packages/forwarding/CallerConnection.h
@@ -44,8 +44,8 @@
   /// Ends the call in progress because the node stops, and closes the connection once its answer
   /// has been sent. A request that has not been read completely is rejected as not run.
   void Abort();
-  /// Applies a changed limit on idle time. A raised limit holds for the present idle period too; a
-  /// lowered one begins with the next, since callers may not know it yet.
+  /// Applies a changed limit on idle time. A raised limit holds at once. A lowered one holds for
+  /// new connections only: the caller of this one may go on to use it by the limit that it knows.
   void OnLimitsChanged();
   /// Closes the connection at once.
   void Close();
@@ -75,8 +75,10 @@
   /// Runs while the connection is idle.
   adapters::http::EventHandlePtr m_idleTimer;
   base::TimePoint m_idleSince{};
-  /// Limit that the present idle period began with.
+  /// Longest limit on idle time since the connection was accepted.
   base::Millis m_idleLimit{ 0 };
+  /// Limit on the body of the present request, as of the end of its head.
+  size_t m_bodyLimit = 0;
   /// Runs while the body of a request is being read.
   adapters::http::EventHandlePtr m_bodyTimer;
   /// Time of the last bytes of a request.
--- a/tests/harness/PlatformFleet.cpp
+++ b/tests/harness/PlatformFleet.cpp
@@ -162,21 +162,45 @@
 
 void PlatformFleet::ApplyConfiguration(const std::string& aExtraHost,
                                        std::optional<base::Millis> aIdleTimeout) {
+  ConfigurationOptions options;
+  options.m_hosts = { "h.example", aExtraHost };
+  options.m_idleTimeout = aIdleTimeout;
+  ApplyConfiguration(options);
+}
+
+void PlatformFleet::ApplyConfiguration(const ConfigurationOptions& aOptions) {
   json routes = json::array();
-  for (const std::string& host : { std::string("h.example"), aExtraHost }) {
+  for (const std::string& host : aOptions.m_hosts) {
     routes.push_back(MakeRoute(host, "/stream/", "streaming"));
     routes.push_back(MakeRoute(host, "/stream/ungapped/", "streaming"));
     routes.back()["gap_target_ms"] = 0;
     routes.push_back(MakeRoute(host, "/safe/", "idempotent"));
     routes.push_back(MakeRoute(host, "/once/", "non_idempotent"));
   }
-  json configuration = { { "version", ++m_version },
-                         { "routes", routes },
-                         { "services", { { { "name", "engines" }, { "max_conns", 300 } } } },
-                         { "tenants", { { { "name", "team-1" }, { "api_keys", { "key-1" } } } } } };
-  if (aIdleTimeout) {
-    configuration["limits"] = { { "idle_timeout_ms", aIdleTimeout->count() } };
+  for (json& route : routes) {
+    route["service"] = aOptions.m_service;
+    if (aOptions.m_timeout) {
+      route["timeout_ms"] = aOptions.m_timeout->count();
+    }
+  }
+  json limits = json::object();
+  if (aOptions.m_idleTimeout) {
+    limits["idle_timeout_ms"] = aOptions.m_idleTimeout->count();
+  }
+  if (aOptions.m_headTimeout) {
+    limits["header_timeout_ms"] = aOptions.m_headTimeout->count();
+  }
+  if (aOptions.m_bodyBytes) {
+    limits["max_body_bytes"] = *aOptions.m_bodyBytes;
   }
+  const json configuration = { { "version", ++m_version },
+                               { "routes", routes },
+                               { "services",
+                                 { { { "name", "engines" }, { "max_conns", 300 } },
+                                   { { "name", "empty" }, { "max_conns", 300 } } } },
+                               { "tenants",
+                                 { { { "name", "team-1" }, { "api_keys", { aOptions.m_key } } } } },
+                               { "limits", limits } };
   PostControl("configuration", configuration);
 }
 
--- a/tests/harness/PlatformFleet.h
+++ b/tests/harness/PlatformFleet.h
@@ -18,6 +18,20 @@
                                                       const std::string& aId,
                                                       base::Millis aTimeout);
 
+/// A version of the configuration for tests. Every host in it gets the same routes.
+struct ConfigurationOptions {
+  std::vector<std::string> m_hosts{ "h.example", "other.example" };
+  std::string m_key = "key-1";
+  /// Service that the routes lead to; the runners belong to "engines".
+  std::string m_service = "engines";
+  /// Timeout of all routes, if it differs from the default one of their kind.
+  std::optional<base::Millis> m_timeout;
+  /// Limits for callers, if they differ from the default.
+  std::optional<base::Millis> m_idleTimeout;
+  std::optional<base::Millis> m_headTimeout;
+  std::optional<size_t> m_bodyBytes;
+};
+
 /// Runs nodes in the mode for the users' platform as processes, against a stand-in of that
 /// platform. Each node has its own loopback address. Not thread safe.
 class PlatformFleet {
@@ -49,6 +63,10 @@
   /// be idle for `aIdleTimeout`, or for the default time if it is not given.
   void ApplyConfiguration(const std::string& aExtraHost = "other.example",
                           std::optional<base::Millis> aIdleTimeout = std::nullopt);
+  /// Writes the next version of the configuration.
+  void ApplyConfiguration(const ConfigurationOptions& aOptions);
+  /// Returns the version of the configuration that was written last.
+  int Version() const { return m_version; }
   /// Sends a call to node `aIndex` with the id `aId`, or a random one if that is empty.
   CallerAnswer Send(size_t aIndex,
                     const std::string& aMethod,
