http1: trailer fields no longer become header fields of the next message

After a chunked message with trailer fields, the next message on the same connection began with the last of them: an endpoint's answer could get the signature or the call id of the answer before it, and a caller's request the Host, key or attempt id that was meant for the request before it.

Cause: the parser keeps the field that it is reading until the next one or the end of the head. Trailer fields have no such end, so the last one was still kept when the next message began, and was added to it.

Each message now starts without a pending field. Trailer fields stay ignored.

ConnectionTest/TrailerFieldsAreNoPartOfTheNextMessage checks both sides of a connection.

--- a/packages/adapters/http1/Connection.cpp
+++ b/packages/adapters/http1/Connection.cpp
@@ -67,6 +67,9 @@
   static int OnBegin(http_parser* aParser) {
     Parser& self = Of(aParser);
     self.m_head = {};
+    // The last trailer field of the previous message may be left.
+    self.m_name.clear();
+    self.m_value.clear();
     self.m_headBytes = 0;
     self.m_lastWasValue = true;
     self.m_hasInvalidName = false;
--- a/packages/adapters/http1/tests/ConnectionTest.cpp
+++ b/packages/adapters/http1/tests/ConnectionTest.cpp
@@ -180,6 +180,30 @@
   BOOST_TEST(fixture.m_isTruncated);
 }
 
+// The last trailer field of a chunked message became the first header field of the next message on
+// the connection.
+BOOST_AUTO_TEST_CASE(TrailerFieldsAreNoPartOfTheNextMessage) {
+  ConnectionFixture<ResponseHead> client;
+  client.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+              "1\r\na\r\n0\r\nX-Id: 1\r\nX-Signature: s\r\n\r\n");
+  client.Run();
+  BOOST_REQUIRE(client.m_completed == 1);
+  client.m_connection->Resume();
+  client.Send("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb");
+  client.Run();
+  BOOST_REQUIRE(client.m_heads.size() == 2U);
+  BOOST_TEST(client.m_heads[1].m_fields.List().size() == 1U);
+
+  ConnectionFixture<RequestHead> server;
+  server.Send("POST /1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+              "0\r\nAuthorization: Bearer k\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+  server.Run();
+  server.m_connection->Resume();
+  server.Run();
+  BOOST_REQUIRE(server.m_heads.size() == 2U);
+  BOOST_TEST(server.m_heads[1].m_fields.List().size() == 1U);
+}
+
 // Unexpected bytes after a complete response must be reported, also if one read returned both.
 BOOST_AUTO_TEST_CASE(UnexpectedBytesAfterAResponseAreReported) {
   ConnectionFixture<ResponseHead> fixture;
