tests: answers that a runner cuts off at any byte

The query of a request asks the stand-in for the cut, so that calls with different cuts run side by side.

--- a/packages/adapters/http1/tests/ConnectionTest.cpp
+++ b/packages/adapters/http1/tests/ConnectionTest.cpp
@@ -103,6 +103,40 @@
   { "upgrade", "CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n" },
 };
 
+/// Ways in which the end of a response can be marked.
+const char* const kResponses[] = {
+  "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 5\r\nX-Signature: s\r\n\r\nabcde",
+  "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: "
+  "chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
+  "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Signature: s\r\n\r\nabcde",
+  "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabcde",
+};
+
+bool EndsWithConnection(std::string_view aResponse) {
+  return aResponse.find("Content-Length") == std::string_view::npos &&
+         aResponse.find("Transfer-Encoding") == std::string_view::npos;
+}
+
+/// Reads the first `aLength` bytes of `aResponse` on `aFixture` and then the end of the connection.
+void ReadTruncated(ConnectionFixture<ResponseHead>& aFixture,
+                   std::string_view aResponse,
+                   size_t aLength,
+                   EndKind aEnd) {
+  if (aEnd == EndKind::Reset) {
+    // A Unix socket that is closed with unread input resets its peer.
+    aFixture.m_connection->Write("unread");
+    const auto written = aFixture.m_loop.After(base::Millis(0), [&] { aFixture.m_loop.Stop(); });
+    while (aFixture.m_connection->PendingOutput() > 0) {
+      aFixture.Run();
+    }
+  }
+  aFixture.Send(aResponse.substr(0, aLength));
+  aFixture.ClosePeer();
+  while (!aFixture.m_end) {
+    aFixture.Run();
+  }
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(ConnectionTest)
@@ -180,6 +214,36 @@
   BOOST_TEST(fixture.m_isTruncated);
 }
 
+// A response that ended within its head was reported as complete, with an empty body.
+BOOST_AUTO_TEST_CASE(ResponseIsIncompleteWhereverItIsCut) {
+  for (const std::string_view response : kResponses) {
+    const size_t headEnd = response.rfind("\r\n\r\n", response.find("abc")) + 4;
+    for (const EndKind end : { EndKind::Finished, EndKind::Reset }) {
+      for (const bool kept : { false, true }) {
+        for (size_t cut = 0; cut < response.size(); ++cut) {
+          ConnectionFixture<ResponseHead> fixture;
+          if (kept) {
+            fixture.Send("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n-");
+            fixture.Run();
+            fixture.m_connection->Resume();
+          }
+          ReadTruncated(fixture, response, cut, end);
+          const int before = kept ? 1 : 0;
+          const bool mayBeComplete =
+            EndsWithConnection(response) && cut >= headEnd && end == EndKind::Finished;
+          BOOST_TEST_CONTEXT(response.substr(0, cut) << base::NameOf(end) << " kept " << kept) {
+            BOOST_TEST((fixture.m_end == end));
+            BOOST_TEST(fixture.m_completed == before + (mayBeComplete ? 1 : 0));
+            BOOST_TEST(fixture.m_heads.size() ==
+                       static_cast<size_t>(before + (cut >= headEnd ? 1 : 0)));
+            BOOST_TEST(fixture.m_isTruncated == (cut > 0 && !mayBeComplete));
+          }
+        }
+      }
+    }
+  }
+}
+
 // The last trailer field of a chunked message became the first header field of the next message on
 // the connection.
 BOOST_AUTO_TEST_CASE(TrailerFieldsAreNoPartOfTheNextMessage) {
--- a/standins/fleet/Runner.cpp
+++ b/standins/fleet/Runner.cpp
@@ -4,6 +4,7 @@
 
 using adapters::http1::EncodeChunk;
 using adapters::http1::EndKind;
+using adapters::http1::QueryParameter;
 using adapters::http1::RequestHead;
 using adapters::http1::ResponseHead;
 using adapters::http1::ServerConnection;
@@ -31,6 +32,10 @@
   return (aWithId ? "id: " + number + "\n" : "") + "data: piece " + number + "\n\n";
 }
 
+/// Delay between the last bytes of a truncated response and the reset of its connection, so that
+/// the bytes are received before.
+constexpr base::Millis kResetDelay{ 3 };
+
 /// Returns the number of the first event of a stream that is requested after the event `aLast`.
 int FirstEvent(RunnerMode aMode, int aLast) {
   if (aMode == RunnerMode::RestartStreams) {
@@ -211,8 +216,14 @@
   }
   const std::string lastEventId = HeaderValue(aCallerConnection->m_head, "Last-Event-Id");
   m_callLog.m_executedCalls.push_back(
-    { attemptId, m_id, HeaderValue(aCallerConnection->m_head, "Papayafield-Tenant"), lastEventId });
-  if (HasDeadlyPart(aCallerConnection->m_head)) {
+    { attemptId,
+      m_id,
+      HeaderValue(aCallerConnection->m_head, "Papayafield-Tenant"),
+      lastEventId,
+      !previousId.empty() });
+  if (!QueryParameter(aCallerConnection->m_head.m_target, "cut").empty()) {
+    RespondTruncated(aCallerConnection);
+  } else if (HasDeadlyPart(aCallerConnection->m_head)) {
     Crash(attemptId);
   } else if (m_mode == RunnerMode::DropResponses) {
     m_callerConnections.erase(aCallerConnection);
@@ -240,6 +251,41 @@
   }
 }
 
+void Runner::RespondTruncated(const std::shared_ptr<CallerConnection>& aCallerConnection) {
+  const RequestHead& request = aCallerConnection->m_head;
+  const std::string framing = QueryParameter(request.m_target, "framing");
+  ResponseHead head = aCallerConnection->MakeResponseHead(200, m_id);
+  std::string body = "answer to " + request.m_target.substr(0, request.m_target.find('?'));
+  if (request.m_target.starts_with("/stream/")) {
+    head.m_fields.Add("Content-Type", "text/event-stream");
+    body = EventText(1, true) + EventText(2, true);
+  }
+  if (framing == "length") {
+    head.m_fields.Add("Content-Length", std::to_string(body.size()));
+  } else if (framing == "chunks") {
+    head.m_fields.Add("Transfer-Encoding", "chunked");
+    body = EncodeChunk(body) + "0\r\n\r\n";
+  }
+  const std::string response = adapters::http1::Serialize(head) + body;
+  const size_t length = std::strtoul(QueryParameter(request.m_target, "cut").c_str(), nullptr, 10);
+  aCallerConnection->m_inProgress = false;
+  aCallerConnection->m_connection->Write(std::string_view(response).substr(0, length));
+  if (length >= response.size() && framing != "none") {
+    aCallerConnection->m_connection->Resume();
+  } else if (QueryParameter(request.m_target, "end") == "reset") {
+    aCallerConnection->m_timer =
+      m_loop.After(kResetDelay, [this, weak = std::weak_ptr(aCallerConnection)] {
+        if (const auto callerConnection = weak.lock()) {
+          callerConnection->m_connection->Reset();
+          m_callerConnections.erase(callerConnection);
+        }
+      });
+  } else {
+    aCallerConnection->m_connection->CloseWhenFlushed();
+    m_callerConnections.erase(aCallerConnection);
+  }
+}
+
 void Runner::SendNextEvent(const std::shared_ptr<CallerConnection>& aCallerConnection, int aEvent) {
   if (aEvent > kEventsPerStream) {
     aCallerConnection->m_inProgress = false;
--- a/standins/fleet/Runner.h
+++ b/standins/fleet/Runner.h
@@ -61,6 +61,8 @@
   std::string m_team;
   /// Id of the event after which a stream was resumed; empty if it started at the beginning.
   std::string m_lastEventId;
+  /// Whether an earlier call had been executed on the same connection.
+  bool m_isReusedConnection = false;
 };
 
 /// A call that reached a runner, whether or not it ran.
@@ -118,7 +120,9 @@
 };
 
 /// Simulates an endpoint that sends plain responses, and event streams for paths below /stream/.
-/// Must be used only on the thread of the event loop.
+/// The query of a request can ask for a truncated response: `cut` is the number of bytes after
+/// which the connection ends unless the response is complete, `framing` is `length`, `chunks` or
+/// `none`, and `end` is `fin` or `reset`. Must be used only on the thread of the event loop.
 class Runner {
 public:
   /// Number of events of a stream.
@@ -152,6 +156,7 @@
   void AcceptConnection(std::shared_ptr<adapters::http1::ServerConnection> aConnection);
   void Respond(const std::shared_ptr<CallerConnection>& aCallerConnection);
   void AddSignals(adapters::http1::ResponseHead& aHead) const;
+  void RespondTruncated(const std::shared_ptr<CallerConnection>& aCallerConnection);
   void SendNextEvent(const std::shared_ptr<CallerConnection>& aCallerConnection, int aEvent);
   /// Returns the delay between event `aEvent` of a stream and the next one.
   base::Millis DelayAfterEvent(int aEvent) const;
--- a/standins/fleet/main.cpp
+++ b/standins/fleet/main.cpp
@@ -216,7 +216,8 @@
       runs.push_back({ { "call", run.m_attemptId },
                        { "runner", run.m_runner },
                        { "team", run.m_team },
-                       { "last_event", run.m_lastEventId } });
+                       { "last_event", run.m_lastEventId },
+                       { "reused", run.m_isReusedConnection } });
     }
     json arrivals = json::array();
     for (const Arrival& arrival : m_callLog.m_arrivals) {
