--- a/packages/adapters/http1/JsonClient.cpp
+++ b/packages/adapters/http1/JsonClient.cpp
@@ -104,6 +104,7 @@
   events.m_onHead = [weak](ResponseHead&& aHead) {
     if (const auto call = weak.lock()) {
       call->m_result.m_status = aHead.m_status;
+      call->m_result.m_fields = std::move(aHead.m_fields);
     }
   };
   events.m_onBody = [weak](std::string_view aBytes) {
--- a/packages/adapters/http1/JsonClient.h
+++ b/packages/adapters/http1/JsonClient.h
@@ -19,6 +19,8 @@
   /// Whether the request may have reached the service; false only if the connection was never
   /// established.
   bool m_maybeExecuted = false;
+  /// Header fields of the response.
+  Fields m_fields;
 };
 
 /// Calls one HTTP service with small bodies and reuses a few connections to it. Not intended for
--- a/packages/adapters/peer/GossipCodec.cpp
+++ b/packages/adapters/peer/GossipCodec.cpp
@@ -87,7 +87,7 @@
   heartbeat.m_stopping = aFrom.getStopping();
   heartbeat.m_storeReachable = aFrom.getStoreAnswers();
   heartbeat.m_configuration = aFrom.getConfiguration();
-  heartbeat.m_revision = aFrom.getRevision();
+  heartbeat.m_position = { aFrom.getEra(), aFrom.getRevision() };
   heartbeat.m_requestedWorkMs = base::FiniteAmount(aFrom.getWorkAsked());
   for (const auto load : aFrom.getLoads()) {
     heartbeat.m_loads[base::EndpointId(ToString(load.getEndpoint()))] = {
@@ -116,7 +116,8 @@
   aTo.setStopping(aHeartbeat.m_stopping);
   aTo.setStoreAnswers(aHeartbeat.m_storeReachable);
   aTo.setConfiguration(aHeartbeat.m_configuration);
-  aTo.setRevision(aHeartbeat.m_revision);
+  aTo.setEra(aHeartbeat.m_position.m_era);
+  aTo.setRevision(aHeartbeat.m_position.m_revision);
   aTo.setWorkAsked(aHeartbeat.m_requestedWorkMs);
   WriteLoads(aTo, aHeartbeat);
   WriteQuota(aTo, aHeartbeat.m_quota);
@@ -130,26 +131,29 @@
 void WriteUpdate(wire::NewsUpdate::Builder aTo, const gossip::Update& aUpdate) {
   WriteContact(aTo.initFrom(), aUpdate.m_from);
   aTo.setAfter(aUpdate.m_after);
-  aTo.setRevision(aUpdate.m_revision);
+  aTo.setEra(aUpdate.m_position.m_era);
+  aTo.setRevision(aUpdate.m_position.m_revision);
   auto changes = aTo.initChanges(static_cast<unsigned>(aUpdate.m_changes.size()));
   for (unsigned i = 0; i < changes.size(); ++i) {
     const store::Item& item = aUpdate.m_changes[i].m_item;
     changes[i].setKey(item.m_key);
     changes[i].setData(
       kj::arrayPtr(reinterpret_cast<const kj::byte*>(item.m_data.data()), item.m_data.size()));
-    changes[i].setRevision(item.m_revision);
+    changes[i].setRevision(item.m_position.m_revision);
     changes[i].setCreated(item.m_created);
     changes[i].setRemoved(aUpdate.m_changes[i].m_removed);
   }
 }
 
 gossip::Update ReadUpdate(wire::NewsUpdate::Reader aFrom) {
-  gossip::Update update{ ReadContact(aFrom.getFrom()), aFrom.getAfter(), aFrom.getRevision(), {} };
+  gossip::Update update{
+    ReadContact(aFrom.getFrom()), aFrom.getAfter(), { aFrom.getEra(), aFrom.getRevision() }, {}
+  };
   for (const auto change : aFrom.getChanges()) {
     const auto data = change.getData();
     update.m_changes.push_back({ { ToString(change.getKey()),
                                    { reinterpret_cast<const char*>(data.begin()), data.size() },
-                                   change.getRevision(),
+                                   { aFrom.getEra(), change.getRevision() },
                                    change.getCreated() },
                                  change.getRemoved() });
   }
--- a/packages/adapters/peer/news.capnp
+++ b/packages/adapters/peer/news.capnp
@@ -43,6 +43,7 @@
   contacts @11 :List(NewsContact);
   levels @12 :List(NewsTotal);
   asked @13 :List(NewsTotal);
+  era @14 :UInt64;
 }
 
 struct NewsChange {
@@ -58,6 +59,7 @@
   after @1 :UInt64;
   revision @2 :UInt64;
   changes @3 :List(NewsChange);
+  era @4 :UInt64;
 }
 
 struct NewsDatagram {
--- a/packages/adapters/peer/news.capnp.h
+++ b/packages/adapters/peer/news.capnp.h
@@ -101,7 +101,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(962536a4c280ae89, 4, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(962536a4c280ae89, 5, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -131,7 +131,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9b1a004f81b6ba28, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(9b1a004f81b6ba28, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -571,6 +571,8 @@
   inline bool hasAsked() const;
   inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Reader getAsked() const;
 
+  inline  ::uint64_t getEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -673,6 +675,9 @@
   inline void adoptAsked(::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>> disownAsked();
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -833,6 +838,8 @@
   inline bool hasChanges() const;
   inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsChange,  ::capnp::Kind::STRUCT>::Reader getChanges() const;
 
+  inline  ::uint64_t getEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -881,6 +888,9 @@
   inline void adoptChanges(::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsChange,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsChange,  ::capnp::Kind::STRUCT>> disownChanges();
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1608,6 +1618,20 @@
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t NewsBeat::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NewsBeat::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void NewsBeat::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool NewsChange::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1819,6 +1843,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t NewsUpdate::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NewsUpdate::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void NewsUpdate::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::papayafield::adapters::peer::wire::NewsDatagram::Which NewsDatagram::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/packages/adapters/peer/tests/GossipCodecTest.cpp
+++ b/packages/adapters/peer/tests/GossipCodecTest.cpp
@@ -15,7 +15,7 @@
   heartbeat.m_ready = true;
   heartbeat.m_storeReachable = true;
   heartbeat.m_configuration = 42;
-  heartbeat.m_revision = 77;
+  heartbeat.m_position = { 3, 77 };
   heartbeat.m_requestedWorkMs = 12.5;
   heartbeat.m_loads[base::EndpointId("e1")] = { 3, 4000 };
   heartbeat.m_quota.m_granted[base::TeamId("t")] = 100;
@@ -29,8 +29,9 @@
 gossip::Update MakeFullUpdate() {
   return { { base::NodeId("n1"), 5, "10.1.0.14" },
            4,
-           7,
-           { { { "p/a", std::string("\0x", 2), 5, 2 }, false }, { { "p/b", "", 7, 0 }, true } } };
+           { 2, 7 },
+           { { { "p/a", std::string("\0x", 2), { 2, 5 }, 2 }, false },
+             { { "p/b", "", { 2, 7 }, 0 }, true } } };
 }
 
 gossip::LeavingNotice MakeLeavingNotice() {
@@ -62,7 +63,7 @@
   BOOST_TEST(heartbeat->m_ready);
   BOOST_TEST(!heartbeat->m_stopping);
   BOOST_TEST(heartbeat->m_configuration == 42);
-  BOOST_TEST(heartbeat->m_revision == 77U);
+  BOOST_TEST((heartbeat->m_position == store::Position{ 3, 77 }));
   BOOST_TEST(heartbeat->m_loads.at(base::EndpointId("e1")).m_pendingPromptTokens == 4000);
   BOOST_TEST(heartbeat->m_quota.m_requested.at(base::TeamId("t")) == 150);
   BOOST_TEST(heartbeat->m_quota.m_levels.at(base::TeamId("t")) == -5);
@@ -77,13 +78,13 @@
   BOOST_REQUIRE(update != nullptr);
   BOOST_TEST(update->m_from.m_host == "10.1.0.14");
   BOOST_TEST(update->m_after == 4U);
-  BOOST_TEST(update->m_revision == 7U);
+  BOOST_TEST((update->m_position == store::Position{ 2, 7 }));
   BOOST_REQUIRE(update->m_changes.size() == 2U);
   BOOST_TEST(update->m_changes[0].m_item.m_key == "p/a");
   BOOST_TEST(update->m_changes[0].m_item.m_data == std::string("\0x", 2));
   BOOST_TEST(update->m_changes[0].m_item.m_created == 2U);
   BOOST_TEST(!update->m_changes[0].m_removed);
-  BOOST_TEST(update->m_changes[1].m_item.m_revision == 7U);
+  BOOST_TEST((update->m_changes[1].m_item.m_position == store::Position{ 2, 7 }));
   BOOST_TEST(update->m_changes[1].m_removed);
 }
 
--- a/packages/duties/LeaderElection.h
+++ b/packages/duties/LeaderElection.h
@@ -132,12 +132,12 @@
     }
     m_acquireAt.reset();
     m_callInFlight = true;
-    m_store.Grant(m_settings.m_leaseDuration, [this, now](store::Result<store::LeaseId> aLease) {
+    m_store.Grant(m_settings.m_leaseDuration, [this, now](store::Result<store::Lease> aLease) {
       if (!aLease) {
         m_callInFlight = false;
         return;
       }
-      m_lease = *aLease;
+      m_lease = aLease->m_id;
       m_leaseValidUntil = now + m_settings.m_leaseDuration - m_settings.m_safetyMargin;
       CreateLeaderKey();
     });
@@ -147,10 +147,10 @@
     store::Transaction transaction;
     transaction.m_expected[m_settings.m_key] = 0;
     transaction.m_writes.push_back({ m_settings.m_key, LeaderValue(), m_lease });
-    m_store.Commit(transaction, [this](store::Result<uint64_t> aResult) {
+    m_store.Commit(transaction, [this](store::Result<store::Position> aResult) {
       m_callInFlight = false;
       if (aResult) {
-        BecomeLeader(*aResult, m_leaseValidUntil);
+        BecomeLeader(aResult->m_revision, m_leaseValidUntil);
       } else if (aResult.error() != store::Fault::Unknown) {
         m_store.EndLease(m_lease);
         m_lease = 0;
@@ -164,7 +164,7 @@
       return;
     }
     m_callInFlight = true;
-    m_store.Renew(m_lease, [this, now](store::Result<base::Millis> aResult) {
+    m_store.Renew(m_lease, [this, now](store::Result<store::Renewal> aResult) {
       m_callInFlight = false;
       if (!m_fencingToken) {
         return;
--- a/packages/duties/UsageReporter.h
+++ b/packages/duties/UsageReporter.h
@@ -88,7 +88,7 @@
     }
     auto reports = ParseUsageReports(item->m_data, m_ledger.WindowOf(aNow) + kMaxClockLeadWindows);
     if (!reports) {
-      m_log.Event("usage record unreadable", { { "revision", item->m_revision } });
+      m_log.Event("usage record unreadable", { { "revision", item->m_position.m_revision } });
       return {};
     }
     return std::move(*reports);
@@ -163,10 +163,10 @@
     }
     const store::Item* item = m_replica.Find(m_settings.m_key);
     store::Transaction transaction;
-    transaction.m_expected[m_settings.m_key] = item == nullptr ? 0 : item->m_revision;
+    transaction.m_expected[m_settings.m_key] = item == nullptr ? 0 : item->m_position.m_revision;
     transaction.m_writes.push_back({ m_settings.m_key, base::DumpJson(record), 0 });
     m_callInFlight = true;
-    m_store.Commit(transaction, [this, aWindow](store::Result<uint64_t> aResult) {
+    m_store.Commit(transaction, [this, aWindow](store::Result<store::Position> aResult) {
       m_callInFlight = false;
       // The watch delivers the written record, whichever node wrote it; Tick() then sends it.
       m_log.Event("usage written",
--- a/packages/duties/tests/DutiesTest.cpp
+++ b/packages/duties/tests/DutiesTest.cpp
@@ -15,10 +15,11 @@
   void List(const std::string&, const store::OnResult<store::Listing>&) {}
   void Watch(const std::string&, uint64_t, base::Millis, const store::OnResult<store::Changes>&) {}
 
-  void Commit(const store::Transaction& aTransaction, const store::OnResult<uint64_t>& aOnResult) {
+  void Commit(const store::Transaction& aTransaction,
+              const store::OnResult<store::Position>& aOnResult) {
     for (const auto& [key, revision] : aTransaction.m_expected) {
       const auto item = m_items.find(key);
-      if ((item == m_items.end() ? 0 : item->second.m_revision) != revision) {
+      if ((item == m_items.end() ? 0 : item->second.m_position.m_revision) != revision) {
         aOnResult(tl::unexpected(store::Fault::Conflict));
         return;
       }
@@ -27,7 +28,7 @@
     for (const auto& write : aTransaction.m_writes) {
       store::Item& item = m_items[write.m_key];
       item = {
-        write.m_key, write.m_data, m_revision, item.m_created == 0 ? m_revision : item.m_created
+        write.m_key, write.m_data, Now(), item.m_created == 0 ? m_revision : item.m_created
       };
       m_leases[write.m_key] = write.m_lease;
     }
@@ -35,23 +36,25 @@
       aOnResult(tl::unexpected(store::Fault::Unknown));
       return;
     }
-    aOnResult(m_revision);
+    aOnResult(Now());
   }
 
-  void Grant(base::Millis, const store::OnResult<store::LeaseId>& aOnResult) {
-    aOnResult(++m_lease);
+  void Grant(base::Millis, const store::OnResult<store::Lease>& aOnResult) {
+    aOnResult(store::Lease{ ++m_lease, m_era });
   }
-  void Renew(store::LeaseId aLease, const store::OnResult<base::Millis>& aOnResult) {
+  void Renew(store::LeaseId aLease, const store::OnResult<store::Renewal>& aOnResult) {
     if (m_endedLeases.contains(aLease)) {
       aOnResult(tl::unexpected(store::Fault::NoLease));
     } else {
-      aOnResult(base::Millis(1));
+      aOnResult(store::Renewal{ base::Millis(1), m_era });
     }
   }
   void EndLease(store::LeaseId aLease) {
     m_endedLeases.insert(aLease);
     std::erase_if(m_items, [&](const auto& aItem) { return m_leases[aItem.first] == aLease; });
   }
+  uint64_t LatestEra() const { return m_era; }
+  store::Position Now() const { return { m_era, m_revision }; }
 
   void ExpireLeases() {
     for (const auto& [key, lease] : std::map(m_leases)) {
@@ -64,13 +67,17 @@
     std::vector<store::Item> items;
     for (const auto& [key, item] : m_items) {
       items.push_back(item);
+      items.back().m_position.m_era = m_era;
     }
-    aReplica.Replace("", items, ++m_revision);
+    ++m_revision;
+    aReplica.Replace("", items, Now());
+    aReplica.Advance(Now());
   }
 
   std::map<std::string, store::Item> m_items;
   std::map<std::string, store::LeaseId> m_leases;
   std::set<store::LeaseId> m_endedLeases;
+  uint64_t m_era = 1;
   uint64_t m_revision = 10;
   store::LeaseId m_lease = 0;
   bool m_loseNextResponse = false;
@@ -139,7 +146,7 @@
 
   base::ManualClock m_clock;
   sync::StoreReplica m_replica{
-    [](const std::string&, const std::optional<store::Item>&, uint64_t) {}
+    [](const std::string&, const std::optional<store::Item>&, const store::Position&) {}
   };
   LeaderElection<FakeStore, NodeClock> m_election;
   UsageLedger m_ledger;
@@ -230,7 +237,7 @@
   node.m_ledger.CountLocalRequest(kTeam, (window - 1) * kWindowMs + 1);
   const std::string record =
     R"([{"window":)" + std::to_string(window + 2) + R"(,"counts":{"team":5}}])";
-  store.m_items["usage"] = { "usage", record, 7, 7 };
+  store.m_items["usage"] = { "usage", record, { 1, 7 }, 7 };
   for (int tick = 0; tick < 3; ++tick) {
     store.UpdateReplica(node.m_replica);
     node.m_reporter.Tick(Leadership{ 1, base::TimePoint::max() });
@@ -247,7 +254,7 @@
   Node late(store, platform, "late");
   const int64_t window = late.m_ledger.WindowOf(base::WallMillis()) - 1;
   late.m_ledger.CountLocalRequest(kTeam, window * kWindowMs + 1);
-  store.m_items["usage"] = { "usage", "[]", 77, 77 };
+  store.m_items["usage"] = { "usage", "[]", { 1, 77 }, 77 };
   late.m_reporter.Tick(Leadership{ 1, base::TimePoint::max() });
   BOOST_TEST(platform.m_reports.empty());
 }
--- a/packages/duties/tests/LeadershipTest.cpp
+++ b/packages/duties/tests/LeadershipTest.cpp
@@ -70,6 +70,9 @@
   store::LeaseId m_lastLease = 0;
   std::map<store::LeaseId, TimePoint> m_expiry;
   std::set<store::LeaseId> m_ended;
+  store::Position Now() const { return { m_era, m_revision }; }
+
+  uint64_t m_era = 1;
   uint64_t m_revision = 10;
 };
 
@@ -92,9 +95,10 @@
   void List(const std::string&, const store::OnResult<store::Listing>&) {}
   void Watch(const std::string&, uint64_t, Millis, const store::OnResult<store::Changes>&) {}
 
-  void Commit(const store::Transaction& aTransaction, const store::OnResult<uint64_t>& aOnResult) {
-    Call<uint64_t>(
-      [this, aTransaction]() -> store::Result<uint64_t> {
+  void Commit(const store::Transaction& aTransaction,
+              const store::OnResult<store::Position>& aOnResult) {
+    Call<store::Position>(
+      [this, aTransaction]() -> store::Result<store::Position> {
         const auto& write = aTransaction.m_writes.front();
         if (m_store.m_ended.contains(write.m_lease) ||
             m_store.m_expiry[write.m_lease] <= m_world.m_now) {
@@ -104,34 +108,35 @@
           return tl::unexpected(store::Fault::Conflict);
         }
         ++m_store.m_revision;
-        m_store.m_item = { kKey, write.m_data, m_store.m_revision, m_store.m_revision };
+        m_store.m_item = { kKey, write.m_data, m_store.Now(), m_store.m_revision };
         m_store.m_lease = write.m_lease;
-        return m_store.m_revision;
+        return m_store.Now();
       },
       aOnResult);
   }
-  void Grant(Millis aDuration, const store::OnResult<store::LeaseId>& aOnResult) {
-    Call<store::LeaseId>(
-      [this, aDuration]() -> store::Result<store::LeaseId> {
+  void Grant(Millis aDuration, const store::OnResult<store::Lease>& aOnResult) {
+    Call<store::Lease>(
+      [this, aDuration]() -> store::Result<store::Lease> {
         m_store.m_expiry[++m_store.m_lastLease] = m_world.m_now + aDuration;
-        return m_store.m_lastLease;
+        return store::Lease{ m_store.m_lastLease, m_store.m_era };
       },
       aOnResult);
   }
-  void Renew(store::LeaseId aLease, const store::OnResult<Millis>& aOnResult) {
-    Call<Millis>(
-      [this, aLease]() -> store::Result<Millis> {
+  void Renew(store::LeaseId aLease, const store::OnResult<store::Renewal>& aOnResult) {
+    Call<store::Renewal>(
+      [this, aLease]() -> store::Result<store::Renewal> {
         if (m_store.m_ended.contains(aLease) || m_store.m_expiry[aLease] <= m_world.m_now) {
           return tl::unexpected(store::Fault::NoLease);
         }
         m_store.m_expiry[aLease] = m_world.m_now + kLease;
-        return kLease;
+        return store::Renewal{ kLease, m_store.m_era };
       },
       aOnResult);
   }
   void EndLease(store::LeaseId aLease) {
     m_world.After(m_world.Draw(1, 50), [this, aLease] { m_store.m_ended.insert(aLease); });
   }
+  uint64_t LatestEra() const { return m_latestEra; }
 
 private:
   /// Delivers a call to the store, and its response to this incarnation of the process.
@@ -141,11 +146,13 @@
     m_world.After(delay, [this, aCall, aOnResult, incarnation = m_host.m_incarnation] {
       m_store.RemoveExpired();
       store::Result<T> result = aCall();
+      const uint64_t era = m_store.m_era;
       const bool lost = m_world.Chance(0.1);
       const Millis back = lost ? Millis(1500) : m_world.Draw(1, 20);
       const TimePoint at = std::max(m_world.m_now + back, m_host.m_pausedUntil);
-      m_world.At(at, [this, aOnResult, result, lost, incarnation] {
+      m_world.At(at, [this, aOnResult, result, lost, incarnation, era] {
         if (m_host.m_incarnation == incarnation) {
+          m_latestEra = std::max(m_latestEra, lost ? 0 : era);
           aOnResult(lost ? tl::unexpected(store::Fault::Unknown) : result);
         }
       });
@@ -155,6 +162,7 @@
   World& m_world;
   SharedStore& m_store;
   Host& m_host;
+  uint64_t m_latestEra = 0;
 };
 
 static_assert(store::StorePort<StoreConnection>);
@@ -197,7 +205,7 @@
   void Start(Node& aNode) {
     ++aNode.m_host.m_incarnation;
     aNode.m_replica = std::make_unique<sync::StoreReplica>(
-      [](const std::string&, const std::optional<store::Item>&, uint64_t) {});
+      [](const std::string&, const std::optional<store::Item>&, const store::Position&) {});
     aNode.m_election = std::make_unique<Election>(
       *aNode.m_connection,
       *aNode.m_replica,
@@ -217,13 +225,14 @@
     }
     m_store.RemoveExpired();
     const auto item = m_store.m_item;
-    const uint64_t revision = m_store.m_revision;
-    m_world.After(m_world.Draw(1, 300), [&aNode, item, revision] {
+    const store::Position position = m_store.Now();
+    m_world.After(m_world.Draw(1, 300), [&aNode, item, position] {
       std::vector<store::Item> items;
       if (item) {
         items.push_back(*item);
       }
-      aNode.m_replica->Replace("", items, revision);
+      aNode.m_replica->Replace("", items, position);
+      aNode.m_replica->Advance(position);
     });
     aNode.m_election->Tick(true);
     if (const auto leadership = aNode.m_election->CurrentLeadership()) {
--- a/packages/fleet/EndpointDirectory.cpp
+++ b/packages/fleet/EndpointDirectory.cpp
@@ -17,13 +17,13 @@
 }
 
 void EndpointDirectory::Put(const Registration& aRegistration) {
-  m_lastRevision = std::max(m_lastRevision, aRegistration.m_revision);
+  m_lastPosition = std::max(m_lastPosition, aRegistration.m_position);
   const auto removed = m_tombstones.find(aRegistration.m_id);
-  if (removed != m_tombstones.end() && removed->second >= aRegistration.m_revision) {
+  if (removed != m_tombstones.end() && removed->second >= aRegistration.m_position) {
     return;
   }
   const auto known = m_endpoints.find(aRegistration.m_id);
-  if (known != m_endpoints.end() && known->second.m_revision > aRegistration.m_revision) {
+  if (known != m_endpoints.end() && known->second.m_position > aRegistration.m_position) {
     return;
   }
   m_missing.erase(aRegistration.m_id);
@@ -36,17 +36,17 @@
 }
 
 void EndpointDirectory::Remove(const base::EndpointId& aId,
-                               uint64_t aRevision,
+                               const store::Position& aPosition,
                                base::TimePoint aNow) {
-  m_lastRevision = std::max(m_lastRevision, aRevision);
+  m_lastPosition = std::max(m_lastPosition, aPosition);
   const auto known = m_endpoints.find(aId);
-  if (known != m_endpoints.end() && known->second.m_revision > aRevision) {
+  if (known != m_endpoints.end() && known->second.m_position > aPosition) {
     return;
   }
   if (m_tombstones.size() >= kMaxTombstones) {
     m_tombstones.clear();
   }
-  m_tombstones[aId] = aRevision;
+  m_tombstones[aId] = aPosition;
   if (known == m_endpoints.end()) {
     return;
   }
@@ -60,7 +60,7 @@
 }
 
 void EndpointDirectory::Replace(const std::vector<Registration>& aRegistrations,
-                                uint64_t aRevision,
+                                const store::Position& aPosition,
                                 base::TimePoint aNow) {
   std::set<base::EndpointId> listed;
   for (const Registration& registration : aRegistrations) {
@@ -69,12 +69,12 @@
   }
   std::vector<base::EndpointId> missing;
   for (const auto& [id, endpoint] : m_endpoints) {
-    if (!listed.contains(id) && endpoint.m_revision <= aRevision) {
+    if (!listed.contains(id) && endpoint.m_position <= aPosition) {
       missing.push_back(id);
     }
   }
   for (const base::EndpointId& id : missing) {
-    Remove(id, m_endpoints[id].m_revision, aNow);
+    Remove(id, m_endpoints[id].m_position, aNow);
   }
 }
 
--- a/packages/fleet/EndpointDirectory.h
+++ b/packages/fleet/EndpointDirectory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/Catalog.h"
+#include "store/Position.h"
 
 #include <cstdint>
 #include <functional>
@@ -23,14 +24,14 @@
   bool m_draining = false;
   /// Whether its host is preemptible.
   bool m_reclaimable = false;
-  /// Store revision of the registration.
-  uint64_t m_revision = 0;
+  /// Store position of the registration.
+  store::Position m_position;
 };
 
 /// A registration read from the store. `m_endpoint` is nullopt if it could not be parsed.
 struct Registration {
   base::EndpointId m_id;
-  uint64_t m_revision = 0;
+  store::Position m_position;
   std::optional<Endpoint> m_endpoint;
 };
 
@@ -45,13 +46,13 @@
     : m_gracePeriod(aGracePeriod) {}
 
   /// Adds or updates an endpoint from a registration, or removes it if the registration could not
-  /// be parsed. Older revisions are ignored.
+  /// be parsed. Older positions are ignored.
   void Put(const Registration& aRegistration);
-  /// Handles the removal of a registration at `aRevision`.
-  void Remove(const base::EndpointId& aId, uint64_t aRevision, base::TimePoint aNow);
-  /// Replaces all registrations with `aRegistrations`, a complete listing at `aRevision`.
+  /// Handles the removal of a registration at `aPosition`.
+  void Remove(const base::EndpointId& aId, const store::Position& aPosition, base::TimePoint aNow);
+  /// Replaces all registrations with `aRegistrations`, a complete listing at `aPosition`.
   void Replace(const std::vector<Registration>& aRegistrations,
-               uint64_t aRevision,
+               const store::Position& aPosition,
                base::TimePoint aNow);
   /// Records that no known node can reach the store.
   void OnStoreLost();
@@ -65,8 +66,8 @@
   const std::vector<Endpoint>& Ready() const { return m_ready; }
   /// Returns all known endpoints, including draining ones.
   const std::map<base::EndpointId, Endpoint>& All() const { return m_endpoints; }
-  /// Returns the greatest revision of any registration or removal so far.
-  uint64_t LastRevision() const { return m_lastRevision; }
+  /// Returns the latest position of any registration or removal so far.
+  const store::Position& LastPosition() const { return m_lastPosition; }
 
 private:
   bool DefersRemovals(base::TimePoint aNow) const;
@@ -74,12 +75,12 @@
 
   base::Millis m_gracePeriod;
   std::map<base::EndpointId, Endpoint> m_endpoints;
-  std::map<base::EndpointId, uint64_t> m_tombstones;
+  std::map<base::EndpointId, store::Position> m_tombstones;
   std::set<base::EndpointId> m_missing;
   std::vector<Endpoint> m_ready;
   bool m_storeLost = false;
   std::optional<base::TimePoint> m_graceEnd;
-  uint64_t m_lastRevision = 0;
+  store::Position m_lastPosition;
 };
 
 } // namespace papayafield::fleet
--- a/packages/fleet/tests/FleetTest.cpp
+++ b/packages/fleet/tests/FleetTest.cpp
@@ -15,8 +15,8 @@
   endpoint.m_incarnation = { base::EndpointId(aId), 1 };
   endpoint.m_service = ServiceId("s");
   endpoint.m_draining = aDraining;
-  endpoint.m_revision = aRevision;
-  return { base::EndpointId(aId), aRevision, endpoint };
+  endpoint.m_position = { 0, aRevision };
+  return { base::EndpointId(aId), { 0, aRevision }, endpoint };
 }
 
 const base::TimePoint kStart{ std::chrono::hours(1) };
@@ -49,7 +49,7 @@
   directory.Put(RegistrationOf("b", 2));
   BOOST_TEST(directory.Ready().size() == 2U);
   directory.Put(RegistrationOf("a", 3, true));
-  directory.Put({ base::EndpointId("b"), 4, std::nullopt });
+  directory.Put({ base::EndpointId("b"), { 0, 4 }, std::nullopt });
   BOOST_TEST(directory.Ready().empty());
 }
 
@@ -58,7 +58,7 @@
   directory.Put(RegistrationOf("a", 5, true));
   directory.Put(RegistrationOf("a", 4));
   BOOST_TEST(directory.Ready().empty());
-  directory.Remove(base::EndpointId("a"), 6, kStart);
+  directory.Remove(base::EndpointId("a"), { 0, 6 }, kStart);
   directory.Put(RegistrationOf("a", 5));
   BOOST_TEST(directory.All().empty());
   directory.Put(RegistrationOf("a", 7));
@@ -72,8 +72,8 @@
   directory.Put(RegistrationOf("a", 1));
   directory.Put(RegistrationOf("b", 2));
   directory.OnStoreLost();
-  directory.Remove(base::EndpointId("a"), 3, kStart);
-  directory.Remove(base::EndpointId("b"), 4, kStart);
+  directory.Remove(base::EndpointId("a"), { 0, 3 }, kStart);
+  directory.Remove(base::EndpointId("b"), { 0, 4 }, kStart);
   BOOST_TEST(directory.Ready().size() == 2U);
   directory.OnStoreRecovered(kStart);
   BOOST_TEST(directory.RemoveExpired(kStart + kGracePeriod / 2).empty());
@@ -86,7 +86,7 @@
   EndpointDirectory directory(kGracePeriod);
   directory.Put(RegistrationOf("a", 1, true));
   directory.OnStoreLost();
-  directory.Remove(base::EndpointId("a"), 2, kStart);
+  directory.Remove(base::EndpointId("a"), { 0, 2 }, kStart);
   BOOST_TEST(directory.All().empty());
 }
 
@@ -94,7 +94,7 @@
   EndpointDirectory directory(kGracePeriod);
   directory.Put(RegistrationOf("a", 1));
   directory.Put(RegistrationOf("b", 9));
-  directory.Replace({ RegistrationOf("c", 3) }, 5, kStart);
+  directory.Replace({ RegistrationOf("c", 3) }, { 0, 5 }, kStart);
   // "b" was written after the listing was made.
   BOOST_TEST(directory.All().size() == 2U);
   BOOST_TEST(!directory.All().contains(base::EndpointId("a")));
--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -553,7 +553,8 @@
     "attempt failed",
     { { "request", m_call.m_id },
       { "endpoint", endpoint.m_incarnation.m_endpoint.Text() },
-      { "revision", endpoint.m_revision },
+      { "era", endpoint.m_position.m_era },
+      { "revision", endpoint.m_position.m_revision },
       { "fault", base::NameOf(aFault) },
       { "why", aDetail },
       { "reused", aAttempt->m_reused },
@@ -748,7 +749,8 @@
       { "first_ms", m_firstByteAt == base::TimePoint{} ? -1 : elapsedMs(m_firstByteAt) },
       { "total_ms", elapsedMs(now) },
       { "version", m_catalog->Version() },
-      { "endpoints", m_node.m_directory.LastRevision() } });
+      { "era", m_node.m_directory.LastPosition().m_era },
+      { "endpoints", m_node.m_directory.LastPosition().m_revision } });
   // Deferred because destroying the sink's owner may destroy this call.
   m_node.m_loop.Defer([sink = std::make_shared<AnswerSink>(std::exchange(m_sink, {}))] {});
 }
--- a/packages/gossip/Heartbeat.h
+++ b/packages/gossip/Heartbeat.h
@@ -4,6 +4,7 @@
 #include "duties/UsageLedger.h"
 #include "placement/Placement.h"
 #include "quota/QuotaLedger.h"
+#include "store/Position.h"
 
 #include <cstdint>
 #include <map>
@@ -36,8 +37,8 @@
   /// Whether the node can reach the store.
   bool m_storeReachable = false;
   int64_t m_configuration = 0;
-  /// Revision of the store up to which the node has applied all changes.
-  uint64_t m_revision = 0;
+  /// Position of the store up to which the node has applied all changes.
+  store::Position m_position;
   /// Total engine work requested since the node started, in engine milliseconds.
   double m_requestedWorkMs = 0;
   /// Calls of this node in flight, by endpoint.
--- a/packages/gossip/PeerTable.cpp
+++ b/packages/gossip/PeerTable.cpp
@@ -40,7 +40,7 @@
            aHeartbeat.m_stopping || stopping,
            aHeartbeat.m_storeReachable,
            aHeartbeat.m_configuration,
-           aHeartbeat.m_revision,
+           aHeartbeat.m_position,
            aHeartbeat.m_requestedWorkMs,
            registered,
            aNow,
@@ -125,14 +125,14 @@
          }));
 }
 
-const Peer* PeerTable::MostAdvancedPeer(uint64_t aRevision,
+const Peer* PeerTable::MostAdvancedPeer(const store::Position& aPosition,
                                         base::TimePoint aNow,
                                         const std::set<std::string>& aExcludedHosts) const {
   const Peer* best = nullptr;
   for (const auto& [node, peer] : m_peers) {
-    if (IsAlive(peer, aNow) && peer.m_revision > aRevision &&
+    if (IsAlive(peer, aNow) && peer.m_position > aPosition &&
         !aExcludedHosts.contains(peer.m_contact.m_host) &&
-        (best == nullptr || peer.m_revision > best->m_revision)) {
+        (best == nullptr || peer.m_position > best->m_position)) {
       best = &peer;
     }
   }
--- a/packages/gossip/PeerTable.h
+++ b/packages/gossip/PeerTable.h
@@ -19,7 +19,7 @@
   bool m_stopping = false;
   bool m_storeReachable = false;
   int64_t m_configuration = 0;
-  uint64_t m_revision = 0;
+  store::Position m_position;
   double m_requestedWorkMs = 0;
   /// Whether the node is registered in the store.
   bool m_registered = false;
@@ -70,9 +70,9 @@
   /// Returns the number of known nodes, including this one. A silent node among them may still be
   /// serving clients.
   size_t KnownCount() const { return m_peers.size() + 1; }
-  /// Returns the live peer with the greatest store revision, or null if none is above `aRevision`.
+  /// Returns the live peer with the latest store position, or null if none is after `aPosition`.
   /// Peers on the hosts `aExcludedHosts` are not considered.
-  const Peer* MostAdvancedPeer(uint64_t aRevision,
+  const Peer* MostAdvancedPeer(const store::Position& aPosition,
                                base::TimePoint aNow,
                                const std::set<std::string>& aExcludedHosts = {}) const;
   /// Returns whether every known node that is not stopping has sent a heartbeat within `aTimeout`.
--- a/packages/gossip/Update.cpp
+++ b/packages/gossip/Update.cpp
@@ -14,34 +14,35 @@
 
 } // namespace
 
-UpdateAction ClassifyUpdate(const Update& aUpdate, uint64_t aRevision) {
-  if (aUpdate.m_revision <= aRevision) {
+UpdateAction ClassifyUpdate(const Update& aUpdate, const store::Position& aPosition) {
+  if (aUpdate.m_position <= aPosition) {
     return UpdateAction::Ignore;
   }
-  const bool follows = aUpdate.m_after <= aRevision && !aUpdate.m_changes.empty();
+  const bool follows = aUpdate.m_position.m_era == aPosition.m_era &&
+                       aUpdate.m_after <= aPosition.m_revision && !aUpdate.m_changes.empty();
   return follows ? UpdateAction::Apply : UpdateAction::Fetch;
 }
 
 std::vector<Update> SplitUpdate(const Contact& aFrom,
-                                uint64_t aAfter,
+                                const store::Position& aAfter,
                                 const std::vector<store::Change>& aChanges) {
   std::vector<Update> updates;
   size_t bytes = kMaxChangeBytesPerUpdate;
-  uint64_t after = aAfter;
+  store::Position after = aAfter;
   for (const store::Change& change : aChanges) {
     const size_t size =
       change.m_item.m_key.size() + change.m_item.m_data.size() + kChangeOverheadBytes;
     if (bytes + size > kMaxChangeBytesPerUpdate) {
-      updates.push_back({ aFrom, after, after, {} });
+      updates.push_back({ aFrom, after.m_revision, after, {} });
       bytes = 0;
     }
     bytes += size;
-    after = change.m_item.m_revision;
-    updates.back().m_revision = after;
+    after = change.m_item.m_position;
+    updates.back().m_position = after;
     updates.back().m_changes.push_back(change);
   }
   if (updates.empty() || updates.size() > kMaxUpdates) {
-    return { { aFrom, aAfter, after, {} } };
+    return { { aFrom, aAfter.m_revision, after, {} } };
   }
   return updates;
 }
--- a/packages/gossip/Update.h
+++ b/packages/gossip/Update.h
@@ -10,10 +10,11 @@
 /// Store changes that a node which watches the store broadcasts at once.
 struct Update {
   Contact m_from;
-  /// `m_changes` holds all changes after this revision, up to `m_revision`. If it is empty although
-  /// the two revisions differ, the changes are too many for datagrams and must be fetched.
+  /// `m_changes` holds all changes after this revision, up to `m_position` in its era. If it is
+  /// empty although the two revisions differ, the changes are too many for datagrams and must be
+  /// fetched.
   uint64_t m_after = 0;
-  uint64_t m_revision = 0;
+  store::Position m_position;
   std::vector<store::Change> m_changes;
 };
 
@@ -27,15 +28,15 @@
   Fetch,
 };
 
-/// Returns the action to take by a node that has applied all changes up to `aRevision`. Thread
+/// Returns the action to take by a node that has applied all changes up to `aPosition`. Thread
 /// safe.
-UpdateAction ClassifyUpdate(const Update& aUpdate, uint64_t aRevision);
+UpdateAction ClassifyUpdate(const Update& aUpdate, const store::Position& aPosition);
 
 /// Splits `aChanges` in order into updates that fit one datagram each. Returns a single update
-/// without changes if there are none or too many. Precondition: `aChanges` are sorted by revision
-/// and are all changes after `aAfter`. Thread safe.
+/// without changes if there are none or too many. Precondition: `aChanges` are sorted by revision,
+/// belong to the era of `aAfter`, and are all changes after it. Thread safe.
 std::vector<Update> SplitUpdate(const Contact& aFrom,
-                                uint64_t aAfter,
+                                const store::Position& aAfter,
                                 const std::vector<store::Change>& aChanges);
 
 } // namespace papayafield::gossip
--- a/packages/gossip/tests/PeerTableTest.cpp
+++ b/packages/gossip/tests/PeerTableTest.cpp
@@ -17,7 +17,7 @@
   Heartbeat heartbeat;
   heartbeat.m_from = ContactOf(aNode, aStartMs);
   heartbeat.m_ready = true;
-  heartbeat.m_revision = aRevision;
+  heartbeat.m_position = { 0, aRevision };
   return heartbeat;
 }
 
@@ -159,11 +159,12 @@
   PeerTable peers(ContactOf("1"));
   peers.MergeHeartbeat(HeartbeatOf("2", 1, 10), kNow);
   peers.MergeHeartbeat(HeartbeatOf("3", 1, 12), kNow);
-  BOOST_TEST(peers.MostAdvancedPeer(9, kNow)->m_contact.m_node.Text() == "3");
-  BOOST_TEST(peers.MostAdvancedPeer(12, kNow) == nullptr);
+  BOOST_TEST(peers.MostAdvancedPeer({ 0, 9 }, kNow)->m_contact.m_node.Text() == "3");
+  BOOST_TEST(peers.MostAdvancedPeer({ 0, 12 }, kNow) == nullptr);
   // A peer that did not answer is skipped, so that another is asked.
-  BOOST_TEST(peers.MostAdvancedPeer(9, kNow, { "10.0.0.3" })->m_contact.m_node.Text() == "2");
-  BOOST_TEST(peers.MostAdvancedPeer(9, kNow + std::chrono::seconds(5)) == nullptr);
+  BOOST_TEST(peers.MostAdvancedPeer({ 0, 9 }, kNow, { "10.0.0.3" })->m_contact.m_node.Text() ==
+             "2");
+  BOOST_TEST(peers.MostAdvancedPeer({ 0, 9 }, kNow + std::chrono::seconds(5)) == nullptr);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/gossip/tests/UpdateTest.cpp
+++ b/packages/gossip/tests/UpdateTest.cpp
@@ -13,7 +13,7 @@
   std::vector<store::Change> changes;
   for (uint64_t i = 0; i < aCount; ++i) {
     changes.push_back(
-      { { "k" + std::to_string(i), std::string(aBytes, 'x'), aFirst + i, 1 }, i % 2 == 1 });
+      { { "k" + std::to_string(i), std::string(aBytes, 'x'), { 0, aFirst + i }, 1 }, i % 2 == 1 });
   }
   return changes;
 }
@@ -25,7 +25,7 @@
 // A burst of registrations is split into datagrams below the MTU, each continuing from the last.
 BOOST_AUTO_TEST_CASE(UpdatesAreContiguous) {
   const auto changes = ChangesOf(11, 12, 300);
-  const auto updates = SplitUpdate(kSender, 10, changes);
+  const auto updates = SplitUpdate(kSender, { 0, 10 }, changes);
   BOOST_TEST(updates.size() > 1U);
   uint64_t revision = 10;
   size_t count = 0;
@@ -35,8 +35,8 @@
       bytes += change.m_item.m_key.size() + change.m_item.m_data.size();
     }
     BOOST_TEST(bytes < 1400U);
-    BOOST_TEST((ClassifyUpdate(update, revision) == UpdateAction::Apply));
-    revision = update.m_revision;
+    BOOST_TEST((ClassifyUpdate(update, { 0, revision }) == UpdateAction::Apply));
+    revision = update.m_position.m_revision;
     count += update.m_changes.size();
   }
   BOOST_TEST(revision == 22U);
@@ -45,18 +45,18 @@
 
 // A node that has lost a datagram must not apply a later one as if nothing were missing.
 BOOST_AUTO_TEST_CASE(GapRequiresFetch) {
-  const auto updates = SplitUpdate(kSender, 10, ChangesOf(11, 12, 300));
+  const auto updates = SplitUpdate(kSender, { 0, 10 }, ChangesOf(11, 12, 300));
   BOOST_REQUIRE(updates.size() > 1U);
-  BOOST_TEST((ClassifyUpdate(updates[1], 10) == UpdateAction::Fetch));
-  BOOST_TEST((ClassifyUpdate(updates[0], 22) == UpdateAction::Ignore));
+  BOOST_TEST((ClassifyUpdate(updates[1], { 0, 10 }) == UpdateAction::Fetch));
+  BOOST_TEST((ClassifyUpdate(updates[0], { 0, 22 }) == UpdateAction::Ignore));
 }
 
 BOOST_AUTO_TEST_CASE(TooManyChangesRequireFetch) {
-  const auto updates = SplitUpdate(kSender, 10, ChangesOf(11, 400, 300));
+  const auto updates = SplitUpdate(kSender, { 0, 10 }, ChangesOf(11, 400, 300));
   BOOST_REQUIRE(updates.size() == 1U);
-  BOOST_TEST(updates[0].m_revision == 410U);
-  BOOST_TEST((ClassifyUpdate(updates[0], 10) == UpdateAction::Fetch));
-  BOOST_TEST((ClassifyUpdate(updates[0], 410) == UpdateAction::Ignore));
+  BOOST_TEST(updates[0].m_position.m_revision == 410U);
+  BOOST_TEST((ClassifyUpdate(updates[0], { 0, 10 }) == UpdateAction::Fetch));
+  BOOST_TEST((ClassifyUpdate(updates[0], { 0, 410 }) == UpdateAction::Ignore));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/serving/GossipExchange.cpp
+++ b/packages/serving/GossipExchange.cpp
@@ -161,7 +161,8 @@
   }
 }
 
-void GossipExchange::SendUpdate(uint64_t aAfter, const std::vector<store::Change>& aChanges) {
+void GossipExchange::SendUpdate(const store::Position& aAfter,
+                                const std::vector<store::Change>& aChanges) {
   const auto hosts = m_peerTable.LiveHostsInZone(m_settings.m_zone, base::BootNow());
   for (const gossip::Update& update : gossip::SplitUpdate(m_self, aAfter, aChanges)) {
     const std::string bytes = adapters::peer::EncodeUpdate(update);
@@ -173,11 +174,11 @@
 
 void GossipExchange::HandleUpdate(const gossip::Update& aUpdate) {
   m_lastUpdateTime = base::BootNow();
-  switch (gossip::ClassifyUpdate(aUpdate, m_replica.LastRevision())) {
+  switch (gossip::ClassifyUpdate(aUpdate, m_replica.LastPosition())) {
     case gossip::UpdateAction::Ignore:
       break;
     case gossip::UpdateAction::Apply:
-      m_replica.CatchUp(aUpdate.m_changes, false, aUpdate.m_revision);
+      m_replica.CatchUp(aUpdate.m_changes, false, aUpdate.m_position);
       break;
     case gossip::UpdateAction::Fetch:
       Fetch(aUpdate.m_from.m_host);
@@ -186,8 +187,11 @@
 }
 
 SimpleResponse GossipExchange::HandleReplicaRequest(const RequestHead& aHead) const {
-  const uint64_t after =
-    std::strtoull(adapters::http1::QueryParameter(aHead.m_target, "after").c_str(), nullptr, 10);
+  const auto number = [&](const char* aName) {
+    return std::strtoull(
+      adapters::http1::QueryParameter(aHead.m_target, aName).c_str(), nullptr, 10);
+  };
+  const store::Position after{ number("era"), number("after") };
   return { 200, "application/cbor", EncodeReplica(m_replica, after) };
 }
 
@@ -197,13 +201,13 @@
     m_log.Event("invalid store replica dropped", { { "bytes", aBytes.size() } });
     return;
   }
-  m_replica.CatchUp(snapshot->m_changes, snapshot->m_complete, snapshot->m_revision);
+  m_replica.CatchUp(snapshot->m_changes, snapshot->m_complete, snapshot->m_position);
 }
 
 void GossipExchange::FetchIfBehind(bool aOwnStoreReachable) {
   const auto now = base::BootNow();
   const gossip::Peer* ahead =
-    m_peerTable.MostAdvancedPeer(m_replica.LastRevision(), now, UnresponsiveHosts(now));
+    m_peerTable.MostAdvancedPeer(m_replica.LastPosition(), now, UnresponsiveHosts(now));
   if (ahead == nullptr) {
     m_behindSince.reset();
     return;
@@ -236,11 +240,13 @@
     client = std::make_unique<adapters::http1::JsonClient>(
       m_loop, base::Address{ aHost, m_settings.m_replicaPort });
   }
-  const std::string target = "/image?after=" + std::to_string(m_replica.LastRevision());
+  const store::Position before = m_replica.LastPosition();
+  const std::string target =
+    "/image?after=" + std::to_string(before.m_revision) + "&era=" + std::to_string(before.m_era);
   client->Call("GET", target, {}, {}, kFetchTimeout, [this, host = aHost](CallResult aResult) {
     m_fetching = false;
     m_behindSince.reset();
-    const uint64_t before = m_replica.LastRevision();
+    const store::Position before = m_replica.LastPosition();
     if (aResult.m_status == 200) {
       ApplyReplica(aResult.m_body);
     } else {
@@ -249,8 +255,10 @@
     m_log.Event("store replica fetch ended",
                 { { "host", host },
                   { "status", aResult.m_status },
-                  { "revision_before", before },
-                  { "revision", m_replica.LastRevision() } });
+                  { "era_before", before.m_era },
+                  { "revision_before", before.m_revision },
+                  { "era", m_replica.LastPosition().m_era },
+                  { "revision", m_replica.LastPosition().m_revision } });
   });
 }
 
--- a/packages/serving/GossipExchange.h
+++ b/packages/serving/GossipExchange.h
@@ -49,9 +49,8 @@
                             const std::vector<std::string>& aAlways);
   /// Returns the number of rounds after which each node has been sent a heartbeat.
   size_t RoundsPerFleet() const;
-  /// Sends changes to the other nodes of this zone at once: all changes after revision `aAfter`, in
-  /// order.
-  void SendUpdate(uint64_t aAfter, const std::vector<store::Change>& aChanges);
+  /// Sends changes to the other nodes of this zone at once: all changes after `aAfter`, in order.
+  void SendUpdate(const store::Position& aAfter, const std::vector<store::Change>& aChanges);
   /// Informs other nodes of the endpoints that leave: all nodes of a small fleet, some of a large
   /// one, which pass it on. Several calls in a short time cause one datagram to each of them. Each
   /// round of heartbeats repeats it.
@@ -59,7 +58,7 @@
   /// Returns when the last update from a node that watches the store arrived, or nullopt before the
   /// first one.
   std::optional<base::TimePoint> LastUpdateTime() const { return m_lastUpdateTime; }
-  /// Fetches the replica of a peer that has a newer revision. `aOwnStoreReachable`: this node
+  /// Fetches the replica of a peer whose store position is later. `aOwnStoreReachable`: this node
   /// watches the store directly, so a short lag is normal.
   void FetchIfBehind(bool aOwnStoreReachable);
 
--- a/packages/serving/ReplicaCodec.cpp
+++ b/packages/serving/ReplicaCodec.cpp
@@ -8,29 +8,38 @@
 
 namespace {
 
+json ToBinary(const std::string& aBytes) {
+  return json::binary({ aBytes.begin(), aBytes.end() });
+}
+
+std::string ReadBinary(const json& aValue) {
+  const auto& bytes = aValue.get_binary();
+  return { bytes.begin(), bytes.end() };
+}
+
 /// Reads an item: [key, data, revision, revision of its creation].
-std::optional<store::Change> ReadItem(const json& aRow) {
+std::optional<store::Change> ReadItem(const json& aRow, uint64_t aEra) {
   constexpr size_t kFields = 4;
   if (!aRow.is_array() || aRow.size() != kFields || !aRow[0].is_string() || !aRow[1].is_binary() ||
       !aRow[2].is_number_unsigned() || !aRow[3].is_number_unsigned()) {
     return std::nullopt;
   }
-  const auto& data = aRow[1].get_binary();
   return store::Change{ { aRow[0].get<std::string>(),
-                          std::string(data.begin(), data.end()),
-                          aRow[2].get<uint64_t>(),
+                          ReadBinary(aRow[1]),
+                          { aEra, aRow[2].get<uint64_t>() },
                           aRow[3].get<uint64_t>() },
                         false };
 }
 
 /// Reads a removal: [key, revision].
-std::optional<store::Change> ReadRemoval(const json& aRow) {
+std::optional<store::Change> ReadRemoval(const json& aRow, uint64_t aEra) {
   constexpr size_t kFields = 2;
   if (!aRow.is_array() || aRow.size() != kFields || !aRow[0].is_string() ||
       !aRow[1].is_number_unsigned()) {
     return std::nullopt;
   }
-  return store::Change{ { aRow[0].get<std::string>(), {}, aRow[1].get<uint64_t>(), 0 }, true };
+  return store::Change{ { aRow[0].get<std::string>(), {}, { aEra, aRow[1].get<uint64_t>() }, 0 },
+                        true };
 }
 
 /// Appends the changes in the array `aKey` of `aObject`. Returns false if one is malformed.
@@ -38,13 +47,14 @@
 bool AppendChanges(const json& aObject,
                    const char* aKey,
                    Read aRead,
+                   uint64_t aEra,
                    std::vector<store::Change>& aChanges) {
   const auto rows = aObject.find(aKey);
   if (rows == aObject.end() || !rows->is_array()) {
     return false;
   }
   for (const json& row : *rows) {
-    auto change = aRead(row);
+    auto change = aRead(row, aEra);
     if (!change) {
       return false;
     }
@@ -55,27 +65,27 @@
 
 } // namespace
 
-std::string EncodeReplica(const sync::StoreReplica& aReplica, uint64_t aAfter) {
-  const bool complete = aAfter < aReplica.TombstonesFrom();
+std::string EncodeReplica(const sync::StoreReplica& aReplica, const store::Position& aAfter) {
+  const uint64_t era = aReplica.LastPosition().m_era;
+  const bool complete = aAfter.m_era != era || aAfter < aReplica.TombstonesFrom();
   json items = json::array();
   for (const auto& [key, item] : aReplica.Items()) {
-    if (complete || item.m_revision > aAfter) {
-      items.push_back({ key,
-                        json::binary({ item.m_data.begin(), item.m_data.end() }),
-                        item.m_revision,
-                        item.m_created });
+    if (complete || item.m_position > aAfter) {
+      items.push_back({ key, ToBinary(item.m_data), item.m_position.m_revision, item.m_created });
     }
   }
   json removed = json::array();
-  for (const auto& [key, revision] : aReplica.Tombstones()) {
-    if (!complete && revision > aAfter) {
-      removed.push_back({ key, revision });
+  for (const auto& [key, position] : aReplica.Tombstones()) {
+    if (!complete && position > aAfter) {
+      removed.push_back({ key, position.m_revision });
     }
   }
-  const auto bytes = json::to_cbor({ { "revision", aReplica.LastRevision() },
-                                     { "whole", complete },
-                                     { "items", items },
-                                     { "removed", removed } });
+  const json root = { { "era", era },
+                      { "revision", aReplica.LastPosition().m_revision },
+                      { "whole", complete },
+                      { "items", items },
+                      { "removed", removed } };
+  const auto bytes = json::to_cbor(root);
   return { bytes.begin(), bytes.end() };
 }
 
@@ -90,10 +100,17 @@
       !revision->is_number_unsigned()) {
     return std::nullopt;
   }
-  ReplicaSnapshot snapshot{ {}, complete->get<bool>(), revision->get<uint64_t>() };
+  // A node of an earlier version does not state the era.
+  const json era = root.value("era", json(0U));
+  if (!era.is_number_unsigned()) {
+    return std::nullopt;
+  }
+  ReplicaSnapshot snapshot;
+  snapshot.m_complete = complete->get<bool>();
+  snapshot.m_position = { era.get<uint64_t>(), revision->get<uint64_t>() };
   // A snapshot without one of its items would remove it.
-  if (!AppendChanges(root, "items", ReadItem, snapshot.m_changes) ||
-      !AppendChanges(root, "removed", ReadRemoval, snapshot.m_changes)) {
+  if (!AppendChanges(root, "items", ReadItem, snapshot.m_position.m_era, snapshot.m_changes) ||
+      !AppendChanges(root, "removed", ReadRemoval, snapshot.m_position.m_era, snapshot.m_changes)) {
     return std::nullopt;
   }
   return snapshot;
--- a/packages/serving/ReplicaCodec.h
+++ b/packages/serving/ReplicaCodec.h
@@ -14,12 +14,12 @@
   std::vector<store::Change> m_changes;
   /// Whether all items are included, not only the changes after a revision.
   bool m_complete = false;
-  uint64_t m_revision = 0;
+  store::Position m_position;
 };
 
-/// Encodes the replica, or only the changes after the revision `aAfter` if all removals since then
-/// are still known. Thread safe for a constant replica.
-std::string EncodeReplica(const sync::StoreReplica& aReplica, uint64_t aAfter);
+/// Encodes the replica, or only the changes after `aAfter` if all removals since then are still
+/// known. Thread safe for a constant replica.
+std::string EncodeReplica(const sync::StoreReplica& aReplica, const store::Position& aAfter);
 
 /// Decodes the result of EncodeReplica. Returns nullopt if `aBytes` is malformed. Thread safe.
 std::optional<ReplicaSnapshot> DecodeReplica(const std::string& aBytes);
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -58,9 +58,11 @@
               kExpiryGrace,
               m_settings.m_usageWindowMs,
               [this] { m_gossip.AnnounceLeaving(); })
-    , m_replica([this](const std::string& aKey,
-                       const std::optional<store::Item>& aItem,
-                       uint64_t aRevision) { OnItem(aKey, aItem, aRevision); })
+    , m_replica(
+        [this](const std::string& aKey,
+               const std::optional<store::Item>& aItem,
+               const store::Position& aPosition) { OnItem(aKey, aItem, aPosition); },
+        [this](const store::Position& aLast, uint64_t aEra) { OnStoreRestored(aLast, aEra); })
     , m_storeWatcher(
         aLoop,
         aStore,
@@ -68,7 +70,7 @@
         { { m_keys.m_configurationKey, m_keys.m_endpointPrefix, m_keys.m_ownPrefix } },
         [this](bool /*aAnswers*/) { UpdateStoreAvailability(); },
         [this] { Tick(); },
-        [this](uint64_t aAfter, const std::vector<store::Change>& aChanges) {
+        [this](const store::Position& aAfter, const std::vector<store::Change>& aChanges) {
           if (IsLargeFleet()) {
             m_gossip.SendUpdate(aAfter, aChanges);
           }
@@ -137,8 +139,8 @@
     m_drainEndTimer = m_loop.After(
       std::chrono::duration_cast<base::Millis>(m_drainPlan->End() - now), [this] { EndDrain(); });
     m_leaderElection.Resign();
-    if (m_lease != 0) {
-      m_store.EndLease(m_lease);
+    if (m_lease.m_id != 0 && m_lease.m_era == m_store.LatestEra()) {
+      m_store.EndLease(m_lease.m_id);
     }
     m_gossip.SendHeartbeats();
   }
@@ -227,7 +229,7 @@
 
   void OnItem(const std::string& aKey,
               const std::optional<store::Item>& aItem,
-              uint64_t aRevision) {
+              const store::Position& aPosition) {
     const std::string nodes = m_keys.m_ownPrefix + "nodes/";
     if (aKey == m_keys.m_configurationKey) {
       if (aItem) {
@@ -235,7 +237,7 @@
       }
     } else if (aKey.starts_with(m_keys.m_endpointPrefix)) {
       OnEndpointRegistration(
-        base::EndpointId(aKey.substr(m_keys.m_endpointPrefix.size())), aItem, aRevision);
+        base::EndpointId(aKey.substr(m_keys.m_endpointPrefix.size())), aItem, aPosition);
     } else if (aKey == DemandRecordKey()) {
       if (aItem) {
         OnDemandRecord(*aItem);
@@ -246,6 +248,25 @@
   }
 
   std::string DemandRecordKey() const { return m_keys.m_ownPrefix + "demand"; }
+  /// Handles a restore of the store, before its contents of the new era are applied. Nodes register
+  /// again at different times.
+  void OnStoreRestored(const store::Position& aLast, uint64_t aEra) {
+    const auto now = base::BootNow();
+    m_log.Event("store restored",
+                { { "era", aEra },
+                  { "era_before", aLast.m_era },
+                  { "revision_before", aLast.m_revision },
+                  { "version", ConfigurationVersion() } });
+    ForgetRegistrationLease();
+    m_nextRegistration = now + base::Millis(m_random() % kRegistrationRenewInterval.count());
+  }
+
+  /// Drops the lease of this node's registration without ending it, because the store may have
+  /// assigned its identifier to another node.
+  void ForgetRegistrationLease() {
+    m_lease = {};
+    m_nextRegistration = {};
+  }
 
   /// Restores the recent demand of the fleet, as recorded before all nodes were restarted.
   void OnDemandRecord(const store::Item& aItem) {
@@ -279,7 +300,7 @@
       { DemandRecordKey(),
         base::DumpJson({ { "at", base::WallMillis() }, { "rates", rates } }),
         0 });
-    m_store.Commit(transaction, [this](store::Result<uint64_t> aResult) {
+    m_store.Commit(transaction, [this](store::Result<store::Position> aResult) {
       if (!aResult) {
         m_log.Event("demand record write failed", { { "fault", base::NameOf(aResult.error()) } });
       }
@@ -290,7 +311,9 @@
     auto catalog = m_codec.m_catalog(aItem.m_data);
     if (!catalog) {
       m_log.Event("invalid configuration ignored",
-                  { { "revision", aItem.m_revision }, { "why", catalog.error() } });
+                  { { "era", aItem.m_position.m_era },
+                    { "revision", aItem.m_position.m_revision },
+                    { "why", catalog.error() } });
       return;
     }
     const int64_t before = ConfigurationVersion();
@@ -299,17 +322,21 @@
       m_log.Event("configuration applied",
                   { { "version", (*catalog)->Version() },
                     { "before", before },
-                    { "revision", aItem.m_revision } });
+                    { "era", aItem.m_position.m_era },
+                    { "revision", aItem.m_position.m_revision } });
     }
   }
 
   void OnEndpointRegistration(const base::EndpointId& aId,
                               const std::optional<store::Item>& aItem,
-                              uint64_t aRevision) {
+                              const store::Position& aPosition) {
     const auto now = base::BootNow();
     if (!aItem) {
-      m_state.m_directory.Remove(aId, aRevision, now);
-      m_log.Event("endpoint removed", { { "endpoint", aId.Text() }, { "revision", aRevision } });
+      m_state.m_directory.Remove(aId, aPosition, now);
+      m_log.Event("endpoint removed",
+                  { { "endpoint", aId.Text() },
+                    { "era", aPosition.m_era },
+                    { "revision", aPosition.m_revision } });
       return;
     }
     const fleet::Registration registration = m_codec.m_registration(aId, *aItem);
@@ -317,7 +344,8 @@
     const bool draining = registration.m_endpoint && registration.m_endpoint->m_draining;
     m_log.Event("endpoint registered",
                 { { "endpoint", aId.Text() },
-                  { "revision", aRevision },
+                  { "era", aPosition.m_era },
+                  { "revision", aPosition.m_revision },
                   { "state",
                     !registration.m_endpoint ? "unreadable"
                     : draining               ? "draining"
@@ -335,7 +363,9 @@
     if (host.empty()) {
       // Usage reports would wait for the counts of a node that never sends any.
       m_log.Event("invalid node registration ignored",
-                  { { "node", aNode.Text() }, { "revision", aItem->m_revision } });
+                  { { "node", aNode.Text() },
+                    { "era", aItem->m_position.m_era },
+                    { "revision", aItem->m_position.m_revision } });
       return;
     }
     m_peerTable.RecordContact(
@@ -398,7 +428,7 @@
     heartbeat.m_stopping = m_stopping;
     heartbeat.m_storeReachable = m_storeWatcher.IsStoreReachable();
     heartbeat.m_configuration = ConfigurationVersion();
-    heartbeat.m_revision = m_replica.LastRevision();
+    heartbeat.m_position = m_replica.LastPosition();
     heartbeat.m_requestedWorkMs = m_state.RequestedWork();
     for (const auto& [endpoint, load] : m_state.m_placement.LocalLoad()) {
       if (load.m_calls > 0) {
@@ -495,6 +525,7 @@
     m_peerTable.SetHeartbeatInterval(kTickInterval *
                                      static_cast<int64_t>(m_gossip.RoundsPerFleet()));
     m_storeWatcher.SetWatchEnabled(ShouldWatchStore(now));
+    m_storeWatcher.OnEra(m_store.LatestEra());
     // Nodes of the working set inform one another first, since they share the load.
     m_gossip.SendHeartbeats(isWorking ? workingSet : std::vector<std::string>());
     m_state.m_crashGuard.Tick(now);
@@ -517,7 +548,7 @@
     if (IsLargeFleet() && m_storeWatcher.IsWatchEnabled() && m_storeWatcher.IsStoreReachable() &&
         aNow >= m_nextEmptyUpdate) {
       m_nextEmptyUpdate = aNow + kUpdateInterval;
-      m_gossip.SendUpdate(m_replica.LastRevision(), {});
+      m_gossip.SendUpdate(m_replica.LastPosition(), {});
     }
   }
 
@@ -592,17 +623,18 @@
     }
     m_registering = true;
     m_nextRegistration = aNow + kRegistrationRenewInterval;
-    if (m_lease != 0) {
-      m_store.Renew(m_lease, [this](store::Result<base::Millis> aResult) {
+    if (m_lease.m_id != 0) {
+      m_store.Renew(m_lease.m_id, [this](store::Result<store::Renewal> aResult) {
         m_registering = false;
-        if (!aResult && aResult.error() == store::Fault::NoLease) {
-          m_lease = 0;
-          m_nextRegistration = {};
+        const bool lost =
+          aResult ? aResult->m_era != m_lease.m_era : aResult.error() == store::Fault::NoLease;
+        if (lost) {
+          ForgetRegistrationLease();
         }
       });
       return;
     }
-    m_store.Grant(kRegistrationLease, [this](store::Result<store::LeaseId> aLease) {
+    m_store.Grant(kRegistrationLease, [this](store::Result<store::Lease> aLease) {
       if (!aLease) {
         m_registering = false;
         return;
@@ -616,11 +648,11 @@
     const std::string key = m_keys.m_ownPrefix + "nodes/" + m_self.m_node.Text();
     const nlohmann::json node = { { "born", m_self.m_startMs }, { "host", m_self.m_host } };
     store::Transaction transaction;
-    transaction.m_writes.push_back({ key, base::DumpJson(node), m_lease });
-    m_store.Commit(transaction, [this](store::Result<uint64_t> aResult) {
+    transaction.m_writes.push_back({ key, base::DumpJson(node), m_lease.m_id });
+    m_store.Commit(transaction, [this](store::Result<store::Position> aResult) {
       m_registering = false;
-      if (!aResult) {
-        m_lease = 0;
+      if (!aResult || aResult->m_era != m_lease.m_era) {
+        m_lease = {};
       }
     });
   }
@@ -675,7 +707,8 @@
   double m_newPeerWork = 0;
   double m_lastOwnWork = 0;
   base::TimePoint m_demandIntervalStart{};
-  store::LeaseId m_lease = 0;
+  /// Lease of this node's registration.
+  store::Lease m_lease;
   base::TimePoint m_nextRegistration{};
   bool m_registering = false;
   base::TimePoint m_nextDemandRecord{};
--- a/packages/serving/tests/ReplicaCodecTest.cpp
+++ b/packages/serving/tests/ReplicaCodecTest.cpp
@@ -13,9 +13,9 @@
 
 sync::StoreReplica MakeReplica() {
   sync::StoreReplica replica([](const auto&, const auto&, auto) {});
-  replica.Apply({ { "servers/a", std::string("\0x", 2), 5, 2 }, false });
-  replica.Apply({ { "servers/b", "y", 6, 6 }, false });
-  replica.Apply({ { "servers/b", "", 7, 0 }, true });
+  replica.Apply({ { "servers/a", std::string("\0x", 2), { 0, 5 }, 2 }, false });
+  replica.Apply({ { "servers/b", "y", { 0, 6 }, 6 }, false });
+  replica.Apply({ { "servers/b", "", { 0, 7 }, 0 }, true });
   return replica;
 }
 
@@ -29,9 +29,9 @@
 BOOST_AUTO_TEST_SUITE(ReplicaCodecTest)
 
 BOOST_AUTO_TEST_CASE(ReplicaRoundTrips) {
-  const auto snapshot = DecodeReplica(EncodeReplica(MakeReplica(), 4));
+  const auto snapshot = DecodeReplica(EncodeReplica(MakeReplica(), { 0, 4 }));
   BOOST_REQUIRE(snapshot.has_value());
-  BOOST_TEST(snapshot->m_revision == 7U);
+  BOOST_TEST(snapshot->m_position.m_revision == 7U);
   BOOST_TEST(!snapshot->m_complete);
   BOOST_REQUIRE(snapshot->m_changes.size() == 2U);
   BOOST_TEST(snapshot->m_changes[0].m_item.m_data == std::string("\0x", 2));
@@ -73,7 +73,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(RandomBytesAreRejectedOrDecoded) {
-  const std::string valid = EncodeReplica(MakeReplica(), 4);
+  const std::string valid = EncodeReplica(MakeReplica(), { 0, 4 });
   for (uint64_t seed = 1; seed <= 5000; ++seed) {
     std::mt19937_64 random(seed);
     std::string bytes = valid.substr(0, seed % 2 == 0 ? valid.size() : random() % valid.size());
--- a/packages/store/StorePort.h
+++ b/packages/store/StorePort.h
@@ -2,6 +2,7 @@
 
 #include "base/EnumNames.h"
 #include "base/Time.h"
+#include "store/Position.h"
 
 #include <concepts>
 #include <cstdint>
@@ -20,20 +21,21 @@
 /// Identifies a lease; 0 means no lease.
 using LeaseId = uint64_t;
 
-/// A key-value pair with its revisions.
+/// A key-value pair with the position of its last write.
 struct Item {
   std::string m_key;
   /// Arbitrary bytes; need not be text.
   std::string m_data;
-  /// Store revision of the last write to this key.
-  uint64_t m_revision = 0;
-  /// Store revision at which the key was created.
+  /// Position of the last write to this key. After a restore, its era is the one in which the item
+  /// was read.
+  Position m_position;
+  /// Revision at which the key was created.
   uint64_t m_created = 0;
 };
 
 /// A write or a removal of one key.
 struct Change {
-  /// The item as written; for a removal, only the key and the revision are set.
+  /// The item as written; for a removal, only the key and the position are set.
   Item m_item;
   bool m_removed = false;
 };
@@ -41,21 +43,38 @@
 /// All items under a prefix.
 struct Listing {
   std::vector<Item> m_items;
-  /// Store revision before the first page was read. Items may be newer, because the pages are not
-  /// read atomically.
-  uint64_t m_revision = 0;
+  /// Position before the first page was read. Items may be newer, because the pages are not read
+  /// atomically; all are of its era.
+  Position m_position;
 };
 
 /// Changes under a prefix.
 struct Changes {
   std::vector<Change> m_changes;
-  /// Revision from which the next watch continues.
-  uint64_t m_revision = 0;
+  /// Position from which the next watch continues.
+  Position m_position;
+};
+
+/// A lease and the era in which it was granted. A store that is restored forgets leases and assigns
+/// their identifiers again.
+struct Lease {
+  LeaseId m_id = 0;
+  uint64_t m_era = 0;
+};
+
+/// The renewal of a lease.
+struct Renewal {
+  /// Duration that the store granted.
+  base::Millis m_duration{ 0 };
+  /// Era in which the lease was renewed. If it is not that of the grant, the renewed lease may
+  /// belong to another node.
+  uint64_t m_era = 0;
 };
 
 /// A set of writes that is applied atomically if all expected revisions match.
 struct Transaction {
-  /// Expected revision of each key; 0 means that the key must not exist.
+  /// Expected revision of each key; 0 means that the key must not exist. The store compares
+  /// revisions alone, without the era.
   std::map<std::string, uint64_t> m_expected;
   struct Write {
     std::string m_key;
@@ -75,8 +94,10 @@
   Conflict,
   /// The lease has expired or was ended.
   NoLease,
-  /// The store has compacted the requested revisions.
+  /// The store has compacted the requested revisions, or lost them in a restore.
   HistoryCompacted,
+  /// The store was restored during the call.
+  HistoryReplaced,
 };
 
 /// The result of a call, or the fault that made it fail.
@@ -87,6 +108,7 @@
 using OnResult = std::function<void(Result<T>)>;
 
 /// A client of the store. All calls are asynchronous, and each makes one request to the store.
+/// `LatestEra` returns the latest era that any answer has stated.
 template<class T>
 concept StorePort = requires(T& aStore,
                              std::string aText,
@@ -95,10 +117,11 @@
                              Transaction aTransaction) {
   aStore.List(aText, OnResult<Listing>());
   aStore.Watch(aText, aNumber, aSpan, OnResult<Changes>());
-  aStore.Commit(aTransaction, OnResult<uint64_t>());
-  aStore.Grant(aSpan, OnResult<LeaseId>());
-  aStore.Renew(aNumber, OnResult<base::Millis>());
+  aStore.Commit(aTransaction, OnResult<Position>());
+  aStore.Grant(aSpan, OnResult<Lease>());
+  aStore.Renew(aNumber, OnResult<Renewal>());
   aStore.EndLease(aNumber);
+  { aStore.LatestEra() } -> std::convertible_to<uint64_t>;
 };
 
 } // namespace papayafield::store
@@ -112,6 +135,7 @@
   { store::Fault::Conflict, "conflict" },
   { store::Fault::NoLease, "no_lease" },
   { store::Fault::HistoryCompacted, "history_gone" },
+  { store::Fault::HistoryReplaced, "history_replaced" },
 });
 
 } // namespace papayafield::base
--- a/packages/sync/StoreReplica.cpp
+++ b/packages/sync/StoreReplica.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace papayafield::sync {
 
@@ -19,45 +20,87 @@
 }
 
 void StoreReplica::Apply(const store::Change& aChange) {
-  Merge(aChange);
-  Advance(aChange.m_item.m_revision);
+  if (aChange.m_item.m_position.m_era == m_lastPosition.m_era) {
+    Merge(aChange);
+    m_lastPosition = std::max(m_lastPosition, aChange.m_item.m_position);
+  }
+}
+
+void StoreReplica::Advance(const store::Position& aPosition) {
+  EnterEra(aPosition.m_era);
+  m_lastPosition = std::max(m_lastPosition, aPosition);
+  RemoveEarlierEras(aPosition);
 }
 
-void StoreReplica::Advance(uint64_t aRevision) {
-  m_lastRevision = std::max(m_lastRevision, aRevision);
+void StoreReplica::EnterEra(uint64_t aEra) {
+  if (aEra <= m_lastPosition.m_era) {
+    return;
+  }
+  const store::Position last = m_lastPosition;
+  m_lastPosition = { aEra, 0 };
+  m_hasEarlierEras = true;
+  // Tombstones of the earlier era would hide keys that are written again.
+  m_tombstones.clear();
+  if (m_onRestored && last != store::Position{}) {
+    m_onRestored(last, aEra);
+  }
+}
+
+void StoreReplica::RemoveEarlierEras(const store::Position& aPosition) {
+  if (!std::exchange(m_hasEarlierEras, false)) {
+    return;
+  }
+  std::vector<std::string> earlier;
+  for (const auto& [key, item] : m_items) {
+    if (item.m_position.m_era < m_lastPosition.m_era) {
+      earlier.push_back(key);
+    }
+  }
+  for (const std::string& key : earlier) {
+    Merge({ { key, {}, aPosition, 0 }, true });
+  }
 }
 
 void StoreReplica::Merge(const store::Change& aChange) {
   const store::Item& item = aChange.m_item;
   const auto known = m_items.find(item.m_key);
   const auto removed = m_tombstones.find(item.m_key);
-  const uint64_t knownRevision = std::max(known == m_items.end() ? 0 : known->second.m_revision,
-                                          removed == m_tombstones.end() ? 0 : removed->second);
-  if (item.m_revision <= knownRevision) {
+  const store::Position knownPosition =
+    std::max(known == m_items.end() ? store::Position{} : known->second.m_position,
+             removed == m_tombstones.end() ? store::Position{} : removed->second);
+  if (item.m_position <= knownPosition) {
     return;
   }
   if (aChange.m_removed) {
     if (m_tombstones.size() >= kMaxTombstones) {
       m_tombstones.clear();
-      m_tombstonesFrom = std::max({ m_tombstonesFrom, m_lastRevision, item.m_revision });
+      m_tombstonesFrom = std::max({ m_tombstonesFrom, m_lastPosition, item.m_position });
     }
-    m_tombstones[item.m_key] = item.m_revision;
+    m_tombstones[item.m_key] = item.m_position;
     if (known != m_items.end()) {
       m_items.erase(known);
-      m_onChange(item.m_key, std::nullopt, item.m_revision);
+      m_onChange(item.m_key, std::nullopt, item.m_position);
     }
     return;
   }
   m_tombstones.erase(item.m_key);
   m_items[item.m_key] = item;
-  m_onChange(item.m_key, item, item.m_revision);
+  m_onChange(item.m_key, item, item.m_position);
 }
 
 void StoreReplica::Replace(const std::string& aPrefix,
                            const std::vector<store::Item>& aItems,
-                           uint64_t aRevision) {
-  // The listing does not contain removals, so those before it are unknown.
-  m_tombstonesFrom = std::max(m_tombstonesFrom, m_items.empty() ? aRevision : m_tombstonesFrom);
+                           const store::Position& aPosition) {
+  if (aPosition.m_era < m_lastPosition.m_era) {
+    return;
+  }
+  // The listing does not contain removals, so those before it are unknown: all of them if it is the
+  // first one, and those that a restore has undone.
+  const bool isNewEra = aPosition.m_era > m_tombstonesFrom.m_era;
+  if (m_items.empty() || isNewEra) {
+    m_tombstonesFrom = std::max(m_tombstonesFrom, aPosition);
+  }
+  EnterEra(aPosition.m_era);
   std::set<std::string> listed;
   for (const store::Item& item : aItems) {
     listed.insert(item.m_key);
@@ -67,23 +110,23 @@
   for (auto at = m_items.lower_bound(aPrefix);
        at != m_items.end() && at->first.starts_with(aPrefix);
        ++at) {
-    if (!listed.contains(at->first) && at->second.m_revision <= aRevision) {
+    if (!listed.contains(at->first) && at->second.m_position <= aPosition) {
       absent.push_back(at->first);
     }
   }
   for (const std::string& key : absent) {
-    store::Change change;
-    change.m_item.m_key = key;
-    // The exact revision of the removal is unknown; the key was absent at this revision.
-    change.m_item.m_revision = aRevision;
-    change.m_removed = true;
-    Merge(change);
+    // The exact position of the removal is unknown; the key was absent at this position.
+    Merge({ { key, {}, aPosition, 0 }, true });
   }
 }
 
 void StoreReplica::CatchUp(const std::vector<store::Change>& aChanges,
                            bool aComplete,
-                           uint64_t aRevision) {
+                           const store::Position& aPosition) {
+  const bool isLaterEra = aPosition.m_era > m_lastPosition.m_era;
+  if (aPosition.m_era < m_lastPosition.m_era || (isLaterEra && !aComplete)) {
+    return;
+  }
   std::vector<store::Item> items;
   for (const store::Change& change : aChanges) {
     if (aComplete && !change.m_removed) {
@@ -93,11 +136,11 @@
     }
   }
   if (aComplete) {
-    Replace("", items, aRevision);
+    Replace("", items, aPosition);
     // The full snapshot does not contain removals, so those before it are unknown.
-    m_tombstonesFrom = std::max(m_tombstonesFrom, aRevision);
+    m_tombstonesFrom = std::max(m_tombstonesFrom, aPosition);
   }
-  Advance(aRevision);
+  Advance(aPosition);
 }
 
 } // namespace papayafield::sync
--- a/packages/sync/StoreReplica.h
+++ b/packages/sync/StoreReplica.h
@@ -11,52 +11,65 @@
 namespace papayafield::sync {
 
 /// A node's local replica of the store: items as they were written, and tombstones of removed ones.
-/// The revision of a key never decreases, so changes may be applied in any order and from any
-/// source. Not thread safe.
+/// All of them belong to one era, in which the position of a key never decreases, so changes may be
+/// applied in any order and from any source. Only complete contents start a later era; changes of
+/// any other era are ignored. Not thread safe.
 class StoreReplica {
 public:
   /// Called with each item that was added or changed; `aItem` is nullopt if the item was removed.
-  using OnChange = std::function<
-    void(const std::string& aKey, const std::optional<store::Item>& aItem, uint64_t aRevision)>;
+  using OnChange = std::function<void(const std::string& aKey,
+                                      const std::optional<store::Item>& aItem,
+                                      const store::Position& aPosition)>;
+  /// Called when the contents of a later era replace those up to `aLast`, before their changes.
+  using OnRestored = std::function<void(const store::Position& aLast, uint64_t aEra)>;
 
-  explicit StoreReplica(OnChange aOnChange)
-    : m_onChange(std::move(aOnChange)) {}
+  explicit StoreReplica(OnChange aOnChange, OnRestored aOnRestored = {})
+    : m_onChange(std::move(aOnChange))
+    , m_onRestored(std::move(aOnRestored)) {}
 
   /// Applies the next change of the store. Precondition: all earlier changes have been applied.
   void Apply(const store::Change& aChange);
-  /// Replaces all items under `aPrefix` with `aItems`, a listing at `aRevision`. Items that are not
-  /// listed are removed unless they are newer. LastRevision does not change, since other prefixes
-  /// may not have been listed yet.
+  /// Replaces all items under `aPrefix` with `aItems`, a listing at `aPosition`. Items that are not
+  /// listed are removed unless they are newer. The revision of LastPosition does not change, since
+  /// other prefixes may not have been listed yet.
   void Replace(const std::string& aPrefix,
                const std::vector<store::Item>& aItems,
-               uint64_t aRevision);
+               const store::Position& aPosition);
 
-  /// Records that all changes up to `aRevision` have been applied, because the listing is complete.
-  void Advance(uint64_t aRevision);
+  /// Records that all changes up to `aPosition` have been applied, because the listing is complete.
+  /// Removes what remains of an earlier era.
+  void Advance(const store::Position& aPosition);
 
-  /// Applies a snapshot of a peer's replica at `aRevision`: its complete contents (`aComplete`), or
-  /// the changes after this replica's LastRevision.
-  void CatchUp(const std::vector<store::Change>& aChanges, bool aComplete, uint64_t aRevision);
+  /// Applies a snapshot of a peer's replica at `aPosition`: its complete contents (`aComplete`), or
+  /// the changes after this replica's LastPosition.
+  void CatchUp(const std::vector<store::Change>& aChanges,
+               bool aComplete,
+               const store::Position& aPosition);
 
   /// Returns all items by key.
   const std::map<std::string, store::Item>& Items() const { return m_items; }
-  /// Returns the revisions of the tombstones by key.
-  const std::map<std::string, uint64_t>& Tombstones() const { return m_tombstones; }
-  /// Returns the revision after which every removal has a tombstone.
-  uint64_t TombstonesFrom() const { return m_tombstonesFrom; }
+  /// Returns the positions of the tombstones by key.
+  const std::map<std::string, store::Position>& Tombstones() const { return m_tombstones; }
+  /// Returns the position after which every removal has a tombstone.
+  const store::Position& TombstonesFrom() const { return m_tombstonesFrom; }
   /// Returns the item, or null if there is none.
   const store::Item* Find(const std::string& aKey) const;
-  /// Returns the revision up to which all changes have been applied.
-  uint64_t LastRevision() const { return m_lastRevision; }
+  /// Returns the position up to which all changes have been applied.
+  const store::Position& LastPosition() const { return m_lastPosition; }
 
 private:
   void Merge(const store::Change& aChange);
+  void EnterEra(uint64_t aEra);
+  void RemoveEarlierEras(const store::Position& aPosition);
 
   OnChange m_onChange;
+  OnRestored m_onRestored;
   std::map<std::string, store::Item> m_items;
-  std::map<std::string, uint64_t> m_tombstones;
-  uint64_t m_lastRevision = 0;
-  uint64_t m_tombstonesFrom = 0;
+  std::map<std::string, store::Position> m_tombstones;
+  store::Position m_lastPosition;
+  store::Position m_tombstonesFrom;
+  /// Whether items of an earlier era may remain, because the present one is not listed completely.
+  bool m_hasEarlierEras = false;
 };
 
 } // namespace papayafield::sync
--- a/packages/sync/StoreWatcher.h
+++ b/packages/sync/StoreWatcher.h
@@ -29,15 +29,16 @@
 };
 
 /// Keeps a replica of the store up to date: lists all prefixes once, then watches from that
-/// revision, and lists again after any gap. All calls must come from the thread of the event loop.
+/// position, and lists again after any gap or restore. All calls must come from the thread of the
+/// event loop.
 template<store::StorePort Store>
 class StoreWatcher {
 public:
   /// Called when the store becomes reachable or unreachable.
   using OnReachable = std::function<void(bool aReachable)>;
-  /// Called with all changes after the revision `aAfter`.
+  /// Called with all changes after the position `aAfter`.
   using OnChanges =
-    std::function<void(uint64_t aAfter, const std::vector<store::Change>& aChanges)>;
+    std::function<void(const store::Position& aAfter, const std::vector<store::Change>& aChanges)>;
 
   StoreWatcher(adapters::http::EventLoop& aLoop,
                Store& aStore,
@@ -55,7 +56,7 @@
     , m_onChanges(std::move(aOnChanges)) {}
 
   /// Starts the first listing. Must be called only once.
-  void Start() { ListPrefix(0, 0); }
+  void Start() { ListAll(); }
   /// Sets whether this node watches the store itself. A node that does not watch receives changes
   /// from its peers, and lists everything once when it starts to watch again.
   void SetWatchEnabled(bool aEnabled) {
@@ -63,7 +64,16 @@
     m_watchEnabled = aEnabled;
     if (started && m_paused) {
       m_paused = false;
-      ListPrefix(0, 0);
+      ListAll();
+    }
+  }
+  /// Lists everything again at once if another call to the store has shown an era later than the
+  /// one that is being watched. A watch shows it only when it ends, and not if the new revisions
+  /// have already passed its own.
+  void OnEra(uint64_t aEra) {
+    if (m_loaded && !m_paused && aEra > m_currentEra) {
+      LogEraChange(aEra, "other");
+      ListAll();
     }
   }
   /// Returns whether this node is set to watch the store.
@@ -91,75 +101,135 @@
     m_log.Event(aReachable ? "store reachable" : "store lost",
                 { { "call", aCall },
                   { "fault", aReachable ? "" : base::NameOf(aFault) },
-                  { "revision", m_revision } });
+                  { "era", m_position.m_era },
+                  { "revision", m_position.m_revision } });
     m_onReachable(aReachable);
   }
 
   void ScheduleListing() {
-    m_timer = m_loop.After(m_backoff, [this] { ListPrefix(0, 0); });
+    m_timer = m_loop.After(m_backoff, [this] { ListAll(); });
     m_backoff = std::min(m_backoff * 2, m_settings.m_maxBackoff);
   }
 
-  void ListPrefix(size_t aIndex, uint64_t aFrom) {
-    if (aIndex == m_settings.m_prefixes.size()) {
-      m_revision = aFrom;
-      m_replica.Advance(aFrom);
-      if (!std::exchange(m_loaded, true)) {
-        m_onLoaded();
+  void LogEraChange(uint64_t aEra, const char* aCall) {
+    m_currentEra = std::max(m_currentEra, aEra);
+    m_log.Event("store era changed",
+                { { "call", aCall },
+                  { "era", aEra },
+                  { "era_before", m_position.m_era },
+                  { "revision_before", m_position.m_revision } });
+  }
+
+  /// Starts a new listing, and drops the results of the calls in flight.
+  void ListAll() {
+    ++m_sequence;
+    m_timer.reset();
+    m_listings.clear();
+    ListNextPrefix();
+  }
+
+  void ListNextPrefix() {
+    const std::string& prefix = m_settings.m_prefixes[m_listings.size()];
+    m_store.List(prefix, [this, sequence = m_sequence](store::Result<store::Listing> aResult) {
+      if (sequence == m_sequence) {
+        OnListing(std::move(aResult));
       }
-      Watch();
+    });
+  }
+
+  void OnListing(store::Result<store::Listing> aResult) {
+    if (!aResult) {
+      RecordResult(false, "list", aResult.error());
+      ScheduleListing();
       return;
     }
-    const std::string prefix = m_settings.m_prefixes[aIndex];
-    m_store.List(prefix, [this, aIndex, aFrom, prefix](store::Result<store::Listing> aResult) {
-      if (!aResult) {
-        RecordResult(false, "list", aResult.error());
-        ScheduleListing();
-        return;
-      }
-      RecordResult(true, "list");
-      m_replica.Replace(prefix, aResult->m_items, aResult->m_revision);
-      // Watch from the revision of the oldest listing, so that no change between two is missed.
-      ListPrefix(aIndex + 1,
-                 aIndex == 0 ? aResult->m_revision : std::min(aFrom, aResult->m_revision));
-    });
+    RecordResult(true, "list");
+    const uint64_t era = aResult->m_position.m_era;
+    if (era < m_replica.LastPosition().m_era ||
+        (!m_listings.empty() && era != m_listings.front().m_position.m_era)) {
+      // The answer was delayed since before a restore, or the store was restored between two
+      // listings.
+      m_log.Event("store listing of another era dropped", { { "era", era } });
+      ScheduleListing();
+      return;
+    }
+    m_listings.push_back(std::move(*aResult));
+    if (m_listings.size() < m_settings.m_prefixes.size()) {
+      ListNextPrefix();
+    } else {
+      ApplyListings();
+    }
+  }
+
+  /// Applies all listings together, so that the replica never mixes two eras.
+  void ApplyListings() {
+    // Watch from the position of the oldest listing, so that no change between two is missed.
+    m_position = m_listings.front().m_position;
+    for (size_t i = 0; i < m_listings.size(); ++i) {
+      const store::Listing& listing = m_listings[i];
+      m_replica.Replace(m_settings.m_prefixes[i], listing.m_items, listing.m_position);
+      m_position = std::min(m_position, listing.m_position);
+    }
+    m_listings.clear();
+    m_replica.Advance(m_position);
+    m_currentEra = std::max(m_currentEra, m_position.m_era);
+    if (!std::exchange(m_loaded, true)) {
+      m_onLoaded();
+    }
+    Watch();
   }
 
   void Watch() {
     m_paused = !m_watchEnabled;
     if (m_paused) {
-      m_log.Event("store watch paused", { { "revision", m_revision } });
+      m_log.Event("store watch paused", { { "revision", m_position.m_revision } });
       return;
     }
-    m_store.Watch(
-      "", m_revision, m_settings.m_watchTimeout, [this](store::Result<store::Changes> aResult) {
-        if (!aResult) {
-          if (aResult.error() == store::Fault::HistoryCompacted) {
-            m_log.Event("store history compacted", { { "revision", m_revision } });
-            ListPrefix(0, 0);
-            return;
-          }
-          RecordResult(false, "watch", aResult.error());
-          ScheduleListing();
-          return;
-        }
-        RecordResult(true, "watch");
-        ApplyChanges(*aResult);
-        if (aResult->m_changes.empty()) {
-          Watch();
-        } else {
-          m_timer = m_loop.After(m_settings.m_changePause, [this] { Watch(); });
-        }
-      });
+    m_store.Watch("",
+                  m_position.m_revision,
+                  m_settings.m_watchTimeout,
+                  [this, sequence = m_sequence](const store::Result<store::Changes>& aResult) {
+                    if (sequence == m_sequence) {
+                      OnWatchEnd(aResult);
+                    }
+                  });
+  }
+
+  void OnWatchEnd(const store::Result<store::Changes>& aResult) {
+    if (!aResult) {
+      if (aResult.error() == store::Fault::HistoryCompacted) {
+        m_log.Event("store history compacted",
+                    { { "era", m_position.m_era }, { "revision", m_position.m_revision } });
+        ListAll();
+        return;
+      }
+      RecordResult(false, "watch", aResult.error());
+      ScheduleListing();
+      return;
+    }
+    RecordResult(true, "watch");
+    if (aResult->m_position.m_era != m_position.m_era) {
+      // Changes of the new era before the revision of this watch are missing.
+      LogEraChange(aResult->m_position.m_era, "watch");
+      ListAll();
+      return;
+    }
+    ApplyChanges(*aResult);
+    if (aResult->m_changes.empty()) {
+      Watch();
+    } else {
+      m_timer = m_loop.After(m_settings.m_changePause, [this] { Watch(); });
+    }
   }
 
   void ApplyChanges(const store::Changes& aChanges) {
-    const uint64_t after = m_replica.LastRevision();
+    const store::Position after = m_replica.LastPosition();
     for (const store::Change& change : aChanges.m_changes) {
       m_replica.Apply(change);
     }
-    m_revision = std::max(m_revision, aChanges.m_revision);
-    if (m_onChanges && !aChanges.m_changes.empty()) {
+    m_position = std::max(m_position, aChanges.m_position);
+    // A peer may have brought the replica to a later era.
+    if (m_onChanges && !aChanges.m_changes.empty() && after.m_era == m_position.m_era) {
       m_onChanges(after, aChanges.m_changes);
     }
   }
@@ -175,7 +245,14 @@
   adapters::http::EventHandlePtr m_timer;
   base::Millis m_backoff{ 60 };
   base::TimePoint m_lastAnswer{};
-  uint64_t m_revision = 0;
+  /// Position from which the next watch continues.
+  store::Position m_position;
+  /// Latest era that this watcher has listed or is listing.
+  uint64_t m_currentEra = 0;
+  /// Listings of the first prefixes, until all have been read.
+  std::vector<store::Listing> m_listings;
+  /// Number of the current listing and the watches after it; results of earlier ones are dropped.
+  uint64_t m_sequence = 0;
   bool m_watchEnabled = true;
   /// Whether no call is in flight because the store is not being watched.
   bool m_paused = false;
--- a/packages/sync/tests/StoreReplicaTest.cpp
+++ b/packages/sync/tests/StoreReplicaTest.cpp
@@ -9,17 +9,17 @@
 
 namespace {
 
-store::Item ItemOf(const std::string& aKey, uint64_t aRevision) {
-  return { aKey, "r" + std::to_string(aRevision), aRevision, aRevision };
+store::Item ItemOf(const std::string& aKey, uint64_t aRevision, uint64_t aEra = 0) {
+  return { aKey, "r" + std::to_string(aRevision), { aEra, aRevision }, aRevision };
 }
 
 struct RecordingReplica {
   std::vector<std::string> m_log;
-  StoreReplica m_replica{
-    [this](const std::string& aKey, const std::optional<store::Item>& aItem, uint64_t aRevision) {
-      m_log.push_back(aKey + (aItem ? "=" : "-") + std::to_string(aRevision));
-    }
-  };
+  StoreReplica m_replica{ [this](const std::string& aKey,
+                                 const std::optional<store::Item>& aItem,
+                                 const store::Position& aPosition) {
+    m_log.push_back(aKey + (aItem ? "=" : "-") + std::to_string(aPosition.m_revision));
+  } };
 };
 
 /// A store whose calls the test answers itself.
@@ -35,10 +35,11 @@
     m_calls.push_back("watch " + std::to_string(aRevision));
     m_watch = std::move(aOnResult);
   }
-  void Commit(const store::Transaction&, const store::OnResult<uint64_t>&) {}
-  void Grant(base::Millis, const store::OnResult<store::LeaseId>&) {}
-  void Renew(store::LeaseId, const store::OnResult<base::Millis>&) {}
+  void Commit(const store::Transaction&, const store::OnResult<store::Position>&) {}
+  void Grant(base::Millis, const store::OnResult<store::Lease>&) {}
+  void Renew(store::LeaseId, const store::OnResult<store::Renewal>&) {}
   void EndLease(store::LeaseId) {}
+  uint64_t LatestEra() const { return 0; }
 
   std::vector<std::string> m_calls;
   store::OnResult<store::Listing> m_list;
@@ -69,7 +70,7 @@
   recorded.m_replica.Apply({ ItemOf("a", 5), false });
   BOOST_TEST(recorded.m_log == (std::vector<std::string>{ "a=5", "a-6" }),
              boost::test_tools::per_element());
-  BOOST_TEST(recorded.m_replica.LastRevision() == 6U);
+  BOOST_TEST(recorded.m_replica.LastPosition().m_revision == 6U);
 }
 
 BOOST_AUTO_TEST_CASE(ListingRemovesOnlyOlderItems) {
@@ -77,7 +78,7 @@
   recorded.m_replica.Apply({ ItemOf("p/a", 5), false });
   recorded.m_replica.Apply({ ItemOf("p/b", 9), false });
   recorded.m_replica.Apply({ ItemOf("q/c", 5), false });
-  recorded.m_replica.Replace("p/", {}, 7);
+  recorded.m_replica.Replace("p/", {}, { 0, 7 });
   BOOST_TEST(recorded.m_replica.Find("p/a") == nullptr);
   BOOST_TEST(recorded.m_replica.Find("p/b") != nullptr);
   BOOST_TEST(recorded.m_replica.Find("q/c") != nullptr);
@@ -107,7 +108,7 @@
         const store::Item* one = inOrder.m_replica.Find(std::string(1, key));
         const store::Item* other = shuffled.m_replica.Find(std::string(1, key));
         BOOST_TEST((one == nullptr) == (other == nullptr));
-        BOOST_TEST((one == nullptr || one->m_revision == other->m_revision));
+        BOOST_TEST((one == nullptr || one->m_position == other->m_position));
       }
     }
   }
@@ -125,27 +126,27 @@
   }
   peer.m_replica.Apply({ ItemOf("b", 5), true });
   peer.m_replica.Apply({ ItemOf("c", 6), false });
-  BOOST_TEST(peer.m_replica.TombstonesFrom() <= behind.m_replica.LastRevision());
+  BOOST_TEST((peer.m_replica.TombstonesFrom() <= behind.m_replica.LastPosition()));
   std::vector<store::Change> changes;
-  for (const auto& [key, revision] : peer.m_replica.Tombstones()) {
-    changes.push_back({ { key, "", revision, 0 }, true });
+  for (const auto& [key, position] : peer.m_replica.Tombstones()) {
+    changes.push_back({ { key, "", position, 0 }, true });
   }
   changes.push_back({ *peer.m_replica.Find("c"), false });
-  behind.m_replica.CatchUp(changes, false, peer.m_replica.LastRevision());
+  behind.m_replica.CatchUp(changes, false, peer.m_replica.LastPosition());
   BOOST_TEST(behind.m_replica.Items().size() == peer.m_replica.Items().size());
   BOOST_TEST(behind.m_replica.Find("b") == nullptr);
-  BOOST_TEST(behind.m_replica.Find("c")->m_revision == 6U);
-  BOOST_TEST(behind.m_replica.LastRevision() == 6U);
+  BOOST_TEST(behind.m_replica.Find("c")->m_position.m_revision == 6U);
+  BOOST_TEST(behind.m_replica.LastPosition().m_revision == 6U);
 }
 
 BOOST_AUTO_TEST_CASE(CompleteSnapshotRemovesMissingItems) {
   RecordingReplica recorded;
   recorded.m_replica.Apply({ ItemOf("a", 1), false });
-  recorded.m_replica.CatchUp({ { ItemOf("b", 2), false } }, true, 3);
+  recorded.m_replica.CatchUp({ { ItemOf("b", 2), false } }, true, { 0, 3 });
   BOOST_TEST(recorded.m_replica.Find("a") == nullptr);
   BOOST_TEST(recorded.m_replica.Items().size() == 1U);
   // Removals before the snapshot are unknown and cannot be passed on to peers.
-  BOOST_TEST(recorded.m_replica.TombstonesFrom() == 3U);
+  BOOST_TEST(recorded.m_replica.TombstonesFrom().m_revision == 3U);
 }
 
 // A node that does not watch the store makes no calls until it is set to watch again.
@@ -156,13 +157,13 @@
   StoreWatcher<ScriptedStore> watcher(
     loop, store, recorded.m_replica, { { "p/" } }, [](bool) {}, [] {});
   watcher.Start();
-  store.m_list(store::Listing{ {}, 4 });
+  store.m_list(store::Listing{ {}, { 0, 4 } });
   watcher.SetWatchEnabled(false);
-  store.m_watch(store::Changes{ {}, 5 });
+  store.m_watch(store::Changes{ {}, { 0, 5 } });
   BOOST_TEST(!watcher.IsStoreReachable());
   BOOST_TEST(store.m_calls.size() == 2U);
   watcher.SetWatchEnabled(true);
-  store.m_list(store::Listing{ {}, 6 });
+  store.m_list(store::Listing{ {}, { 0, 6 } });
   BOOST_TEST(store.m_calls.back() == "watch 6");
   BOOST_TEST(watcher.IsStoreReachable());
 }
@@ -185,17 +186,17 @@
     },
     [&] { ++loaded; });
   watcher.Start();
-  store.m_list(store::Listing{ { ItemOf("p/a", 3) }, 4 });
+  store.m_list(store::Listing{ { ItemOf("p/a", 3) }, { 0, 4 } });
   BOOST_TEST(watcher.Loaded());
-  store.m_watch(store::Changes{ { { ItemOf("p/b", 6), false } }, 6 });
+  store.m_watch(store::Changes{ { { ItemOf("p/b", 6), false } }, { 0, 6 } });
   AwaitCall(loop, store, 3);
   store.m_watch(tl::unexpected(store::Fault::HistoryCompacted));
-  store.m_list(store::Listing{ { ItemOf("p/a", 3) }, 8 });
+  store.m_list(store::Listing{ { ItemOf("p/a", 3) }, { 0, 8 } });
   BOOST_TEST(recorded.m_replica.Find("p/b") == nullptr);
   store.m_watch(tl::unexpected(store::Fault::Unknown));
   BOOST_TEST(!watcher.IsStoreReachable());
   AwaitCall(loop, store, 6);
-  store.m_list(store::Listing{ {}, 9 });
+  store.m_list(store::Listing{ {}, { 0, 9 } });
   BOOST_TEST(store.m_calls ==
                (std::vector<std::string>{
                  "list p/", "watch 4", "watch 6", "list p/", "watch 8", "list p/", "watch 9" }),
@@ -213,16 +214,16 @@
   StoreWatcher<ScriptedStore> watcher(
     loop, store, recorded.m_replica, { { "p/" } }, [](bool) {}, [] {});
   watcher.Start();
-  store.m_list(store::Listing{ {}, 4 });
+  store.m_list(store::Listing{ {}, { 0, 4 } });
   const auto start = base::BootNow();
-  store.m_watch(store::Changes{ { { ItemOf("p/a", 5), false } }, 5 });
+  store.m_watch(store::Changes{ { { ItemOf("p/a", 5), false } }, { 0, 5 } });
   BOOST_TEST(recorded.m_replica.Find("p/a") != nullptr);
   BOOST_TEST(store.m_calls.size() == 2U);
   AwaitCall(loop, store, 3);
   BOOST_TEST((base::BootNow() - start >= base::Millis(100)));
   BOOST_TEST(store.m_calls.back() == "watch 5");
   // An answer without changes has waited at the store, so the next call follows at once.
-  store.m_watch(store::Changes{ {}, 6 });
+  store.m_watch(store::Changes{ {}, { 0, 6 } });
   BOOST_TEST(store.m_calls.back() == "watch 6");
 }
 
@@ -235,15 +236,15 @@
   StoreWatcher<ScriptedStore> watcher(
     loop, store, recorded.m_replica, { { "p/", "q/" } }, [](bool) {}, [] {});
   watcher.Start();
-  store.m_list(store::Listing{ { ItemOf("p/a", 3) }, 4 });
-  BOOST_TEST(recorded.m_replica.LastRevision() == 0U);
-  store.m_list(store::Listing{ { ItemOf("q/b", 2) }, 5 });
-  BOOST_TEST(recorded.m_replica.LastRevision() == 4U);
+  store.m_list(store::Listing{ { ItemOf("p/a", 3) }, { 0, 4 } });
+  BOOST_TEST(recorded.m_replica.LastPosition().m_revision == 0U);
+  store.m_list(store::Listing{ { ItemOf("q/b", 2) }, { 0, 5 } });
+  BOOST_TEST(recorded.m_replica.LastPosition().m_revision == 4U);
   store.m_watch(tl::unexpected(store::Fault::HistoryCompacted));
-  store.m_list(store::Listing{ {}, 8 });
-  store.m_list(store::Listing{ { ItemOf("q/b", 2) }, 9 });
-  BOOST_TEST(recorded.m_replica.LastRevision() == 8U);
-  BOOST_TEST(recorded.m_replica.Tombstones().at("p/a") == 8U);
+  store.m_list(store::Listing{ {}, { 0, 8 } });
+  store.m_list(store::Listing{ { ItemOf("q/b", 2) }, { 0, 9 } });
+  BOOST_TEST(recorded.m_replica.LastPosition().m_revision == 8U);
+  BOOST_TEST(recorded.m_replica.Tombstones().at("p/a").m_revision == 8U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
