fleet: departures of endpoints outlast a restore of the store

After a restore the store lists endpoints as they were in its copy: those that have begun to drain or have been removed since are listed as ready until they write again, and calls would be sent to them; those that have registered since are missing.

Change: the directory remembers for each incarnation that it was draining or removed, and at which position. A registration of a later era does not make a draining incarnation ready again; an incarnation that was removed gets no work for 5 s, in which a registration that its endpoint does not renew expires. Missing registrations are kept for the grace period, as after an outage. An endpoint that registers again in the same era is not affected, and a new incarnation is used at once.

Chosen: 5 s exceeds three heartbeat intervals of endpoints; departures are remembered for 60 s after the registration is gone, longer than a copy is old.

--- a/packages/fleet/EndpointDirectory.cpp
+++ b/packages/fleet/EndpointDirectory.cpp
@@ -1,6 +1,7 @@
 #include "fleet/EndpointDirectory.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace papayafield::fleet {
 
@@ -9,6 +10,12 @@
 /// Maximum number of tombstones kept. A tombstone lets a delayed older registration be recognized
 /// as stale.
 constexpr size_t kMaxTombstones = 4096;
+/// Departures are remembered for this long, which exceeds the age of the copy that a store is
+/// restored from.
+constexpr base::Millis kDepartureRetention{ 60000 };
+/// Endpoints that were removed and that a restored store lists again get no work for this long:
+/// a registration that its endpoint does not renew expires within it.
+constexpr base::Millis kRelistedHold{ 5000 };
 
 } // namespace
 
@@ -27,14 +34,44 @@
     return;
   }
   m_missing.erase(aRegistration.m_id);
+  m_held.erase(aRegistration.m_id);
   if (!aRegistration.m_endpoint) {
     m_endpoints.erase(aRegistration.m_id);
   } else {
-    m_endpoints[aRegistration.m_id] = *aRegistration.m_endpoint;
+    Store(*aRegistration.m_endpoint);
   }
   Rebuild();
 }
 
+void EndpointDirectory::Store(Endpoint aEndpoint) {
+  const base::EndpointId id = aEndpoint.m_incarnation.m_endpoint;
+  const auto departure = m_departures.find(aEndpoint.m_incarnation);
+  if (aEndpoint.m_draining) {
+    m_departures[aEndpoint.m_incarnation] = { aEndpoint.m_position, true, std::nullopt };
+  } else if (departure != m_departures.end()) {
+    if (departure->second.m_position.m_era == aEndpoint.m_position.m_era) {
+      // The endpoint has registered again.
+      m_departures.erase(departure);
+    } else if (departure->second.m_draining) {
+      // The copy is older than the departure.
+      aEndpoint.m_draining = true;
+    } else if (m_holdEnd) {
+      m_held.insert(id);
+    }
+  }
+  m_endpoints[id] = std::move(aEndpoint);
+}
+
+void EndpointDirectory::Erase(std::map<base::EndpointId, Endpoint>::iterator aEndpoint,
+                              const store::Position& aPosition) {
+  Departure& departure = m_departures[aEndpoint->second.m_incarnation];
+  departure.m_position = std::max(departure.m_position, aPosition);
+  departure.m_absentSince.reset();
+  m_missing.erase(aEndpoint->first);
+  m_held.erase(aEndpoint->first);
+  m_endpoints.erase(aEndpoint);
+}
+
 void EndpointDirectory::Remove(const base::EndpointId& aId,
                                const store::Position& aPosition,
                                base::TimePoint aNow) {
@@ -54,8 +91,7 @@
     m_missing.insert(aId);
     return;
   }
-  m_endpoints.erase(known);
-  m_missing.erase(aId);
+  Erase(known, aPosition);
   Rebuild();
 }
 
@@ -89,16 +125,46 @@
   }
 }
 
+void EndpointDirectory::OnStoreRestored(base::TimePoint aNow) {
+  m_graceEnd = aNow + m_gracePeriod;
+  m_holdEnd = aNow + kRelistedHold;
+}
+
+void EndpointDirectory::EndHold(base::TimePoint aNow) {
+  if (!m_holdEnd || aNow < *m_holdEnd) {
+    return;
+  }
+  m_holdEnd.reset();
+  m_held.clear();
+  Rebuild();
+}
+
+void EndpointDirectory::ForgetDepartures(base::TimePoint aNow) {
+  for (auto& [incarnation, departure] : m_departures) {
+    const auto known = m_endpoints.find(incarnation.m_endpoint);
+    if (known != m_endpoints.end() && known->second.m_incarnation == incarnation) {
+      departure.m_absentSince.reset();
+    } else if (!departure.m_absentSince) {
+      departure.m_absentSince = aNow;
+    }
+  }
+  std::erase_if(m_departures, [&](const auto& aEntry) {
+    const auto& absentSince = aEntry.second.m_absentSince;
+    return absentSince && aNow - *absentSince > kDepartureRetention;
+  });
+}
+
 std::vector<base::EndpointId> EndpointDirectory::RemoveExpired(base::TimePoint aNow) {
+  EndHold(aNow);
+  ForgetDepartures(aNow);
   std::vector<base::EndpointId> expired;
   if (m_missing.empty() || DefersRemovals(aNow)) {
     return expired;
   }
   expired.assign(m_missing.begin(), m_missing.end());
   for (const base::EndpointId& id : expired) {
-    m_endpoints.erase(id);
+    Erase(m_endpoints.find(id), m_lastPosition);
   }
-  m_missing.clear();
   Rebuild();
   return expired;
 }
@@ -106,7 +172,7 @@
 void EndpointDirectory::Rebuild() {
   m_ready.clear();
   for (const auto& [id, endpoint] : m_endpoints) {
-    if (!endpoint.m_draining) {
+    if (!endpoint.m_draining && !m_held.contains(id)) {
       m_ready.push_back(endpoint);
     }
   }
--- a/packages/fleet/EndpointDirectory.h
+++ b/packages/fleet/EndpointDirectory.h
@@ -37,8 +37,9 @@
 
 /// The set of endpoints, built from their registrations in the store. While the store is
 /// unavailable, and for a grace period after it recovers, endpoints whose registration has expired
-/// are kept: no endpoint can renew its lease then, so all registrations expire together. Not thread
-/// safe.
+/// are kept: no endpoint can renew its lease then, so all registrations expire together. A restored
+/// store lists endpoints as they were in its copy; what was known of their departure since then
+/// holds. Not thread safe.
 class EndpointDirectory {
 public:
   /// Removals take effect again `aGracePeriod` after the store recovers.
@@ -58,8 +59,11 @@
   void OnStoreLost();
   /// Records that the store is reachable again, and starts the grace period.
   void OnStoreRecovered(base::TimePoint aNow);
+  /// Records that the store was restored from a copy, before the registrations of the new era are
+  /// put, and starts the grace period: endpoints that the copy lacks may register again.
+  void OnStoreRestored(base::TimePoint aNow);
   /// Removes the endpoints whose registration is still missing after the grace period, and returns
-  /// their identifiers.
+  /// their identifiers. Ends the hold of endpoints that the store lists again.
   std::vector<base::EndpointId> RemoveExpired(base::TimePoint aNow);
 
   /// Returns the endpoints that accept new work, ordered by identifier.
@@ -70,16 +74,36 @@
   const store::Position& LastPosition() const { return m_lastPosition; }
 
 private:
+  /// The draining or removal of an incarnation. It outlasts a restore of the store to a copy that
+  /// still lists the endpoint as ready.
+  struct Departure {
+    store::Position m_position;
+    /// Whether the endpoint was registered as draining.
+    bool m_draining = false;
+    /// Since when the incarnation is not registered.
+    std::optional<base::TimePoint> m_absentSince;
+  };
+
   bool DefersRemovals(base::TimePoint aNow) const;
+  void Store(Endpoint aEndpoint);
+  void Erase(std::map<base::EndpointId, Endpoint>::iterator aEndpoint,
+             const store::Position& aPosition);
+  void EndHold(base::TimePoint aNow);
+  void ForgetDepartures(base::TimePoint aNow);
   void Rebuild();
 
   base::Millis m_gracePeriod;
   std::map<base::EndpointId, Endpoint> m_endpoints;
   std::map<base::EndpointId, store::Position> m_tombstones;
+  std::map<Incarnation, Departure> m_departures;
   std::set<base::EndpointId> m_missing;
+  /// Endpoints that get no work until the end of the hold.
+  std::set<base::EndpointId> m_held;
   std::vector<Endpoint> m_ready;
   bool m_storeLost = false;
   std::optional<base::TimePoint> m_graceEnd;
+  /// End of the hold of endpoints that a restored store lists although they were removed.
+  std::optional<base::TimePoint> m_holdEnd;
   store::Position m_lastPosition;
 };
 
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -257,6 +257,7 @@
                   { "era_before", aLast.m_era },
                   { "revision_before", aLast.m_revision },
                   { "version", ConfigurationVersion() } });
+    m_state.m_directory.OnStoreRestored(now);
     ForgetRegistrationLease();
     m_nextRegistration = now + base::Millis(m_random() % kRegistrationRenewInterval.count());
   }
