duties: leadership over a restore of the store

A restored store has forgotten leases and assigns revisions and lease identifiers again. A leader whose lease is forgotten acts until it would have ended, while the store shows no leader; a later holder gets a fencing token that is lower than, or the same as, one used before; and a renewal may prolong the lease of another node.

Change: the leader resigns when any answer of the store, or a peer's replica, shows a later era, and drops its lease. No node acquires leadership before a lease duration has passed since it learned of the era, so every lease of an earlier era has ended by then; a node that has just started waits as well if the store holds records of leaders. Fencing tokens consist of era and revision. Answers of another era than the lease's are taken as its loss.

--- a/packages/duties/LeaderElection.h
+++ b/packages/duties/LeaderElection.h
@@ -8,9 +8,11 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <random>
 #include <string>
+#include <vector>
 
 namespace papayafield::duties {
 
@@ -27,11 +29,15 @@
   /// Minimum remaining leadership with which a leader call is started, so that it usually ends
   /// before it has to be cut off.
   base::Millis m_minCallTime{ 300 };
+  /// Store keys that only leaders write. If one exists, there has been a leader.
+  std::vector<std::string> m_leaderRecords;
 };
 
 /// Elects at most one leader of the fleet at a time. The node that creates the key under its own
-/// lease is the leader until the lease ends. The revision at which the key was created is the
-/// fencing token. Used on the event loop thread only.
+/// lease is the leader until the lease ends. The position at which the key was created is the
+/// fencing token. A restored store may have forgotten the lease of a leader that still acts, so the
+/// leader resigns when it learns of the restore, and no node acquires leadership before every
+/// earlier lease has ended. Used on the event loop thread only.
 template<store::StorePort Store, base::ClockPort Clock = base::BootClock>
 class LeaderElection {
 public:
@@ -58,6 +64,7 @@
   /// Acquires leadership if there is no leader, and renews the lease. Called several times a
   /// second. This node campaigns only if `aMayLead` is true.
   void Tick(bool aMayLead) {
+    FollowEra();
     if (m_fencingToken && m_clock.Now() >= m_validUntil) {
       LoseLeadership("expired");
     }
@@ -97,22 +104,65 @@
     m_leaseValidUntil = {};
   }
 
-  void BecomeLeader(FencingToken aFencingToken, base::TimePoint aValidUntil) {
-    m_fencingToken = aFencingToken;
+  void BecomeLeader(const store::Position& aCreated, base::TimePoint aValidUntil) {
+    m_fencingToken = MakeFencingToken(aCreated);
     m_validUntil = aValidUntil;
-    m_log.Event("leadership acquired", { { "fence", aFencingToken }, { "lease", m_lease } });
+    m_log.Event("leadership acquired",
+                { { "fence", *m_fencingToken },
+                  { "era", aCreated.m_era },
+                  { "revision", aCreated.m_revision },
+                  { "lease", m_lease.m_id } });
   }
 
   std::string LeaderValue() const {
-    return m_settings.m_incarnation + '/' + std::to_string(m_lease);
+    return m_settings.m_incarnation + '/' + std::to_string(m_lease.m_id);
+  }
+
+  /// Drops leadership and lease if the store has been restored since the last call, and waits for
+  /// leases of the earlier era to end. A node that has just started does not know when the present
+  /// era began.
+  void FollowEra() {
+    if (m_replica.LastPosition() == store::Position{}) {
+      return;
+    }
+    const uint64_t era = std::max(m_store.LatestEra(), m_replica.LastPosition().m_era);
+    if (m_era && era <= *m_era) {
+      return;
+    }
+    const bool hadLeader = m_era || std::any_of(m_settings.m_leaderRecords.begin(),
+                                                m_settings.m_leaderRecords.end(),
+                                                [this](const std::string& aKey) {
+                                                  return m_replica.Find(aKey) != nullptr;
+                                                });
+    if (hadLeader) {
+      m_acquireFrom = m_clock.Now() + m_settings.m_leaseDuration;
+      m_log.Event("leases of earlier leaders awaited",
+                  { { "era", era },
+                    { "era_before", m_era ? std::to_string(*m_era) : "none" },
+                    { "wait_ms", m_settings.m_leaseDuration.count() } });
+    }
+    if (m_era) {
+      ForgetLease();
+    }
+    m_era = era;
+  }
+
+  /// Handles the loss of the lease in a restore. Its identifier may be assigned to another node.
+  void ForgetLease() {
+    if (m_fencingToken) {
+      LoseLeadership("store restored");
+    }
+    m_lease = {};
+    m_leaseValidUntil = {};
+    m_acquireAt.reset();
   }
 
   /// Assumes leadership if the replica shows the key of an earlier attempt whose response was lost.
   void RecoverLeadership() {
     const store::Item* item = m_replica.Find(m_settings.m_key);
-    if (item != nullptr && m_lease != 0 && item->m_data == LeaderValue() &&
+    if (item != nullptr && m_lease.m_id != 0 && item->m_data == LeaderValue() &&
         m_clock.Now() < m_leaseValidUntil) {
-      BecomeLeader(item->m_created, m_leaseValidUntil);
+      BecomeLeader({ item->m_position.m_era, item->m_created }, m_leaseValidUntil);
     }
   }
 
@@ -122,6 +172,9 @@
       return;
     }
     const auto now = m_clock.Now();
+    if (now < m_acquireFrom) {
+      return;
+    }
     if (!m_acquireAt) {
       m_acquireAt =
         now +
@@ -137,7 +190,7 @@
         m_callInFlight = false;
         return;
       }
-      m_lease = aLease->m_id;
+      m_lease = *aLease;
       m_leaseValidUntil = now + m_settings.m_leaseDuration - m_settings.m_safetyMargin;
       CreateLeaderKey();
     });
@@ -146,14 +199,17 @@
   void CreateLeaderKey() {
     store::Transaction transaction;
     transaction.m_expected[m_settings.m_key] = 0;
-    transaction.m_writes.push_back({ m_settings.m_key, LeaderValue(), m_lease });
+    transaction.m_writes.push_back({ m_settings.m_key, LeaderValue(), m_lease.m_id });
     m_store.Commit(transaction, [this](store::Result<store::Position> aResult) {
       m_callInFlight = false;
-      if (aResult) {
-        BecomeLeader(aResult->m_revision, m_leaseValidUntil);
+      FollowEra();
+      if (m_lease.m_id == 0 || (aResult && aResult->m_era != m_lease.m_era)) {
+        ForgetLease();
+      } else if (aResult) {
+        BecomeLeader(*aResult, m_leaseValidUntil);
       } else if (aResult.error() != store::Fault::Unknown) {
-        m_store.EndLease(m_lease);
-        m_lease = 0;
+        m_store.EndLease(m_lease.m_id);
+        m_lease = {};
       }
     });
   }
@@ -164,12 +220,15 @@
       return;
     }
     m_callInFlight = true;
-    m_store.Renew(m_lease, [this, now](store::Result<store::Renewal> aResult) {
+    m_store.Renew(m_lease.m_id, [this, now](store::Result<store::Renewal> aResult) {
       m_callInFlight = false;
+      FollowEra();
       if (!m_fencingToken) {
         return;
       }
-      if (aResult) {
+      if (aResult && aResult->m_era != m_lease.m_era) {
+        ForgetLease();
+      } else if (aResult) {
         m_validUntil = now + m_settings.m_leaseDuration - m_settings.m_safetyMargin;
       } else if (aResult.error() == store::Fault::NoLease) {
         LoseLeadership("lease ended");
@@ -182,7 +241,11 @@
   LeaderElectionSettings m_settings;
   const Clock m_clock;
   const base::Log m_log{ "duties" };
-  store::LeaseId m_lease = 0;
+  /// Era of the store that this node follows; nullopt before its first contents are known.
+  std::optional<uint64_t> m_era;
+  /// Time from which leadership may be acquired.
+  base::TimePoint m_acquireFrom{};
+  store::Lease m_lease;
   base::TimePoint m_leaseValidUntil{};
   std::optional<FencingToken> m_fencingToken;
   base::TimePoint m_validUntil{};
--- a/packages/duties/LeaderPlatformPort.h
+++ b/packages/duties/LeaderPlatformPort.h
@@ -4,6 +4,7 @@
 #include "base/Time.h"
 #include "duties/ScalingPolicy.h"
 #include "duties/UsageLedger.h"
+#include "store/Position.h"
 
 #include <concepts>
 #include <cstdint>
@@ -15,6 +16,14 @@
 /// whose token is smaller than one it has seen.
 using FencingToken = uint64_t;
 
+/// Returns the fencing token of a leader whose key was created at `aPosition`. Tokens of a later
+/// era are greater, since a restored store assigns revisions again. Precondition: the revision is
+/// below 2^40, and the era below 2^24. Thread safe.
+constexpr FencingToken MakeFencingToken(const store::Position& aPosition) {
+  constexpr unsigned kRevisionBits = 40;
+  return (aPosition.m_era << kRevisionBits) + aPosition.m_revision;
+}
+
 /// Permission to make leader calls until a point in time.
 struct Leadership {
   FencingToken m_token = 0;
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -94,10 +94,7 @@
           m_state.m_crashGuard.Merge(aReport, base::BootNow());
         })
     , m_gateway(m_state, m_settings.m_callerAddress)
-    , m_leaderElection(
-        aStore,
-        m_replica,
-        { m_keys.m_ownPrefix + "duties", m_self.IncarnationKey(), m_settings.m_leaderLease })
+    , m_leaderElection(aStore, m_replica, MakeElectionSettings())
     , m_reporter(
         aStore,
         aDuties,
@@ -248,6 +245,17 @@
   }
 
   std::string DemandRecordKey() const { return m_keys.m_ownPrefix + "demand"; }
+  std::string UsageRecordKey() const { return m_keys.m_ownPrefix + "usage"; }
+
+  duties::LeaderElectionSettings MakeElectionSettings() const {
+    duties::LeaderElectionSettings settings;
+    settings.m_key = m_keys.m_ownPrefix + "duties";
+    settings.m_incarnation = m_self.IncarnationKey();
+    settings.m_leaseDuration = m_settings.m_leaderLease;
+    settings.m_leaderRecords = { DemandRecordKey(), UsageRecordKey() };
+    return settings;
+  }
+
   /// Handles a restore of the store, before its contents of the new era are applied. Nodes register
   /// again at different times.
   void OnStoreRestored(const store::Position& aLast, uint64_t aEra) {
