duties: usage reports over a restore of the store

A report that was sent may be missing in the copy that the store is restored from. The next leader would count the window anew and send other counts.

Change: every node keeps the reports that it has read. Those that may become the leader write back what the store has lost, under its revision and as soon as they follow the new era, so that the next leader reads it before its wait for earlier leases ends. A report is sent half a second after it was read back, so that the other nodes have read it too, unless it would be overdue by then. A window for which the store has shown two sets of counts is not sent. Conditional writes wait until the replica has the era of the store's latest answer.

A review showed that a leader which had not read a lost report contradicted it; the candidates' writes are the answer to it.

--- a/packages/duties/UsageReporter.h
+++ b/packages/duties/UsageReporter.h
@@ -28,12 +28,19 @@
   base::Millis m_maxCountWait{ 6000 };
   /// Time after the end of a window at which its report is overdue and no longer sent.
   base::Millis m_reportDeadline{ 10000 };
+  /// Time between reading a report back from the store and sending it, in which the other nodes
+  /// read it as well: they keep it if the store loses it.
+  base::Millis m_spreadTime{ 500 };
 };
 
 /// Reports the usage of each window exactly once. A report is first written to the store with a
 /// compare-and-swap, and only reports read back from the store are sent, so that a later leader can
-/// repeat a report but never contradict it. Used on the event loop thread only.
-template<store::StorePort Store, LeaderPlatformPort Platform>
+/// repeat a report but never contradict it. All nodes keep the reports that they have read, and
+/// those that may become the leader write again what a restore of the store has undone. Used on the
+/// event loop thread only.
+template<store::StorePort Store,
+         LeaderPlatformPort Platform,
+         base::ClockPort Clock = base::BootClock>
 class UsageReporter {
 public:
   /// Returns whether the counts of all nodes are known up to a wall time in milliseconds.
@@ -45,15 +52,47 @@
                 UsageLedger& aLedger,
                 UsageReporterSettings aSettings,
                 CountsKnownPredicate aAreCountsKnown,
-                std::function<void(FencingToken)> aOnFenced)
+                std::function<void(FencingToken)> aOnFenced,
+                const Clock& aClock = {})
     : m_store(aStore)
     , m_platform(aPlatform)
     , m_replica(aReplica)
     , m_ledger(aLedger)
     , m_settings(std::move(aSettings))
     , m_areCountsKnown(std::move(aAreCountsKnown))
-    , m_onFenced(std::move(aOnFenced)) {}
+    , m_onFenced(std::move(aOnFenced))
+    , m_clock(aClock) {}
 
+  /// Keeps the reports of `aItem`, the record as written. Called on every node.
+  void OnRecord(const store::Item& aItem) {
+    const int64_t now = base::WallMillis();
+    const auto reports = ParseRecord(aItem, now);
+    if (!reports) {
+      return;
+    }
+    const auto readAt = m_clock.Now();
+    for (const auto& [window, counts] : *reports) {
+      const auto [known, isNew] = m_known.try_emplace(window, KnownReport{ counts, readAt });
+      if (!isNew && known->second.m_counts != counts && !known->second.m_disputed) {
+        known->second.m_disputed = true;
+        m_log.Event("usage report contradicted",
+                    { { "window", window },
+                      { "era", aItem.m_position.m_era },
+                      { "revision", aItem.m_position.m_revision } });
+      }
+    }
+    const int64_t oldest = m_ledger.WindowOf(now) - kMaxStoredWindows - kMaxClockLeadWindows;
+    m_known.erase(m_known.begin(), m_known.lower_bound(oldest));
+  }
+  /// Writes reports again that the store has lost in a restore. Called several times a second on
+  /// each node that may become the leader, so that the next leader reads them before it reports.
+  void RestoreRecord() {
+    const Reports stored = ReadStoredReports(base::WallMillis());
+    const Reports reports = AddKnownReports(stored);
+    if (!m_callInFlight && reports != stored) {
+      Commit(reports, reports.rbegin()->first, "restored");
+    }
+  }
   /// Sends or writes the next report that is due. Called several times a second while this node is
   /// the leader.
   void Tick(const Leadership& aLeadership) {
@@ -66,11 +105,11 @@
     }
     const int64_t now = base::WallMillis();
     m_ledger.RemoveWindowsBefore(m_ledger.WindowOf(now) - kMaxStoredWindows);
-    const Reports reports = ReadStoredReports(now);
-    if (SendNextReport(reports, now, aLeadership)) {
+    const Reports stored = ReadStoredReports(now);
+    if (SendNextReport(stored, now, aLeadership)) {
       return;
     }
-    WriteNextReport(reports, now);
+    WriteNextReport(AddKnownReports(stored), now);
   }
 
 private:
@@ -81,25 +120,61 @@
   /// node's. A report that was dropped as wrong would be written again with other counts.
   static constexpr int64_t kMaxClockLeadWindows = 12;
 
+  /// A report that this node has read from the store.
+  struct KnownReport {
+    UsageLedger::Counts m_counts;
+    base::TimePoint m_readAt;
+    /// Whether the store has also shown other counts. Either may have been sent, so neither is.
+    bool m_disputed = false;
+  };
+
+  std::optional<Reports> ParseRecord(const store::Item& aItem, int64_t aNow) const {
+    auto reports = ParseUsageReports(aItem.m_data, m_ledger.WindowOf(aNow) + kMaxClockLeadWindows);
+    if (!reports) {
+      m_log.Event(
+        "usage record unreadable",
+        { { "era", aItem.m_position.m_era }, { "revision", aItem.m_position.m_revision } });
+    }
+    return reports;
+  }
+
   Reports ReadStoredReports(int64_t aNow) const {
     const store::Item* item = m_replica.Find(m_settings.m_key);
-    if (item == nullptr) {
-      return {};
+    return item == nullptr ? Reports() : ParseRecord(*item, aNow).value_or(Reports());
+  }
+
+  /// Returns the latest reports of the record and of those that this node has read before.
+  Reports AddKnownReports(const Reports& aStored) const {
+    Reports reports = aStored;
+    for (const auto& [window, known] : m_known) {
+      reports.try_emplace(window, known.m_counts);
     }
-    auto reports = ParseUsageReports(item->m_data, m_ledger.WindowOf(aNow) + kMaxClockLeadWindows);
-    if (!reports) {
-      m_log.Event("usage record unreadable", { { "revision", item->m_position.m_revision } });
-      return {};
+    while (static_cast<int64_t>(reports.size()) > kMaxStoredWindows) {
+      reports.erase(reports.begin());
+    }
+    return reports;
+  }
+
+  int64_t DeadlineMs(int64_t aWindow) const {
+    return m_ledger.WindowEndMs(aWindow) + m_settings.m_reportDeadline.count();
+  }
+
+  /// Returns whether the other nodes have had time to read the report, unless it would then be
+  /// overdue, and none contradicts it.
+  bool MaySend(int64_t aWindow, int64_t aNow) const {
+    const auto known = m_known.find(aWindow);
+    if (known == m_known.end() || known->second.m_disputed || aNow > DeadlineMs(aWindow)) {
+      return false;
     }
-    return std::move(*reports);
+    return m_clock.Now() - known->second.m_readAt >= m_settings.m_spreadTime ||
+           aNow + m_settings.m_spreadTime.count() > DeadlineMs(aWindow);
   }
 
   /// Sends the oldest report that was not yet accepted under the present fencing token. Returns
   /// false if there is none.
   bool SendNextReport(const Reports& aReports, int64_t aNow, const Leadership& aLeadership) {
     for (const auto& [window, counts] : aReports) {
-      if (m_acceptedWindows.contains(window) ||
-          aNow > m_ledger.WindowEndMs(window) + m_settings.m_reportDeadline.count()) {
+      if (m_acceptedWindows.contains(window) || !MaySend(window, aNow)) {
         continue;
       }
       m_callInFlight = true;
@@ -130,7 +205,7 @@
             aNow >= m_ledger.WindowEndMs(aWindow) + m_settings.m_maxCountWait.count());
   }
 
-  /// Writes the report of the oldest complete window that has no report in the store.
+  /// Writes the report of the oldest complete window that has no report.
   void WriteNextReport(Reports aReports, int64_t aNow) {
     const int64_t current = m_ledger.WindowOf(aNow);
     const int64_t last = aReports.empty() ? current - kMaxStoredWindows : aReports.rbegin()->first;
@@ -147,12 +222,16 @@
       while (static_cast<int64_t>(aReports.size()) > kMaxStoredWindows) {
         aReports.erase(aReports.begin());
       }
-      Commit(aReports, window);
+      Commit(aReports, window, "new");
       return;
     }
   }
 
-  void Commit(const Reports& aReports, int64_t aWindow) {
+  void Commit(const Reports& aReports, int64_t aWindow, const char* aCause) {
+    if (m_replica.LastPosition().m_era != m_store.LatestEra()) {
+      // The store compares revisions alone, and may have assigned the expected one again.
+      return;
+    }
     nlohmann::json record = nlohmann::json::array();
     for (const auto& [window, counts] : aReports) {
       nlohmann::json report = nlohmann::json::object();
@@ -166,11 +245,12 @@
     transaction.m_expected[m_settings.m_key] = item == nullptr ? 0 : item->m_position.m_revision;
     transaction.m_writes.push_back({ m_settings.m_key, base::DumpJson(record), 0 });
     m_callInFlight = true;
-    m_store.Commit(transaction, [this, aWindow](store::Result<store::Position> aResult) {
+    m_store.Commit(transaction, [this, aWindow, aCause](store::Result<store::Position> aResult) {
       m_callInFlight = false;
       // The watch delivers the written record, whichever node wrote it; Tick() then sends it.
       m_log.Event("usage written",
                   { { "window", aWindow },
+                    { "cause", aCause },
                     { "outcome", aResult ? "written" : base::NameOf(aResult.error()) } });
     });
   }
@@ -182,8 +262,11 @@
   UsageReporterSettings m_settings;
   CountsKnownPredicate m_areCountsKnown;
   std::function<void(FencingToken)> m_onFenced;
+  const Clock m_clock;
   const base::Log m_log{ "usage" };
   std::optional<FencingToken> m_fencingToken;
+  /// Reports that this node has read, by window.
+  std::map<int64_t, KnownReport> m_known;
   std::map<int64_t, bool> m_acceptedWindows;
   bool m_callInFlight = false;
 };
--- a/packages/duties/tests/DutiesTest.cpp
+++ b/packages/duties/tests/DutiesTest.cpp
@@ -110,6 +110,7 @@
 static_assert(LeaderPlatformPort<FakePlatform>);
 
 constexpr int64_t kWindowMs = 5000;
+constexpr base::Millis kSpreadTime = UsageReporterSettings().m_spreadTime;
 
 /// Reads the manual clock of a node.
 struct NodeClock {
@@ -131,7 +132,8 @@
         m_ledger,
         { "usage", base::Millis(0), base::Millis(0), base::Millis(60000) },
         [](int64_t) { return true; },
-        [this](FencingToken aFencingToken) { m_election.OnTokenRejected(aFencingToken); }) {}
+        [this](FencingToken aFencingToken) { m_election.OnTokenRejected(aFencingToken); },
+        NodeClock{ &m_clock }) {}
 
   FencingToken Token() const { return m_election.CurrentLeadership()->m_token; }
 
@@ -145,12 +147,16 @@
   }
 
   base::ManualClock m_clock;
-  sync::StoreReplica m_replica{
-    [](const std::string&, const std::optional<store::Item>&, const store::Position&) {}
-  };
+  sync::StoreReplica m_replica{ [this](const std::string& aKey,
+                                       const std::optional<store::Item>& aItem,
+                                       const store::Position&) {
+    if (aKey == "usage" && aItem) {
+      m_reporter.OnRecord(*aItem);
+    }
+  } };
   LeaderElection<FakeStore, NodeClock> m_election;
   UsageLedger m_ledger;
-  UsageReporter<FakeStore, FakePlatform> m_reporter;
+  UsageReporter<FakeStore, FakePlatform, NodeClock> m_reporter;
 };
 
 const base::TeamId kTeam("team");
@@ -213,10 +219,12 @@
   store.m_loseNextResponse = true;
   for (int tick = 0; tick < 3; ++tick) {
     store.UpdateReplica(one.m_replica);
+    one.m_clock.Advance(kSpreadTime);
     one.m_reporter.Tick(Leadership{ 1, base::TimePoint::max() });
   }
   for (int tick = 0; tick < 3; ++tick) {
     store.UpdateReplica(two.m_replica);
+    two.m_clock.Advance(kSpreadTime);
     two.m_reporter.Tick(Leadership{ 2, base::TimePoint::max() });
   }
   std::map<int64_t, std::set<uint64_t>> counts;
@@ -240,6 +248,7 @@
   store.m_items["usage"] = { "usage", record, { 1, 7 }, 7 };
   for (int tick = 0; tick < 3; ++tick) {
     store.UpdateReplica(node.m_replica);
+    node.m_clock.Advance(kSpreadTime);
     node.m_reporter.Tick(Leadership{ 1, base::TimePoint::max() });
   }
   BOOST_TEST(store.m_items["usage"].m_data == record);
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -100,10 +100,7 @@
         aDuties,
         m_replica,
         m_state.m_usage,
-        { m_keys.m_ownPrefix + "usage",
-          kUsageSettleTime,
-          kMaxUsageCountWait,
-          m_settings.m_usageReportDelay },
+        { UsageRecordKey(), kUsageSettleTime, kMaxUsageCountWait, m_settings.m_usageReportDelay },
         [this](int64_t aWallMs) { return AllCountsReceived(aWallMs); },
         [this](duties::FencingToken aToken) { m_leaderElection.OnTokenRejected(aToken); })
     , m_autoscaler(aDuties, m_state.m_scaling) {}
@@ -239,6 +236,10 @@
       if (aItem) {
         OnDemandRecord(*aItem);
       }
+    } else if (aKey == UsageRecordKey()) {
+      if (aItem) {
+        m_reporter.OnRecord(*aItem);
+      }
     } else if (aKey.starts_with(nodes)) {
       OnNodeRegistration(base::NodeId(aKey.substr(nodes.size())), aItem);
     }
@@ -610,8 +611,12 @@
     }
     // Older nodes have received the counts of nodes that have ended since.
     const bool hasAllCounts = m_peerTable.OlderReadyCount(base::BootNow()) < kLeaderCandidates;
-    m_leaderElection.Tick(Ready() && m_storeWatcher.Loaded() && m_storeWatcher.IsStoreReachable() &&
-                          hasAllCounts);
+    const bool mayLead =
+      Ready() && m_storeWatcher.Loaded() && m_storeWatcher.IsStoreReachable() && hasAllCounts;
+    m_leaderElection.Tick(mayLead);
+    if (mayLead && m_settings.m_reportsUsage) {
+      m_reporter.RestoreRecord();
+    }
     const auto leadership = m_leaderElection.CurrentLeadership();
     if (!leadership || m_state.Catalog() == nullptr) {
       return;
