--- a/packages/duties/LeaderElection.h
+++ b/packages/duties/LeaderElection.h
@@ -18,7 +18,7 @@
 
 /// Parameters of the leader election.
 struct LeaderElectionSettings {
-  /// Store key whose creation makes a node the leader.
+  /// Store key whose creation makes a node the leader. The era is appended.
   std::string m_key;
   /// Identifies this incarnation of this node.
   std::string m_incarnation;
@@ -31,13 +31,17 @@
   base::Millis m_minCallTime{ 300 };
   /// Store keys that only leaders write. If one exists, there has been a leader.
   std::vector<std::string> m_leaderRecords;
+  /// Seed of the random delays.
+  uint64_t m_randomSeed = base::RandomSeed();
 };
 
 /// Elects at most one leader of the fleet at a time. The node that creates the key under its own
 /// lease is the leader until the lease ends. The position at which the key was created is the
 /// fencing token. A restored store may have forgotten the lease of a leader that still acts, so the
 /// leader resigns when it learns of the restore, and no node acquires leadership before every
-/// earlier lease has ended. Used on the event loop thread only.
+/// earlier lease has ended. Each era has a key of its own: an attempt of an earlier era that
+/// arrives late may write its key under a lease that the store has assigned again, to a node that
+/// renews it for ever. Used on the event loop thread only.
 template<store::StorePort Store, base::ClockPort Clock = base::BootClock>
 class LeaderElection {
 public:
@@ -48,7 +52,8 @@
     : m_store(aStore)
     , m_replica(aReplica)
     , m_settings(std::move(aSettings))
-    , m_clock(aClock) {}
+    , m_clock(aClock)
+    , m_random(m_settings.m_randomSeed) {}
 
   /// Returns whether this node is certain to be the leader.
   bool IsLeader() const { return m_fencingToken && m_clock.Now() < m_validUntil; }
@@ -114,6 +119,11 @@
                   { "lease", m_lease.m_id } });
   }
 
+  /// Returns the key whose creation under a lease of `aEra` makes a node the leader.
+  std::string KeyOf(uint64_t aEra) const {
+    return aEra == 0 ? m_settings.m_key : m_settings.m_key + '/' + std::to_string(aEra);
+  }
+
   std::string LeaderValue() const {
     return m_settings.m_incarnation + '/' + std::to_string(m_lease.m_id);
   }
@@ -159,7 +169,7 @@
 
   /// Assumes leadership if the replica shows the key of an earlier attempt whose response was lost.
   void RecoverLeadership() {
-    const store::Item* item = m_replica.Find(m_settings.m_key);
+    const store::Item* item = m_replica.Find(KeyOf(m_lease.m_era));
     if (item != nullptr && m_lease.m_id != 0 && item->m_data == LeaderValue() &&
         m_clock.Now() < m_leaseValidUntil) {
       BecomeLeader({ item->m_position.m_era, item->m_created }, m_leaseValidUntil);
@@ -167,7 +177,7 @@
   }
 
   void AcquireIfVacant() {
-    if (m_fencingToken || m_replica.Find(m_settings.m_key) != nullptr) {
+    if (m_fencingToken || !m_era || m_replica.Find(KeyOf(*m_era)) != nullptr) {
       m_acquireAt.reset();
       return;
     }
@@ -186,7 +196,8 @@
     m_acquireAt.reset();
     m_callInFlight = true;
     m_store.Grant(m_settings.m_leaseDuration, [this, now](store::Result<store::Lease> aLease) {
-      if (!aLease) {
+      FollowEra();
+      if (!aLease || aLease->m_era != m_era || m_clock.Now() < m_acquireFrom) {
         m_callInFlight = false;
         return;
       }
@@ -198,8 +209,9 @@
 
   void CreateLeaderKey() {
     store::Transaction transaction;
-    transaction.m_expected[m_settings.m_key] = 0;
-    transaction.m_writes.push_back({ m_settings.m_key, LeaderValue(), m_lease.m_id });
+    const std::string key = KeyOf(m_lease.m_era);
+    transaction.m_expected[key] = 0;
+    transaction.m_writes.push_back({ key, LeaderValue(), m_lease.m_id });
     m_store.Commit(transaction, [this](store::Result<store::Position> aResult) {
       m_callInFlight = false;
       FollowEra();
@@ -208,7 +220,8 @@
       } else if (aResult) {
         BecomeLeader(*aResult, m_leaseValidUntil);
       } else if (aResult.error() != store::Fault::Unknown) {
-        m_store.EndLease(m_lease.m_id);
+        // The lease expires by itself. A call to end it could arrive after a restore, and end that
+        // of another leader.
         m_lease = {};
       }
     });
@@ -251,7 +264,7 @@
   base::TimePoint m_validUntil{};
   std::optional<base::TimePoint> m_acquireAt;
   bool m_callInFlight = false;
-  std::mt19937_64 m_random{ base::RandomSeed() };
+  std::mt19937_64 m_random;
 };
 
 } // namespace papayafield::duties
--- a/packages/duties/tests/DutiesTest.cpp
+++ b/packages/duties/tests/DutiesTest.cpp
@@ -110,7 +110,7 @@
 static_assert(LeaderPlatformPort<FakePlatform>);
 
 constexpr int64_t kWindowMs = 5000;
-constexpr base::Millis kSpreadTime = UsageReporterSettings().m_spreadTime;
+const base::Millis kSpreadTime = UsageReporterSettings().m_spreadTime;
 
 /// Reads the manual clock of a node.
 struct NodeClock {
@@ -180,7 +180,7 @@
   one.m_election.Resign();
   BOOST_TEST(!one.m_election.IsLeader());
   // A call of the first leader may still be under way, so its lease is not ended early.
-  BOOST_TEST(store.m_items.contains("duties"));
+  BOOST_TEST(store.m_items.contains("duties/1"));
   store.ExpireLeases();
   two.AwaitLeadership(store);
   BOOST_TEST(two.Token() > first);
@@ -192,7 +192,7 @@
   Node one(store, platform, "one");
   store.m_loseNextResponse = true;
   one.AwaitLeadership(store);
-  BOOST_TEST(one.Token() == MakeFencingToken({ 1, store.m_items["duties"].m_created }));
+  BOOST_TEST(one.Token() == MakeFencingToken({ 1, store.m_items["duties/1"].m_created }));
 }
 
 BOOST_AUTO_TEST_CASE(RejectedFencingTokenEndsLeadership) {
@@ -204,6 +204,38 @@
   BOOST_TEST(!one.m_election.IsLeader());
 }
 
+// An attempt of an earlier era was carried out after a restore, under a lease that the store has
+// assigned to another node, which renews it for ever.
+BOOST_AUTO_TEST_CASE(LeaderKeyOfAnEarlierEraDoesNotPreventLeadership) {
+  FakeStore store;
+  FakePlatform platform;
+  Node one(store, platform, "one");
+  Node two(store, platform, "two");
+  two.AwaitLeadership(store);
+  const store::Item key = store.m_items.begin()->second;
+  store.m_items.clear();
+  ++store.m_era;
+  store.m_revision = 3;
+  store.m_items[key.m_key] = { key.m_key, key.m_data, store.Now(), store.m_revision };
+  store.UpdateReplica(two.m_replica);
+  two.m_election.Tick(true);
+  BOOST_TEST(!two.m_election.IsLeader());
+  one.AwaitLeadership(store);
+  BOOST_TEST(one.Token() > MakeFencingToken(key.m_position));
+}
+
+// Before it has read the store, a node does not know of a leader.
+BOOST_AUTO_TEST_CASE(NodeThatHasNotReadTheStoreDoesNotLead) {
+  FakeStore store;
+  FakePlatform platform;
+  Node node(store, platform, "one");
+  for (int i = 0; i < 5; ++i) {
+    node.m_clock.Advance(base::Millis(1000));
+    node.m_election.Tick(true);
+  }
+  BOOST_TEST(!node.m_election.IsLeader());
+}
+
 // A later leader with different counts repeats the written report and never contradicts it.
 BOOST_AUTO_TEST_CASE(WindowIsReportedWithOneSetOfCounts) {
   FakeStore store;
