serving: a confirmed configuration is not taken back by a restore of the store

Between a restore and the operator's repeated write, the store holds an older configuration than the one in force. Nodes that run keep the newer one, since lower versions are ignored; but a node that starts in between reads the older one and serves it (RestoredStoreTest/NodeStartedAfterARestoreLearnsTheConfirmedConfiguration on: only after the operator's repeated write).

Change: a node whose peer reports a higher version of the configuration in force fetches that peer's replica, which then contains the configuration besides the store's items. Ignored versions leave a log line. Of two configurations with the same version the later one holds: an operator's later write counts, and within one era it does not happen.

--- a/packages/forwarding/NodeState.cpp
+++ b/packages/forwarding/NodeState.cpp
@@ -31,7 +31,7 @@
   , m_retryLimits(aRetryLimits) {}
 
 bool NodeState::ApplyCatalog(fleet::CatalogPtr aCatalog) {
-  if (m_catalog != nullptr && aCatalog->Version() <= m_catalog->Version()) {
+  if (m_catalog != nullptr && aCatalog->Version() < m_catalog->Version()) {
     return false;
   }
   m_catalog = std::move(aCatalog);
--- a/packages/forwarding/NodeState.h
+++ b/packages/forwarding/NodeState.h
@@ -47,7 +47,7 @@
 
   /// Returns the active configuration; null before the first one.
   const fleet::CatalogPtr& Catalog() const { return m_catalog; }
-  /// Activates a configuration if it is newer than the active one. Returns whether it was.
+  /// Activates a configuration unless its version is below the active one. Returns whether it did.
   bool ApplyCatalog(fleet::CatalogPtr aCatalog);
   /// Sets the number of nodes that share the fleet's retry budgets; at least one is assumed.
   void SetNodeCount(size_t aCount);
--- a/packages/gossip/PeerTable.cpp
+++ b/packages/gossip/PeerTable.cpp
@@ -125,20 +125,35 @@
          }));
 }
 
-const Peer* PeerTable::MostAdvancedPeer(const store::Position& aPosition,
+template<class Value>
+const Peer* PeerTable::PeerWithGreatest(Value Peer::*aMember,
+                                        const Value& aBound,
                                         base::TimePoint aNow,
                                         const std::set<std::string>& aExcludedHosts) const {
   const Peer* best = nullptr;
   for (const auto& [node, peer] : m_peers) {
-    if (IsAlive(peer, aNow) && peer.m_position > aPosition &&
+    if (IsAlive(peer, aNow) && peer.*aMember > aBound &&
         !aExcludedHosts.contains(peer.m_contact.m_host) &&
-        (best == nullptr || peer.m_position > best->m_position)) {
+        (best == nullptr || peer.*aMember > best->*aMember)) {
       best = &peer;
     }
   }
   return best;
 }
 
+const Peer* PeerTable::MostAdvancedPeer(const store::Position& aPosition,
+                                        base::TimePoint aNow,
+                                        const std::set<std::string>& aExcludedHosts) const {
+  return PeerWithGreatest(&Peer::m_position, aPosition, aNow, aExcludedHosts);
+}
+
+const Peer* PeerTable::PeerWithNewerConfiguration(
+  int64_t aVersion,
+  base::TimePoint aNow,
+  const std::set<std::string>& aExcludedHosts) const {
+  return PeerWithGreatest(&Peer::m_configuration, aVersion, aNow, aExcludedHosts);
+}
+
 bool PeerTable::AllHeartbeatsWithin(base::Millis aTimeout, base::TimePoint aNow) const {
   return std::all_of(m_peers.begin(), m_peers.end(), [&](const auto& aEntry) {
     const Peer& peer = aEntry.second;
--- a/packages/gossip/PeerTable.h
+++ b/packages/gossip/PeerTable.h
@@ -75,6 +75,11 @@
   const Peer* MostAdvancedPeer(const store::Position& aPosition,
                                base::TimePoint aNow,
                                const std::set<std::string>& aExcludedHosts = {}) const;
+  /// Returns the live peer with the highest version of the configuration in force, or null if none
+  /// is above `aVersion`. Peers on the hosts `aExcludedHosts` are not considered.
+  const Peer* PeerWithNewerConfiguration(int64_t aVersion,
+                                         base::TimePoint aNow,
+                                         const std::set<std::string>& aExcludedHosts = {}) const;
   /// Returns whether every known node that is not stopping has sent a heartbeat within `aTimeout`.
   /// A silent node may be frozen or partitioned, and may hold data that it has not yet sent.
   bool AllHeartbeatsWithin(base::Millis aTimeout, base::TimePoint aNow) const;
@@ -87,6 +92,12 @@
   bool AnyReachesStore(base::TimePoint aNow) const;
 
 private:
+  /// Returns the live peer with the greatest value, or null if no value is above `aBound`.
+  template<class Value>
+  const Peer* PeerWithGreatest(Value Peer::*aMember,
+                               const Value& aBound,
+                               base::TimePoint aNow,
+                               const std::set<std::string>& aExcludedHosts) const;
   bool StartedBefore(const Peer& aPeer) const;
   bool HeardRecently(const Peer& aPeer, base::TimePoint aNow) const;
 
--- a/packages/serving/GossipExchange.cpp
+++ b/packages/serving/GossipExchange.cpp
@@ -41,7 +41,9 @@
                                std::function<void(const gossip::Heartbeat&)> aOnHeartbeat,
                                std::function<gossip::LeavingNotice()> aMakeLeavingNotice,
                                std::function<void(const gossip::LeavingNotice&)> aOnLeavingNotice,
-                               std::function<void(const quarantine::Report&)> aOnQuarantineReport)
+                               std::function<void(const quarantine::Report&)> aOnQuarantineReport,
+                               const ActiveConfiguration& aConfiguration,
+                               std::function<void(const std::string& aData)> aOnConfiguration)
   : m_loop(aLoop)
   , m_settings(aSettings)
   , m_self(aSelf)
@@ -52,6 +54,8 @@
   , m_makeLeavingNotice(std::move(aMakeLeavingNotice))
   , m_onLeavingNotice(std::move(aOnLeavingNotice))
   , m_onQuarantineReport(std::move(aOnQuarantineReport))
+  , m_configuration(aConfiguration)
+  , m_onConfiguration(std::move(aOnConfiguration))
   , m_socket({ aSettings.m_host, aSettings.m_gossipPort })
   , m_readable(aLoop.OnReadable(m_socket.Fd(), [this] { Receive(); }))
   , m_server(aLoop,
@@ -192,7 +196,22 @@
       adapters::http1::QueryParameter(aHead.m_target, aName).c_str(), nullptr, 10);
   };
   const store::Position after{ number("era"), number("after") };
-  return { 200, "application/cbor", EncodeReplica(m_replica, after) };
+  const auto version = static_cast<int64_t>(number("configuration"));
+  return { 200,
+           "application/cbor",
+           EncodeReplica(m_replica, after, ConfigurationMissingInStore(version)) };
+}
+
+/// Returns the configuration in force if it is newer than `aKnownVersion` and the store does not
+/// hold it, which is so between a restore and the operator's next write.
+std::optional<std::string> GossipExchange::ConfigurationMissingInStore(
+  int64_t aKnownVersion) const {
+  const store::Item* item = m_replica.Find(m_configuration.m_key);
+  const bool isStored = item != nullptr && item->m_data == m_configuration.m_data;
+  if (aKnownVersion >= m_configuration.m_version || isStored) {
+    return std::nullopt;
+  }
+  return m_configuration.m_data;
 }
 
 void GossipExchange::ApplyReplica(const std::string& aBytes) {
@@ -202,12 +221,23 @@
     return;
   }
   m_replica.CatchUp(snapshot->m_changes, snapshot->m_complete, snapshot->m_position);
+  if (snapshot->m_configuration) {
+    m_onConfiguration(*snapshot->m_configuration);
+  }
+}
+
+const gossip::Peer* GossipExchange::FindPeerAhead(base::TimePoint aNow) {
+  const std::set<std::string> excluded = UnresponsiveHosts(aNow);
+  const gossip::Peer* ahead =
+    m_peerTable.MostAdvancedPeer(m_replica.LastPosition(), aNow, excluded);
+  return ahead != nullptr
+           ? ahead
+           : m_peerTable.PeerWithNewerConfiguration(m_configuration.m_version, aNow, excluded);
 }
 
 void GossipExchange::FetchIfBehind(bool aOwnStoreReachable) {
   const auto now = base::BootNow();
-  const gossip::Peer* ahead =
-    m_peerTable.MostAdvancedPeer(m_replica.LastPosition(), now, UnresponsiveHosts(now));
+  const gossip::Peer* ahead = FindPeerAhead(now);
   if (ahead == nullptr) {
     m_behindSince.reset();
     return;
@@ -241,15 +271,18 @@
       m_loop, base::Address{ aHost, m_settings.m_replicaPort });
   }
   const store::Position before = m_replica.LastPosition();
-  const std::string target =
-    "/image?after=" + std::to_string(before.m_revision) + "&era=" + std::to_string(before.m_era);
+  const std::string target = "/image?after=" + std::to_string(before.m_revision) +
+                             "&era=" + std::to_string(before.m_era) +
+                             "&configuration=" + std::to_string(m_configuration.m_version);
   client->Call("GET", target, {}, {}, kFetchTimeout, [this, host = aHost](CallResult aResult) {
     m_fetching = false;
     m_behindSince.reset();
     const store::Position before = m_replica.LastPosition();
+    const int64_t versionBefore = m_configuration.m_version;
     if (aResult.m_status == 200) {
       ApplyReplica(aResult.m_body);
-    } else {
+    }
+    if (m_replica.LastPosition() == before && m_configuration.m_version == versionBefore) {
       m_unresponsive[host] = base::BootNow();
     }
     m_log.Event("store replica fetch ended",
@@ -258,7 +291,8 @@
                   { "era_before", before.m_era },
                   { "revision_before", before.m_revision },
                   { "era", m_replica.LastPosition().m_era },
-                  { "revision", m_replica.LastPosition().m_revision } });
+                  { "revision", m_replica.LastPosition().m_revision },
+                  { "version", m_configuration.m_version } });
   });
 }
 
--- a/packages/serving/GossipExchange.h
+++ b/packages/serving/GossipExchange.h
@@ -27,6 +27,14 @@
 /// the endpoints. Belongs to the event loop's thread.
 class GossipExchange {
 public:
+  /// The configuration in force at this node.
+  struct ActiveConfiguration {
+    /// Key of the configuration in the store.
+    std::string m_key;
+    int64_t m_version = 0;
+    std::string m_data;
+  };
+
   GossipExchange(adapters::http::EventLoop& aLoop,
                  const ServingSettings& aSettings,
                  const gossip::Contact& aSelf,
@@ -36,7 +44,9 @@
                  std::function<void(const gossip::Heartbeat&)> aOnHeartbeat,
                  std::function<gossip::LeavingNotice()> aMakeLeavingNotice,
                  std::function<void(const gossip::LeavingNotice&)> aOnLeavingNotice,
-                 std::function<void(const quarantine::Report&)> aOnQuarantineReport);
+                 std::function<void(const quarantine::Report&)> aOnQuarantineReport,
+                 const ActiveConfiguration& aConfiguration,
+                 std::function<void(const std::string& aData)> aOnConfiguration);
 
   /// Returns whether both ports could be bound.
   bool Bound() const { return m_socket.Bound() && m_server.Listening(); }
@@ -58,11 +68,13 @@
   /// Returns when the last update from a node that watches the store arrived, or nullopt before the
   /// first one.
   std::optional<base::TimePoint> LastUpdateTime() const { return m_lastUpdateTime; }
-  /// Fetches the replica of a peer whose store position is later. `aOwnStoreReachable`: this node
-  /// watches the store directly, so a short lag is normal.
+  /// Fetches the replica of a peer whose store position is later or whose configuration in force is
+  /// newer. `aOwnStoreReachable`: this node watches the store directly, so a short lag is normal.
   void FetchIfBehind(bool aOwnStoreReachable);
 
 private:
+  const gossip::Peer* FindPeerAhead(base::TimePoint aNow);
+  std::optional<std::string> ConfigurationMissingInStore(int64_t aKnownVersion) const;
   std::vector<std::string> Hosts() const;
   void SendTo(const std::vector<std::string>& aHosts);
   void SendLeavingNotice(const std::vector<std::string>& aHosts);
@@ -85,6 +97,8 @@
   std::function<gossip::LeavingNotice()> m_makeLeavingNotice;
   std::function<void(const gossip::LeavingNotice&)> m_onLeavingNotice;
   std::function<void(const quarantine::Report&)> m_onQuarantineReport;
+  const ActiveConfiguration& m_configuration;
+  std::function<void(const std::string& aData)> m_onConfiguration;
   const base::Log m_log{ "news" };
   adapters::peer::DatagramSocket m_socket;
   adapters::http::EventHandlePtr m_readable;
@@ -97,7 +111,7 @@
   adapters::http::EventHandlePtr m_announceTimer;
   bool m_fetching = false;
   std::optional<base::TimePoint> m_lastUpdateTime;
-  /// Hosts that recently failed to return their replica, with the time of the failure.
+  /// Hosts whose replica recently was not returned or brought nothing new, with the time of that.
   std::map<std::string, base::TimePoint> m_unresponsive;
   std::optional<base::TimePoint> m_behindSince;
 };
--- a/packages/serving/ReplicaCodec.cpp
+++ b/packages/serving/ReplicaCodec.cpp
@@ -65,7 +65,9 @@
 
 } // namespace
 
-std::string EncodeReplica(const sync::StoreReplica& aReplica, const store::Position& aAfter) {
+std::string EncodeReplica(const sync::StoreReplica& aReplica,
+                          const store::Position& aAfter,
+                          const std::optional<std::string>& aConfiguration) {
   const uint64_t era = aReplica.LastPosition().m_era;
   const bool complete = aAfter.m_era != era || aAfter < aReplica.TombstonesFrom();
   json items = json::array();
@@ -80,11 +82,14 @@
       removed.push_back({ key, position.m_revision });
     }
   }
-  const json root = { { "era", era },
-                      { "revision", aReplica.LastPosition().m_revision },
-                      { "whole", complete },
-                      { "items", items },
-                      { "removed", removed } };
+  json root = { { "era", era },
+                { "revision", aReplica.LastPosition().m_revision },
+                { "whole", complete },
+                { "items", items },
+                { "removed", removed } };
+  if (aConfiguration) {
+    root["configuration"] = ToBinary(*aConfiguration);
+  }
   const auto bytes = json::to_cbor(root);
   return { bytes.begin(), bytes.end() };
 }
@@ -102,12 +107,16 @@
   }
   // A node of an earlier version does not state the era.
   const json era = root.value("era", json(0U));
-  if (!era.is_number_unsigned()) {
+  const json configuration = root.value("configuration", json());
+  if (!era.is_number_unsigned() || !(configuration.is_null() || configuration.is_binary())) {
     return std::nullopt;
   }
   ReplicaSnapshot snapshot;
   snapshot.m_complete = complete->get<bool>();
   snapshot.m_position = { era.get<uint64_t>(), revision->get<uint64_t>() };
+  if (configuration.is_binary()) {
+    snapshot.m_configuration = ReadBinary(configuration);
+  }
   // A snapshot without one of its items would remove it.
   if (!AppendChanges(root, "items", ReadItem, snapshot.m_position.m_era, snapshot.m_changes) ||
       !AppendChanges(root, "removed", ReadRemoval, snapshot.m_position.m_era, snapshot.m_changes)) {
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -92,7 +92,9 @@
         },
         [this](const quarantine::Report& aReport) {
           m_state.m_crashGuard.Merge(aReport, base::BootNow());
-        })
+        },
+        m_configuration,
+        [this](const std::string& aData) { ApplyConfiguration(aData, "peer"); })
     , m_gateway(m_state, m_settings.m_callerAddress)
     , m_leaderElection(aStore, m_replica, MakeElectionSettings())
     , m_reporter(
@@ -227,7 +229,7 @@
     const std::string nodes = m_keys.m_ownPrefix + "nodes/";
     if (aKey == m_keys.m_configurationKey) {
       if (aItem) {
-        OnConfiguration(*aItem);
+        ApplyConfiguration(aItem->m_data, "store");
       }
     } else if (aKey.starts_with(m_keys.m_endpointPrefix)) {
       OnEndpointRegistration(
@@ -317,24 +319,35 @@
     });
   }
 
-  void OnConfiguration(const store::Item& aItem) {
-    auto catalog = m_codec.m_catalog(aItem.m_data);
+  /// Applies a configuration from the store, or one that is in force at a peer. A version below the
+  /// one in force is ignored: a store that was restored lists an older one until the operator has
+  /// written the newer one again. Of two configurations with the same version, the later one holds.
+  void ApplyConfiguration(const std::string& aData, const char* aSource) {
+    if (m_state.Catalog() != nullptr && aData == m_configuration.m_data) {
+      return;
+    }
+    auto catalog = m_codec.m_catalog(aData);
+    const store::Position position = m_replica.LastPosition();
     if (!catalog) {
       m_log.Event("invalid configuration ignored",
-                  { { "era", aItem.m_position.m_era },
-                    { "revision", aItem.m_position.m_revision },
+                  { { "source", aSource },
+                    { "era", position.m_era },
+                    { "revision", position.m_revision },
                     { "why", catalog.error() } });
       return;
     }
     const int64_t before = ConfigurationVersion();
-    if (m_state.ApplyCatalog(*catalog)) {
+    const bool applied = m_state.ApplyCatalog(*catalog);
+    if (applied) {
+      m_configuration = { m_keys.m_configurationKey, (*catalog)->Version(), aData };
       m_gateway.ApplyLimits((*catalog)->Limits());
-      m_log.Event("configuration applied",
-                  { { "version", (*catalog)->Version() },
-                    { "before", before },
-                    { "era", aItem.m_position.m_era },
-                    { "revision", aItem.m_position.m_revision } });
     }
+    m_log.Event(applied ? "configuration applied" : "older configuration ignored",
+                { { "version", (*catalog)->Version() },
+                  { "before", before },
+                  { "source", aSource },
+                  { "era", position.m_era },
+                  { "revision", position.m_revision } });
   }
 
   void OnEndpointRegistration(const base::EndpointId& aId,
@@ -705,6 +718,7 @@
   const gossip::Contact m_self;
   const base::Log m_log{ "serving" };
   forwarding::NodeState m_state;
+  GossipExchange::ActiveConfiguration m_configuration;
   sync::StoreReplica m_replica;
   sync::StoreWatcher<Store> m_storeWatcher;
   gossip::PeerTable m_peerTable;
