serving: nodes of a large fleet fetch a restored store's contents from one another

All nodes of a zone learn of a restore with the same update and fetched a complete replica from its sender at once; a review reckoned 1.1 s of a link of 10 Mbit/s for 40 nodes, above the timeout of a fetch. Also found there: an update of an earlier era counted as a sign that the store is being watched, so a node of this version beside watchers of an earlier one would have stopped following the store; and a peer in an earlier era did not hand over its configuration in force.

Change: fetches of a later era start at random within 3 ms for each known node, and go to any peer that is known to follow it. Updates of an earlier era are ignored altogether. The era of the one that asks decides whether the configuration is handed over besides. Not measured on hosts with such links.

--- a/packages/gossip/PeerTable.cpp
+++ b/packages/gossip/PeerTable.cpp
@@ -147,6 +147,20 @@
   return PeerWithGreatest(&Peer::m_position, aPosition, aNow, aExcludedHosts);
 }
 
+std::vector<std::string> PeerTable::HostsInLaterEra(
+  uint64_t aEra,
+  base::TimePoint aNow,
+  const std::set<std::string>& aExcludedHosts) const {
+  std::vector<std::string> hosts;
+  for (const auto& [node, peer] : m_peers) {
+    if (IsAlive(peer, aNow) && peer.m_position.m_era > aEra &&
+        !aExcludedHosts.contains(peer.m_contact.m_host)) {
+      hosts.push_back(peer.m_contact.m_host);
+    }
+  }
+  return hosts;
+}
+
 const Peer* PeerTable::PeerWithNewerConfiguration(
   int64_t aVersion,
   base::TimePoint aNow,
--- a/packages/gossip/PeerTable.h
+++ b/packages/gossip/PeerTable.h
@@ -75,6 +75,11 @@
   const Peer* MostAdvancedPeer(const store::Position& aPosition,
                                base::TimePoint aNow,
                                const std::set<std::string>& aExcludedHosts = {}) const;
+  /// Returns the hosts of the live peers that follow an era of the store after `aEra`, without the
+  /// hosts `aExcludedHosts`.
+  std::vector<std::string> HostsInLaterEra(uint64_t aEra,
+                                           base::TimePoint aNow,
+                                           const std::set<std::string>& aExcludedHosts = {}) const;
   /// Returns the live peer with the highest version of the configuration in force, or null if none
   /// is above `aVersion`. Peers on the hosts `aExcludedHosts` are not considered.
   const Peer* PeerWithNewerConfiguration(int64_t aVersion,
--- a/packages/serving/GossipExchange.cpp
+++ b/packages/serving/GossipExchange.cpp
@@ -26,6 +26,10 @@
 /// store's own notification is under way.
 constexpr base::Millis kNormalLag{ 300 };
 constexpr base::Millis kFetchTimeout{ 800 };
+/// The nodes of a zone learn of a restore of the store at the same time, and each fetches a
+/// complete replica. They start at random within this time for each known node, so that those that
+/// already have one share the load.
+constexpr base::Millis kNewEraFetchSpreadPerNode{ 3 };
 /// A peer that failed to return its replica is skipped for this long, so that other peers are
 /// asked.
 constexpr base::Millis kUnresponsiveTime{ 2000 };
@@ -177,7 +181,16 @@
 }
 
 void GossipExchange::HandleUpdate(const gossip::Update& aUpdate) {
+  const uint64_t era = m_replica.LastPosition().m_era;
+  if (aUpdate.m_position.m_era < era) {
+    // The sender follows a history that the store has lost.
+    return;
+  }
   m_lastUpdateTime = base::BootNow();
+  if (aUpdate.m_position.m_era > era) {
+    FetchNewEra(aUpdate.m_from.m_host);
+    return;
+  }
   switch (gossip::ClassifyUpdate(aUpdate, m_replica.LastPosition())) {
     case gossip::UpdateAction::Ignore:
       break;
@@ -199,15 +212,17 @@
   const auto version = static_cast<int64_t>(number("configuration"));
   return { 200,
            "application/cbor",
-           EncodeReplica(m_replica, after, ConfigurationMissingInStore(version)) };
+           EncodeReplica(m_replica, after, ConfigurationMissingInStore(after.m_era, version)) };
 }
 
-/// Returns the configuration in force if it is newer than `aKnownVersion` and the store does not
-/// hold it, which is so between a restore and the operator's next write.
+/// Returns the configuration in force if it is newer than `aKnownVersion` and a node in `aEra`
+/// can't read it from this replica, which is so between a restore and the operator's next write.
 std::optional<std::string> GossipExchange::ConfigurationMissingInStore(
+  uint64_t aEra,
   int64_t aKnownVersion) const {
   const store::Item* item = m_replica.Find(m_configuration.m_key);
-  const bool isStored = item != nullptr && item->m_data == m_configuration.m_data;
+  const bool isStored =
+    item != nullptr && item->m_data == m_configuration.m_data && item->m_position.m_era >= aEra;
   if (aKnownVersion >= m_configuration.m_version || isStored) {
     return std::nullopt;
   }
@@ -245,11 +260,31 @@
   if (!m_behindSince) {
     m_behindSince = now;
   }
-  if (!aOwnStoreReachable || now - *m_behindSince >= kNormalLag) {
+  if (aOwnStoreReachable && now - *m_behindSince < kNormalLag) {
+    return;
+  }
+  if (ahead->m_position.m_era > m_replica.LastPosition().m_era) {
+    FetchNewEra(ahead->m_contact.m_host);
+  } else {
     Fetch(ahead->m_contact.m_host);
   }
 }
 
+void GossipExchange::FetchNewEra(const std::string& aHost) {
+  if (m_newEraTimer != nullptr) {
+    return;
+  }
+  const auto spread = kNewEraFetchSpreadPerNode * static_cast<int64_t>(m_peerTable.KnownCount());
+  const base::Millis delay(std::uniform_int_distribution<int64_t>(0, spread.count())(m_random));
+  m_newEraTimer = m_loop.After(delay, [this, aHost] {
+    m_newEraTimer.reset();
+    const auto now = base::BootNow();
+    const std::vector<std::string> hosts =
+      m_peerTable.HostsInLaterEra(m_replica.LastPosition().m_era, now, UnresponsiveHosts(now));
+    Fetch(hosts.empty() ? aHost : hosts[m_random() % hosts.size()]);
+  });
+}
+
 std::set<std::string> GossipExchange::UnresponsiveHosts(base::TimePoint aNow) {
   std::erase_if(m_unresponsive,
                 [&](const auto& aEntry) { return aNow - aEntry.second > kUnresponsiveTime; });
@@ -277,19 +312,19 @@
   client->Call("GET", target, {}, {}, kFetchTimeout, [this, host = aHost](CallResult aResult) {
     m_fetching = false;
     m_behindSince.reset();
-    const store::Position before = m_replica.LastPosition();
+    const store::Position beforeResult = m_replica.LastPosition();
     const int64_t versionBefore = m_configuration.m_version;
     if (aResult.m_status == 200) {
       ApplyReplica(aResult.m_body);
     }
-    if (m_replica.LastPosition() == before && m_configuration.m_version == versionBefore) {
+    if (m_replica.LastPosition() == beforeResult && m_configuration.m_version == versionBefore) {
       m_unresponsive[host] = base::BootNow();
     }
     m_log.Event("store replica fetch ended",
                 { { "host", host },
                   { "status", aResult.m_status },
-                  { "era_before", before.m_era },
-                  { "revision_before", before.m_revision },
+                  { "era_before", beforeResult.m_era },
+                  { "revision_before", beforeResult.m_revision },
                   { "era", m_replica.LastPosition().m_era },
                   { "revision", m_replica.LastPosition().m_revision },
                   { "version", m_configuration.m_version } });
--- a/packages/serving/GossipExchange.h
+++ b/packages/serving/GossipExchange.h
@@ -74,7 +74,8 @@
 
 private:
   const gossip::Peer* FindPeerAhead(base::TimePoint aNow);
-  std::optional<std::string> ConfigurationMissingInStore(int64_t aKnownVersion) const;
+  std::optional<std::string> ConfigurationMissingInStore(uint64_t aEra,
+                                                         int64_t aKnownVersion) const;
   std::vector<std::string> Hosts() const;
   void SendTo(const std::vector<std::string>& aHosts);
   void SendLeavingNotice(const std::vector<std::string>& aHosts);
@@ -82,6 +83,9 @@
   void ReceiveQuarantineReport(const std::string& aBytes);
   void HandleUpdate(const gossip::Update& aUpdate);
   void Fetch(const std::string& aHost);
+  /// Fetches a complete replica of a later era after a random delay: from a random node that is
+  /// known to have one, or else from `aHost`.
+  void FetchNewEra(const std::string& aHost);
   std::set<std::string> UnresponsiveHosts(base::TimePoint aNow);
   adapters::http1::SimpleResponse HandleReplicaRequest(
     const adapters::http1::RequestHead& aHead) const;
@@ -110,6 +114,8 @@
   /// Set while an announcement of leaving endpoints is about to be sent.
   adapters::http::EventHandlePtr m_announceTimer;
   bool m_fetching = false;
+  /// Set while the fetch of a later era is about to start.
+  adapters::http::EventHandlePtr m_newEraTimer;
   std::optional<base::TimePoint> m_lastUpdateTime;
   /// Hosts whose replica recently was not returned or brought nothing new, with the time of that.
   std::map<std::string, base::TimePoint> m_unresponsive;
