sync: removals in a gap of the watch reach peers that are behind

It has no tombstone, yet told peers that hold the endpoint that it knew all removals, and sent them the changes only; they kept an endpoint that had left.

Change: the replica records the span of its latest gap, and sends its complete contents to peers whose position lies in it; positions before an earlier gap get them as well. Peers at or before the start of the gap still get changes only, so that the nodes of a large fleet do not fetch complete replicas after each outage.

ReplicaCodecTest/PeerLearnsOfARemovalInAGap failed before (the peer kept the endpoint) and passes.

--- a/packages/serving/ReplicaCodec.cpp
+++ b/packages/serving/ReplicaCodec.cpp
@@ -69,7 +69,7 @@
                           const store::Position& aAfter,
                           const std::optional<std::string>& aConfiguration) {
   const uint64_t era = aReplica.LastPosition().m_era;
-  const bool complete = aAfter.m_era != era || aAfter < aReplica.TombstonesFrom();
+  const bool complete = !aReplica.KnowsRemovalsSince(aAfter);
   json items = json::array();
   for (const auto& [key, item] : aReplica.Items()) {
     if (complete || item.m_position > aAfter) {
--- a/packages/serving/tests/ReplicaCodecTest.cpp
+++ b/packages/serving/tests/ReplicaCodecTest.cpp
@@ -84,4 +84,26 @@
   }
 }
 
+// An item that was written and removed while the watch of this replica had a gap stayed at peers.
+BOOST_AUTO_TEST_CASE(PeerLearnsOfARemovalInAGap) {
+  const auto ignore = [](const auto&, const auto&, auto) {};
+  sync::StoreReplica lister(ignore);
+  lister.Replace("", { { "servers/a", "x", { 1, 10 }, 10 } }, { 1, 50 });
+  lister.Advance({ 1, 50 });
+  sync::StoreReplica peer(ignore);
+  peer.CatchUp({ { { "servers/a", "x", { 1, 10 }, 10 }, false },
+                 { { "servers/b", "x", { 1, 55 }, 55 }, false } },
+               true,
+               { 1, 60 });
+  // "b" was removed at 70; the lister's watch had no history any more.
+  lister.Replace("", { { "servers/a", "x", { 1, 10 }, 10 } }, { 1, 100 });
+  lister.Advance({ 1, 100 });
+  const auto snapshot = DecodeReplica(EncodeReplica(lister, peer.LastPosition()));
+  peer.CatchUp(snapshot->m_changes, snapshot->m_complete, snapshot->m_position);
+  BOOST_TEST(peer.LastPosition().m_revision == 100U);
+  BOOST_TEST(peer.Find("servers/b") == nullptr);
+  // A replica that was not ahead of the gap still gets changes only.
+  BOOST_TEST(!DecodeReplica(EncodeReplica(lister, { 1, 50 }))->m_complete);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/sync/StoreReplica.cpp
+++ b/packages/sync/StoreReplica.cpp
@@ -99,6 +99,8 @@
   const bool isNewEra = aPosition.m_era > m_tombstonesFrom.m_era;
   if (m_items.empty() || isNewEra) {
     m_tombstonesFrom = std::max(m_tombstonesFrom, aPosition);
+  } else {
+    RecordGap(aPosition);
   }
   EnterEra(aPosition.m_era);
   std::set<std::string> listed;
@@ -120,6 +122,20 @@
   }
 }
 
+void StoreReplica::RecordGap(const store::Position& aPosition) {
+  if (m_gapFrom != m_lastPosition) {
+    // Only the latest gap is kept.
+    m_tombstonesFrom = std::max(m_tombstonesFrom, m_gapTo);
+    m_gapFrom = m_lastPosition;
+  }
+  m_gapTo = std::max(m_gapTo, aPosition);
+}
+
+bool StoreReplica::KnowsRemovalsSince(const store::Position& aAfter) const {
+  const bool inGap = aAfter > m_gapFrom && aAfter < m_gapTo;
+  return aAfter.m_era == m_lastPosition.m_era && aAfter >= m_tombstonesFrom && !inGap;
+}
+
 void StoreReplica::CatchUp(const std::vector<store::Change>& aChanges,
                            bool aComplete,
                            const store::Position& aPosition) {
--- a/packages/sync/StoreReplica.h
+++ b/packages/sync/StoreReplica.h
@@ -41,7 +41,8 @@
   void Advance(const store::Position& aPosition);
 
   /// Applies a snapshot of a peer's replica at `aPosition`: its complete contents (`aComplete`), or
-  /// the changes after this replica's LastPosition.
+  /// the changes after this replica's LastPosition. Ignores an earlier era, and changes of a later
+  /// one.
   void CatchUp(const std::vector<store::Change>& aChanges,
                bool aComplete,
                const store::Position& aPosition);
@@ -50,8 +51,12 @@
   const std::map<std::string, store::Item>& Items() const { return m_items; }
   /// Returns the positions of the tombstones by key.
   const std::map<std::string, store::Position>& Tombstones() const { return m_tombstones; }
-  /// Returns the position after which every removal has a tombstone.
+  /// Returns the position after which every removal has a tombstone, apart from those of items that
+  /// this replica has not seen because of a gap before a listing.
   const store::Position& TombstonesFrom() const { return m_tombstonesFrom; }
+  /// Returns whether a replica at `aAfter` learns of all removals since then from this one's
+  /// tombstones.
+  bool KnowsRemovalsSince(const store::Position& aAfter) const;
   /// Returns the item, or null if there is none.
   const store::Item* Find(const std::string& aKey) const;
   /// Returns the position up to which all changes have been applied.
@@ -60,6 +65,7 @@
 private:
   void Merge(const store::Change& aChange);
   void EnterEra(uint64_t aEra);
+  void RecordGap(const store::Position& aPosition);
   void RemoveEarlierEras(const store::Position& aPosition);
 
   OnChange m_onChange;
@@ -68,6 +74,9 @@
   std::map<std::string, store::Position> m_tombstones;
   store::Position m_lastPosition;
   store::Position m_tombstonesFrom;
+  /// Span of the latest gap. Items that were written and removed within it are unknown.
+  store::Position m_gapFrom;
+  store::Position m_gapTo;
   /// Whether items of an earlier era may remain, because the present one is not listed completely.
   bool m_hasEarlierEras = false;
 };
--- a/packages/sync/StoreWatcher.h
+++ b/packages/sync/StoreWatcher.h
@@ -182,7 +182,8 @@
   void Watch() {
     m_paused = !m_watchEnabled;
     if (m_paused) {
-      m_log.Event("store watch paused", { { "revision", m_position.m_revision } });
+      m_log.Event("store watch paused",
+                  { { "era", m_position.m_era }, { "revision", m_position.m_revision } });
       return;
     }
     m_store.Watch("",
