--- a/packages/duties/LeaderElection.h
+++ b/packages/duties/LeaderElection.h
@@ -148,7 +148,7 @@
       m_acquireFrom = m_clock.Now() + m_settings.m_leaseDuration;
       m_log.Event("leases of earlier leaders awaited",
                   { { "era", era },
-                    { "era_before", m_era ? std::to_string(*m_era) : "none" },
+                    { "started", !m_era },
                     { "wait_ms", m_settings.m_leaseDuration.count() } });
     }
     if (m_era) {
--- a/packages/duties/tests/DutiesTest.cpp
+++ b/packages/duties/tests/DutiesTest.cpp
@@ -311,4 +311,35 @@
   BOOST_TEST(ledger.TotalCounts(0).empty());
 }
 
+// A leader that had not read a report before a restore undid it sent the window with other counts.
+BOOST_AUTO_TEST_CASE(NewProcessDoesNotContradictAReportThatTheStoreLost) {
+  FakeStore store;
+  FakePlatform platform;
+  Node one(store, platform, "one");
+  const int64_t window = one.m_ledger.WindowOf(base::WallMillis()) - 1;
+  const auto copy = store.m_items;
+  one.m_ledger.CountLocalRequest(kTeam, window * kWindowMs + 1);
+  for (int tick = 0; tick < 5; ++tick) {
+    store.UpdateReplica(one.m_replica);
+    one.m_clock.Advance(kSpreadTime);
+    one.m_reporter.Tick(Leadership{ 1, base::TimePoint::max() });
+  }
+  BOOST_TEST(platform.m_reports.size() == 1U);
+  store.m_items = copy;
+  ++store.m_era;
+  store.UpdateReplica(one.m_replica);
+  one.m_reporter.RestoreRecord();
+  Node late(store, platform, "late");
+  // It knows one more call.
+  late.m_ledger.CountLocalRequest(kTeam, window * kWindowMs + 1);
+  late.m_ledger.CountLocalRequest(kTeam, window * kWindowMs + 2);
+  for (int tick = 0; tick < 5; ++tick) {
+    store.UpdateReplica(late.m_replica);
+    late.m_clock.Advance(kSpreadTime);
+    late.m_reporter.Tick(Leadership{ MakeFencingToken({ 2, 1 }), base::TimePoint::max() });
+  }
+  BOOST_REQUIRE(platform.m_reports.size() == 2U);
+  BOOST_TEST((platform.m_reports[1] == platform.m_reports[0]));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/fleet/tests/FleetTest.cpp
+++ b/packages/fleet/tests/FleetTest.cpp
@@ -100,4 +100,27 @@
   BOOST_TEST(!directory.All().contains(base::EndpointId("a")));
 }
 
+// An endpoint that lost its registration once, and registered again in the same era, got no work
+// after a restore.
+BOOST_AUTO_TEST_CASE(EndpointThatRegisteredAgainBeforeTheRestoreIsNotHeld) {
+  const auto at = [](uint64_t aEra, uint64_t aRevision) {
+    Registration registration = RegistrationOf("a", aRevision);
+    registration.m_position = { aEra, aRevision };
+    registration.m_endpoint->m_position = { aEra, aRevision };
+    return registration;
+  };
+  EndpointDirectory directory(kGracePeriod);
+  directory.Put(at(1, 10));
+  directory.Remove(base::EndpointId("a"), { 1, 20 }, kStart);
+  directory.Put(at(1, 30));
+  BOOST_TEST(directory.Ready().size() == 1U);
+  const auto restored = kStart + std::chrono::minutes(10);
+  directory.RemoveExpired(restored);
+  directory.OnStoreRestored(restored);
+  directory.Put(at(2, 30));
+  BOOST_TEST(directory.Ready().size() == 1U);
+  directory.Put(at(2, 50));
+  BOOST_TEST(directory.Ready().size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -269,8 +269,10 @@
                   { "revision_before", aLast.m_revision },
                   { "version", ConfigurationVersion() } });
     m_state.m_directory.OnStoreRestored(now);
-    ForgetRegistrationLease();
-    m_nextRegistration = now + base::Millis(m_random() % kRegistrationRenewInterval.count());
+    if (m_lease.m_era < aEra) {
+      ForgetRegistrationLease();
+      m_nextRegistration = now + base::Millis(m_random() % kRegistrationRenewInterval.count());
+    }
   }
 
   /// Drops the lease of this node's registration without ending it, because the store may have
--- a/packages/store/StorePort.h
+++ b/packages/store/StorePort.h
@@ -96,7 +96,7 @@
   NoLease,
   /// The store has compacted the requested revisions, or lost them in a restore.
   HistoryCompacted,
-  /// The store was restored during the call.
+  /// The store was restored between the pages of a listing.
   HistoryReplaced,
 };
 
