standins: the fleet's store can be restored from a copy

The users' store may return from a copy some seconds old. No stand-in could play that, so no test could show what nodes do then.

The store keeps copies of its items, leases and revision for 30 s. /control/restore with age_ms, down_ms and rewrite_ms closes all connections of the store, and lets it return as it was age_ms ago: later writes of nodes and leases are lost, revisions and lease ids are assigned again, a watch from an unknown revision gets 410, and Store-Era in all its answers rises by one. Copied leases continue with the time that they had left. Lost writes and removals of the keys of the operator and of runners are repeated after rewrite_ms. A reply with the status kCloseConnection closes a connection, in place of the result of Handle(), since calls that wait must be closed too.

PlatformFleet gets RestoreStore, and AddPlatformProxy to cut a single node off from the platform.

--- a/standins/fleet/main.cpp
+++ b/standins/fleet/main.cpp
@@ -86,9 +86,8 @@
     };
     events.m_onBody = [body](std::string_view aBytes) { *body += aBytes; };
     events.m_onComplete = [this, weak, head, body] {
-      if (const auto connection = weak.lock(); connection && !Handle(connection, *head, *body)) {
-        m_connections.erase(connection);
-        connection->Close();
+      if (const auto connection = weak.lock()) {
+        Handle(connection, *head, *body);
       }
     };
     events.m_onEnd = [this, weak](EndKind /*aKind*/, bool /*aInMessage*/) {
@@ -99,25 +98,46 @@
     aConnection->SetEvents(std::move(events));
   }
 
-  /// Returns false if the connection must be closed without a response.
-  bool Handle(const std::shared_ptr<ServerConnection>& aConnection,
-              const RequestHead& aHead,
-              const std::string& aBody) {
-    const auto reply = [weak = std::weak_ptr(aConnection)](int aStatus, const json& aAnswer) {
-      if (const auto connection = weak.lock()) {
-        const std::string text = base::DumpJson(aAnswer);
-        ResponseHead head;
-        head.m_status = aStatus;
-        head.m_fields.Add("Content-Type", "application/json");
-        head.m_fields.Add("Content-Length", std::to_string(text.size()));
-        connection->Write(Serialize(head) + text);
-        connection->Resume();
+  static void Respond(ServerConnection& aConnection,
+                      int aStatus,
+                      ResponseHead aHead,
+                      const json& aBody) {
+    const std::string text = base::DumpJson(aBody);
+    aHead.m_status = aStatus;
+    aHead.m_fields.Add("Content-Type", "application/json");
+    aHead.m_fields.Add("Content-Length", std::to_string(text.size()));
+    aConnection.Write(Serialize(aHead) + text);
+    aConnection.Resume();
+  }
+
+  Store::Reply MakeStoreReply(const std::shared_ptr<ServerConnection>& aConnection) {
+    return [this, weak = std::weak_ptr(aConnection)](int aStatus, const json& aAnswer) {
+      const auto connection = weak.lock();
+      if (connection == nullptr) {
+        return;
       }
+      if (aStatus == Store::kCloseConnection) {
+        m_connections.erase(connection);
+        connection->Close();
+        return;
+      }
+      ResponseHead head;
+      head.m_fields.Add("Store-Era", std::to_string(m_store.Era()));
+      Respond(*connection, aStatus, std::move(head), aAnswer);
     };
+  }
+
+  void Handle(const std::shared_ptr<ServerConnection>& aConnection,
+              const RequestHead& aHead,
+              const std::string& aBody) {
     const std::string path = aHead.m_target.substr(0, aHead.m_target.find('?'));
     if (path.starts_with("/-/kv-")) {
-      return m_store.Handle(aHead, aBody, reply);
+      m_store.Handle(aHead, aBody, MakeStoreReply(aConnection));
+      return;
     }
+    const auto reply = [&](int aStatus, const json& aAnswer) {
+      Respond(*aConnection, aStatus, {}, aAnswer);
+    };
     const json body = base::ParseJson(aBody);
     if (path == "/usage" || path == "/scale") {
       HandleLeaderCall(path, aHead, body, reply);
@@ -126,7 +146,6 @@
     } else {
       reply(404, json::object());
     }
-    return true;
   }
 
   template<class Reply>
@@ -170,6 +189,11 @@
       m_store.Compact();
       return true;
     }
+    if (aPath == "/control/restore" && aBody.is_object()) {
+      return m_store.Restore(base::Millis(aBody.value("age_ms", int64_t{ 5000 })),
+                             base::Millis(aBody.value("down_ms", int64_t{ 500 })),
+                             base::Millis(aBody.value("rewrite_ms", int64_t{ 1000 })));
+    }
     if (aPath == "/control/store") {
       const std::string mode = aBody.value("mode", "ok");
       m_store.SetMode(mode == "silent"         ? Store::Mode::Silent
--- a/tests/harness/PlatformFleet.cpp
+++ b/tests/harness/PlatformFleet.cpp
@@ -73,7 +73,7 @@
   : m_folder(MakeTemporaryFolder())
   , m_port(FreePort())
   , m_platform{ "127.0.0.1", FreePort() }
-  , m_platformFront(m_platform) {
+  , m_platformFronts(aNodes, m_platform) {
   const auto proxyPort =
     static_cast<uint16_t>(aProxies == Proxies::All ? m_platform.m_port + kProxyPortOffset : 0);
   const std::vector<std::string> options{ "--listen",     m_platform.ToText(),
@@ -82,8 +82,9 @@
   m_standin = std::make_unique<Process>("standins/standin_fleet", options);
   WaitUntil([&] { return Call(m_platform, "GET", "/control/report").m_status == 200; });
   if (aProxies == Proxies::All) {
-    m_platformFront = { "127.0.0.1", static_cast<uint16_t>(proxyPort - 1) };
-    StartProxy(m_platformFront, m_platform);
+    const base::Address front{ "127.0.0.1", static_cast<uint16_t>(proxyPort - 1) };
+    StartProxy(front, m_platform);
+    m_platformFronts.assign(aNodes, front);
     for (size_t i = 0; i < aRunners; ++i) {
       StartProxy({ "127.0.0.1", static_cast<uint16_t>(proxyPort + i) },
                  { "127.0.0.1", static_cast<uint16_t>(m_platform.m_port + 1 + i) });
@@ -122,8 +123,8 @@
        << "\"\ndirectory = \"" << host << ":" << port(DirectoryPort)
        << "\"\n[bounds]\ngrace_s = 8\nlease_ms = 1500\nretry_ratio = 0.2\nretry_slack = 100\n"
        << "usage_window_s = 1\nusage_late_s = 10\n[platform]\naddress = \""
-       << m_platformFront.ToText() << "\"\n[cloud]\naddress = \"" << m_platformFront.ToText()
-       << "\"\nduties = [\"metering\"]\n";
+       << m_platformFronts[aIndex].ToText() << "\"\n[cloud]\naddress = \""
+       << m_platformFronts[aIndex].ToText() << "\"\nduties = [\"metering\"]\n";
   return path;
 }
 
@@ -136,6 +137,24 @@
   WaitUntil([&] { return Call(control, "POST", "/", "{}").m_status == 200; });
 }
 
+size_t PlatformFleet::AddPlatformProxy(size_t aIndex) {
+  const base::Address front{ HostOf(aIndex), m_platform.m_port };
+  StartProxy(front, m_platformFronts[aIndex]);
+  m_platformFronts[aIndex] = front;
+  NodeProcess(aIndex).Kill();
+  StartNode(aIndex);
+  return m_proxies.size() - 1;
+}
+
+bool PlatformFleet::RestoreStore(base::Millis aAge,
+                                 base::Millis aDowntime,
+                                 base::Millis aRewriteDelay) const {
+  const json body = { { "age_ms", aAge.count() },
+                      { "down_ms", aDowntime.count() },
+                      { "rewrite_ms", aRewriteDelay.count() } };
+  return Call(m_platform, "POST", "/control/restore", base::DumpJson(body)).m_status == 200;
+}
+
 void PlatformFleet::SetProxyFaults(size_t aProxy, const json& aFaults) const {
   Call(m_proxies.at(aProxy).m_control, "POST", "/", base::DumpJson(aFaults));
 }
--- a/tests/harness/PlatformFleet.h
+++ b/tests/harness/PlatformFleet.h
@@ -47,6 +47,8 @@
   PlatformFleet(PlatformFleet&&) = delete;
   PlatformFleet& operator=(PlatformFleet&&) = delete;
 
+  /// Returns the address of the stand-in of the platform.
+  const base::Address& PlatformAddress() const { return m_platform; }
   /// Returns the address of node `aIndex` for callers.
   base::Address CallerAddress(size_t aIndex) const { return { HostOf(aIndex), m_port }; }
   Process& NodeProcess(size_t aIndex) { return *m_nodes[aIndex]; }
@@ -59,6 +61,13 @@
   /// Injects faults into a proxy: 0 is the platform's, 1 and above are those of the runners.
   void SetProxyFaults(size_t aProxy, const nlohmann::json& aFaults) const;
   size_t ProxyCount() const { return m_proxies.size(); }
+  /// Starts a proxy between node `aIndex` and the platform, restarts the node, and returns the
+  /// index of the proxy.
+  size_t AddPlatformProxy(size_t aIndex);
+  /// Closes the store for `aDowntime` and lets it return as it was `aAge` ago. What the operator
+  /// and the runners wrote since is written again `aRewriteDelay` after that. Returns false if a
+  /// restore is in progress.
+  bool RestoreStore(base::Millis aAge, base::Millis aDowntime, base::Millis aRewriteDelay) const;
   /// Writes the next version of the configuration; `aExtraHost` gets the same routes. Callers may
   /// be idle for `aIdleTimeout`, or for the default time if it is not given.
   void ApplyConfiguration(const std::string& aExtraHost = "other.example",
@@ -97,8 +106,8 @@
   std::string m_folder;
   uint16_t m_port;
   base::Address m_platform;
-  /// Address at which nodes reach the platform; that of its proxy, if any.
-  base::Address m_platformFront;
+  /// Addresses at which the nodes reach the platform; those of proxies, if any.
+  std::vector<base::Address> m_platformFronts;
   struct Proxy {
     std::unique_ptr<Process> m_process;
     base::Address m_control;
--- a/tests/integration/StandinsTest.cpp
+++ b/tests/integration/StandinsTest.cpp
@@ -1,6 +1,8 @@
 #include "tests/harness/Fleet.h"
+#include "tests/harness/PlatformFleet.h"
 
 #include <boost/test/unit_test.hpp>
+#include <thread>
 
 /// \file
 /// Tests that the stand-ins fulfil the contracts of the external systems that the adapters rely on.
@@ -25,6 +27,57 @@
   return Call(aStore, "PUT", aTarget, "value");
 }
 
+/// A client of the users' key-value store.
+class UserStore {
+public:
+  explicit UserStore(const PlatformFleet& aFleet)
+    : m_address(aFleet.PlatformAddress()) {}
+
+  CallerAnswer Post(const std::string& aTarget, const nlohmann::json& aBody) const {
+    return Call(m_address, "POST", aTarget, base::DumpJson(aBody));
+  }
+  CallerAnswer Write(const std::string& aKey, uint64_t aLease = 0) const {
+    return Post("/-/kv-txn",
+                { { "expected_rev", nlohmann::json::array() },
+                  { "write", { { { "key", aKey }, { "data", "eA==" }, { "lease_id", aLease } } } },
+                  { "remove", nlohmann::json::array() } });
+  }
+  CallerAnswer Watch(uint64_t aAfter, base::Millis aWait = base::Millis(0)) const {
+    return Call(m_address,
+                "GET",
+                "/-/kv-watch?prefix=&after=" + std::to_string(aAfter) +
+                  "&wait_ms=" + std::to_string(aWait.count()));
+  }
+  CallerAnswer List() const { return Call(m_address, "GET", "/-/kv-range?prefix="); }
+  uint64_t Revision() const { return base::ParseJson(List().m_body).at("at"); }
+  /// Returns the keys that exist, with their data.
+  std::map<std::string, std::string> Items() const {
+    std::map<std::string, std::string> items;
+    const auto listing = base::ParseJson(List().m_body);
+    for (const auto& entry : listing.at("entries")) {
+      items[entry.at("key")] = entry.at("data");
+    }
+    return items;
+  }
+  uint64_t GrantLease(base::Millis aTtl) const {
+    return base::ParseJson(Post("/-/kv-lease", { { "ttl_ms", aTtl.count() } }).m_body)
+      .at("lease_id");
+  }
+  int RenewLease(uint64_t aLease) const {
+    return Post("/-/kv-keep/" + std::to_string(aLease), {}).m_status;
+  }
+
+private:
+  base::Address m_address;
+};
+
+std::string EraOf(const CallerAnswer& aAnswer) {
+  return aAnswer.m_headers.Find("Store-Era").value_or("");
+}
+
+/// Longer than the time between two copies of the store.
+constexpr base::Millis kCopyTime{ 250 };
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(StandinsTest)
@@ -106,4 +159,90 @@
   }
 }
 
+// A restored store lacks its last seconds, assigns their revisions and lease ids again, and repeats
+// only what was not written by nodes.
+BOOST_AUTO_TEST_CASE(StoreIsRestoredFromACopy) {
+  PlatformFleet fleet(0, 2);
+  const UserStore store(fleet);
+  const uint64_t kept = store.GrantLease(base::Millis(2000));
+  BOOST_TEST(store.Write("node/kept", kept).m_status == 200);
+  std::this_thread::sleep_for(kCopyTime);
+  const auto copied = store.Items();
+  const uint64_t revision = store.Revision();
+  const auto copiedAt = base::BootNow();
+  std::this_thread::sleep_for(kCopyTime);
+
+  fleet.ApplyConfiguration("lost.example");
+  fleet.PostControl("runner", { { "index", 0 }, { "state", "gone" } });
+  const uint64_t lost = store.GrantLease(base::Millis(10000));
+  BOOST_TEST(store.Write("node/lost", lost).m_status == 200);
+  const auto written = store.Items();
+  const uint64_t lostRevision = store.Revision();
+  BOOST_TEST(lostRevision >= revision + 3);
+  BOOST_TEST(store.RenewLease(kept) == 200);
+  BOOST_TEST(EraOf(store.List()) == "1");
+
+  CallerAnswer watch;
+  std::thread watcher([&] { watch = store.Watch(lostRevision, base::Millis(10000)); });
+  std::this_thread::sleep_for(kCopyTime);
+  const auto age = std::chrono::duration_cast<base::Millis>(base::BootNow() - copiedAt);
+  BOOST_TEST(fleet.RestoreStore(age, base::Millis(500), base::Millis(800)));
+  BOOST_TEST(!fleet.RestoreStore(age, base::Millis(500), base::Millis(800)));
+  watcher.join();
+  BOOST_TEST(watch.m_status == 0);
+  BOOST_TEST(store.List().m_status == 0);
+  BOOST_TEST(store.Write("node/down").m_status == 0);
+  BOOST_TEST(Eventually([&] { return store.List().m_status == 200; }));
+
+  BOOST_TEST((store.Items() == copied));
+  BOOST_TEST(store.Revision() == revision);
+  BOOST_TEST(store.Watch(lostRevision).m_status == 410);
+  BOOST_TEST(store.Watch(revision).m_status == 200);
+  BOOST_TEST(store.RenewLease(lost) == 404);
+  BOOST_TEST(store.GrantLease(base::Millis(100)) == lost);
+  for (const auto& answer :
+       { store.List(), store.Watch(lostRevision), store.Post("/-/kv-none", {}) }) {
+    BOOST_TEST(EraOf(answer) == "2");
+  }
+  const auto again = base::ParseJson(store.Write("node/again").m_body);
+  BOOST_TEST(again.at("revision") == revision + 1);
+
+  // The operator's and the runners' writes return; those of nodes do not.
+  BOOST_TEST(Eventually([&] {
+    return store.Items().at("op/config") == written.at("op/config") &&
+           !store.Items().contains("servers/i-0");
+  }));
+  BOOST_TEST(!store.Items().contains("node/lost"));
+  BOOST_TEST(!store.Items().contains("node/down"));
+  // The copied lease continues with the time that it had left, and then ends.
+  BOOST_TEST(store.Items().contains("node/kept"));
+  BOOST_TEST(Eventually([&] { return !store.Items().contains("node/kept"); }));
+}
+
+// What is written by the operator while the store is down or not yet complete is not overwritten by
+// the repeated writes. A second restore raises the era again.
+BOOST_AUTO_TEST_CASE(NewerWritesOutliveARestore) {
+  PlatformFleet fleet(0, 1);
+  const UserStore store(fleet);
+  std::this_thread::sleep_for(2 * kCopyTime);
+  const auto first = store.Items().at("op/config");
+  fleet.ApplyConfiguration("lost.example");
+  BOOST_TEST(fleet.RestoreStore(kCopyTime, base::Millis(300), base::Millis(400)));
+  fleet.ApplyConfiguration("down.example");
+  BOOST_TEST(Eventually([&] { return store.List().m_status == 200; }));
+  BOOST_TEST(store.Items().at("op/config") == first);
+  fleet.ApplyConfiguration("newest.example");
+  const auto newest = store.Items().at("op/config");
+  std::this_thread::sleep_for(base::Millis(600));
+  BOOST_TEST(store.Items().at("op/config") == newest);
+  BOOST_TEST(fleet.RestoreStore(base::Millis(10000), base::Millis(100), base::Millis(400)));
+  BOOST_TEST(Eventually([&] { return store.List().m_status == 200; }));
+  BOOST_TEST(EraOf(store.List()) == "3");
+  BOOST_TEST((!store.Items().contains("op/config") || store.Items().at("op/config") != newest));
+  BOOST_TEST(Eventually([&] {
+    const auto items = store.Items();
+    return items.contains("op/config") && items.at("op/config") == newest;
+  }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
