RestoredStoreTest: calls to endpoints are sent in parallel

EndpointsKeepTheirLastStateAcrossARestore sent one call at a time to each node. A node then keeps to one endpoint, so that two nodes reach at most two of three endpoints, and the last check failed on sound code. Four calls at a time per node spread over all endpoints; the sets of endpoints are still compared exactly.

--- a/tests/integration/RestoredStoreTest.cpp
+++ b/tests/integration/RestoredStoreTest.cpp
@@ -1,6 +1,7 @@
 #include "tests/harness/PlatformFleet.h"
 
 #include <algorithm>
+#include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <optional>
@@ -25,6 +26,8 @@
 /// Time for which a state that was reached must hold.
 constexpr base::Millis kHoldTime{ 1500 };
 constexpr base::Millis kPollInterval{ 20 };
+/// Calls that are sent to a node at the same time.
+constexpr size_t kParallelCalls = 4;
 
 void Sleep(base::Millis aDuration) {
   std::this_thread::sleep_for(aDuration);
@@ -180,14 +183,22 @@
     return static_cast<int>(m_fleet.PostControl("report").at("runs").size());
   }
 
-  /// Sends `aCalls` calls to each node and returns the runners that they reached.
+  /// Sends calls to each node, `aCalls` over each of several connections at once, so that they
+  /// spread, and returns the runners that they reached.
   std::set<std::string> RunnersUsed(int aCalls) const {
     const size_t before = m_fleet.PostControl("report").at("arrivals").size();
-    for (int i = 0; i < aCalls; ++i) {
-      for (size_t node = 0; node < m_nodes; ++node) {
-        BOOST_TEST(m_fleet.Send(node, "POST", "/once/endpoint").m_status == 200);
+    std::atomic<int> failed{ 0 };
+    {
+      std::vector<std::jthread> callers;
+      for (size_t i = 0; i < m_nodes * kParallelCalls; ++i) {
+        callers.emplace_back([&, node = i % m_nodes] {
+          for (int call = 0; call < aCalls; ++call) {
+            failed += m_fleet.Send(node, "POST", "/once/endpoint").m_status == 200 ? 0 : 1;
+          }
+        });
       }
     }
+    BOOST_TEST(failed == 0);
     const auto report = m_fleet.PostControl("report");
     std::set<std::string> runners;
     for (size_t i = before; i < report.at("arrivals").size(); ++i) {
@@ -358,12 +369,12 @@
   fleet.PostControl("runner", { { "index", 1 }, { "state", "gone" } });
   BOOST_TEST(ready(2));
   const std::set<std::string> expected{ "i-2", "i-3" };
-  BOOST_TEST((restored.RunnersUsed(20) == expected));
+  BOOST_TEST((restored.RunnersUsed(5) == expected));
   restored.Restore();
   const auto used = [&] {
     std::set<std::string> runners;
     BOOST_TEST(Holds(kRewriteDelay - base::Millis(500), [&] {
-      runners.merge(restored.RunnersUsed(2));
+      runners.merge(restored.RunnersUsed(1));
       return true;
     }));
     return runners;
@@ -378,7 +389,7 @@
   // A new incarnation of the endpoint that was removed is used again.
   fleet.PostControl("runner", { { "index", 1 }, { "state", "ready" }, { "born", 3 } });
   BOOST_TEST(ready(3));
-  BOOST_TEST((restored.RunnersUsed(20) == std::set<std::string>{ "i-1", "i-2", "i-3" }));
+  BOOST_TEST((restored.RunnersUsed(5) == std::set<std::string>{ "i-1", "i-2", "i-3" }));
 }
 
 // The second restore begins before the operator has written again after the first one.
