PlatformFleet: the proxy of a single node has a port of its own

AddPlatformProxy used the port of the platform at the node's address, which is next to the ports of the nodes: the proxy could not bind it, its start was awaited for 20 s in vain, and the node had no path to the platform at all. The proxy now has its own offset from the node's first port, its control port is at the same address, and a proxy that does not start fails the test.

--- a/tests/harness/PlatformFleet.cpp
+++ b/tests/harness/PlatformFleet.cpp
@@ -20,7 +20,9 @@
   CheckPort = 1,
   DirectoryPort = 2,
   GossipPort = 3,
-  MetricsPort = 4
+  MetricsPort = 4,
+  /// Port of the node's own proxy to the platform.
+  PlatformProxyPort = 5
 };
 
 /// Offset of the runners' proxy ports from the port of the platform; the ports of the runners lie
@@ -129,16 +131,18 @@
 }
 
 void PlatformFleet::StartProxy(const base::Address& aListen, const base::Address& aTo) {
-  const base::Address control{ "127.0.0.1",
+  const base::Address control{ aListen.m_host,
                                static_cast<uint16_t>(aListen.m_port + kProxyPortOffset) };
   const std::vector<std::string> options{ "--listen",   aListen.ToText(), "--to",
                                           aTo.ToText(), "--control",      control.ToText() };
   m_proxies.push_back({ std::make_unique<Process>("standins/standin_proxy", options), control });
-  WaitUntil([&] { return Call(control, "POST", "/", "{}").m_status == 200; });
+  if (!WaitUntil([&] { return Call(control, "POST", "/", "{}").m_status == 200; })) {
+    throw std::runtime_error("the proxy at " + aListen.ToText() + " did not start");
+  }
 }
 
 size_t PlatformFleet::AddPlatformProxy(size_t aIndex) {
-  const base::Address front{ HostOf(aIndex), m_platform.m_port };
+  const base::Address front{ HostOf(aIndex), static_cast<uint16_t>(m_port + PlatformProxyPort) };
   StartProxy(front, m_platformFronts[aIndex]);
   m_platformFronts[aIndex] = front;
   NodeProcess(aIndex).Kill();
