TruncatedHeadsTest: cuts after every byte, and the body of what is complete

The test left out the middle of long bodies, and took any complete answer without a length for right if its runner had closed in an orderly way. It now cuts after every byte, and such an answer must have the bytes that its runner sent as its body; a stream must also consist of whole events. No cut and no check was dropped.

--- a/tests/integration/TruncatedHeadsTest.cpp
+++ b/tests/integration/TruncatedHeadsTest.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <map>
+#include <optional>
 #include <thread>
 
 /// \file
@@ -15,8 +16,6 @@
 
 namespace {
 
-/// Bytes of the body after which answers are cut too.
-constexpr size_t kBodyCuts = 12;
 constexpr base::Millis kTimeout{ 10000 };
 constexpr std::string_view kSignature = "Papayafield-Response-Signature: signed-by-";
 
@@ -62,15 +61,24 @@
   return caller.Receive(kTimeout);
 }
 
+bool IsStream(const RouteCase& aRoute) {
+  return std::string_view(aRoute.m_path).starts_with("/stream/");
+}
+
+/// Returns the body of a runner's whole answer.
+std::string WholeBody(const RouteCase& aRoute) {
+  return IsStream(aRoute) ? "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"
+                          : "answer to " + std::string(aRoute.m_path);
+}
+
 /// Returns the number of bytes of a runner's head and of its whole answer.
 std::pair<size_t, size_t> AnswerSize(const RouteCase& aRoute, const std::string& aFraming) {
   // The attempt id has 16 characters; the runners' names have equal lengths.
   std::string head = "HTTP/1.1 200 OK\r\nPapayafield-Attempt-Id: 0123456789abcdef\r\n" +
                      std::string(kSignature) + "i-0\r\n";
-  size_t body = std::string("answer to ").size() + std::string(aRoute.m_path).size();
-  if (std::string(aRoute.m_path).starts_with("/stream/")) {
+  size_t body = WholeBody(aRoute).size();
+  if (IsStream(aRoute)) {
     head += "Content-Type: text/event-stream\r\n";
-    body = 2 * std::string("id: 1\ndata: piece 1\n\n").size();
   }
   if (aFraming == "length") {
     head += "Content-Length: " + std::to_string(body) + "\r\n";
@@ -81,17 +89,15 @@
   return { head.size() + 2, head.size() + 2 + body };
 }
 
-/// Returns every cut: within the head, in the first bytes of the body and before its last byte.
+/// Returns every cut: after each byte but the last.
 std::vector<Cut> AllCuts() {
   std::vector<Cut> cuts;
   for (const RouteCase& route : kRoutes) {
     for (const char* framing : { "length", "chunks", "none" }) {
-      const auto [head, whole] = AnswerSize(route, framing);
+      const size_t whole = AnswerSize(route, framing).second;
       for (const char* end : { "fin", "reset" }) {
         for (size_t length = 0; length < whole; ++length) {
-          if (length <= head + kBodyCuts || length + kBodyCuts > whole) {
-            cuts.push_back({ &route, framing, end, length });
-          }
+          cuts.push_back({ &route, framing, end, length });
         }
       }
     }
@@ -134,10 +140,18 @@
   return calls;
 }
 
-/// Whether the end of the connection completes an answer that was cut so.
-bool IsCompleteByEnd(const Cut& aCut) {
-  return aCut.m_framing == "none" && aCut.m_end == "fin" &&
-         aCut.m_length >= AnswerSize(*aCut.m_route, aCut.m_framing).first;
+/// Returns the body of an answer that was cut so and is complete nevertheless: one without a length
+/// ends with its connection. A stream also needs whole events.
+std::optional<std::string> BodyCompletedByEnd(const Cut& aCut) {
+  const size_t head = AnswerSize(*aCut.m_route, aCut.m_framing).first;
+  if (aCut.m_framing != "none" || aCut.m_end != "fin" || aCut.m_length < head) {
+    return std::nullopt;
+  }
+  std::string body = WholeBody(*aCut.m_route).substr(0, aCut.m_length - head);
+  if (IsStream(*aCut.m_route) && !body.ends_with("\n\n")) {
+    return std::nullopt;
+  }
+  return body;
 }
 
 void CheckCutCalls(bool aOnKeptConnection) {
@@ -164,7 +178,7 @@
       if (answer.m_status / 100 == 2) {
         BOOST_TEST((answer.m_head.find(kSignature) != std::string::npos));
       }
-      BOOST_TEST((!answer.LooksServed() || IsCompleteByEnd(call.m_cut)));
+      BOOST_TEST((!answer.LooksServed() || BodyCompletedByEnd(call.m_cut) == answer.m_body));
       BOOST_TEST((!answer.SaysNotRun() || runCount == 0));
       BOOST_TEST((answer.m_end == AnswerEnd::Complete || answer.m_status == 200));
       BOOST_TEST(runCount <= (call.m_cut.m_route->m_mayRepeat ? 2U : 1U));
