UsageReporter: a node that has just started doesn't repeat lost reports

Cause: a restore may undo a report that has been sent. The nodes that have read it write it again, but a node that has started since doesn't know it, and as the leader writes the window with counts of its own: two reports of one window.

Change: each report in the record names the era in which it was first written. As long as the newest is of an earlier era than the store's, reports written later may be lost; then a node doesn't write windows that ended before it had read the store (it logs them), but leaves them to the nodes that may know them.

--- a/packages/duties/UsageRecord.h
+++ b/packages/duties/UsageRecord.h
@@ -47,4 +47,14 @@
   return reports;
 }
 
+/// Reads the eras in which the reports of a stored record were first written; 0 if an entry does
+/// not state it. Thread safe.
+inline std::map<int64_t, uint64_t> ParseUsageEras(const std::string& aText) {
+  std::map<int64_t, uint64_t> eras;
+  for (const nlohmann::json& entry : base::ParseJson(aText)) {
+    eras[base::ValueOr<int64_t>(entry, "window", -1)] = base::ValueOr<uint64_t>(entry, "era", 0);
+  }
+  return eras;
+}
+
 } // namespace papayafield::duties
--- a/packages/duties/UsageReporter.h
+++ b/packages/duties/UsageReporter.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace papayafield::duties {
 
@@ -53,7 +54,8 @@
                 UsageReporterSettings aSettings,
                 CountsKnownPredicate aAreCountsKnown,
                 std::function<void(FencingToken)> aOnFenced,
-                const Clock& aClock = {})
+                const Clock& aClock = {},
+                std::function<int64_t()> aWallMillis = &base::WallMillis)
     : m_store(aStore)
     , m_platform(aPlatform)
     , m_replica(aReplica)
@@ -61,18 +63,23 @@
     , m_settings(std::move(aSettings))
     , m_areCountsKnown(std::move(aAreCountsKnown))
     , m_onFenced(std::move(aOnFenced))
-    , m_clock(aClock) {}
+    , m_clock(aClock)
+    , m_wallMillis(std::move(aWallMillis)) {}
 
+  /// Records that this node reads the store from the wall time `aWallMs` in milliseconds on.
+  void OnLoaded(int64_t aWallMs) { m_loadedAtMs = aWallMs; }
   /// Keeps the reports of `aItem`, the record as written. Called on every node.
   void OnRecord(const store::Item& aItem) {
-    const int64_t now = base::WallMillis();
+    const int64_t now = m_wallMillis();
     const auto reports = ParseRecord(aItem, now);
     if (!reports) {
       return;
     }
     const auto readAt = m_clock.Now();
+    auto eras = ParseUsageEras(aItem.m_data);
     for (const auto& [window, counts] : *reports) {
-      const auto [known, isNew] = m_known.try_emplace(window, KnownReport{ counts, readAt });
+      const auto [known, isNew] =
+        m_known.try_emplace(window, KnownReport{ counts, readAt, eras[window] });
       if (!isNew && known->second.m_counts != counts && !known->second.m_disputed) {
         known->second.m_disputed = true;
         m_log.Event("usage report contradicted",
@@ -103,7 +110,7 @@
       m_fencingToken = aLeadership.m_token;
       m_acceptedWindows.clear();
     }
-    const int64_t now = base::WallMillis();
+    const int64_t now = m_wallMillis();
     m_ledger.RemoveWindowsBefore(m_ledger.WindowOf(now) - kMaxStoredWindows);
     const Reports stored = ReadStoredReports(now);
     if (SendNextReport(stored, now, aLeadership)) {
@@ -124,6 +131,8 @@
   struct KnownReport {
     UsageLedger::Counts m_counts;
     base::TimePoint m_readAt;
+    /// Era in which the report was first written.
+    uint64_t m_era = 0;
     /// Whether the store has also shown other counts. Either may have been sent, so neither is.
     bool m_disputed = false;
   };
@@ -198,6 +207,18 @@
     return false;
   }
 
+  uint64_t EraOf(int64_t aWindow) const {
+    const auto known = m_known.find(aWindow);
+    return known == m_known.end() ? 0 : known->second.m_era;
+  }
+
+  /// Returns whether a restore may have undone a report of `aWindow` before this node could read
+  /// it. The report may have been sent, and the counts of this node may be others.
+  bool MayBeForgotten(const Reports& aReports, int64_t aWindow) const {
+    const uint64_t lastEra = aReports.empty() ? 0 : EraOf(aReports.rbegin()->first);
+    return lastEra != m_store.LatestEra() && m_ledger.WindowEndMs(aWindow) <= m_loadedAtMs;
+  }
+
   bool IsWindowComplete(int64_t aWindow, int64_t aNow) const {
     const int64_t settled = m_ledger.WindowEndMs(aWindow) + m_settings.m_countSettleTime.count();
     return aNow >= settled &&
@@ -218,6 +239,13 @@
       if (counts.empty()) {
         continue;
       }
+      if (MayBeForgotten(aReports, window)) {
+        if (std::exchange(m_lastUnwritten, window) != window) {
+          m_log.Event("usage report not written",
+                      { { "window", window }, { "why", "may be lost in a restore" } });
+        }
+        continue;
+      }
       aReports[window] = counts;
       while (static_cast<int64_t>(aReports.size()) > kMaxStoredWindows) {
         aReports.erase(aReports.begin());
@@ -238,7 +266,10 @@
       for (const auto& [team, count] : counts) {
         report[team.Text()] = count;
       }
-      record.push_back({ { "window", window }, { "counts", report } });
+      const bool isNew = window == aWindow && !m_known.contains(window);
+      record.push_back({ { "window", window },
+                         { "counts", report },
+                         { "era", isNew ? m_store.LatestEra() : EraOf(window) } });
     }
     const store::Item* item = m_replica.Find(m_settings.m_key);
     store::Transaction transaction;
@@ -263,11 +294,16 @@
   CountsKnownPredicate m_areCountsKnown;
   std::function<void(FencingToken)> m_onFenced;
   const Clock m_clock;
+  const std::function<int64_t()> m_wallMillis;
   const base::Log m_log{ "usage" };
   std::optional<FencingToken> m_fencingToken;
   /// Reports that this node has read, by window.
   std::map<int64_t, KnownReport> m_known;
   std::map<int64_t, bool> m_acceptedWindows;
+  /// Wall time from which this node reads the store.
+  int64_t m_loadedAtMs = 0;
+  /// Latest window whose report this node did not write, because it may have been written before.
+  int64_t m_lastUnwritten = -1;
   bool m_callInFlight = false;
 };
 
--- a/packages/duties/tests/DutiesTest.cpp
+++ b/packages/duties/tests/DutiesTest.cpp
@@ -2,6 +2,8 @@
 #include "duties/UsageReporter.h"
 
 #include <boost/test/unit_test.hpp>
+#include <memory>
+#include <random>
 #include <set>
 
 using namespace papayafield;
@@ -62,6 +64,13 @@
     }
   }
 
+  /// Replaces the contents with those of a copy, which starts a new era.
+  void Restore(const std::map<std::string, store::Item>& aItems, uint64_t aRevision) {
+    m_items = aItems;
+    m_revision = aRevision;
+    ++m_era;
+  }
+
   /// Updates a replica with the present items, as a watch would.
   void UpdateReplica(sync::StoreReplica& aReplica) {
     std::vector<store::Item> items;
@@ -119,7 +128,10 @@
 };
 
 struct Node {
-  Node(FakeStore& aStore, FakePlatform& aPlatform, const std::string& aIncarnation)
+  Node(FakeStore& aStore,
+       FakePlatform& aPlatform,
+       const std::string& aIncarnation,
+       std::function<int64_t()> aWallMillis = &base::WallMillis)
     : m_election(aStore,
                  m_replica,
                  { "duties", aIncarnation, base::Millis(60000), base::Millis(100) },
@@ -133,7 +145,8 @@
         { "usage", base::Millis(0), base::Millis(0), base::Millis(60000) },
         [](int64_t) { return true; },
         [this](FencingToken aFencingToken) { m_election.OnTokenRejected(aFencingToken); },
-        NodeClock{ &m_clock }) {}
+        NodeClock{ &m_clock },
+        std::move(aWallMillis)) {}
 
   FencingToken Token() const { return m_election.CurrentLeadership()->m_token; }
 
@@ -161,6 +174,123 @@
 
 const base::TeamId kTeam("team");
 
+/// Nodes that report usage in turn, as leaders, while the store is restored from older copies and
+/// one node at a time is started again. Their counts differ, since a node that has just started
+/// does not know those of its own earlier incarnation.
+class ReportingFleet {
+public:
+  static constexpr base::Millis kStep{ 100 };
+  static constexpr base::Millis kLease{ 3000 };
+  static constexpr base::Millis kMaxCopyAge{ 20000 };
+  /// Time between two starts of nodes: all others have read what the restarted one forgot.
+  static constexpr base::Millis kRestartInterval{ 25000 };
+
+  explicit ReportingFleet(uint64_t aSeed)
+    : m_random(aSeed) {
+    for (int i = 0; i < 3; ++i) {
+      m_nodes.push_back(MakeNode());
+    }
+  }
+
+  void Run(base::Millis aDuration) {
+    for (const auto end = m_elapsed + aDuration; m_elapsed < end; m_elapsed += kStep) {
+      Step();
+    }
+  }
+  /// Returns the counts that the platform received for each window.
+  std::map<int64_t, std::set<uint64_t>> Reports() const {
+    std::map<int64_t, std::set<uint64_t>> reports;
+    for (const auto& [window, teams] : m_platform.m_reports) {
+      reports[window].insert(teams.at(kTeam));
+    }
+    return reports;
+  }
+  /// Returns the end of the windows that have ended long enough ago to be reported.
+  int64_t DueWindowsEnd() const { return (kStartMs + m_elapsed.count()) / kWindowMs - 3; }
+
+  /// Start of the first window.
+  static constexpr int64_t kStartMs = kWindowMs * 1000000;
+
+private:
+  std::unique_ptr<Node> MakeNode() {
+    auto node = std::make_unique<Node>(
+      m_store, m_platform, "node", [this] { return kStartMs + m_elapsed.count(); });
+    node->m_clock.Advance(m_elapsed);
+    m_store.UpdateReplica(node->m_replica);
+    node->m_reporter.OnLoaded(kStartMs + m_elapsed.count());
+    return node;
+  }
+  bool Chance(double aProbability) { return std::bernoulli_distribution(aProbability)(m_random); }
+  int64_t Draw(int64_t aFrom, int64_t aTo) {
+    return std::uniform_int_distribution<int64_t>(aFrom, aTo)(m_random);
+  }
+
+  void Step() {
+    for (const auto& node : m_nodes) {
+      node->m_clock.Advance(kStep);
+      if (Chance(0.9)) {
+        m_store.UpdateReplica(node->m_replica);
+      }
+      if (Chance(0.5)) {
+        node->m_ledger.CountLocalRequest(kTeam, kStartMs + m_elapsed.count());
+      }
+    }
+    ExchangeCounts();
+    m_copies.emplace(m_elapsed, std::pair(m_store.m_items, m_store.m_revision));
+    m_copies.erase(m_copies.begin(), m_copies.lower_bound(m_elapsed - kMaxCopyAge));
+    if (Chance(0.01)) {
+      const auto copy = std::next(m_copies.begin(), Draw(0, std::ssize(m_copies) - 1));
+      m_store.Restore(copy->second.first, copy->second.second);
+      m_copies.erase(std::next(copy), m_copies.end());
+      ChangeLeader();
+    } else if (Chance(0.01)) {
+      ChangeLeader();
+    }
+    if (m_elapsed >= m_nextRestart && Chance(0.01)) {
+      m_nextRestart = m_elapsed + kRestartInterval;
+      m_nodes[static_cast<size_t>(Draw(0, 2))] = MakeNode();
+      ++m_starts;
+      ChangeLeader();
+    }
+    if (m_elapsed >= m_leaderFrom) {
+      m_store.m_loseNextResponse = Chance(0.1);
+      m_platform.m_outcome =
+        Chance(0.2) ? PlatformCallOutcome::Unknown : PlatformCallOutcome::Accepted;
+      m_nodes[m_leader]->m_reporter.Tick(Leadership{ m_token, base::TimePoint::max() });
+    }
+  }
+
+  void ChangeLeader() {
+    m_leaderFrom = m_elapsed + kLease;
+    m_leader = static_cast<size_t>(Draw(0, 2));
+    ++m_token;
+  }
+
+  void ExchangeCounts() {
+    for (size_t from = 0; from < m_nodes.size(); ++from) {
+      for (size_t to = 0; to < m_nodes.size(); ++to) {
+        if (from != to && Chance(0.7)) {
+          m_nodes[to]->m_ledger.MergePeerCounts(std::to_string(from) + '@' +
+                                                  std::to_string(m_starts),
+                                                m_nodes[from]->m_ledger.LocalCounts());
+        }
+      }
+    }
+  }
+
+  std::mt19937_64 m_random;
+  FakeStore m_store;
+  FakePlatform m_platform;
+  base::Millis m_elapsed{ 0 };
+  std::vector<std::unique_ptr<Node>> m_nodes;
+  std::map<base::Millis, std::pair<std::map<std::string, store::Item>, uint64_t>> m_copies;
+  base::Millis m_nextRestart = kRestartInterval;
+  int m_starts = 0;
+  size_t m_leader = 0;
+  FencingToken m_token = 1;
+  base::Millis m_leaderFrom = kLease;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(DutiesTest)
@@ -300,6 +430,86 @@
   BOOST_TEST(platform.m_reports.empty());
 }
 
+// A restore undoes a report, and a node that does not know it writes other counts. Either may have
+// been sent.
+BOOST_AUTO_TEST_CASE(ContradictedReportIsNotSentAgain) {
+  FakeStore store;
+  FakePlatform platform;
+  Node one(store, platform, "one");
+  const int64_t window = one.m_ledger.WindowOf(base::WallMillis()) - 1;
+  const auto record = [&](int aCount) {
+    return R"([{"window":)" + std::to_string(window) + R"(,"counts":{"team":)" +
+           std::to_string(aCount) + "}}]";
+  };
+  store.m_items["usage"] = { "usage", record(5), { 1, 7 }, 7 };
+  store.UpdateReplica(one.m_replica);
+  one.m_clock.Advance(kSpreadTime);
+  one.m_reporter.Tick(Leadership{ 1, base::TimePoint::max() });
+  BOOST_TEST(platform.m_reports.size() == 1U);
+  store.Restore({ { "usage", { "usage", record(6), { 2, 6 }, 6 } } }, 6);
+  for (int tick = 0; tick < 3; ++tick) {
+    store.UpdateReplica(one.m_replica);
+    one.m_clock.Advance(kSpreadTime);
+    one.m_reporter.Tick(Leadership{ 2, base::TimePoint::max() });
+  }
+  BOOST_TEST(platform.m_reports.size() == 1U);
+}
+
+// A report that a restore has undone is written again with the counts that were sent, and a node
+// that has started since does not write its own.
+BOOST_AUTO_TEST_CASE(ReportThatARestoreHasUndoneIsWrittenAgain) {
+  FakeStore store;
+  FakePlatform platform;
+  Node one(store, platform, "one");
+  const int64_t window = one.m_ledger.WindowOf(base::WallMillis()) - 1;
+  for (int i = 0; i < 5; ++i) {
+    one.m_ledger.CountLocalRequest(kTeam, window * kWindowMs + 1);
+  }
+  const auto copy = store.m_items;
+  for (int tick = 0; tick < 3; ++tick) {
+    store.UpdateReplica(one.m_replica);
+    one.m_clock.Advance(kSpreadTime);
+    one.m_reporter.Tick(Leadership{ 1, base::TimePoint::max() });
+  }
+  const std::string written = store.m_items["usage"].m_data;
+  store.Restore(copy, 5);
+  Node young(store, platform, "young");
+  store.UpdateReplica(young.m_replica);
+  young.m_reporter.OnLoaded(base::WallMillis());
+  young.m_ledger.CountLocalRequest(kTeam, window * kWindowMs + 1);
+  young.m_reporter.Tick(Leadership{ 2, base::TimePoint::max() });
+  BOOST_TEST(!store.m_items.contains("usage"));
+  store.UpdateReplica(one.m_replica);
+  one.m_reporter.Tick(Leadership{ 3, base::TimePoint::max() });
+  BOOST_TEST(store.m_items["usage"].m_data == written);
+  for (const auto& [reported, teams] : platform.m_reports) {
+    BOOST_TEST(teams.at(kTeam) == 5U);
+  }
+}
+
+// No window is reported with two sets of counts, and hardly any is lost, while leaders change,
+// nodes are started again, and the store is restored from copies up to 20 s old.
+BOOST_AUTO_TEST_CASE(RestoresOfTheStoreLeaveOneSetOfCounts) {
+  int64_t due = 0;
+  int64_t reported = 0;
+  for (uint64_t seed = 1; seed <= 100; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      ReportingFleet fleet(seed);
+      fleet.Run(base::Millis(120000));
+      const int64_t dueEnd = fleet.DueWindowsEnd();
+      size_t contradicted = 0;
+      for (const auto& [window, counts] : fleet.Reports()) {
+        contradicted += counts.size() > 1U ? 1 : 0;
+        reported += window < dueEnd ? 1 : 0;
+      }
+      BOOST_TEST(contradicted == 0U);
+      due += dueEnd - ReportingFleet::kStartMs / kWindowMs;
+    }
+  }
+  BOOST_TEST_MESSAGE("reported " << reported << " of " << due);
+  BOOST_TEST(reported > due * 95 / 100);
+}
+
 BOOST_AUTO_TEST_CASE(CountsOfAllNodesAddUpAndOnlyGrow) {
   UsageLedger ledger(kWindowMs);
   ledger.CountLocalRequest(kTeam, 10);
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -69,7 +69,10 @@
         m_replica,
         { { m_keys.m_configurationKey, m_keys.m_endpointPrefix, m_keys.m_ownPrefix } },
         [this](bool /*aAnswers*/) { UpdateStoreAvailability(); },
-        [this] { Tick(); },
+        [this] {
+          m_reporter.OnLoaded(base::WallMillis());
+          Tick();
+        },
         [this](const store::Position& aAfter, const std::vector<store::Change>& aChanges) {
           if (IsLargeFleet()) {
             m_gossip.SendUpdate(aAfter, aChanges);
