StoreReplica: removals that a listing hides; convergence over restores

A replica that was behind and was listed again kept the position of its tombstones, although items that were added and removed since were unknown to it. Advance at an earlier era ended the clearing of what was left of it.

Change: a listing after the last position raises the position of the tombstones, so peers behind it get the complete contents. Advance ignores earlier eras.

--- a/packages/sync/StoreReplica.cpp
+++ b/packages/sync/StoreReplica.cpp
@@ -27,6 +27,9 @@
 }
 
 void StoreReplica::Advance(const store::Position& aPosition) {
+  if (aPosition.m_era < m_lastPosition.m_era) {
+    return;
+  }
   EnterEra(aPosition.m_era);
   m_lastPosition = std::max(m_lastPosition, aPosition);
   RemoveEarlierEras(aPosition);
@@ -96,17 +99,20 @@
   }
   // The listing does not contain removals, so those before it are unknown: all of them if it is the
   // first one, and those that a restore has undone.
-  const bool isNewEra = aPosition.m_era > m_tombstonesFrom.m_era;
-  if (m_items.empty() || isNewEra) {
+  if (m_items.empty() || aPosition.m_era > m_tombstonesFrom.m_era) {
     m_tombstonesFrom = std::max(m_tombstonesFrom, aPosition);
-  } else {
+  } else if (aPosition > m_lastPosition) {
     RecordGap(aPosition);
   }
   EnterEra(aPosition.m_era);
   std::set<std::string> listed;
   for (const store::Item& item : aItems) {
     listed.insert(item.m_key);
-    Merge({ item, false });
+    // An item unknown here although its write has been applied has been removed since the listing.
+    if (item.m_position > m_lastPosition || aPosition >= m_lastPosition ||
+        m_items.contains(item.m_key)) {
+      Merge({ item, false });
+    }
   }
   std::vector<std::string> absent;
   for (auto at = m_items.lower_bound(aPrefix);
@@ -140,7 +146,8 @@
                            bool aComplete,
                            const store::Position& aPosition) {
   const bool isLaterEra = aPosition.m_era > m_lastPosition.m_era;
-  if (aPosition.m_era < m_lastPosition.m_era || (isLaterEra && !aComplete)) {
+  // An older snapshot may have items whose removal is known only by their absence.
+  if (aPosition <= m_lastPosition || (isLaterEra && !aComplete)) {
     return;
   }
   std::vector<store::Item> items;
--- a/packages/sync/tests/StoreReplicaTest.cpp
+++ b/packages/sync/tests/StoreReplicaTest.cpp
@@ -247,4 +247,104 @@
   BOOST_TEST(recorded.m_replica.Tombstones().at("p/a").m_revision == 8U);
 }
 
+// A restored store assigns revisions again; what it lists replaces what is known, also at lower
+// revisions and under tombstones.
+BOOST_AUTO_TEST_CASE(LaterEraReplacesEarlierOne) {
+  RecordingReplica recorded;
+  recorded.m_replica.Replace("", { ItemOf("a", 50, 1), ItemOf("b", 60, 1) }, { 1, 60 });
+  recorded.m_replica.Advance({ 1, 60 });
+  recorded.m_replica.Apply({ ItemOf("c", 61, 1), true });
+  recorded.m_replica.Replace("", { ItemOf("a", 20, 2), ItemOf("c", 21, 2) }, { 2, 30 });
+  recorded.m_replica.Advance({ 2, 30 });
+  BOOST_TEST(recorded.m_replica.Find("a")->m_position.m_revision == 20U);
+  BOOST_TEST(recorded.m_replica.Find("b") == nullptr);
+  BOOST_TEST(recorded.m_replica.Find("c") != nullptr);
+  BOOST_TEST((recorded.m_replica.LastPosition() == store::Position{ 2, 30 }));
+}
+
+BOOST_AUTO_TEST_CASE(ContentsOfAnotherEraAreIgnored) {
+  RecordingReplica recorded;
+  recorded.m_replica.Replace("", { ItemOf("a", 20, 2) }, { 2, 30 });
+  recorded.m_replica.Advance({ 2, 30 });
+  const auto before = recorded.m_log;
+  recorded.m_replica.Apply({ ItemOf("a", 70, 1), false });
+  recorded.m_replica.Apply({ ItemOf("a", 70, 3), true });
+  recorded.m_replica.Replace("", {}, { 1, 90 });
+  recorded.m_replica.Advance({ 1, 90 });
+  recorded.m_replica.CatchUp({ { ItemOf("b", 80, 1), false } }, true, { 1, 90 });
+  // Changes alone do not start an era, since those before them are unknown.
+  recorded.m_replica.CatchUp({ { ItemOf("b", 5, 3), false } }, false, { 3, 5 });
+  BOOST_TEST(recorded.m_log == before, boost::test_tools::per_element());
+  BOOST_TEST((recorded.m_replica.LastPosition() == store::Position{ 2, 30 }));
+}
+
+// An older listing arrived between the first prefix of a later era and its last one; what remained
+// of the earlier era stayed for ever.
+BOOST_AUTO_TEST_CASE(LateListingDoesNotKeepAnEarlierEra) {
+  RecordingReplica recorded;
+  recorded.m_replica.Replace("", { ItemOf("p/a", 50, 1), ItemOf("q/b", 60, 1) }, { 1, 60 });
+  recorded.m_replica.Advance({ 1, 60 });
+  recorded.m_replica.Replace("p/", {}, { 2, 30 });
+  recorded.m_replica.Advance({ 1, 60 });
+  recorded.m_replica.Advance({ 2, 30 });
+  BOOST_TEST(recorded.m_replica.Items().empty());
+}
+
+// The store was restored between the listings of two prefixes, which must not be mixed.
+BOOST_AUTO_TEST_CASE(RestoreBetweenTwoPrefixesIsListedAgain) {
+  adapters::http::EventLoop loop;
+  ScriptedStore store;
+  RecordingReplica recorded;
+  StoreWatcher<ScriptedStore> watcher(
+    loop, store, recorded.m_replica, { { "p/", "q/" } }, [](bool) {}, [] {});
+  watcher.Start();
+  store.m_list(store::Listing{ { ItemOf("p/a", 50, 1) }, { 1, 60 } });
+  store.m_list(store::Listing{ { ItemOf("q/b", 20, 2) }, { 2, 30 } });
+  BOOST_TEST(recorded.m_replica.Items().empty());
+  AwaitCall(loop, store, 3);
+  store.m_list(store::Listing{ {}, { 2, 30 } });
+  store.m_list(store::Listing{ { ItemOf("q/b", 20, 2) }, { 2, 31 } });
+  BOOST_TEST(recorded.m_replica.Items().size() == 1U);
+  BOOST_TEST(store.m_calls.back() == "watch 30");
+}
+
+// Writes of the new era had passed the revision of the watch, so the store answered it without an
+// error, and the changes before were never read.
+BOOST_AUTO_TEST_CASE(WatchAnsweredByANewEraLeadsToAListing) {
+  adapters::http::EventLoop loop;
+  ScriptedStore store;
+  RecordingReplica recorded;
+  StoreWatcher<ScriptedStore> watcher(
+    loop, store, recorded.m_replica, { { "p/" } }, [](bool) {}, [] {});
+  watcher.Start();
+  store.m_list(store::Listing{ { ItemOf("p/a", 50, 1) }, { 1, 60 } });
+  store.m_watch(store::Changes{ { { ItemOf("p/b", 61, 2), false } }, { 2, 61 } });
+  BOOST_TEST(store.m_calls.back() == "list p/");
+  BOOST_TEST(recorded.m_replica.Find("p/b") == nullptr);
+  store.m_list(store::Listing{ { ItemOf("p/c", 55, 2) }, { 2, 61 } });
+  BOOST_TEST(recorded.m_replica.Find("p/c") != nullptr);
+  BOOST_TEST(recorded.m_replica.Find("p/a") == nullptr);
+}
+
+// Another call shows a restore before the watch ends; the answer of that watch is dropped.
+BOOST_AUTO_TEST_CASE(EraShownByAnotherCallLeadsToAListing) {
+  adapters::http::EventLoop loop;
+  ScriptedStore store;
+  RecordingReplica recorded;
+  StoreWatcher<ScriptedStore> watcher(
+    loop, store, recorded.m_replica, { { "p/" } }, [](bool) {}, [] {});
+  watcher.Start();
+  store.m_list(store::Listing{ { ItemOf("p/a", 50, 1) }, { 1, 60 } });
+  watcher.OnEra(1);
+  BOOST_TEST(store.m_calls.back() == "watch 60");
+  watcher.OnEra(2);
+  watcher.OnEra(2);
+  BOOST_TEST(store.m_calls.size() == 3U);
+  store.m_watch(store::Changes{ { { ItemOf("p/z", 61, 1), false } }, { 1, 61 } });
+  BOOST_TEST(recorded.m_replica.Find("p/z") == nullptr);
+  store.m_list(store::Listing{ {}, { 2, 30 } });
+  BOOST_TEST(recorded.m_replica.Items().empty());
+  BOOST_TEST(store.m_calls.back() == "watch 30");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
