--- a/packages/duties/UsageReporter.h
+++ b/packages/duties/UsageReporter.h
@@ -94,7 +94,7 @@
   /// Writes reports again that the store has lost in a restore. Called several times a second on
   /// each node that may become the leader, so that the next leader reads them before it reports.
   void RestoreRecord() {
-    const Reports stored = ReadStoredReports(base::WallMillis());
+    const Reports stored = ReadStoredReports(m_wallMillis());
     const Reports reports = AddKnownReports(stored);
     if (!m_callInFlight && reports != stored) {
       Commit(reports, reports.rbegin()->first, "restored");
@@ -116,7 +116,9 @@
     if (SendNextReport(stored, now, aLeadership)) {
       return;
     }
-    WriteNextReport(AddKnownReports(stored), now);
+    if (!WriteNextReport(AddKnownReports(stored), now)) {
+      RestoreRecord();
+    }
   }
 
 private:
@@ -226,14 +228,15 @@
             aNow >= m_ledger.WindowEndMs(aWindow) + m_settings.m_maxCountWait.count());
   }
 
-  /// Writes the report of the oldest complete window that has no report.
-  void WriteNextReport(Reports aReports, int64_t aNow) {
+  /// Writes the report of the oldest complete window that has no report. Returns false if there is
+  /// none.
+  bool WriteNextReport(Reports aReports, int64_t aNow) {
     const int64_t current = m_ledger.WindowOf(aNow);
     const int64_t last = aReports.empty() ? current - kMaxStoredWindows : aReports.rbegin()->first;
     for (int64_t window = std::max(last + 1, current - kMaxStoredWindows); window < current;
          ++window) {
       if (!IsWindowComplete(window, aNow)) {
-        return;
+        return false;
       }
       const UsageLedger::Counts counts = m_ledger.TotalCounts(window);
       if (counts.empty()) {
@@ -251,8 +254,9 @@
         aReports.erase(aReports.begin());
       }
       Commit(aReports, window, "new");
-      return;
+      return true;
     }
+    return false;
   }
 
   void Commit(const Reports& aReports, int64_t aWindow, const char* aCause) {
