Tests of endpoints, gossip and the replica codec over restores

FleetTest: draining and removed endpoints that a copy lists as ready, the end of the hold, endpoints of the lost span, new incarnations. PeerTableTest and UpdateTest: the order of positions. ReplicaCodecTest: era and configuration, also absent and malformed.

--- a/packages/fleet/tests/FleetTest.cpp
+++ b/packages/fleet/tests/FleetTest.cpp
@@ -19,7 +19,22 @@
   return { base::EndpointId(aId), { 0, aRevision }, endpoint };
 }
 
+/// Returns a registration that is read in the era `aEra`.
+Registration RegistrationIn(uint64_t aEra,
+                            const std::string& aId,
+                            uint64_t aRevision,
+                            bool aDraining = false,
+                            int64_t aIncarnation = 1) {
+  Registration registration = RegistrationOf(aId, aRevision, aDraining);
+  registration.m_position.m_era = aEra;
+  registration.m_endpoint->m_position.m_era = aEra;
+  registration.m_endpoint->m_incarnation = { base::EndpointId(aId), aIncarnation };
+  return registration;
+}
+
 const base::TimePoint kStart{ std::chrono::hours(1) };
+/// Time after which endpoints that were removed and are listed again get work.
+constexpr base::Millis kHold{ 5000 };
 
 } // namespace
 
@@ -123,4 +138,56 @@
   BOOST_TEST(directory.Ready().size() == 1U);
 }
 
+// A store that is restored from a copy lists an endpoint as ready although it has said that it
+// drains; work for it would be lost.
+BOOST_AUTO_TEST_CASE(DrainingEndpointStaysDrainingAfterARestore) {
+  EndpointDirectory directory(kGracePeriod);
+  directory.Put(RegistrationIn(1, "a", 5));
+  directory.Put(RegistrationIn(1, "a", 9, true));
+  directory.OnStoreRestored(kStart);
+  directory.Put(RegistrationIn(2, "a", 5));
+  BOOST_TEST(directory.Ready().empty());
+  directory.RemoveExpired(kStart + kHold * 2);
+  BOOST_TEST(directory.Ready().empty());
+  // The next process under the same name is another incarnation.
+  directory.Put(RegistrationIn(2, "a", 8, false, 2));
+  BOOST_TEST(directory.Ready().size() == 1U);
+}
+
+// An endpoint that was removed and is listed again gets no work until its old registration would
+// have expired.
+BOOST_AUTO_TEST_CASE(RemovedEndpointIsHeldAfterARestore) {
+  EndpointDirectory directory(kGracePeriod);
+  directory.Put(RegistrationIn(1, "a", 5));
+  directory.Put(RegistrationIn(1, "b", 6));
+  directory.Remove(base::EndpointId("a"), { 1, 9 }, kStart);
+  directory.Remove(base::EndpointId("b"), { 1, 10 }, kStart);
+  directory.OnStoreRestored(kStart);
+  directory.Put(RegistrationIn(2, "a", 5));
+  directory.Put(RegistrationIn(2, "b", 7, false, 2));
+  BOOST_REQUIRE(directory.Ready().size() == 1U);
+  BOOST_TEST(directory.Ready()[0].m_incarnation.m_endpoint.Text() == "b");
+  directory.RemoveExpired(kStart + kHold - base::Millis(1));
+  BOOST_TEST(directory.Ready().size() == 1U);
+  directory.RemoveExpired(kStart + kHold);
+  BOOST_TEST(directory.Ready().size() == 2U);
+}
+
+// An endpoint that registered in the lost span is served from until it has had time to register
+// again.
+BOOST_AUTO_TEST_CASE(EndpointOfTheLostSpanStaysForTheGracePeriod) {
+  EndpointDirectory directory(kGracePeriod);
+  directory.Put(RegistrationIn(1, "a", 8));
+  directory.Put(RegistrationIn(1, "b", 9));
+  directory.OnStoreRestored(kStart);
+  directory.Remove(base::EndpointId("a"), { 2, 6 }, kStart);
+  directory.Remove(base::EndpointId("b"), { 2, 6 }, kStart);
+  BOOST_TEST(directory.Ready().size() == 2U);
+  directory.Put(RegistrationIn(2, "b", 7));
+  const auto expired = directory.RemoveExpired(kStart + kGracePeriod);
+  BOOST_REQUIRE(expired.size() == 1U);
+  BOOST_TEST(expired[0].Text() == "a");
+  BOOST_TEST(directory.Ready().size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/gossip/tests/PeerTableTest.cpp
+++ b/packages/gossip/tests/PeerTableTest.cpp
@@ -167,4 +167,16 @@
   BOOST_TEST(peers.MostAdvancedPeer({ 0, 9 }, kNow + std::chrono::seconds(5)) == nullptr);
 }
 
+// A restored store assigns lower revisions; the peer that has read it is ahead.
+BOOST_AUTO_TEST_CASE(PeerOfALaterEraIsTheMostAdvanced) {
+  PeerTable peers(ContactOf("1"));
+  peers.MergeHeartbeat(HeartbeatOf("2", 1, 99), kNow);
+  Heartbeat restored = HeartbeatOf("3", 1, 5);
+  restored.m_position.m_era = 1;
+  peers.MergeHeartbeat(restored, kNow);
+  BOOST_TEST(peers.MostAdvancedPeer({ 0, 9 }, kNow)->m_contact.m_node.Text() == "3");
+  BOOST_TEST(peers.MostAdvancedPeer({ 0, 200 }, kNow)->m_contact.m_node.Text() == "3");
+  BOOST_TEST(peers.MostAdvancedPeer({ 1, 5 }, kNow) == nullptr);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/gossip/tests/UpdateTest.cpp
+++ b/packages/gossip/tests/UpdateTest.cpp
@@ -59,4 +59,16 @@
   BOOST_TEST((ClassifyUpdate(updates[0], { 0, 410 }) == UpdateAction::Ignore));
 }
 
+// Changes of a later era do not continue from an earlier one, and those of an earlier era are not
+// news, whatever their revisions.
+BOOST_AUTO_TEST_CASE(UpdateOfAnotherEraIsNotApplied) {
+  const auto updates = SplitUpdate(kSender, { 0, 10 }, ChangesOf(11, 2, 300));
+  BOOST_REQUIRE(updates.size() == 1U);
+  Update later = updates[0];
+  later.m_position.m_era = 1;
+  BOOST_TEST((ClassifyUpdate(later, { 0, 10 }) == UpdateAction::Fetch));
+  BOOST_TEST((ClassifyUpdate(later, { 0, 400 }) == UpdateAction::Fetch));
+  BOOST_TEST((ClassifyUpdate(updates[0], { 1, 2 }) == UpdateAction::Ignore));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/serving/tests/ReplicaCodecTest.cpp
+++ b/packages/serving/tests/ReplicaCodecTest.cpp
@@ -72,6 +72,40 @@
   BOOST_TEST(!DecodeReplica(std::string(4000000, '\x81')).has_value());
 }
 
+// A peer of an earlier era gets complete contents, whatever its revision.
+BOOST_AUTO_TEST_CASE(EraAndConfigurationRoundTrip) {
+  sync::StoreReplica replica([](const auto&, const auto&, auto) {});
+  replica.Replace("", { { "servers/a", "x", { 3, 5 }, 2 } }, { 3, 7 });
+  replica.Advance({ 3, 7 });
+  const std::string configuration("\0c", 2);
+  const auto snapshot = DecodeReplica(EncodeReplica(replica, { 2, 99 }, configuration));
+  BOOST_REQUIRE(snapshot.has_value());
+  BOOST_TEST(snapshot->m_complete);
+  BOOST_TEST((snapshot->m_position == store::Position{ 3, 7 }));
+  BOOST_REQUIRE(snapshot->m_changes.size() == 1U);
+  BOOST_TEST((snapshot->m_changes[0].m_item.m_position == store::Position{ 3, 5 }));
+  BOOST_TEST((snapshot->m_configuration == configuration));
+  BOOST_TEST(!DecodeReplica(EncodeReplica(replica, { 3, 7 }))->m_configuration.has_value());
+}
+
+// Nodes of an earlier version state no era.
+BOOST_AUTO_TEST_CASE(MissingEraIsZeroAndAMalformedOneIsRejected) {
+  json root = { { "revision", 7 },
+                { "whole", true },
+                { "items", { { "k", json::binary({ 1 }), 5, 5 } } },
+                { "removed", json::array() } };
+  BOOST_TEST((DecodeReplica(ToCbor(root))->m_position == store::Position{ 0, 7 }));
+  for (const json& era : { json("x"), json(-1), json(1e300), json(), json::array() }) {
+    root["era"] = era;
+    BOOST_TEST(!DecodeReplica(ToCbor(root)).has_value(), root.dump());
+  }
+  root["era"] = 2;
+  for (const json& configuration : { json("text"), json(1), json::array() }) {
+    root["configuration"] = configuration;
+    BOOST_TEST(!DecodeReplica(ToCbor(root)).has_value(), root.dump());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(RandomBytesAreRejectedOrDecoded) {
   const std::string valid = EncodeReplica(MakeReplica(), { 0, 4 });
   for (uint64_t seed = 1; seed <= 5000; ++seed) {
