--- a/soak/Caller.cpp
+++ b/soak/Caller.cpp
@@ -1,5 +1,6 @@
 #include "soak/Caller.h"
 
+#include "soak/PlannedWork.h"
 #include "tests/harness/PlatformFleet.h"
 
 namespace papayafield::soak {
@@ -13,6 +14,8 @@
 
 constexpr base::Millis kMinPause{ 15 };
 constexpr base::Millis kUnacknowledgedTimeout{ 3000 };
+/// One of this many calls goes to the host of the newest configuration.
+constexpr uint64_t kCallsPerNewestHost = 6;
 
 } // namespace
 
@@ -20,12 +23,14 @@
                uint64_t aSeed,
                std::string aName,
                CallerSettings aSettings,
-               AddressProvider aAddressProvider)
+               AddressProvider aAddressProvider,
+               ConfigurationProvider aConfigurationProvider)
   : m_loop(aLoop)
   , m_random(aSeed)
   , m_name(std::move(aName))
   , m_settings(aSettings)
-  , m_addressProvider(std::move(aAddressProvider)) {}
+  , m_addressProvider(std::move(aAddressProvider))
+  , m_configurationProvider(std::move(aConfigurationProvider)) {}
 
 Caller::~Caller() {
   if (m_connection != nullptr) {
@@ -65,11 +70,16 @@
   m_currentCall = {};
   m_currentCall.m_id = m_name + "-" + std::to_string(m_records.size());
   m_currentCall.m_target = kind + m_currentCall.m_id;
+  if (m_random() % kCallsPerNewestHost == 0) {
+    m_currentCall.m_configuration = m_configurationProvider();
+  }
   RequestHead head;
   head.m_method = kind == "/safe/" ? "GET" : "POST";
   head.m_target = m_currentCall.m_target;
-  for (const auto& field : tests::MakeCallerHeaders(
-         "h.example", "key-1", m_currentCall.m_id, m_settings.m_answerTimeout)) {
+  const int configuration = m_currentCall.m_configuration;
+  const std::string host = configuration == 0 ? "h.example" : PlannedWork::HostOf(configuration);
+  for (const auto& field :
+       tests::MakeCallerHeaders(host, "key-1", m_currentCall.m_id, m_settings.m_answerTimeout)) {
     head.m_fields.Add(field.m_name, field.m_value);
   }
   m_callInFlight = true;
@@ -92,6 +102,7 @@
   m_timeoutTimer.reset();
   m_currentCall.m_end = aEnd;
   m_currentCall.m_endedAt = base::BootNow();
+  m_currentCall.m_newestConfiguration = m_configurationProvider();
   if (incomplete) {
     m_currentCall.m_status = 0;
   }
--- a/soak/Caller.h
+++ b/soak/Caller.h
@@ -40,6 +40,11 @@
   bool m_connectionWasUsed = false;
   /// Whether the head of an answer was received.
   bool m_answerBegan = false;
+  /// Number of the configuration whose host the call was sent to; 0 for the host that is part of
+  /// all configurations.
+  int m_configuration = 0;
+  /// Number of the newest configuration when the call ended.
+  int m_newestConfiguration = 0;
 };
 
 /// Behaviour of a caller.
@@ -59,12 +64,15 @@
 public:
   /// Returns the addresses that a caller may currently connect to.
   using AddressProvider = std::function<std::vector<base::Address>()>;
+  /// Returns the number of the newest configuration that was written; 0 if there is none.
+  using ConfigurationProvider = std::function<int()>;
 
   Caller(adapters::http::EventLoop& aLoop,
          uint64_t aSeed,
          std::string aName,
          CallerSettings aSettings,
-         AddressProvider aAddressProvider);
+         AddressProvider aAddressProvider,
+         ConfigurationProvider aConfigurationProvider);
   ~Caller();
   Caller(const Caller&) = delete;
   Caller& operator=(const Caller&) = delete;
@@ -90,6 +98,7 @@
   std::string m_name;
   CallerSettings m_settings;
   AddressProvider m_addressProvider;
+  ConfigurationProvider m_configurationProvider;
   std::shared_ptr<adapters::http1::ClientConnection> m_connection;
   base::Address m_node;
   adapters::http::EventHandlePtr m_timeoutTimer;
--- a/soak/Checks.cpp
+++ b/soak/Checks.cpp
@@ -59,7 +59,10 @@
         aResult.m_violations.push_back(record.m_id + " was answered and never ran");
       }
     }
-    if (record.m_status == 401 || record.m_status == 404 || record.m_status == 400) {
+    // A node that has not applied the newest configuration yet does not know its host.
+    const bool hostMayBeUnknown = record.m_configuration != 0;
+    if (record.m_status == 401 || record.m_status == 400 ||
+        (record.m_status == 404 && !hostMayBeUnknown)) {
       aResult.m_violations.push_back(record.m_id + " was denied with " +
                                      std::to_string(record.m_status));
     }
@@ -135,6 +138,40 @@
   }
 }
 
+/// Reports calls that a node rejected for an unknown host although it had served the host before,
+/// since its last launch, and no newer configuration was written.
+void CheckConfigurations(const std::vector<CallRecord>& aRecords,
+                         const std::vector<NodeLaunch>& aLaunches,
+                         CheckResult& aResult) {
+  const auto isRestarted = [&](const CallRecord& aServed, const CallRecord& aRejected) {
+    return std::any_of(aLaunches.begin(), aLaunches.end(), [&](const NodeLaunch& aLaunch) {
+      return aLaunch.m_address == aServed.m_node && aLaunch.m_time >= aServed.m_sentAt &&
+             aLaunch.m_time <= aRejected.m_endedAt;
+    });
+  };
+  std::map<int, std::vector<const CallRecord*>> served;
+  for (const CallRecord& record : aRecords) {
+    if (record.m_configuration != 0 && record.m_status == 200) {
+      served[record.m_configuration].push_back(&record);
+      ++aResult.m_newestServed;
+    }
+  }
+  for (const CallRecord& record : aRecords) {
+    if (record.m_status != 404 || record.m_configuration != record.m_newestConfiguration) {
+      continue;
+    }
+    const auto& calls = served[record.m_configuration];
+    const bool wentBack = std::any_of(calls.begin(), calls.end(), [&](const CallRecord* aServed) {
+      return aServed->m_node == record.m_node && aServed->m_endedAt <= record.m_sentAt &&
+             !isRestarted(*aServed, record);
+    });
+    if (wentBack) {
+      aResult.m_violations.push_back(record.m_node.ToText() + " went back from configuration " +
+                                     std::to_string(record.m_configuration));
+    }
+  }
+}
+
 void CheckLeaderCalls(const json& aLeaderCalls, CheckResult& aResult) {
   std::map<int64_t, std::set<std::string>> counts;
   uint64_t lastFencingToken = 0;
@@ -158,6 +195,7 @@
 CheckResult CheckGuarantees(const std::vector<CallRecord>& aRecords,
                             const json& aReport,
                             const std::vector<PlannedStop>& aStops,
+                            const std::vector<NodeLaunch>& aLaunches,
                             const std::vector<FaultSpan>& aUnplanned) {
   std::map<std::string, int> runs;
   for (const json& run : aReport.at("runs")) {
@@ -167,6 +205,7 @@
   CheckCalls(aRecords, runs, result);
   CheckCompleteness(aRecords, runs, aStops, aUnplanned, result);
   CheckStops(aStops, aUnplanned, result);
+  CheckConfigurations(aRecords, aLaunches, result);
   CheckLeaderCalls(aReport.at("duties"), result);
   return result;
 }
--- a/soak/FaultInjector.cpp
+++ b/soak/FaultInjector.cpp
@@ -7,6 +7,19 @@
 
 using nlohmann::json;
 
+namespace {
+
+/// Age of the copy from which the store returns.
+constexpr base::Millis kMinCopyAge{ 1000 };
+constexpr base::Millis kMaxCopyAge{ 10000 };
+/// Time for which the store is down before it returns from a copy.
+constexpr base::Millis kMinDowntime{ 200 };
+constexpr base::Millis kMaxDowntime{ 2000 };
+/// Time from the return of the store until lost writes of the operator and of runners are repeated.
+constexpr base::Millis kMaxRewriteDelay{ 3000 };
+
+} // namespace
+
 std::string FaultInjector::Advance() {
   m_stepSummary.clear();
   for (size_t i = m_active.size() / 2; i < m_active.size(); ++i) {
@@ -36,7 +49,7 @@
 }
 
 void FaultInjector::InjectRandom() {
-  switch (RandomIndex(4)) {
+  switch (RandomIndex(5)) {
     case 0:
       InjectNodeFault();
       break;
@@ -46,6 +59,9 @@
     case 2:
       InjectRunnerFault();
       break;
+    case 3:
+      InjectRestore();
+      break;
     default:
       InjectProxyFault();
       break;
@@ -95,6 +111,14 @@
   }
 }
 
+void FaultInjector::InjectRestore() {
+  m_plannedWork.Configure();
+  const base::Millis age = RandomTime(kMinCopyAge, kMaxCopyAge);
+  const base::Millis downtime = RandomTime(kMinDowntime, kMaxDowntime);
+  m_fleet.RestoreStore(age, downtime, RandomTime(base::Millis(0), kMaxRewriteDelay));
+  m_active.push_back({ "restore_" + std::to_string(age.count()), [] {}, true });
+}
+
 void FaultInjector::InjectRunnerFault() {
   static constexpr std::array<const char*, 5> kModes = {
     "hang", "lose_answers", "shed", "fail", "cut"
--- a/soak/FaultInjector.h
+++ b/soak/FaultInjector.h
@@ -42,7 +42,8 @@
   struct ActiveFault {
     std::string m_name;
     std::function<void()> m_revert;
-    /// Planned work is allowed at any time and is no reason to lose a call.
+    /// Planned work, which includes restores of the store, is allowed at any time and is no reason
+    /// to lose a call.
     bool m_isPlanned = false;
     base::TimePoint m_start = base::BootNow();
   };
@@ -51,9 +52,15 @@
   void Revert(const ActiveFault& aFault);
   void InjectNodeFault();
   void InjectStoreFault();
+  /// Writes a configuration and lets the store return from an older copy, unless it already does.
+  void InjectRestore();
   void InjectRunnerFault();
   void InjectProxyFault();
   size_t RandomIndex(size_t aCount) { return m_random() % aCount; }
+  /// Returns a random time from `aMin` up to `aMax`.
+  base::Millis RandomTime(base::Millis aMin, base::Millis aMax) {
+    return aMin + base::Millis(RandomIndex(static_cast<size_t>((aMax - aMin).count()) + 1));
+  }
 
   tests::PlatformFleet& m_fleet;
   PlannedWork& m_plannedWork;
--- a/soak/PlannedWork.cpp
+++ b/soak/PlannedWork.cpp
@@ -80,7 +80,7 @@
 }
 
 void PlannedWork::Configure() {
-  m_fleet.ApplyConfiguration("host-" + std::to_string(++m_configurationCount) + ".example",
+  m_fleet.ApplyConfiguration(HostOf(++m_configurationCount),
                              kIdleTimeouts[RandomIndex(kIdleTimeouts.size())]);
 }
 
@@ -92,6 +92,7 @@
 
 void PlannedWork::Launch(size_t aNode) {
   m_launchTimes[aNode] = base::BootNow();
+  m_launches.push_back({ m_fleet.CallerAddress(aNode), base::BootNow() });
   m_fleet.LaunchNode(aNode);
 }
 
--- a/soak/PlannedWork.h
+++ b/soak/PlannedWork.h
@@ -22,6 +22,12 @@
   bool m_killed = false;
 };
 
+/// The start of a process of a node that had run before.
+struct NodeLaunch {
+  base::Address m_address;
+  base::TimePoint m_time{};
+};
+
 /// Stops and restarts nodes, sends them SIGHUP and changes the configuration, as an operator does,
 /// while the event loop continues to run. Must be used only on the thread of the event loop.
 class PlannedWork {
@@ -54,6 +60,11 @@
   /// stop some time ago.
   std::vector<base::Address> CallerAddresses() const;
   const std::vector<PlannedStop>& Stops() const { return m_stops; }
+  const std::vector<NodeLaunch>& Launches() const { return m_launches; }
+  /// Returns the number of the newest configuration that was written; 0 if there is none.
+  int NewestConfiguration() const { return m_configurationCount; }
+  /// Returns the host that only configuration `aNumber` has routes for.
+  static std::string HostOf(int aNumber) { return "host-" + std::to_string(aNumber) + ".example"; }
 
 private:
   const PlannedStop* CurrentStop(size_t aNode) const;
@@ -67,6 +78,7 @@
   size_t m_nodes;
   std::mt19937_64 m_random;
   std::vector<PlannedStop> m_stops;
+  std::vector<NodeLaunch> m_launches;
   /// When each node was last restarted; not set for nodes that never were.
   std::vector<std::optional<base::TimePoint>> m_launchTimes;
   std::vector<adapters::http::EventHandlePtr> m_timers;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -25,6 +25,8 @@
 constexpr base::Millis kExtraWait{ 1000 };
 constexpr base::Millis kLongPause{ 7000 };
 constexpr base::Millis kCheckInterval{ 50 };
+/// Duration of a usage window; matches usage_window_s in the settings of PlatformFleet.
+constexpr base::Millis kUsageWindow{ 1000 };
 /// Time for all planned stops to end.
 constexpr base::Millis kSettleDuration = soak::PlannedWork::kGracePeriod + base::Millis(500);
 
@@ -80,6 +82,44 @@
   return true;
 }
 
+/// Waits until all nodes have applied the newest configuration. Returns false if a node does not.
+bool AllNodesFollow(tests::PlatformFleet& aFleet, size_t aNodes, const std::string& aHost) {
+  for (size_t node = 0; node < aNodes; ++node) {
+    const bool follows = tests::PlatformFleet::WaitUntil(
+      [&] { return aFleet.Send(node, "GET", "/safe/end", aHost).m_status == 200; });
+    if (!follows) {
+      return false;
+    }
+  }
+  return true;
+}
+
+/// Waits until exactly one node is the leader. Returns false if that does not happen.
+bool OneNodeLeads(tests::PlatformFleet& aFleet, size_t aNodes) {
+  return tests::PlatformFleet::WaitUntil([&] {
+    double leaders = 0;
+    for (size_t node = 0; node < aNodes; ++node) {
+      leaders += aFleet.ReadMetric(node, "holds_duties");
+    }
+    return leaders == 1;
+  });
+}
+
+/// Sends calls until a usage window that began after the start of this function is reported.
+/// Returns false if none is.
+bool UsageIsReported(tests::PlatformFleet& aFleet) {
+  const int64_t current = base::WallMillis() / kUsageWindow.count();
+  return tests::PlatformFleet::WaitUntil([&] {
+    aFleet.Send(0, "GET", "/safe/end");
+    const auto report = aFleet.PostControl("report");
+    const auto& calls = report.at("duties");
+    return std::any_of(calls.begin(), calls.end(), [&](const auto& aCall) {
+      return aCall.at("path") == "/usage" &&
+             aCall.at("body").at("window_id").template get<int64_t>() > current;
+    });
+  });
+}
+
 } // namespace
 
 int main(int argc, char** argv) {
@@ -105,12 +145,13 @@
   soak::PlannedWork plannedWork(fleet, loop, nodes, seed);
   std::vector<std::unique_ptr<Caller>> callers;
   for (size_t i = 0; i < static_cast<size_t>(arguments.Number("callers")); ++i) {
-    callers.push_back(
-      std::make_unique<Caller>(loop,
-                               seed * 100 + i,
-                               "c" + std::to_string(i),
-                               onlyPlannedWork ? PlannedWorkCaller(i) : soak::CallerSettings(),
-                               [&] { return plannedWork.CallerAddresses(); }));
+    callers.push_back(std::make_unique<Caller>(
+      loop,
+      seed * 100 + i,
+      "c" + std::to_string(i),
+      onlyPlannedWork ? PlannedWorkCaller(i) : soak::CallerSettings(),
+      [&] { return plannedWork.CallerAddresses(); },
+      [&] { return plannedWork.NewestConfiguration(); }));
     callers.back()->SendNext();
   }
   soak::FaultInjector faults(fleet, plannedWork, nodes, runners, seed);
@@ -131,21 +172,38 @@
       callers.begin(), callers.end(), [](const auto& aCaller) { return aCaller->IsIdle(); });
   });
   const bool recovered = AllNodesRecover(fleet, nodes);
+  const int newest = plannedWork.NewestConfiguration();
+  const bool follow =
+    newest == 0 || AllNodesFollow(fleet, nodes, soak::PlannedWork::HostOf(newest));
+  const bool led = OneNodeLeads(fleet, nodes);
+  const bool usageReported = UsageIsReported(fleet);
   std::vector<soak::CallRecord> records;
   for (const auto& caller : callers) {
     records.insert(records.end(), caller->Records().begin(), caller->Records().end());
   }
-  soak::CheckResult result = soak::CheckGuarantees(
-    records, fleet.PostControl("report"), plannedWork.Stops(), faults.UnplannedSpans());
+  soak::CheckResult result = soak::CheckGuarantees(records,
+                                                   fleet.PostControl("report"),
+                                                   plannedWork.Stops(),
+                                                   plannedWork.Launches(),
+                                                   faults.UnplannedSpans());
   if (!recovered) {
     result.m_violations.emplace_back("a node did not serve again after the faults");
   }
+  if (!follow) {
+    result.m_violations.emplace_back("a node did not apply the newest configuration");
+  }
+  if (!led) {
+    result.m_violations.emplace_back("not exactly one node was the leader after the faults");
+  }
+  if (!usageReported) {
+    result.m_violations.emplace_back("no usage was reported after the faults");
+  }
   for (const std::string& line : result.m_violations) {
     std::fprintf(stderr, "BROKEN: %s\n", line.c_str());
   }
   std::fprintf(stderr,
                "seed %lu: %zu calls, %zu served, %zu refused, %zu undisturbed, %zu crossed, "
-               "%zu outlasting, "
+               "%zu outlasting, %zu for the newest host, "
                "%zu promises broken\n",
                seed,
                result.m_calls,
@@ -154,6 +212,7 @@
                result.m_undisturbed,
                result.m_crossed,
                result.m_outlasting,
+               result.m_newestServed,
                result.m_violations.size());
   return result.m_violations.empty() ? 0 : 1;
 }
