EndpointDirectory: a departure ends when its endpoint registers again

After a restore of the store, an endpoint that had ever been removed or been registered as draining in its current incarnation was taken for one that the copy lists by mistake: removed ones got no work for 5 s after each further restore, even if they were written again at once, and drained ones never again. With all endpoints held, nodes rejected every call with no_endpoint.

A ready registration at a later position of the era of the departure ends the departure, as does the end of the hold. The first registration of an era may still be a copy: it keeps the departure and moves it to its own position, so that what is written after it counts.

FleetTest: the three new cases fail without the change and pass with it.

--- a/packages/fleet/EndpointDirectory.cpp
+++ b/packages/fleet/EndpointDirectory.cpp
@@ -44,22 +44,25 @@
 }
 
 void EndpointDirectory::Store(Endpoint aEndpoint) {
-  const base::EndpointId id = aEndpoint.m_incarnation.m_endpoint;
   const auto departure = m_departures.find(aEndpoint.m_incarnation);
   if (aEndpoint.m_draining) {
     m_departures[aEndpoint.m_incarnation] = { aEndpoint.m_position, true, std::nullopt };
   } else if (departure != m_departures.end()) {
-    if (departure->second.m_position.m_era == aEndpoint.m_position.m_era) {
-      // The endpoint has registered again.
+    store::Position& departed = departure->second.m_position;
+    if (departed.m_era == aEndpoint.m_position.m_era && departed < aEndpoint.m_position) {
+      // Written after the departure, or after the restore that listed the endpoint again.
       m_departures.erase(departure);
-    } else if (departure->second.m_draining) {
-      // The copy is older than the departure.
-      aEndpoint.m_draining = true;
-    } else if (m_holdEnd) {
-      m_held.insert(id);
+    } else {
+      // The first registration of an era may be a copy that is older than the departure.
+      departed = std::max(departed, aEndpoint.m_position);
+      if (departure->second.m_draining) {
+        aEndpoint.m_draining = true;
+      } else if (m_holdEnd) {
+        m_held.insert(aEndpoint.m_incarnation.m_endpoint);
+      }
     }
   }
-  m_endpoints[id] = std::move(aEndpoint);
+  m_endpoints[aEndpoint.m_incarnation.m_endpoint] = std::move(aEndpoint);
 }
 
 void EndpointDirectory::Erase(std::map<base::EndpointId, Endpoint>::iterator aEndpoint,
@@ -135,7 +138,9 @@
     return;
   }
   m_holdEnd.reset();
-  m_held.clear();
+  for (const base::EndpointId& id : std::exchange(m_held, {})) {
+    m_departures.erase(m_endpoints.at(id).m_incarnation);
+  }
   Rebuild();
 }
 
--- a/packages/fleet/tests/FleetTest.cpp
+++ b/packages/fleet/tests/FleetTest.cpp
@@ -10,13 +10,19 @@
 
 constexpr base::Millis kGracePeriod{ 2000 };
 
-Registration RegistrationOf(const std::string& aId, uint64_t aRevision, bool aDraining = false) {
+Registration RegistrationOf(const std::string& aId,
+                            const store::Position& aPosition,
+                            bool aDraining = false) {
   Endpoint endpoint;
   endpoint.m_incarnation = { base::EndpointId(aId), 1 };
   endpoint.m_service = ServiceId("s");
   endpoint.m_draining = aDraining;
-  endpoint.m_position = { 0, aRevision };
-  return { base::EndpointId(aId), { 0, aRevision }, endpoint };
+  endpoint.m_position = aPosition;
+  return { base::EndpointId(aId), aPosition, endpoint };
+}
+
+Registration RegistrationOf(const std::string& aId, uint64_t aRevision, bool aDraining = false) {
+  return RegistrationOf(aId, store::Position{ 0, aRevision }, aDraining);
 }
 
 /// Returns a registration that is read in the era `aEra`.
@@ -190,4 +196,58 @@
   BOOST_TEST(directory.Ready().size() == 1U);
 }
 
+// Found by the soak with seeds 3 and 17: endpoints that had left and registered again, in the same
+// incarnation, got no work for seconds after each further restore.
+BOOST_AUTO_TEST_CASE(EndpointThatRegisteredAgainIsNotHeldAfterARestore) {
+  EndpointDirectory directory(kGracePeriod);
+  directory.Put(RegistrationOf("removed", 1));
+  directory.Put(RegistrationOf("drained", 2));
+  directory.Remove(base::EndpointId("removed"), { 0, 3 }, kStart);
+  directory.Put(RegistrationOf("drained", 4, true));
+  BOOST_TEST(directory.Ready().empty());
+  directory.Put(RegistrationOf("removed", 5));
+  directory.Put(RegistrationOf("drained", 6));
+  BOOST_TEST(directory.Ready().size() == 2U);
+  directory.OnStoreRestored(kStart);
+  directory.Put(RegistrationOf("removed", { 1, 5 }));
+  directory.Put(RegistrationOf("drained", { 1, 6 }));
+  BOOST_TEST(directory.Ready().size() == 2U);
+}
+
+// A departure outlasts the copy that a store returns from, and not what is written after it.
+BOOST_AUTO_TEST_CASE(RegistrationWrittenAfterARestoreEndsADeparture) {
+  EndpointDirectory directory(kGracePeriod);
+  directory.Put(RegistrationOf("removed", 1));
+  directory.Put(RegistrationOf("drained", 2));
+  directory.Remove(base::EndpointId("removed"), { 0, 3 }, kStart);
+  directory.Put(RegistrationOf("drained", 4, true));
+  for (const uint64_t era : { 1U, 2U }) {
+    directory.OnStoreRestored(kStart);
+    for (int i = 0; i < 2; ++i) {
+      directory.Put(RegistrationOf("removed", { era, 1 }));
+      directory.Put(RegistrationOf("drained", { era, 2 }));
+      BOOST_TEST(directory.Ready().empty());
+    }
+  }
+  directory.Put(RegistrationOf("removed", { 2, 3 }));
+  directory.Put(RegistrationOf("drained", { 2, 4 }));
+  BOOST_TEST(directory.Ready().size() == 2U);
+}
+
+// An endpoint whose hold has ended is not held again after the next restore.
+BOOST_AUTO_TEST_CASE(EndpointIsHeldOnce) {
+  EndpointDirectory directory(kGracePeriod);
+  directory.Put(RegistrationOf("a", 1));
+  directory.Remove(base::EndpointId("a"), { 0, 2 }, kStart);
+  directory.OnStoreRestored(kStart);
+  directory.Put(RegistrationOf("a", { 1, 1 }));
+  BOOST_TEST(directory.Ready().empty());
+  const auto later = kStart + base::Millis(60000);
+  directory.RemoveExpired(later);
+  BOOST_TEST(directory.Ready().size() == 1U);
+  directory.OnStoreRestored(later);
+  directory.Put(RegistrationOf("a", { 2, 1 }));
+  BOOST_TEST(directory.Ready().size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
