EndpointDirectory: an endpoint that a copy lacks has not left

An endpoint that registered in the span that a restore loses is missing in the copy. If it expired before it was written again, that counted as its departure, and after a second restore its new registration was held for 5 s. An expiry is a departure only if the endpoint was listed in the current era.

Found by the soak. FleetTest/EndpointMissingInACopyHasNotLeft fails without the change and passes with it.

--- a/packages/fleet/EndpointDirectory.cpp
+++ b/packages/fleet/EndpointDirectory.cpp
@@ -67,9 +67,12 @@
 
 void EndpointDirectory::Erase(std::map<base::EndpointId, Endpoint>::iterator aEndpoint,
                               const store::Position& aPosition) {
-  Departure& departure = m_departures[aEndpoint->second.m_incarnation];
-  departure.m_position = std::max(departure.m_position, aPosition);
-  departure.m_absentSince.reset();
+  // An endpoint that was never listed in the current era is missing in the copy and has not left.
+  if (aEndpoint->second.m_position.m_era == aPosition.m_era) {
+    Departure& departure = m_departures[aEndpoint->second.m_incarnation];
+    departure.m_position = std::max(departure.m_position, aPosition);
+    departure.m_absentSince.reset();
+  }
   m_missing.erase(aEndpoint->first);
   m_held.erase(aEndpoint->first);
   m_endpoints.erase(aEndpoint);
--- a/packages/fleet/tests/FleetTest.cpp
+++ b/packages/fleet/tests/FleetTest.cpp
@@ -234,6 +234,20 @@
   BOOST_TEST(directory.Ready().size() == 2U);
 }
 
+// Found by the soak with seeds 3 and 17: a copy lacked all endpoints, and they were held when they
+// registered after the next restore.
+BOOST_AUTO_TEST_CASE(EndpointMissingInACopyHasNotLeft) {
+  EndpointDirectory directory(kGracePeriod);
+  directory.Put(RegistrationOf("a", 5));
+  directory.OnStoreRestored(kStart);
+  directory.Remove(base::EndpointId("a"), { 1, 2 }, kStart);
+  BOOST_TEST(directory.Ready().size() == 1U);
+  BOOST_TEST(directory.RemoveExpired(kStart + 2 * kGracePeriod).size() == 1U);
+  directory.OnStoreRestored(kStart + 2 * kGracePeriod);
+  directory.Put(RegistrationOf("a", { 2, 3 }));
+  BOOST_TEST(directory.Ready().size() == 1U);
+}
+
 // An endpoint whose hold has ended is not held again after the next restore.
 BOOST_AUTO_TEST_CASE(EndpointIsHeldOnce) {
   EndpointDirectory directory(kGracePeriod);
