forwarding: a head that arrives in pieces has its own time limit

Callers lost requests whose head arrived in pieces on a kept connection: only the idle limit was measured, from the last answer on, and it closed the connection in the middle of the head without a refusal. The limit for heads (header_timeout_ms) was read from the configuration and never applied, so a head that stopped arriving held its connection for the whole idle limit. The first byte of a request now ends the idle period and starts the limit for its head, which is answered with 408. A head that arrives while the loop is busy is read before its limit is acted on. HeadInPiecesIsNotCutByTheIdleLimit and StalledHeadIsRefused failed before (no answer; no answer within 15 s) and pass; PlatformPathTest passes.

--- a/packages/adapters/http1/Connection.cpp
+++ b/packages/adapters/http1/Connection.cpp
@@ -71,6 +71,9 @@
     self.m_lastWasValue = true;
     self.m_hasInvalidName = false;
     self.m_inMessage = true;
+    if (self.m_owner.m_events.m_onBegin) {
+      self.m_owner.m_events.m_onBegin();
+    }
     return 0;
   }
 
--- a/packages/adapters/http1/Connection.h
+++ b/packages/adapters/http1/Connection.h
@@ -31,6 +31,8 @@
 /// Callbacks of a connection. Events without a callback are ignored.
 template<class Head>
 struct ConnectionEvents {
+  /// Called when the first byte of a message has been received.
+  std::function<void()> m_onBegin;
   /// Called when the head of a message has been received.
   std::function<void(Head&&)> m_onHead;
   /// Called when bytes of the body have been received.
--- a/packages/forwarding/CallerConnection.cpp
+++ b/packages/forwarding/CallerConnection.cpp
@@ -36,6 +36,7 @@
 void CallerConnection::Start() {
   const auto self = shared_from_this();
   ServerConnection::Events events;
+  events.m_onBegin = [self] { self->OnBegin(); };
   events.m_onHead = [self](RequestHead&& aHead) { self->OnHead(std::move(aHead)); };
   events.m_onBody = [self](std::string_view aBytes) { self->OnBody(aBytes); };
   events.m_onComplete = [self] { self->OnComplete(); };
@@ -84,12 +85,28 @@
   }
 }
 
+/// Rejects the request as not run if its head does not arrive in time.
+void CallerConnection::OnBegin() {
+  m_idleTimer.reset();
+  m_headTimer = m_loop.After(m_settings.m_limits.m_headTimeout, [this, weak = weak_from_this()] {
+    if (weak.expired()) {
+      return;
+    }
+    // The rest may have arrived while the loop was busy; it is read before the next timer.
+    m_headTimer = m_loop.After(base::Millis(0), [weak] {
+      if (const auto self = weak.lock()) {
+        self->Reject(408);
+      }
+    });
+  });
+}
+
 void CallerConnection::OnHead(RequestHead&& aHead) {
+  m_headTimer.reset();
   m_reading = true;
   m_arrival = base::BootNow();
   m_head = std::move(aHead);
   m_body.clear();
-  m_idleTimer.reset();
   m_bodyLimit = m_settings.m_limits.m_bodyBytes;
   const auto length = m_head.m_fields.Find("Content-Length");
   uint64_t bytes = 0;
@@ -232,6 +249,7 @@
 void CallerConnection::CloseWhenFlushed() {
   m_closed = true;
   m_idleTimer.reset();
+  m_headTimer.reset();
   m_bodyTimer.reset();
   m_flushing = true;
   m_connection->CloseWhenFlushed([self = shared_from_this()] {
@@ -293,6 +311,7 @@
   m_closed = true;
   m_reading = false;
   m_idleTimer.reset();
+  m_headTimer.reset();
   m_bodyTimer.reset();
   m_connection->Close();
   if (const auto exchange = std::exchange(m_exchange, nullptr)) {
--- a/packages/forwarding/CallerConnection.h
+++ b/packages/forwarding/CallerConnection.h
@@ -51,6 +51,7 @@
   void Close();
 
 private:
+  void OnBegin();
   void OnHead(adapters::http1::RequestHead&& aHead);
   void OnBody(std::string_view aBytes);
   void OnComplete();
@@ -79,6 +80,8 @@
   base::Millis m_idleLimit{ 0 };
   /// Limit on the body of the present request, as of the end of its head.
   size_t m_bodyLimit = 0;
+  /// Runs while the head of a request is being read.
+  adapters::http::EventHandlePtr m_headTimer;
   /// Runs while the body of a request is being read.
   adapters::http::EventHandlePtr m_bodyTimer;
   /// Time of the last bytes of a request.
--- a/tests/integration/ConfigurationChangeTest.cpp
+++ b/tests/integration/ConfigurationChangeTest.cpp
@@ -237,4 +237,28 @@
   BOOST_TEST(SendInPieces(caller, "/once/a", Progress::Sent) == 200);
 }
 
+// The idle limit of a connection ended requests whose head arrived in pieces.
+BOOST_AUTO_TEST_CASE(HeadInPiecesIsNotCutByTheIdleLimit) {
+  PlatformFleet fleet(1, 1);
+  ConfigurationOptions options;
+  options.m_idleTimeout = base::Millis(1200);
+  ApplyAndWait(fleet, options);
+  PiecewiseCaller caller(fleet.CallerAddress(0));
+  std::this_thread::sleep_for(base::Millis(800));
+  BOOST_TEST(SendInPieces(caller, "/once/a", Progress::HeadInPart) == 200);
+}
+
+// A head that does not arrive in time is refused, and does not hold its connection.
+BOOST_AUTO_TEST_CASE(StalledHeadIsRefused) {
+  PlatformFleet fleet(1, 1);
+  ConfigurationOptions options;
+  options.m_headTimeout = base::Millis(600);
+  ApplyAndWait(fleet, options);
+  PiecewiseCaller caller(fleet.CallerAddress(0));
+  const auto start = base::BootNow();
+  BOOST_TEST(caller.Send("POST /once/a HTTP/1.1\r\nHost: h.exa"));
+  BOOST_TEST(caller.ReceiveStatus() == 408);
+  BOOST_TEST((base::BootNow() - start < base::Millis(3000)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
