http1: a refusal reaches a caller that is still sending

Callers whose request was refused before it was complete (413, 408, 431, 400, 503 at the end of a drain) got neither an answer nor a refusal if the rest of the body was on its way: the node closed the connection right after the refusal, the kernel answered the rest with a reset, and the caller's next write failed. Beside a change of the configuration this meets every caller whose body the lowered limit no longer admits. After such a refusal the node now ends only its sending side and discards what arrives until the caller closes, for at most 3 s. Why it works: without unread bytes at the close there is no reset, and a stopping node counts the connection as busy until then, within its grace period. RefusalReachesACallerThatIsStillSending failed before (the caller's write fails) and passes; MalformedTest, forwarding_tests and the drain and body cases of PlatformPathTest pass.

--- a/packages/adapters/http1/Connection.cpp
+++ b/packages/adapters/http1/Connection.cpp
@@ -349,6 +349,35 @@
   SetEvents(std::move(events));
 }
 
+template<class Head>
+void Connection<Head>::CloseWhenPeerDone(base::Millis aMaxTime, std::function<void()> aOnClosed) {
+  const auto self = this->shared_from_this();
+  if (m_buffer == nullptr) {
+    aOnClosed();
+    return;
+  }
+  m_discardInput = true;
+  bufferevent_enable(m_buffer, EV_READ);
+  evbuffer_drain(bufferevent_get_input(m_buffer), PendingInput());
+  Events events;
+  // The connection keeps itself alive until its end.
+  events.m_onEnd = [self, aOnClosed](EndKind, bool) { aOnClosed(); };
+  SetEvents(std::move(events));
+  m_discardTimer = m_loop.After(aMaxTime, [weak = this->weak_from_this()] {
+    if (const auto connection = weak.lock()) {
+      connection->End(EndKind::Reset);
+    }
+  });
+  if (PendingOutput() == 0) {
+    EndSending();
+  }
+}
+
+template<class Head>
+void Connection<Head>::EndSending() {
+  shutdown(bufferevent_getfd(m_buffer), SHUT_WR);
+}
+
 template<class Head>
 size_t Connection<Head>::PendingOutput() const {
   return m_buffer == nullptr ? 0 : evbuffer_get_length(bufferevent_get_output(m_buffer));
@@ -388,7 +417,7 @@
   evbuffer_drain(input, length);
   const size_t parsed =
     http_parser_execute(&m_parser->m_parser, &Parser::Settings(), step.data(), step.size());
-  if (m_buffer == nullptr) {
+  if (m_buffer == nullptr || m_discardInput) {
     return false;
   }
   if (parsed < length) {
@@ -408,6 +437,10 @@
   if (m_isParsing || m_buffer == nullptr) {
     return;
   }
+  if (m_discardInput) {
+    evbuffer_drain(bufferevent_get_input(m_buffer), PendingInput());
+    return;
+  }
   if (m_isPaused) {
     if (m_events.m_onUnexpectedData && PendingInput() > 0) {
       m_events.m_onUnexpectedData();
@@ -415,7 +448,8 @@
     return;
   }
   m_isParsing = true;
-  while (m_buffer != nullptr && !m_isPaused && PendingInput() > 0 && ParseStep()) {
+  while (m_buffer != nullptr && !m_isPaused && !m_discardInput && PendingInput() > 0 &&
+         ParseStep()) {
   }
   m_isParsing = false;
   if (m_buffer != nullptr && m_isPaused && PendingInput() > 0 && m_events.m_onUnexpectedData) {
@@ -427,6 +461,9 @@
 void Connection<Head>::OnWritable() {
   const auto self = this->shared_from_this();
   const auto onFlushed = m_events.m_onFlushed;
+  if (m_discardInput && m_buffer != nullptr) {
+    EndSending();
+  }
   if (m_closeWhenFlushed) {
     Close();
   }
@@ -450,7 +487,7 @@
     End(EndKind::NotConnected);
     return;
   }
-  if ((aWhat & BEV_EVENT_EOF) != 0 && !m_isPaused && m_parser->m_inMessage) {
+  if ((aWhat & BEV_EVENT_EOF) != 0 && !m_isPaused && !m_discardInput && m_parser->m_inMessage) {
     // Only the end of the connection completes a body without a length.
     http_parser_execute(&m_parser->m_parser, &Parser::Settings(), nullptr, 0);
     if (m_buffer == nullptr) {
--- a/packages/adapters/http1/Connection.h
+++ b/packages/adapters/http1/Connection.h
@@ -92,6 +92,11 @@
   /// Closes the connection once all written bytes have been passed to the kernel, or when it ends
   /// before, and then calls `aOnClosed`. No other callback follows.
   void CloseWhenFlushed(std::function<void()> aOnClosed = {});
+  /// Ends the sending side once all written bytes have been sent, and discards what the peer still
+  /// sends until it closes the connection, for at most `aMaxTime`. Then closes the connection and
+  /// calls `aOnClosed`. No other callback follows. Closing a connection with unread bytes would
+  /// reset it, and the peer could miss an answer to a message that it is still sending.
+  void CloseWhenPeerDone(base::Millis aMaxTime, std::function<void()> aOnClosed);
 
   /// Whether the connection is open or being established.
   bool IsOpen() const { return m_buffer != nullptr; }
@@ -116,6 +121,7 @@
   void OnReadable();
   void OnBufferEvent(short aWhat);
   void OnWritable();
+  void EndSending();
   bool ParseStep();
   void End(EndKind aKind);
   static void ReadCallback(bufferevent* aBuffer, void* aSelf);
@@ -133,6 +139,10 @@
   bool m_isParsing = false;
   bool m_expectNoBody = false;
   bool m_closeWhenFlushed = false;
+  /// Whether the connection only waits until its peer closes it.
+  bool m_discardInput = false;
+  /// Limits that wait.
+  http::EventHandlePtr m_discardTimer;
 };
 
 /// The server side of a connection, which reads requests.
--- a/packages/forwarding/CallerConnection.cpp
+++ b/packages/forwarding/CallerConnection.cpp
@@ -18,6 +18,9 @@
 /// Maximum number of unsent bytes for a caller that reads slowly; the connection is closed beyond
 /// this.
 constexpr size_t kMaxUnsentBytes = 8U << 20U;
+/// Maximum time for which the rest of a rejected request is discarded, so that its caller receives
+/// the answer.
+constexpr base::Millis kMaxDiscardTime{ 3000 };
 
 } // namespace
 
@@ -243,19 +246,29 @@
   head.m_fields.Add("Connection", "close");
   m_connection->Write(adapters::http1::Serialize(head));
   m_reading = false;
-  CloseWhenFlushed();
+  PrepareClose();
+  m_connection->CloseWhenPeerDone(kMaxDiscardTime, OnceClosed());
 }
 
-void CallerConnection::CloseWhenFlushed() {
+/// Ends all activity except that the output is still being sent.
+void CallerConnection::PrepareClose() {
   m_closed = true;
   m_idleTimer.reset();
   m_headTimer.reset();
   m_bodyTimer.reset();
   m_flushing = true;
-  m_connection->CloseWhenFlushed([self = shared_from_this()] {
+}
+
+std::function<void()> CallerConnection::OnceClosed() {
+  return [self = shared_from_this()] {
     self->m_flushing = false;
     self->m_onClosed(self);
-  });
+  };
+}
+
+void CallerConnection::CloseWhenFlushed() {
+  PrepareClose();
+  m_connection->CloseWhenFlushed(OnceClosed());
 }
 
 base::Millis CallerConnection::OpenCallAge(const std::string& aRoute, base::TimePoint aNow) const {
--- a/packages/forwarding/CallerConnection.h
+++ b/packages/forwarding/CallerConnection.h
@@ -58,6 +58,8 @@
   void OnEnd(adapters::http1::EndKind aKind);
   void Reject(int aStatus);
   void OnAnswered();
+  void PrepareClose();
+  std::function<void()> OnceClosed();
   void CloseWhenFlushed();
   void LogIncompleteRequest() const;
   void StartIdleTimer();
@@ -94,7 +96,8 @@
   bool m_answering = false;
   bool m_keepAlive = false;
   bool m_closed = false;
-  /// Whether the connection only waits until its output has been sent.
+  /// Whether the connection only waits until its output has been sent, and its caller has stopped
+  /// sending.
   bool m_flushing = false;
 };
 
--- a/tests/integration/ConfigurationChangeTest.cpp
+++ b/tests/integration/ConfigurationChangeTest.cpp
@@ -221,6 +221,26 @@
   }
 }
 
+// A refusal reaches a caller that is still sending: before, the rest of the body reached a closed
+// socket, and the connection was reset.
+BOOST_AUTO_TEST_CASE(RefusalReachesACallerThatIsStillSending) {
+  constexpr size_t kPieces = 30;
+  const std::string piece(20000, 'x');
+  PlatformFleet fleet(1, 1);
+  ConfigurationOptions options;
+  options.m_bodyBytes = 1000;
+  ApplyAndWait(fleet, options);
+  PiecewiseCaller caller(fleet.CallerAddress(0));
+  bool sent = caller.Send(MakeHead("/once/a", "large", kPieces * piece.size()));
+  for (size_t i = 0; i < kPieces; ++i) {
+    sent = sent && caller.Send(piece);
+    std::this_thread::sleep_for(base::Millis(20));
+  }
+  BOOST_TEST(sent);
+  BOOST_TEST(caller.ReceiveStatus() == 413);
+  BOOST_TEST(fleet.RecordedRuns("large").empty());
+}
+
 // Callers reuse connections by the idle limit that they know: a lowered one cut connections that
 // were in use, together with the requests on their way.
 BOOST_AUTO_TEST_CASE(LoweredIdleLimitSparesConnectionsInUse) {
