forwarding: a drain does not end in the middle of a head

A stopping node closed connections on which the head of a request was arriving, without an answer: only requests with a complete head counted as busy, so the drain ended as soon as no call was open. A head that is being read now counts as busy, within its own time limit, and what has been read in part at the end of the grace period is refused with 503. HeadInPartIsAnsweredByAStoppingNode failed before (no answer) and passes; forwarding_tests pass.

--- a/packages/forwarding/CallerConnection.cpp
+++ b/packages/forwarding/CallerConnection.cpp
@@ -282,10 +282,9 @@
   if (const auto exchange = m_exchange) {
     m_keepAlive = false;
     exchange->Abort();
-  } else if (m_reading) {
+  } else if (IsReading()) {
     Reject(503);
   } else if (!m_closed) {
-    LogIncompleteRequest();
     CloseWhenFlushed();
   }
 }
--- a/packages/forwarding/CallerConnection.h
+++ b/packages/forwarding/CallerConnection.h
@@ -36,7 +36,7 @@
   void Start();
   /// Returns whether a request is being read or answered, or an answer is still being sent.
   bool IsBusy() const {
-    return m_reading || m_answering || m_flushing || m_connection->PendingOutput() > 0;
+    return IsReading() || m_answering || m_flushing || m_connection->PendingOutput() > 0;
   }
   /// Returns the age of the call in progress if it belongs to the route named `aRoute`, otherwise
   /// 0.
@@ -51,6 +51,7 @@
   void Close();
 
 private:
+  bool IsReading() const { return m_reading || (!m_closed && m_connection->IsInMessage()); }
   void OnBegin();
   void OnHead(adapters::http1::RequestHead&& aHead);
   void OnBody(std::string_view aBytes);
--- a/tests/integration/ConfigurationChangeTest.cpp
+++ b/tests/integration/ConfigurationChangeTest.cpp
@@ -281,4 +281,19 @@
   BOOST_TEST((base::BootNow() - start < base::Millis(3000)));
 }
 
+// A drain ended in the middle of a head that was arriving, without a refusal.
+BOOST_AUTO_TEST_CASE(HeadInPartIsAnsweredByAStoppingNode) {
+  PlatformFleet fleet(2, 1);
+  PiecewiseCaller caller(fleet.CallerAddress(0));
+  fleet.NodeProcess(0).Signal(SIGTERM);
+  std::this_thread::sleep_for(base::Millis(3000));
+  const std::string request = MakeHead("/once/a", "stopping", 2) + "{}";
+  BOOST_TEST(caller.Send(request.substr(0, 30)));
+  std::this_thread::sleep_for(base::Millis(1500));
+  BOOST_TEST(caller.Send(request.substr(30)));
+  BOOST_TEST(caller.ReceiveStatus() == 503);
+  BOOST_TEST(fleet.RecordedRuns("stopping").empty());
+  BOOST_TEST(fleet.NodeProcess(0).WaitForExit() == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
