forwarding: a silent endpoint is kept until another one has the call

Callers saw streams break off visibly, with most of their time left and beside a sound runner: an endpoint that had fallen silent was left, and its run ended, before the next endpoint had the call. If that one refused, nothing was left to go on with. Calls without a stream got 502 in the same way. The silent attempt now stays open while the next one is pending. The call returns to it if the next endpoint refuses, cannot be reached or fails, or if the silent one answers first. It is given up once the next one begins to answer, or after 300 ms: two endpoints must not work on one call for 400 ms. Why it works: only repeatable calls are ever sent on; the events of the next run are passed on only after the silent attempt has ended, so a stream is never joined from two runs; each endpoint is tried once, and each try still draws on the retry budget. An endpoint that refuses later than 300 ms after it was asked still costs the silent run. SilentRunnerIsLeftOnceAnotherOneHasTheCall bounds the overlap.

--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -23,6 +23,9 @@
 /// A call without an answer, or a stream without an event, is retried at another endpoint after
 /// this multiple of its latency or gap target, if it may be repeated.
 constexpr double kStallTimeoutFactor = 2.0;
+/// Maximum time for which a silent attempt is kept while another endpoint has the call. The two
+/// must not work on it side by side for longer.
+constexpr base::Millis kMaxOverlap{ 300 };
 /// Fraction of the shared prompt parts that an endpoint is expected to process again.
 constexpr double kSharedPrefillFraction = 0.2;
 /// Minimum remaining time for which an attempt is worthwhile.
@@ -310,8 +313,13 @@
   if (aAttempt->m_ended || (aAttempt->m_hasHead && !m_streamBegun)) {
     return;
   }
+  if (m_silentAttempt != nullptr) {
+    // The endpoint before this one is given up first.
+    StartSilenceTimer(aAttempt, aLimit);
+    return;
+  }
   if (MayContinueElsewhere()) {
-    Fail(aAttempt, AttemptFault::Stalled, m_streamBegun ? "no_event" : "no_answer");
+    TryElsewhere(aAttempt);
     return;
   }
   if (!aAttempt->m_silenceLogged) {
@@ -334,12 +342,69 @@
     m_possibleRuns + 1, m_route.m_maxAttempts, m_streamBegun && m_splitter.LastEventId().empty()
   };
   return !m_callerDisconnected && MayRetry(state) && TimeLeft() > kMinAttemptTime &&
-         m_node.HasRetry(m_service) &&
+         m_node.HasRetry(m_service) && !m_node.m_crashGuard.RefusalTime(m_call, base::BootNow()) &&
          m_node.m_placement
            .Choose(MakePlacementRequest(m_service), m_node.m_directory.Ready(), base::BootNow())
            .has_value();
 }
 
+/// Sends the call to another endpoint and keeps the silent attempt, in case that one refuses.
+void Exchange::TryElsewhere(const std::shared_ptr<ActiveAttempt>& aAttempt) {
+  m_node.TrySpendRetry(m_service);
+  aAttempt->m_silenceTimer.reset();
+  m_silentAttempt = aAttempt;
+  m_overlapTimer = m_node.m_loop.After(kMaxOverlap, [this, weak = weak_from_this()] {
+    const auto exchange = weak.lock();
+    if (exchange) {
+      GiveUpSilent();
+    }
+  });
+  Dispatch();
+}
+
+/// Continues with the silent attempt in place of the one that was to take over from it.
+void Exchange::ReturnToSilent(const char* aReason) {
+  if (m_attempt != nullptr) {
+    m_possibleRuns += m_attempt->m_connection->IsEstablished() ? 1 : 0;
+    Release(m_attempt, false);
+  }
+  m_overlapTimer.reset();
+  m_attempt = std::exchange(m_silentAttempt, nullptr);
+  m_node.m_log.Event(
+    "silent endpoint resumed",
+    { { "request", m_call.m_id },
+      { "endpoint", m_attempt->m_endpoint.m_incarnation.m_endpoint.Text() },
+      { "reason", aReason },
+      { "age_ms",
+        std::chrono::duration_cast<base::Millis>(base::BootNow() - m_attempt->m_sentAt).count() },
+      { "left_ms", TimeLeft().count() },
+      { "possible_runs", m_possibleRuns + 1 } });
+  const base::Millis limit = m_streamBegun ? EventTimeout() : AttemptTimeout();
+  if (limit.count() > 0) {
+    StartSilenceTimer(m_attempt, limit);
+  }
+}
+
+void Exchange::GiveUpSilent() {
+  // Fail resets the member.
+  if (const auto silent = m_silentAttempt) {
+    Fail(silent, AttemptFault::Stalled, m_streamBegun ? "no_event" : "no_answer");
+  }
+}
+
+/// Ends the choice between a silent attempt and the one that was to take over from it, now that
+/// `aAttempt` answers.
+void Exchange::OnAnswerBegun(const std::shared_ptr<ActiveAttempt>& aAttempt) {
+  if (m_silentAttempt == nullptr) {
+    return;
+  }
+  if (aAttempt == m_silentAttempt) {
+    ReturnToSilent("answered");
+  } else {
+    GiveUpSilent();
+  }
+}
+
 void Exchange::OnHead(const std::shared_ptr<ActiveAttempt>& aAttempt, ResponseHead&& aHead) {
   aAttempt->m_answerInfo = m_node.m_wire.m_decodeAnswer(aHead);
   const AnswerInfo& info = aAttempt->m_answerInfo;
@@ -373,6 +438,10 @@
   aAttempt->m_isStream = success && m_route.m_kind == CallKind::Stream && info.m_eventStream;
   if (m_streamBegun && !aAttempt->m_isStream && !info.m_notExecuted) {
     Fail(aAttempt, AttemptFault::Lost, "not_resumed");
+    return;
+  }
+  if (!info.m_notExecuted && aAttempt->m_head.m_status < 500) {
+    OnAnswerBegun(aAttempt);
   }
 }
 
@@ -410,6 +479,7 @@
   if (events.empty()) {
     return;
   }
+  OnAnswerBegun(aAttempt);
   CountEvents(aAttempt, m_splitter.EventCount() - eventsBefore);
   if (aAttempt->m_queuedTokens > 0) {
     m_node.m_placement.RecordAnswerStarted(aAttempt->m_endpoint.m_incarnation.m_endpoint,
@@ -463,6 +533,9 @@
 }
 
 void Exchange::OnAnswerComplete(const std::shared_ptr<ActiveAttempt>& aAttempt) {
+  if (aAttempt == m_silentAttempt) {
+    ReturnToSilent("answered");
+  }
   if (aAttempt->m_isStream) {
     if (m_splitter.HasPartialEvent() || !m_streamBegun) {
       aAttempt->m_connectionLost = true;
@@ -515,17 +588,11 @@
   }
 }
 
-void Exchange::Fail(const std::shared_ptr<ActiveAttempt>& aAttempt,
-                    AttemptFault aFault,
-                    const std::string& aDetail) {
-  if (aAttempt->m_ended) {
-    return;
-  }
-  const auto self = shared_from_this();
+/// Takes a failed attempt into account and ends it.
+void Exchange::RecordFailure(const std::shared_ptr<ActiveAttempt>& aAttempt, AttemptFault aFault) {
   const fleet::Endpoint endpoint = aAttempt->m_endpoint;
   const auto now = base::BootNow();
-  const bool mayHaveRun = aFault != AttemptFault::NotSent && aFault != AttemptFault::NotExecuted;
-  if (mayHaveRun) {
+  if (aFault != AttemptFault::NotSent && aFault != AttemptFault::NotExecuted) {
     ++m_possibleRuns;
     // An unattributed answer is most likely this call's own refusal.
     if (m_route.m_kind != CallKind::Stream && aFault != AttemptFault::Unattributed) {
@@ -541,6 +608,50 @@
       m_call, endpoint.m_incarnation.m_endpoint, aAttempt->m_events, now);
   }
   Release(aAttempt, aFault == AttemptFault::NotExecuted || aFault == AttemptFault::Failed);
+}
+
+void Exchange::LogFailure(const ActiveAttempt& aAttempt,
+                          AttemptFault aFault,
+                          const std::string& aDetail,
+                          bool aWillRetry) const {
+  const auto age = std::chrono::duration_cast<base::Millis>(base::BootNow() - aAttempt.m_sentAt);
+  m_node.m_log.Event("attempt failed",
+                     { { "request", m_call.m_id },
+                       { "endpoint", aAttempt.m_endpoint.m_incarnation.m_endpoint.Text() },
+                       { "revision", aAttempt.m_endpoint.m_revision },
+                       { "fault", base::NameOf(aFault) },
+                       { "why", aDetail },
+                       { "reused", aAttempt.m_reused },
+                       { "age_ms", age.count() },
+                       { "last_event", m_splitter.LastEventId() },
+                       { "again", aWillRetry } });
+  m_node.m_metrics.Count("attempt_" + std::string(base::NameOf(aFault)));
+}
+
+void Exchange::Fail(const std::shared_ptr<ActiveAttempt>& aAttempt,
+                    AttemptFault aFault,
+                    const std::string& aDetail) {
+  if (aAttempt->m_ended) {
+    return;
+  }
+  const auto self = shared_from_this();
+  RecordFailure(aAttempt, aFault);
+  if (aAttempt == m_silentAttempt) {
+    // The call goes on with the attempt that takes over.
+    m_silentAttempt.reset();
+    m_overlapTimer.reset();
+    m_splitter.StartRun();
+    LogFailure(*aAttempt, aFault, aDetail, true);
+    return;
+  }
+  if (m_silentAttempt != nullptr) {
+    LogFailure(*aAttempt, aFault, aDetail, false);
+    if (aFault == AttemptFault::Failed) {
+      m_errorAnswer.emplace(aAttempt->m_head, aAttempt->m_body);
+    }
+    ReturnToSilent("other_failed");
+    return;
+  }
   m_splitter.StartRun();
   const AttemptState state{
     m_route.m_kind, m_route.Repeatable(),  aFault,
@@ -549,18 +660,7 @@
   const bool willRetry = !m_callerDisconnected && !m_finished && MayRetry(state) &&
                          TimeLeft() > kMinAttemptTime &&
                          (aFault == AttemptFault::NotSent || m_node.TrySpendRetry(m_service));
-  m_node.m_log.Event(
-    "attempt failed",
-    { { "request", m_call.m_id },
-      { "endpoint", endpoint.m_incarnation.m_endpoint.Text() },
-      { "revision", endpoint.m_revision },
-      { "fault", base::NameOf(aFault) },
-      { "why", aDetail },
-      { "reused", aAttempt->m_reused },
-      { "age_ms", std::chrono::duration_cast<base::Millis>(now - aAttempt->m_sentAt).count() },
-      { "last_event", m_splitter.LastEventId() },
-      { "again", willRetry } });
-  m_node.m_metrics.Count("attempt_" + std::string(base::NameOf(aFault)));
+  LogFailure(*aAttempt, aFault, aDetail, willRetry);
   if (m_finished) {
     return;
   }
@@ -594,7 +694,8 @@
 
 /// Returns whether an attempt is in progress that may run: its connection has been established.
 bool Exchange::MayHaveBeenSent() const {
-  return m_attempt != nullptr && m_attempt->m_connection->IsEstablished();
+  return m_silentAttempt != nullptr ||
+         (m_attempt != nullptr && m_attempt->m_connection->IsEstablished());
 }
 
 void Exchange::Abort() {
@@ -719,6 +820,11 @@
   }
   m_finished = true;
   m_deadlineTimer.reset();
+  m_overlapTimer.reset();
+  if (m_silentAttempt != nullptr) {
+    Release(m_silentAttempt, false);
+    m_silentAttempt.reset();
+  }
   AddOutputWork();
   const auto now = base::BootNow();
   const auto elapsedMs = [&](base::TimePoint aUntil) {
--- a/packages/forwarding/Exchange.h
+++ b/packages/forwarding/Exchange.h
@@ -76,6 +76,15 @@
   void Fail(const std::shared_ptr<ActiveAttempt>& aAttempt,
             AttemptFault aFault,
             const std::string& aDetail);
+  void RecordFailure(const std::shared_ptr<ActiveAttempt>& aAttempt, AttemptFault aFault);
+  void LogFailure(const ActiveAttempt& aAttempt,
+                  AttemptFault aFault,
+                  const std::string& aDetail,
+                  bool aWillRetry) const;
+  void TryElsewhere(const std::shared_ptr<ActiveAttempt>& aAttempt);
+  void ReturnToSilent(const char* aReason);
+  void GiveUpSilent();
+  void OnAnswerBegun(const std::shared_ptr<ActiveAttempt>& aAttempt);
   void Release(const std::shared_ptr<ActiveAttempt>& aAttempt, bool aReuse);
   void CountUsage(const std::shared_ptr<ActiveAttempt>& aAttempt, base::TimePoint aBegan);
   void AddOutputWork();
@@ -115,6 +124,9 @@
   fleet::ServiceId m_service;
   std::set<base::EndpointId> m_tried;
   std::shared_ptr<ActiveAttempt> m_attempt;
+  /// Attempt that fell silent, kept while `m_attempt` may still be refused.
+  std::shared_ptr<ActiveAttempt> m_silentAttempt;
+  adapters::http::EventHandlePtr m_overlapTimer;
   adapters::http::EventHandlePtr m_deadlineTimer;
   EventSplitter m_splitter;
   /// Expected delay to the first byte at the most recently selected endpoint, in milliseconds.
--- a/tests/integration/PlatformPathTest.cpp
+++ b/tests/integration/PlatformPathTest.cpp
@@ -1,4 +1,5 @@
 #include "adapters/http1/Connection.h"
+#include "tests/harness/PiecewiseCaller.h"
 #include "tests/harness/PlatformFleet.h"
 
 #include <algorithm>
@@ -132,6 +133,52 @@
   }
 }
 
+// A stream whose runner pauses goes on there if the runner that was to take over refuses. Before,
+// it was broken off, with most of its time left and beside a sound runner.
+BOOST_AUTO_TEST_CASE(PausingStreamIsKeptIfTheNextRunnerRefuses) {
+  const PlatformFleet fleet(1, 2);
+  fleet.PostControl("runner", { { "index", 0 }, { "mode", "pause" } });
+  fleet.PostControl("runner", { { "index", 1 }, { "mode", "shed" } });
+  for (int i = 0; i < 3; ++i) {
+    const std::string id = "kept-" + std::to_string(i);
+    const auto answer = fleet.Send(0, "POST", "/stream/a", "h.example", "key-1", id);
+    BOOST_TEST(answer.m_status == 200);
+    BOOST_TEST(answer.m_body == CompleteStream());
+    BOOST_TEST(fleet.RecordedRuns(id).size() == 1U);
+  }
+}
+
+// Two runners work on one stream at the same time only for a moment: a silent runner is left soon
+// after the next one has the call, whether or not that one answers.
+BOOST_AUTO_TEST_CASE(SilentRunnerIsLeftOnceAnotherOneHasTheCall) {
+  constexpr base::Millis kMaxOverlap{ 400 };
+  const PlatformFleet fleet(1, 2);
+  fleet.PostControl("runner", { { "index", 0 }, { "mode", "stall" } });
+  fleet.PostControl("runner", { { "index", 1 }, { "mode", "hang" } });
+  const PiecewiseCaller caller(fleet.CallerAddress(0));
+  std::string request = "POST /stream/a HTTP/1.1\r\nContent-Length: 0\r\n";
+  for (const auto& field : MakeCallerHeaders("h.example", "key-1", "silent", base::Millis(15000))) {
+    request += field.m_name + ": " + field.m_value + "\r\n";
+  }
+  BOOST_TEST(caller.Send(request + "\r\n"));
+  BOOST_REQUIRE(PlatformFleet::WaitUntil(
+    [&] { return fleet.PostControl("report").at("arrivals").size() == 2U; }));
+  const auto start = base::BootNow();
+  BOOST_TEST(
+    PlatformFleet::WaitUntil([&] { return !fleet.PostControl("report").at("cut_off").empty(); }));
+  BOOST_TEST((base::BootNow() - start < kMaxOverlap));
+}
+
+// A call that its runner answers late is not lost because the next runner refuses.
+BOOST_AUTO_TEST_CASE(LateAnswerIsAwaitedIfTheNextRunnerRefuses) {
+  const PlatformFleet fleet(1, 2);
+  fleet.PostControl("runner", { { "index", 0 }, { "mode", "late" } });
+  fleet.PostControl("runner", { { "index", 1 }, { "mode", "shed" } });
+  for (int i = 0; i < 3; ++i) {
+    BOOST_TEST(fleet.Send(0, "GET", "/safe/a").m_status == 200);
+  }
+}
+
 // A stream of a route without a gap target is not ended by the limit for its first event.
 BOOST_AUTO_TEST_CASE(SlowStreamWithoutGapTargetRunsOnce) {
   const PlatformFleet fleet(1, 2);
