http1: the callback of CloseWhenPeerDone is moved, not copied

ConfigurationChangeTest/RefusalReaches... and StalledHead..., MalformedTest, forwarding_tests and BrokenStreamsTest pass.

--- a/packages/adapters/http1/Connection.cpp
+++ b/packages/adapters/http1/Connection.cpp
@@ -361,7 +361,7 @@
   evbuffer_drain(bufferevent_get_input(m_buffer), PendingInput());
   Events events;
   // The connection keeps itself alive until its end.
-  events.m_onEnd = [self, aOnClosed](EndKind, bool) { aOnClosed(); };
+  events.m_onEnd = [self, onClosed = std::move(aOnClosed)](EndKind, bool) { onClosed(); };
   SetEvents(std::move(events));
   m_discardTimer = m_loop.After(aMaxTime, [weak = this->weak_from_this()] {
     if (const auto connection = weak.lock()) {
