--- a/packages/forwarding/CallerConnection.cpp
+++ b/packages/forwarding/CallerConnection.cpp
@@ -18,6 +18,9 @@
 /// Maximum number of unsent bytes for a caller that reads slowly; the connection is closed beyond
 /// this.
 constexpr size_t kMaxUnsentBytes = 8U << 20U;
+/// Maximum time for which the rest of a rejected request is discarded, so that its caller receives
+/// the answer.
+constexpr base::Millis kMaxDiscardTime{ 3000 };
 
 } // namespace
 
@@ -36,6 +39,7 @@
 void CallerConnection::Start() {
   const auto self = shared_from_this();
   ServerConnection::Events events;
+  events.m_onBegin = [self] { self->OnBegin(); };
   events.m_onHead = [self](RequestHead&& aHead) { self->OnHead(std::move(aHead)); };
   events.m_onBody = [self](std::string_view aBytes) { self->OnBody(aBytes); };
   events.m_onComplete = [self] { self->OnComplete(); };
@@ -84,12 +88,28 @@
   }
 }
 
+/// Rejects the request as not run if its head does not arrive in time.
+void CallerConnection::OnBegin() {
+  m_idleTimer.reset();
+  m_headTimer = m_loop.After(m_settings.m_limits.m_headTimeout, [this, weak = weak_from_this()] {
+    if (weak.expired()) {
+      return;
+    }
+    // The rest may have arrived while the loop was busy; it is read before the next timer.
+    m_headTimer = m_loop.After(base::Millis(0), [weak] {
+      if (const auto self = weak.lock()) {
+        self->Reject(408);
+      }
+    });
+  });
+}
+
 void CallerConnection::OnHead(RequestHead&& aHead) {
+  m_headTimer.reset();
   m_reading = true;
   m_arrival = base::BootNow();
   m_head = std::move(aHead);
   m_body.clear();
-  m_idleTimer.reset();
   m_bodyLimit = m_settings.m_limits.m_bodyBytes;
   const auto length = m_head.m_fields.Find("Content-Length");
   uint64_t bytes = 0;
@@ -226,18 +246,29 @@
   head.m_fields.Add("Connection", "close");
   m_connection->Write(adapters::http1::Serialize(head));
   m_reading = false;
-  CloseWhenFlushed();
+  PrepareClose();
+  m_connection->CloseWhenPeerDone(kMaxDiscardTime, OnceClosed());
 }
 
-void CallerConnection::CloseWhenFlushed() {
+/// Ends all activity except that the output is still being sent.
+void CallerConnection::PrepareClose() {
   m_closed = true;
   m_idleTimer.reset();
+  m_headTimer.reset();
   m_bodyTimer.reset();
   m_flushing = true;
-  m_connection->CloseWhenFlushed([self = shared_from_this()] {
+}
+
+std::function<void()> CallerConnection::OnceClosed() {
+  return [self = shared_from_this()] {
     self->m_flushing = false;
     self->m_onClosed(self);
-  });
+  };
+}
+
+void CallerConnection::CloseWhenFlushed() {
+  PrepareClose();
+  m_connection->CloseWhenFlushed(OnceClosed());
 }
 
 base::Millis CallerConnection::OpenCallAge(const std::string& aRoute, base::TimePoint aNow) const {
@@ -251,10 +282,9 @@
   if (const auto exchange = m_exchange) {
     m_keepAlive = false;
     exchange->Abort();
-  } else if (m_reading) {
+  } else if (IsReading()) {
     Reject(503);
   } else if (!m_closed) {
-    LogIncompleteRequest();
     CloseWhenFlushed();
   }
 }
@@ -293,6 +323,7 @@
   m_closed = true;
   m_reading = false;
   m_idleTimer.reset();
+  m_headTimer.reset();
   m_bodyTimer.reset();
   m_connection->Close();
   if (const auto exchange = std::exchange(m_exchange, nullptr)) {
--- a/packages/forwarding/CallerConnection.h
+++ b/packages/forwarding/CallerConnection.h
@@ -36,7 +36,7 @@
   void Start();
   /// Returns whether a request is being read or answered, or an answer is still being sent.
   bool IsBusy() const {
-    return m_reading || m_answering || m_flushing || m_connection->PendingOutput() > 0;
+    return IsReading() || m_answering || m_flushing || m_connection->PendingOutput() > 0;
   }
   /// Returns the age of the call in progress if it belongs to the route named `aRoute`, otherwise
   /// 0.
@@ -51,12 +51,16 @@
   void Close();
 
 private:
+  bool IsReading() const { return m_reading || (!m_closed && m_connection->IsInMessage()); }
+  void OnBegin();
   void OnHead(adapters::http1::RequestHead&& aHead);
   void OnBody(std::string_view aBytes);
   void OnComplete();
   void OnEnd(adapters::http1::EndKind aKind);
   void Reject(int aStatus);
   void OnAnswered();
+  void PrepareClose();
+  std::function<void()> OnceClosed();
   void CloseWhenFlushed();
   void LogIncompleteRequest() const;
   void StartIdleTimer();
@@ -79,6 +83,8 @@
   base::Millis m_idleLimit{ 0 };
   /// Limit on the body of the present request, as of the end of its head.
   size_t m_bodyLimit = 0;
+  /// Runs while the head of a request is being read.
+  adapters::http::EventHandlePtr m_headTimer;
   /// Runs while the body of a request is being read.
   adapters::http::EventHandlePtr m_bodyTimer;
   /// Time of the last bytes of a request.
@@ -91,7 +97,8 @@
   bool m_answering = false;
   bool m_keepAlive = false;
   bool m_closed = false;
-  /// Whether the connection only waits until its output has been sent.
+  /// Whether the connection only waits until its output has been sent, and its caller has stopped
+  /// sending.
   bool m_flushing = false;
 };
 
--- a/tests/integration/ConfigurationChangeTest.cpp
+++ b/tests/integration/ConfigurationChangeTest.cpp
@@ -221,6 +221,26 @@
   }
 }
 
+// A refusal reaches a caller that is still sending: before, the rest of the body reached a closed
+// socket, and the connection was reset.
+BOOST_AUTO_TEST_CASE(RefusalReachesACallerThatIsStillSending) {
+  constexpr size_t kPieces = 30;
+  const std::string piece(20000, 'x');
+  PlatformFleet fleet(1, 1);
+  ConfigurationOptions options;
+  options.m_bodyBytes = 1000;
+  ApplyAndWait(fleet, options);
+  PiecewiseCaller caller(fleet.CallerAddress(0));
+  bool sent = caller.Send(MakeHead("/once/a", "large", kPieces * piece.size()));
+  for (size_t i = 0; i < kPieces; ++i) {
+    sent = sent && caller.Send(piece);
+    std::this_thread::sleep_for(base::Millis(20));
+  }
+  BOOST_TEST(sent);
+  BOOST_TEST(caller.ReceiveStatus() == 413);
+  BOOST_TEST(fleet.RecordedRuns("large").empty());
+}
+
 // Callers reuse connections by the idle limit that they know: a lowered one cut connections that
 // were in use, together with the requests on their way.
 BOOST_AUTO_TEST_CASE(LoweredIdleLimitSparesConnectionsInUse) {
@@ -237,4 +257,43 @@
   BOOST_TEST(SendInPieces(caller, "/once/a", Progress::Sent) == 200);
 }
 
+// The idle limit of a connection ended requests whose head arrived in pieces.
+BOOST_AUTO_TEST_CASE(HeadInPiecesIsNotCutByTheIdleLimit) {
+  PlatformFleet fleet(1, 1);
+  ConfigurationOptions options;
+  options.m_idleTimeout = base::Millis(1200);
+  ApplyAndWait(fleet, options);
+  PiecewiseCaller caller(fleet.CallerAddress(0));
+  std::this_thread::sleep_for(base::Millis(800));
+  BOOST_TEST(SendInPieces(caller, "/once/a", Progress::HeadInPart) == 200);
+}
+
+// A head that does not arrive in time is refused, and does not hold its connection.
+BOOST_AUTO_TEST_CASE(StalledHeadIsRefused) {
+  PlatformFleet fleet(1, 1);
+  ConfigurationOptions options;
+  options.m_headTimeout = base::Millis(600);
+  ApplyAndWait(fleet, options);
+  PiecewiseCaller caller(fleet.CallerAddress(0));
+  const auto start = base::BootNow();
+  BOOST_TEST(caller.Send("POST /once/a HTTP/1.1\r\nHost: h.exa"));
+  BOOST_TEST(caller.ReceiveStatus() == 408);
+  BOOST_TEST((base::BootNow() - start < base::Millis(3000)));
+}
+
+// A drain ended in the middle of a head that was arriving, without a refusal.
+BOOST_AUTO_TEST_CASE(HeadInPartIsAnsweredByAStoppingNode) {
+  PlatformFleet fleet(2, 1);
+  PiecewiseCaller caller(fleet.CallerAddress(0));
+  fleet.NodeProcess(0).Signal(SIGTERM);
+  std::this_thread::sleep_for(base::Millis(3000));
+  const std::string request = MakeHead("/once/a", "stopping", 2) + "{}";
+  BOOST_TEST(caller.Send(request.substr(0, 30)));
+  std::this_thread::sleep_for(base::Millis(1500));
+  BOOST_TEST(caller.Send(request.substr(30)));
+  BOOST_TEST(caller.ReceiveStatus() == 503);
+  BOOST_TEST(fleet.RecordedRuns("stopping").empty());
+  BOOST_TEST(fleet.NodeProcess(0).WaitForExit() == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
