--- a/review/common/Testbed.hpp
+++ b/review/common/Testbed.hpp
@@ -6,8 +6,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
-#include <spawn.h>
-#include <sys/resource.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -638,17 +637,23 @@
     std::string config = "PAPAYAFIELD_CONFIG=" + SettingsFile(aIndex);
     std::string path = std::string("PATH=") + (getenv("PATH") != nullptr ? getenv("PATH") : "");
     char* environment[] = { config.data(), path.data(), nullptr };
-    posix_spawn_file_actions_t actions;
-    posix_spawn_file_actions_init(&actions);
     const std::string log = m_folder + "/node-" + std::to_string(aIndex) + ".log";
-    posix_spawn_file_actions_addopen(&actions, 1, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     const std::lock_guard lock(m_mutex);
-    pid_t pid = -1;
-    if (posix_spawn(&pid, program.c_str(), &actions, nullptr, argv.data(), environment) != 0) {
+    const pid_t parent = getpid();
+    const pid_t pid = fork();
+    if (pid == 0) {
+      // The node ends with this program, however that ends.
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
+      const int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+      if (getppid() == parent && fd >= 0 && dup2(fd, STDOUT_FILENO) >= 0) {
+        execve(program.c_str(), argv.data(), environment);
+      }
+      _exit(2);
+    }
+    if (pid < 0) {
       std::fprintf(stderr, "cannot start %s\n", program.c_str());
       std::exit(2);
     }
-    posix_spawn_file_actions_destroy(&actions);
     m_pids[aIndex] = pid;
   }
   pid_t Pid(size_t aIndex) {
