--- a/review/3/main.cc
+++ b/review/3/main.cc
@@ -98,8 +98,9 @@
           record.Line(id + (isOrder ? " order" : " stock") + " at node " + std::to_string(node) +
                       ": the client gets '" + line + "'");
           socket = nullptr;
-        } else if (!answer || answer->Status() != 200) {
-          record.Line(id + (isOrder ? " order" : " stock") + ": '" + line + "'");
+        } else {
+          record.Line(id + (isOrder ? " order" : " stock") + " at node " + std::to_string(node) +
+                      ": '" + line + "', run by" + RunnersOf(runners, id));
         }
         if (!answer || SameName(answer->Field("Connection"), "close")) {
           socket = nullptr;
--- a/review/common/Fleet.hpp
+++ b/review/common/Fleet.hpp
@@ -137,6 +137,18 @@
   Server m_server;
 };
 
+/// Returns the ids of the runners that ran an attempt, for the record.
+inline std::string RunnersOf(const std::vector<std::shared_ptr<Runner>>& aRunners,
+                             const std::string& aAttempt) {
+  std::string ids;
+  for (const auto& runner : aRunners) {
+    if (runner->HasRun(aAttempt)) {
+      ids += " " + runner->Id();
+    }
+  }
+  return ids.empty() ? " none" : ids;
+}
+
 /// Keeps the entries of runners in the store up to date.
 class Registrar {
 public:
