--- a/review/common/Testbed.hpp
+++ b/review/common/Testbed.hpp
@@ -564,7 +564,7 @@
   Server m_server;
 };
 
-/// One line per event, with the time since the start. Thread safe.
+/// One line per event, with the milliseconds since the start. Thread safe.
 class Record {
 public:
   explicit Record(const std::string& aPath)
@@ -573,7 +573,7 @@
     const std::lock_guard lock(m_mutex);
     const auto ms = std::chrono::duration_cast<Millis>(Clock::now() - m_start).count();
     char time[32];
-    std::snprintf(time, sizeof(time), "%8.3f ", static_cast<double>(ms) / 1000);
+    std::snprintf(time, sizeof(time), "%6lld ms ", static_cast<long long>(ms));
     m_file << time << aText << std::endl;
   }
 
