Responses with an invalid status line are malformed

Cause: http-parser reports the value of a status code, not its digits, and accepts any version and any byte in a reason phrase; nothing checked them. It also reads a body after an interim response, 204 or 304.

Change: `StatusLineCheck` reads the first bytes of each response in `Connection`, where they become a head, so that all clients of http1 have it: version 1.x, three digits, 100 to 599. Responses without a body end with their head. Control characters in reason phrases and targets, and requests of other versions, are malformed. A malformed answer is a lost one for `Exchange`: retried where the call may run again, otherwise 502.

Related paths with the same cause: `JsonClient` took `HTTP/1.1 0` of the store or a peer for a request that had certainly not been executed; evhttp, under the native interface, accepts each number but 0 (`Transfer` checks the range 200 to 599 now); request lines.

--- a/packages/adapters/http/HttpTypes.h
+++ b/packages/adapters/http/HttpTypes.h
@@ -76,6 +76,8 @@
   ResetBeforeAnswer,
   ResetInAnswer,
   ResponseTimedOut,
+  /// The far end sent bytes that are no answer of HTTP.
+  InvalidAnswer,
 };
 
 /// Whether `aFault` proves that no byte of the request was sent.
@@ -95,6 +97,7 @@
     { adapters::http::TransferFault::ResetBeforeAnswer, "connection lost before the answer" },
     { adapters::http::TransferFault::ResetInAnswer, "connection lost within the answer" },
     { adapters::http::TransferFault::ResponseTimedOut, "the far end went silent" },
+    { adapters::http::TransferFault::InvalidAnswer, "the answer is not valid" },
   });
 
 } // namespace papayafield::base
--- a/packages/adapters/http/Transfer.cpp
+++ b/packages/adapters/http/Transfer.cpp
@@ -17,6 +17,9 @@
 
 /// Number of idle checks within one idle timeout.
 constexpr int kIdleChecksPerTimeout = 4;
+/// Range of the status codes of final responses.
+constexpr int kMinFinalStatus = 200;
+constexpr int kMaxStatus = 599;
 
 evhttp_cmd_type ToCommand(const std::string& aMethod) {
   if (aMethod == "POST") {
@@ -118,6 +121,13 @@
   if (self->m_ended) {
     return 0;
   }
+  // evhttp accepts any number but 0 as the status, and reads interim responses other than 100 as
+  // final ones.
+  const int status = evhttp_request_get_response_code(aRequest);
+  if (status < kMinFinalStatus || status > kMaxStatus) {
+    self->Fail(TransferFault::InvalidAnswer);
+    return 0;
+  }
   self->m_sawHead = true;
   self->m_lastActivity = base::SteadyClock().Now();
   Headers headers;
@@ -126,7 +136,7 @@
     headers.Add(line->key, line->value);
   }
   if (self->m_events.m_onHead) {
-    self->m_events.m_onHead(evhttp_request_get_response_code(aRequest), headers);
+    self->m_events.m_onHead(status, headers);
   }
   return 0;
 }
--- a/packages/adapters/http1/Connection.cpp
+++ b/packages/adapters/http1/Connection.cpp
@@ -1,5 +1,7 @@
 #include "adapters/http1/Connection.h"
 
+#include "adapters/http1/StatusLineCheck.h"
+
 #include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -11,6 +13,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <utility>
@@ -51,6 +54,38 @@
 template<class Head>
 constexpr bool kReadsRequests = std::is_same_v<Head, RequestHead>;
 
+bool IsControlCharacter(char aCharacter) {
+  constexpr char kDelete = 0x7f;
+  return static_cast<unsigned char>(aCharacter) < ' ' || aCharacter == kDelete;
+}
+
+/// Whether `aText` contains characters that a request target must not contain.
+bool HasInvalidTargetCharacter(std::string_view aText) {
+  return std::any_of(aText.begin(), aText.end(), [](char aCharacter) {
+    return aCharacter == ' ' || IsControlCharacter(aCharacter);
+  });
+}
+
+/// Whether `aText` contains characters that a reason phrase must not contain.
+bool HasInvalidReasonCharacter(std::string_view aText) {
+  return std::any_of(aText.begin(), aText.end(), [](char aCharacter) {
+    return aCharacter != '\t' && IsControlCharacter(aCharacter);
+  });
+}
+
+/// Whether `aStatus` is the code of an interim response, after which another response follows.
+bool IsInterim(unsigned aStatus) {
+  return aStatus / 100 == 1;
+}
+
+/// Whether a response with the code `aStatus` ends with its head, whatever its fields say (RFC
+/// 9112, section 6.3).
+bool NeverHasBody(unsigned aStatus) {
+  constexpr unsigned kNoContent = 204;
+  constexpr unsigned kNotModified = 304;
+  return IsInterim(aStatus) || aStatus == kNoContent || aStatus == kNotModified;
+}
+
 } // namespace
 
 /// The parser state, defined here so that the header does not include http_parser.h.
@@ -89,6 +124,9 @@
   static int OnTarget(http_parser* aParser, const char* aAt, size_t aLength) {
     Parser& self = Of(aParser);
     if constexpr (kReadsRequests<Head>) {
+      if (HasInvalidTargetCharacter({ aAt, aLength })) {
+        return 1;
+      }
       self.m_head.m_target.append(aAt, aLength);
     }
     return self.AddHeadBytes(aLength) ? 0 : 1;
@@ -97,6 +135,9 @@
   static int OnReason(http_parser* aParser, const char* aAt, size_t aLength) {
     Parser& self = Of(aParser);
     if constexpr (!kReadsRequests<Head>) {
+      if (HasInvalidReasonCharacter({ aAt, aLength })) {
+        return 1;
+      }
       self.m_head.m_reason.append(aAt, aLength);
     }
     return self.AddHeadBytes(aLength) ? 0 : 1;
@@ -148,7 +189,7 @@
   static int OnHeadComplete(http_parser* aParser) {
     Parser& self = Of(aParser);
     self.FlushField();
-    if (!self.FramingIsPlain()) {
+    if (!self.FramingIsPlain() || aParser->http_major != 1) {
       return -1;
     }
     if constexpr (kReadsRequests<Head>) {
@@ -160,14 +201,15 @@
       self.m_head.m_method = http_method_str(static_cast<http_method>(aParser->method));
     } else {
       self.m_head.m_status = static_cast<int>(aParser->status_code);
-      if (aParser->status_code / 100 == 1) {
-        return 0;
+      if (IsInterim(aParser->status_code)) {
+        return kSkipBody;
       }
     }
     if (self.m_owner.m_events.m_onHead) {
       self.m_owner.m_events.m_onHead(std::move(self.m_head));
     }
-    return self.m_owner.m_expectNoBody ? 1 : 0;
+    const bool endsWithHead = !kReadsRequests<Head> && NeverHasBody(aParser->status_code);
+    return endsWithHead || self.m_owner.m_expectNoBody ? kSkipBody : 0;
   }
 
   static int OnBody(http_parser* aParser, const char* aAt, size_t aLength) {
@@ -180,7 +222,10 @@
 
   static int OnComplete(http_parser* aParser) {
     Parser& self = Of(aParser);
-    if (!kReadsRequests<Head> && aParser->status_code / 100 == 1) {
+    self.m_statusLine.Restart();
+    if (!kReadsRequests<Head> && IsInterim(aParser->status_code)) {
+      // The next response is parsed in a step of its own.
+      http_parser_pause(aParser, 1);
       return 0;
     }
     self.m_inMessage = false;
@@ -212,8 +257,12 @@
     return settings;
   }
 
+  /// Result of on_headers_complete for a message without a body.
+  static constexpr int kSkipBody = 1;
+
   Connection& m_owner;
   http_parser m_parser{};
+  StatusLineCheck m_statusLine;
   Head m_head;
   std::string m_name;
   std::string m_value;
@@ -418,6 +467,10 @@
   // count only the bytes after the message.
   const std::string step(bytes, length);
   evbuffer_drain(input, length);
+  if (!kReadsRequests<Head> && !m_parser->m_statusLine.Feed(step)) {
+    End(EndKind::Malformed);
+    return false;
+  }
   const size_t parsed =
     http_parser_execute(&m_parser->m_parser, &Parser::Settings(), step.data(), step.size());
   if (m_buffer == nullptr || m_discardInput) {
@@ -431,6 +484,9 @@
     End(m_parser->m_tooLarge ? EndKind::HeadTooLarge : EndKind::Malformed);
     return false;
   }
+  if (error == HPE_PAUSED && !m_isPaused) {
+    http_parser_pause(&m_parser->m_parser, 0);
+  }
   return !m_isPaused;
 }
 
--- a/packages/adapters/http1/tests/ConnectionTest.cpp
+++ b/packages/adapters/http1/tests/ConnectionTest.cpp
@@ -101,6 +101,9 @@
   { "bad chunk size", "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n" },
   { "space in a field name", "GET /a HTTP/1.1\r\nHo st: h\r\n\r\n" },
   { "upgrade", "CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n" },
+  { "HTTP/0.9", "GET /a\r\nHost: h\r\n\r\n" },
+  { "HTTP/3.7", "GET /a HTTP/3.7\r\nHost: h\r\n\r\n" },
+  { "control character in the target", "GET /a\tb HTTP/1.1\r\nHost: h\r\n\r\n" },
 };
 
 /// Ways in which the end of a response can be marked.
@@ -112,6 +115,52 @@
   "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabcde",
 };
 
+/// Messages that are no responses of HTTP/1.x, in their status line or in the bytes before the
+/// final response.
+const char* const kInvalidResponses[] = {
+  // Numbers outside 100 to 599, and numbers without exactly three digits.
+  "HTTP/1.1 0 \r\nContent-Length: 0\r\n\r\n",
+  "HTTP/1.1 7 OK\r\nContent-Length: 0\r\n\r\n",
+  "HTTP/1.1 20 OK\r\nContent-Length: 0\r\n\r\n",
+  "HTTP/1.1 099 X\r\nContent-Length: 0\r\n\r\n",
+  "HTTP/1.1 0200 OK\r\nContent-Length: 0\r\n\r\n",
+  "HTTP/1.1 2000 OK\r\nContent-Length: 0\r\n\r\n",
+  "HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n",
+  "HTTP/1.1 999 X\r\nContent-Length: 0\r\n\r\n",
+  "HTTP/1.1 -20 X\r\nContent-Length: 0\r\n\r\n",
+  "HTTP/1.1 2x0 X\r\nContent-Length: 0\r\n\r\n",
+  "HTTP/1.1  200 OK\r\nContent-Length: 0\r\n\r\n",
+  "HTTP/1.1 \r\nContent-Length: 0\r\n\r\n",
+  // Other versions.
+  "HTTP/3.7 200 OK\r\nContent-Length: 0\r\n\r\n",
+  "HTTP/0.9 200 OK\r\nContent-Length: 0\r\n\r\n",
+  "HTTP/11.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+  "ICY 200 OK\r\nContent-Length: 0\r\n\r\n",
+  // A control character in the reason phrase.
+  "HTTP/1.1 200 O\x01K\r\nContent-Length: 0\r\n\r\n",
+  "HTTP/1.1 404 Not\x7f\r\nContent-Length: 0\r\n\r\n",
+  // A response that follows an interim one.
+  "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 0 \r\nContent-Length: 0\r\n\r\n",
+  // An interim response has no body, whatever its fields say.
+  "HTTP/1.1 103 Hints\r\nContent-Length: 5\r\n\r\nhelloHTTP/1.1 200 OK\r\nContent-Length: "
+  "0\r\n\r\n",
+  "HTTP/1.1 103 Hints\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
+  "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+};
+
+/// Valid responses, with the status that is to be read.
+const std::pair<const char*, int> kValidResponses[] = {
+  { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 200 },
+  { "HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n", 200 },
+  { "HTTP/1.1 599 \r\nContent-Length: 0\r\n\r\n", 599 },
+  { "HTTP/1.1 404\r\nContent-Length: 0\r\n\r\n", 404 },
+  { "\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 200 },
+  { "HTTP/1.1 200 \xC3\xBC\tb\r\nContent-Length: 0\r\n\r\n", 200 },
+  { "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nLink: x\r\n\r\n"
+    "HTTP/1.1 204 No Content\r\n\r\n",
+    204 },
+};
+
 bool EndsWithConnection(std::string_view aResponse) {
   return aResponse.find("Content-Length") == std::string_view::npos &&
          aResponse.find("Transfer-Encoding") == std::string_view::npos;
@@ -137,6 +186,24 @@
   }
 }
 
+/// Reads `aResponse` on `aFixture` in two reads, of which the first ends at `aSplit`, until the
+/// response is complete or the connection has ended.
+void ReadInTwoParts(ConnectionFixture<ResponseHead>& aFixture,
+                    std::string_view aResponse,
+                    size_t aSplit) {
+  constexpr base::Millis kReadTime{ 1 };
+  for (const std::string_view part : { aResponse.substr(0, aSplit), aResponse.substr(aSplit) }) {
+    aFixture.Send(part);
+    const auto read = aFixture.m_loop.After(kReadTime, [&] { aFixture.m_loop.Stop(); });
+    while (!aFixture.m_end && aFixture.m_completed == 0 && aFixture.m_connection->IsOpen()) {
+      aFixture.Run();
+      if (aFixture.m_connection->PendingInput() == 0) {
+        break;
+      }
+    }
+  }
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(ConnectionTest)
@@ -244,6 +311,49 @@
   }
 }
 
+// A response whose status is no status of HTTP was passed on to callers, who got a status line that
+// they could not read.
+BOOST_AUTO_TEST_CASE(ResponsesWithAnInvalidStatusLineAreMalformed) {
+  for (const std::string_view response : kInvalidResponses) {
+    for (size_t split = 0; split < response.size(); ++split) {
+      ConnectionFixture<ResponseHead> fixture;
+      ReadInTwoParts(fixture, response, split);
+      BOOST_TEST_CONTEXT(response << " split at " << split) {
+        BOOST_TEST((fixture.m_end == EndKind::Malformed));
+        BOOST_TEST(fixture.m_heads.empty());
+        BOOST_TEST(fixture.m_body.empty());
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ValidStatusLinesAreReadHoweverTheyAreSplit) {
+  for (const auto& [text, status] : kValidResponses) {
+    const std::string_view response = text;
+    for (size_t split = 0; split < response.size(); ++split) {
+      ConnectionFixture<ResponseHead> fixture;
+      ReadInTwoParts(fixture, response, split);
+      BOOST_TEST_CONTEXT(response << " split at " << split) {
+        BOOST_TEST(fixture.m_completed == 1);
+        BOOST_REQUIRE(fixture.m_heads.size() == 1U);
+        BOOST_TEST(fixture.m_heads[0].m_status == status);
+      }
+    }
+  }
+}
+
+// The body that a 304 announces was read from the response after it.
+BOOST_AUTO_TEST_CASE(ResponsesWithoutABodyEndWithTheirHead) {
+  for (const char* status : { "204 No Content", "304 Not Modified" }) {
+    ConnectionFixture<ResponseHead> fixture;
+    fixture.m_resume = true;
+    fixture.Send(std::string("HTTP/1.1 ") + status + "\r\nContent-Length: 16\r\n\r\n");
+    fixture.Run();
+    BOOST_TEST(fixture.m_completed == 1);
+    BOOST_TEST(fixture.m_body.empty());
+  }
+}
+
 // The last trailer field of a chunked message became the first header field of the next message on
 // the connection.
 BOOST_AUTO_TEST_CASE(TrailerFieldsAreNoPartOfTheNextMessage) {
@@ -403,6 +513,29 @@
   BOOST_TEST(!result->m_maybeExecuted);
 }
 
+// A response that cannot be read counts as no response to a request that may have been executed.
+BOOST_AUTO_TEST_CASE(ResponseWithAnInvalidStatusMayHaveBeenExecuted) {
+  http::EventLoop loop;
+  const base::Address address{ "127.0.0.1", static_cast<uint16_t>(20000 + getpid() % 9000) };
+  std::shared_ptr<ServerConnection> served;
+  const Listener listener(loop, address, 4096, [&](std::shared_ptr<ServerConnection> aConnection) {
+    served = std::move(aConnection);
+    ConnectionEvents<RequestHead> events;
+    events.m_onComplete = [&] { served->Write("HTTP/1.1 0 \r\nContent-Length: 0\r\n\r\n"); };
+    served->SetEvents(std::move(events));
+  });
+  JsonClient client(loop, address);
+  std::optional<CallResult> result;
+  client.Call("POST", "/", "{}", {}, base::Millis(60000), [&](const CallResult& aResult) {
+    result = aResult;
+    loop.Stop();
+  });
+  loop.Run();
+  BOOST_REQUIRE(result.has_value());
+  BOOST_TEST(result->m_status == 0);
+  BOOST_TEST(result->m_maybeExecuted);
+}
+
 // A call whose validity has ended is not sent, also on an open connection.
 BOOST_AUTO_TEST_CASE(ExpiredCallIsNotSent) {
   http::EventLoop loop;
--- a/soak/Caller.cpp
+++ b/soak/Caller.cpp
@@ -17,6 +17,20 @@
 /// One of this many calls goes to the host of the newest configuration.
 constexpr uint64_t kCallsPerNewestHost = 6;
 
+CallEnd CallEndOf(EndKind aKind) {
+  switch (aKind) {
+    case EndKind::NotConnected:
+      return CallEnd::NotConnected;
+    case EndKind::Malformed:
+    case EndKind::HeadTooLarge:
+      return CallEnd::Malformed;
+    case EndKind::Finished:
+    case EndKind::Reset:
+      break;
+  }
+  return CallEnd::Closed;
+}
+
 } // namespace
 
 Caller::Caller(adapters::http::EventLoop& aLoop,
@@ -51,7 +65,7 @@
   events.m_onComplete = [this] { CompleteCall(CallEnd::Answered); };
   events.m_onEnd = [this](EndKind aKind, bool /*aInMessage*/) {
     if (m_callInFlight) {
-      CompleteCall(aKind == EndKind::NotConnected ? CallEnd::NotConnected : CallEnd::Closed);
+      CompleteCall(CallEndOf(aKind));
     }
   };
   m_connection->SetEvents(std::move(events));
--- a/soak/Caller.h
+++ b/soak/Caller.h
@@ -21,6 +21,8 @@
   NotConnected,
   /// No complete answer was received until after the deadline of the call.
   TimedOut,
+  /// The node sent bytes that are no answer.
+  Malformed,
 };
 
 /// A call and the response that the caller received.
@@ -119,6 +121,7 @@
   { soak::CallEnd::Closed, "closed" },
   { soak::CallEnd::NotConnected, "not_connected" },
   { soak::CallEnd::TimedOut, "timed_out" },
+  { soak::CallEnd::Malformed, "malformed" },
 });
 
 } // namespace papayafield::base
--- a/soak/Checks.cpp
+++ b/soak/Checks.cpp
@@ -44,6 +44,9 @@
     if (unsafe && runs > 1) {
       aResult.m_violations.push_back(record.m_id + " ran " + std::to_string(runs) + " times");
     }
+    if (record.m_end == CallEnd::Malformed) {
+      aResult.m_violations.push_back(record.m_id + " got bytes that are no answer");
+    }
     if (record.m_status == 503 || record.m_status == 429) {
       ++aResult.m_rejected;
       if (runs > 0) {
--- a/soak/FaultInjector.cpp
+++ b/soak/FaultInjector.cpp
@@ -18,6 +18,15 @@
 /// Time from the return of the store until lost writes of the operator and of runners are repeated.
 constexpr base::Millis kMaxRewriteDelay{ 3000 };
 
+/// Responses of an endpoint that are no responses of HTTP/1.1.
+constexpr std::array<const char*, 4> kInvalidResponses = {
+  "HTTP/1.1 0 \r\nPapayafield-Attempt-Id: {id}\r\nContent-Length: 0\r\n\r\n",
+  "HTTP/1.1 999 X\r\nPapayafield-Attempt-Id: {id}\r\nContent-Length: 0\r\n\r\n",
+  "HTTP/3.7 404 X\r\nPapayafield-Attempt-Id: {id}\r\nContent-Length: 0\r\n\r\n",
+  "HTTP/1.1 103 Hints\r\nContent-Length: 5\r\n\r\nhello"
+  "HTTP/1.1 404 X\r\nPapayafield-Attempt-Id: {id}\r\nContent-Length: 0\r\n\r\n",
+};
+
 } // namespace
 
 std::string FaultInjector::Advance() {
@@ -120,16 +129,18 @@
 }
 
 void FaultInjector::InjectRunnerFault() {
-  static constexpr std::array<const char*, 5> kModes = {
-    "hang", "lose_answers", "shed", "fail", "cut"
-  };
+  static constexpr std::array<const char*, 6> kModes = { "hang", "lose_answers", "shed",
+                                                         "fail", "cut",          "raw" };
   // The last runner stays healthy, so that calls can always be served.
   const size_t runner = RandomIndex(m_runners - 1);
   const size_t choice = RandomIndex(kModes.size() + 1);
   const json healthy = { { "index", runner }, { "mode", "ok" }, { "state", "ready" } };
   const std::string name = std::to_string(runner);
   if (choice < kModes.size()) {
-    m_fleet.PostControl("runner", { { "index", runner }, { "mode", kModes[choice] } });
+    m_fleet.PostControl("runner",
+                        { { "index", runner },
+                          { "mode", kModes[choice] },
+                          { "raw", kInvalidResponses[RandomIndex(kInvalidResponses.size())] } });
     m_active.push_back({ std::string(kModes[choice]) + "_runner_" + name,
                          [this, healthy] { m_fleet.PostControl("runner", healthy); } });
   } else {
--- a/standins/fleet/Runner.cpp
+++ b/standins/fleet/Runner.cpp
@@ -23,6 +23,9 @@
 /// Processing time of one call in the mode RespondLate.
 constexpr base::Millis kLateProcessingTime{ 800 };
 
+/// Minimum number of bytes written at once of a response without end.
+constexpr size_t kEndlessPartBytes = 65536;
+
 std::string HeaderValue(const RequestHead& aHead, const char* aName) {
   return std::string(aHead.m_fields.Find(aName).value_or(std::string_view{}));
 }
@@ -54,6 +57,8 @@
   bool m_inProgress = false;
   /// Attempt id of the previous call on this connection; empty if there was none.
   std::string m_previousId;
+  /// Sent each time all earlier bytes have been sent; empty if the response has an end.
+  std::string m_endlessPart;
 
   ResponseHead MakeRejectionHead(int aStatus, const std::string& aAttemptId) const {
     ResponseHead head;
@@ -158,6 +163,11 @@
       });
     }
   };
+  events.m_onFlushed = [weak] {
+    if (const auto locked = weak.lock()) {
+      locked->m_connection->Write(locked->m_endlessPart);
+    }
+  };
   events.m_onEnd = [this, weak](EndKind /*aKind*/, bool /*aInMessage*/) {
     if (const auto locked = weak.lock()) {
       locked->m_timer.reset();
@@ -225,6 +235,8 @@
     RespondTruncated(aCallerConnection);
   } else if (HasDeadlyPart(aCallerConnection->m_head)) {
     Crash(attemptId);
+  } else if (TakesRawResponse(aCallerConnection->m_head)) {
+    RespondRaw(aCallerConnection);
   } else if (m_mode == RunnerMode::DropResponses) {
     m_callerConnections.erase(aCallerConnection);
     aCallerConnection->m_connection->Close();
@@ -286,6 +298,32 @@
   }
 }
 
+/// Returns whether the call gets raw bytes in place of its response, and counts it.
+bool Runner::TakesRawResponse(const RequestHead& aHead) {
+  return m_mode == RunnerMode::SendRaw &&
+         aHead.m_target.starts_with(m_rawResponse.m_targetPrefix) &&
+         ++m_rawCalls % m_rawResponse.m_oneIn == 0;
+}
+
+void Runner::RespondRaw(const std::shared_ptr<CallerConnection>& aCallerConnection) const {
+  constexpr std::string_view kIdPlaceholder = "{id}";
+  std::string response = m_rawResponse.m_bytes;
+  if (const size_t at = response.find(kIdPlaceholder); at != std::string::npos) {
+    response.replace(
+      at, kIdPlaceholder.size(), HeaderValue(aCallerConnection->m_head, "Papayafield-Attempt-Id"));
+  }
+  aCallerConnection->m_inProgress = false;
+  if (m_rawResponse.m_repeated.empty()) {
+    aCallerConnection->m_connection->Write(response);
+    aCallerConnection->m_connection->Resume();
+    return;
+  }
+  while (aCallerConnection->m_endlessPart.size() < kEndlessPartBytes) {
+    aCallerConnection->m_endlessPart += m_rawResponse.m_repeated;
+  }
+  aCallerConnection->m_connection->Write(response + aCallerConnection->m_endlessPart);
+}
+
 void Runner::SendNextEvent(const std::shared_ptr<CallerConnection>& aCallerConnection, int aEvent) {
   if (aEvent > kEventsPerStream) {
     aCallerConnection->m_inProgress = false;
--- a/standins/fleet/Runner.h
+++ b/standins/fleet/Runner.h
@@ -52,6 +52,8 @@
   FailAsRefusal,
   /// Responds only after a while.
   RespondLate,
+  /// Runs calls and sends given bytes in place of some responses.
+  SendRaw,
 };
 
 /// A call that a runner executed.
@@ -91,6 +93,18 @@
   base::TimePoint m_time;
 };
 
+/// Bytes that a runner sends in place of a response.
+struct RawResponse {
+  /// `{id}` stands for the attempt id.
+  std::string m_bytes;
+  /// Sent again and again after that, until the caller closes the connection; empty if nothing is.
+  std::string m_repeated;
+  /// Targets that begin with this text get these bytes.
+  std::string m_targetPrefix = "/";
+  /// One of this many calls to these targets gets these bytes; the others get a proper response.
+  int m_oneIn = 1;
+};
+
 /// A prompt part on which a runner crashes when it begins to answer.
 struct DeadlyPart {
   /// Empty if there is none.
@@ -141,6 +155,8 @@
   const std::string& Id() const { return m_id; }
   const base::Address& ListenAddress() const { return m_address; }
   void SetMode(RunnerMode aMode) { m_mode = aMode; }
+  /// Sets what the mode SendRaw sends.
+  void SetRawResponse(RawResponse aResponse) { m_rawResponse = std::move(aResponse); }
   void SetSignals(RunnerSignals aSignals) { m_signals = std::move(aSignals); }
   /// Start time that the runner registers; another one makes it a new incarnation.
   int64_t Born() const { return m_born; }
@@ -157,6 +173,8 @@
   void Respond(const std::shared_ptr<CallerConnection>& aCallerConnection);
   void AddSignals(adapters::http1::ResponseHead& aHead) const;
   void RespondTruncated(const std::shared_ptr<CallerConnection>& aCallerConnection);
+  bool TakesRawResponse(const adapters::http1::RequestHead& aHead);
+  void RespondRaw(const std::shared_ptr<CallerConnection>& aCallerConnection) const;
   void SendNextEvent(const std::shared_ptr<CallerConnection>& aCallerConnection, int aEvent);
   /// Returns the delay between event `aEvent` of a stream and the next one.
   base::Millis DelayAfterEvent(int aEvent) const;
@@ -168,6 +186,9 @@
   const DeadlyPart& m_deadlyPart;
   std::function<void()> m_onRestart;
   RunnerMode m_mode = RunnerMode::Ok;
+  RawResponse m_rawResponse;
+  /// Number of calls that got a response in the mode SendRaw.
+  int m_rawCalls = 0;
   RunnerSignals m_signals;
   int64_t m_born = 1;
   std::set<std::shared_ptr<CallerConnection>> m_callerConnections;
@@ -202,6 +223,7 @@
     { standins::RunnerMode::PauseStreams, "pause" },
     { standins::RunnerMode::RespondLate, "late" },
     { standins::RunnerMode::FailAsRefusal, "fail_503" },
+    { standins::RunnerMode::SendRaw, "raw" },
   });
 
 } // namespace papayafield::base
--- a/standins/fleet/main.cpp
+++ b/standins/fleet/main.cpp
@@ -222,6 +222,10 @@
     if (const auto mode = base::ParseEnum<RunnerMode>(aBody.value("mode", "ok"))) {
       runner.SetMode(*mode);
     }
+    runner.SetRawResponse({ aBody.value("raw", ""),
+                            aBody.value("repeated", ""),
+                            aBody.value("target_prefix", "/"),
+                            std::max(aBody.value("one_in", 1), 1) });
     runner.SetSignals(
       { aBody.value("leaving", false), aBody.value("retry_after", std::vector<std::string>()) });
     runner.SetBorn(aBody.value("born", runner.Born()));
