A configuration whose tenants are empty or cannot be read opens nothing

Cause: `Catalog::NeedsKeys` took an empty list of teams for a configuration without `tenants`, and `ReadCatalog` reads a list that is missing, empty, null or of another type alike, so that the difference was lost where the bytes enter.

Change: the catalog says whether its configuration names tenants.

Native interface: `teams = []` of a deployment or service admitted all teams; it admits none now.

--- a/packages/fleet/Catalog.h
+++ b/packages/fleet/Catalog.h
@@ -146,6 +146,9 @@
     int64_t m_version = 0;
     std::vector<Route> m_routes;
     std::vector<Service> m_services;
+    /// Whether calls to routes that are not public need a key. If no team has one, all of these
+    /// calls are rejected.
+    bool m_needsKeys = true;
     std::vector<Team> m_teams;
     CallerLimits m_limits;
   };
@@ -162,7 +165,7 @@
   /// Returns the service, or null if there is none.
   const Service* FindService(const ServiceId& aService) const;
   /// Returns whether calls to routes that are not public need an API key.
-  bool NeedsKeys() const { return !m_contents.m_teams.empty(); }
+  bool NeedsKeys() const { return m_contents.m_needsKeys; }
   const std::vector<Team>& Teams() const { return m_contents.m_teams; }
   const std::vector<Route>& Routes() const { return m_contents.m_routes; }
   const std::vector<Service>& Services() const { return m_contents.m_services; }
--- a/packages/gateway/CallerApi.cpp
+++ b/packages/gateway/CallerApi.cpp
@@ -223,8 +223,7 @@
     Reply(*aExchange, { kNotFound, "no such service", Outcome::NotRun, name.Text(), {} });
     return;
   }
-  const auto& teams = service->m_teams;
-  if (!teams.empty() && std::find(teams.begin(), teams.end(), aTeam.m_name) == teams.end()) {
+  if (!service->Admits(aTeam.m_name)) {
     Reply(*aExchange, { kForbidden, "not allowed", Outcome::NotRun, name.Text(), {} });
     return;
   }
--- a/packages/gateway/CompletionRequest.cpp
+++ b/packages/gateway/CompletionRequest.cpp
@@ -65,8 +65,7 @@
                                    "'model' must name a deployment",
                                    {} });
   }
-  const auto& teams = deployment->m_teams;
-  if (!teams.empty() && std::find(teams.begin(), teams.end(), aTeam.m_name) == teams.end()) {
+  if (!deployment->Admits(aTeam.m_name)) {
     return tl::unexpected(Problem{ kForbidden,
                                    "not allowed",
                                    requests::Outcome::NotRun,
--- a/packages/manifest/Manifest.cpp
+++ b/packages/manifest/Manifest.cpp
@@ -29,15 +29,17 @@
   std::set<std::string> m_seenNames;
 };
 
-std::vector<base::TeamId> ReadTeamNames(TomlTable& aTable, const Manifest& aManifest) {
+std::optional<std::vector<base::TeamId>> ReadTeamNames(TomlTable& aTable,
+                                                       const Manifest& aManifest) {
   std::vector<base::TeamId> teams;
+  const bool admitsAll = !aTable.Has("teams");
   for (const std::string& name : aTable.StringList("teams")) {
     teams.emplace_back(name);
     if (aManifest.FindTeam(teams.back()) == nullptr) {
       aTable.AddFinding("teams", "there is no team '" + name + "'");
     }
   }
-  return teams;
+  return admitsAll ? std::nullopt : std::optional(std::move(teams));
 }
 
 Team ReadTeam(TomlTable& aTable) {
@@ -110,6 +112,10 @@
   return budget;
 }
 
+bool IsAdmitted(const std::optional<std::vector<base::TeamId>>& aTeams, const base::TeamId& aTeam) {
+  return !aTeams || std::find(aTeams->begin(), aTeams->end(), aTeam) != aTeams->end();
+}
+
 template<class Item, class Name>
 const Item* FindByName(const std::vector<Item>& aItems, const Name& aName) {
   const auto found = std::find_if(
@@ -119,6 +125,14 @@
 
 } // namespace
 
+bool Deployment::Admits(const base::TeamId& aTeam) const {
+  return IsAdmitted(m_teams, aTeam);
+}
+
+bool Service::Admits(const base::TeamId& aTeam) const {
+  return IsAdmitted(m_teams, aTeam);
+}
+
 const Team* Manifest::FindTeam(const base::TeamId& aName) const {
   return FindByName(m_teams, aName);
 }
--- a/packages/manifest/Manifest.h
+++ b/packages/manifest/Manifest.h
@@ -5,6 +5,7 @@
 #include "base/Ids.h"
 #include "base/Time.h"
 
+#include <optional>
 #include <string>
 #include <tl/expected.hpp>
 #include <vector>
@@ -46,8 +47,11 @@
   uint32_t m_maxOutputTokens = 1024;
   /// Minimum number of hosts.
   uint32_t m_minHosts = 0;
-  /// Names of the teams that may use it; empty for all.
-  std::vector<base::TeamId> m_teams;
+  /// Names of the teams that may use it; nullopt for all.
+  std::optional<std::vector<base::TeamId>> m_teams;
+
+  /// Returns whether the team `aTeam` may use it. Thread safe.
+  bool Admits(const base::TeamId& aTeam) const;
 };
 
 /// A route of a plain service.
@@ -67,8 +71,11 @@
   base::DeploymentId m_name;
   /// Routes; the first that matches applies. A call that matches none is not retried.
   std::vector<ServiceCall> m_calls;
-  /// Names of the teams that may use it; empty for all.
-  std::vector<base::TeamId> m_teams;
+  /// Names of the teams that may use it; nullopt for all.
+  std::optional<std::vector<base::TeamId>> m_teams;
+
+  /// Returns whether the team `aTeam` may use it. Thread safe.
+  bool Admits(const base::TeamId& aTeam) const;
 };
 
 /// A limit on spending in one availability zone for one host class.
--- a/packages/settings/TomlTable.cpp
+++ b/packages/settings/TomlTable.cpp
@@ -218,6 +218,10 @@
 
 } // namespace
 
+bool TomlTable::Has(std::string_view aKey) const {
+  return m_table != nullptr && AsTable(m_table)->contains(aKey);
+}
+
 std::vector<std::string> TomlTable::StringList(std::string_view aKey) {
   const auto* node = AsNode(FindNode(aKey, Presence::Optional));
   if (node == nullptr) {
--- a/packages/settings/TomlTable.h
+++ b/packages/settings/TomlTable.h
@@ -43,6 +43,8 @@
                         base::Millis aDefault);
   /// Returns an address such as "127.0.0.1:8101".
   base::Address Address(std::string_view aKey, Presence aPresence);
+  /// Returns whether the key `aKey` is there, whatever its value.
+  bool Has(std::string_view aKey) const;
   /// Returns an array of strings.
   std::vector<std::string> StringList(std::string_view aKey);
   /// Returns an array of integers.
--- a/tests/harness/PlatformFleet.cpp
+++ b/tests/harness/PlatformFleet.cpp
@@ -216,14 +216,15 @@
   if (aOptions.m_bodyBytes) {
     limits["max_body_bytes"] = *aOptions.m_bodyBytes;
   }
-  const json configuration = { { "version", ++m_version },
-                               { "routes", routes },
-                               { "services",
-                                 { { { "name", "engines" }, { "max_conns", 300 } },
-                                   { { "name", "empty" }, { "max_conns", 300 } } } },
-                               { "tenants",
-                                 { { { "name", "team-1" }, { "api_keys", { aOptions.m_key } } } } },
-                               { "limits", limits } };
+  json configuration = { { "version", ++m_version },
+                         { "routes", routes },
+                         { "services",
+                           { { { "name", "engines" }, { "max_conns", 300 } },
+                             { { "name", "empty" }, { "max_conns", 300 } } } },
+                         { "tenants",
+                           { { { "name", "team-1" }, { "api_keys", { aOptions.m_key } } } } },
+                         { "limits", limits } };
+  configuration.merge_patch(aOptions.m_overrides);
   PostControl("configuration", configuration);
 }
 
--- a/tests/harness/PlatformFleet.h
+++ b/tests/harness/PlatformFleet.h
@@ -30,6 +30,8 @@
   std::optional<base::Millis> m_idleTimeout;
   std::optional<base::Millis> m_headTimeout;
   std::optional<size_t> m_bodyBytes;
+  /// Members that replace those of the configuration; null values remove them.
+  nlohmann::json m_overrides = nlohmann::json::object();
 };
 
 /// Runs nodes in the mode for the users' platform as processes, against a stand-in of that
