Readers of event streams search each byte once

Cause: `EventSplitter::Feed` searched all bytes since the last event again for each chunk, so that the work grew with the square of the bytes; one read holds thousands of chunks. Related path with the same cause: `SseReader::Feed` of the native interface.

Change: both continue the search where it ended. The splitter holds back at a line end whose next bytes decide.

Evidence: SplitterTakesTimeInProportionToItsBytes and ReaderTakesTimeInProportionToItsBytes (512 KiB within a second) failed on at 1, 3, 7 and 64 bytes a part, and pass now.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -2,6 +2,7 @@
 #include "FaultsBench.h"
 #include "LoadBench.h"
 #include "NodeBench.h"
+#include "StreamsBench.h"
 
 #include <csignal>
 #include <cstdio>
@@ -48,13 +49,14 @@
     measure("relay", MeasureRelay);
   } else if (command == "load") {
     measure("overload", [&] { return MeasureOverload(seed); });
+  } else if (command == "streams") {
+    measure("endless", MeasureEndlessEvents);
   } else if (command == "faults") {
     measure("faults", [&] { return RunFaults(seed, minutes); });
   } else {
-    std::fputs(
-      "usage: scripts/bench control|node|load|faults [--only PART] [--json FILE] [--seed N] "
-      "[--minutes M]\n",
-      stderr);
+    std::fputs("usage: scripts/bench control|node|load|streams|faults [--only PART] [--json FILE] "
+               "[--seed N] [--minutes M]\n",
+               stderr);
     return 2;
   }
   if (!json.empty()) {
--- a/packages/forwarding/EventSplitter.cpp
+++ b/packages/forwarding/EventSplitter.cpp
@@ -6,20 +6,6 @@
 
 namespace {
 
-/// Returns the length of the first complete event in `aText`; 0 if there is none. An event ends
-/// with an empty line; lines end with LF or CRLF.
-size_t EventLength(std::string_view aText) {
-  for (size_t i = aText.find('\n'); i != std::string_view::npos; i = aText.find('\n', i + 1)) {
-    if (aText.substr(i + 1).starts_with('\n')) {
-      return i + 2;
-    }
-    if (aText.substr(i + 1).starts_with("\r\n")) {
-      return i + 3;
-    }
-  }
-  return 0;
-}
-
 /// Properties of an event that matter for the order of events.
 struct EventInfo {
   std::string_view m_id;
@@ -47,11 +33,32 @@
 
 } // namespace
 
+/// An event ends with an empty line; lines end with LF or CRLF.
+size_t EventSplitter::FindEvent(std::string_view aText) {
+  constexpr std::string_view kEmptyLine = "\r\n";
+  size_t lineEnd = aText.find('\n', m_searchedBytes);
+  while (lineEnd != std::string_view::npos) {
+    const std::string_view next = aText.substr(lineEnd + 1, kEmptyLine.size());
+    if (next.starts_with('\n') || next == kEmptyLine) {
+      m_searchedBytes = 0;
+      return lineEnd + 1 + next.find('\n') + 1;
+    }
+    if (kEmptyLine.starts_with(next)) {
+      // The bytes after this line end decide.
+      m_searchedBytes = lineEnd;
+      return 0;
+    }
+    lineEnd = aText.find('\n', lineEnd + 1);
+  }
+  m_searchedBytes = aText.size();
+  return 0;
+}
+
 std::string EventSplitter::Feed(std::string_view aBytes) {
   m_partialEvent += aBytes;
   std::string_view rest = m_partialEvent;
   while (m_continuous) {
-    const size_t length = EventLength(rest);
+    const size_t length = FindEvent(rest);
     if (length == 0 || !TakeEvent(rest.substr(0, length))) {
       break;
     }
@@ -84,6 +91,7 @@
 
 void EventSplitter::StartRun() {
   m_partialEvent.clear();
+  m_searchedBytes = 0;
   m_runChecked = false;
   m_continuous = true;
 }
--- a/packages/forwarding/EventSplitter.h
+++ b/packages/forwarding/EventSplitter.h
@@ -35,7 +35,12 @@
   /// Takes a complete event into account. Returns false if it does not continue the stream.
   bool TakeEvent(std::string_view aEvent);
 
+  /// Returns the length of the first complete event in `aText`, or 0 if there is none.
+  size_t FindEvent(std::string_view aText);
+
   std::string m_partialEvent;
+  /// Number of bytes of the incomplete event in which no event ends, whatever follows.
+  size_t m_searchedBytes = 0;
   std::string m_lastEventId;
   EventStep m_step;
   size_t m_eventCount = 0;
--- a/packages/forwarding/tests/ForwardingTest.cpp
+++ b/packages/forwarding/tests/ForwardingTest.cpp
@@ -1,3 +1,4 @@
+#include "base/Time.h"
 #include "forwarding/AnswerOrigin.h"
 #include "forwarding/EventSplitter.h"
 #include "forwarding/RetryDecision.h"
@@ -165,4 +166,23 @@
   }
 }
 
+// Each part was searched together with all bytes since the last event, so that a stream without end
+// stopped the event loop for seconds.
+BOOST_AUTO_TEST_CASE(SplitterTakesTimeInProportionToItsBytes) {
+  constexpr size_t kBytes = 512U << 10U;
+  constexpr base::Millis kMaxTime{ 1000 };
+  for (const size_t partSize : { 1U, 3U, 7U, 64U, 65536U }) {
+    std::string part;
+    while (part.size() < partSize) {
+      part += part.size() % 2 == 0 ? '.' : '\n';
+    }
+    EventSplitter splitter;
+    const auto start = base::BootNow();
+    for (size_t fed = 0; fed < kBytes && base::BootNow() - start < kMaxTime; fed += partSize) {
+      splitter.Feed(part);
+    }
+    BOOST_TEST((base::BootNow() - start < kMaxTime), partSize << " bytes a part");
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/requests/SseReader.cpp
+++ b/packages/requests/SseReader.cpp
@@ -9,9 +9,10 @@
   }
   m_buffer.append(aBytes);
   size_t start = 0;
+  size_t searched = m_searchedBytes;
   // An empty line ends an event.
   while (true) {
-    const size_t end = m_buffer.find("\n\n", start);
+    const size_t end = m_buffer.find("\n\n", searched);
     if (end == std::string::npos) {
       break;
     }
@@ -27,8 +28,11 @@
       events.push_back(std::move(event));
     }
     start = end + 2;
+    searched = start;
   }
   m_buffer.erase(0, start);
+  // The last byte may be the first line feed of an event's end.
+  m_searchedBytes = m_buffer.empty() ? 0 : m_buffer.size() - 1;
   m_hasOverflowed = m_buffer.size() > kMaxEventBytes;
   return events;
 }
--- a/packages/requests/SseReader.h
+++ b/packages/requests/SseReader.h
@@ -24,6 +24,7 @@
   static constexpr size_t kMaxEventBytes = 1ULL << 20;
 
   /// Appends bytes of the stream, and returns the events that they complete. Comments are skipped.
+  /// Takes constant time for each byte.
   std::vector<SseEvent> Feed(std::string_view aBytes);
   /// Returns whether an event exceeded kMaxEventBytes; no further events are returned then.
   bool HasOverflowed() const { return m_hasOverflowed; }
@@ -32,6 +33,8 @@
   static void ParseLine(std::string_view aLine, SseEvent& aEvent, bool& aHasField);
 
   std::string m_buffer;
+  /// Number of bytes of the buffer that have been searched for the end of an event.
+  size_t m_searchedBytes = 0;
   bool m_hasOverflowed = false;
 };
 
--- a/packages/requests/tests/StreamTest.cpp
+++ b/packages/requests/tests/StreamTest.cpp
@@ -88,4 +88,22 @@
   BOOST_TEST(spent >= 5 + 95);
 }
 
+// The reader of the native interface searched all bytes since the last event again for each part.
+BOOST_AUTO_TEST_CASE(ReaderTakesTimeInProportionToItsBytes) {
+  constexpr size_t kBytes = 512U << 10U;
+  constexpr base::Millis kMaxTime{ 1000 };
+  for (const size_t partSize : { 1U, 3U, 7U, 64U, 65536U }) {
+    std::string part;
+    while (part.size() < partSize) {
+      part += part.size() % 2 == 0 ? '.' : '\n';
+    }
+    SseReader reader;
+    const auto start = base::BootNow();
+    for (size_t fed = 0; fed < kBytes && base::BootNow() - start < kMaxTime; fed += partSize) {
+      reader.Feed(part);
+    }
+    BOOST_TEST((base::BootNow() - start < kMaxTime), partSize << " bytes a part");
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
