All answers of a node share one limit on their memory

Cause: each answer had a limit of 16 MiB, all of them had none; a growing buffer holds up to twice its size. Incomplete events and what callers leave unread had no common limit either.

Change: `BufferBudget`, 64 MiB for all answers and all that callers have not taken. When it is exceeded, buffers of the owner that holds the most (an endpoint, or a caller) are dropped, replaceable ones first, then the largest. The endpoint of a dropped or too large answer is avoided for 5 s. Events are limited to 1 MiB, interim responses count against the limit on heads, and bytes for nobody have an end too.

64 MiB: a quarter of a host's 260 MB, so that the budget, one more answer being copied and the 10 to 40 MB of a node fit with room. 1 MiB: the limit of the native interface. 5 s: as long as a few failures' avoidance (1 s each) would last, so that such an endpoint gets a handful of calls a minute.

Related paths: `JsonClient` (16 MiB a response), `Transfer` (head, body, chunk) and `Fetch` (a budget of its own) of the native interface. Whole answers were copied while another endpoint was tried after a 500; the attempt is kept instead.

The fault kind `raw` of the soak has answers without end now, and a node above 260 MiB breaks a promise.

--- a/packages/adapters/engine/EngineClient.cpp
+++ b/packages/adapters/engine/EngineClient.cpp
@@ -137,6 +137,7 @@
   auto reader = std::make_shared<StreamReader>();
   reader->m_events = std::move(aEvents);
   reader->m_stream = aStream;
+  aRequest.m_maxBodyBytes = 0;
   http::TransferEvents events;
   events.m_onHead = [reader](int aStatus, const http::Headers& aHeaders) {
     reader->OnHead(aStatus, aHeaders);
--- a/packages/adapters/engine/TransferFaults.h
+++ b/packages/adapters/engine/TransferFaults.h
@@ -15,6 +15,7 @@
     case http::TransferFault::ResetBeforeAnswer:
     case http::TransferFault::InvalidAnswer:
       return requests::Fault::ResetBeforeAnswer;
+    case http::TransferFault::AnswerTooLarge:
     case http::TransferFault::ResetInAnswer:
       return aAnswered ? requests::Fault::ResetInAnswer : requests::Fault::ResetBeforeAnswer;
     case http::TransferFault::ResponseTimedOut:
--- a/packages/adapters/http/HttpClient.h
+++ b/packages/adapters/http/HttpClient.h
@@ -2,6 +2,7 @@
 
 #include "adapters/http/EventLoop.h"
 #include "adapters/http/HttpTypes.h"
+#include "base/BufferBudget.h"
 
 #include <functional>
 #include <memory>
@@ -41,7 +42,8 @@
   /// handle does not stop the transfer.
   std::weak_ptr<Transfer> Start(HttpRequest aRequest, TransferEvents aEvents);
 
-  /// Starts a transfer and calls `aOnResult` with the complete response or the fault.
+  /// Starts a transfer and calls `aOnResult` with the complete response or the fault. All responses
+  /// together are limited in size; one of the service that has sent the most fails then.
   std::weak_ptr<Transfer> Fetch(
     HttpRequest aRequest,
     const std::function<void(tl::expected<HttpResponse, TransferFault>)>& aOnResult);
@@ -50,6 +52,8 @@
   friend class Transfer;
 
   EventLoop& m_loop;
+  /// Bodies that Fetch holds until they are complete.
+  base::BufferBudget m_buffers{ base::BufferBudgetSettings{} };
   std::unordered_set<std::shared_ptr<Transfer>> m_transfers;
 };
 
--- a/packages/adapters/http/HttpTypes.h
+++ b/packages/adapters/http/HttpTypes.h
@@ -59,6 +59,8 @@
   base::Millis m_idleTimeout{ 5000 };
   /// Maximum duration of the whole transfer; 0 means no limit.
   base::Millis m_totalTimeout{ 0 };
+  /// Maximum size of the body of the answer in bytes; 0 means no limit, for streams.
+  size_t m_maxBodyBytes = 16U << 20U;
 };
 
 /// A complete response.
@@ -78,6 +80,8 @@
   ResponseTimedOut,
   /// The far end sent bytes that are no answer of HTTP.
   InvalidAnswer,
+  /// The answer exceeds a limit on its size.
+  AnswerTooLarge,
 };
 
 /// Whether `aFault` proves that no byte of the request was sent.
@@ -98,6 +102,7 @@
     { adapters::http::TransferFault::ResetInAnswer, "connection lost within the answer" },
     { adapters::http::TransferFault::ResponseTimedOut, "the far end went silent" },
     { adapters::http::TransferFault::InvalidAnswer, "the answer is not valid" },
+    { adapters::http::TransferFault::AnswerTooLarge, "the answer is too large" },
   });
 
 } // namespace papayafield::base
--- a/packages/adapters/http/Transfer.cpp
+++ b/packages/adapters/http/Transfer.cpp
@@ -17,6 +17,11 @@
 
 /// Number of idle checks within one idle timeout.
 constexpr int kIdleChecksPerTimeout = 4;
+/// Maximum size of the head of an answer, in bytes.
+constexpr size_t kMaxHeadBytes = 65536;
+/// Maximum number of received bytes that are buffered. evhttp passes on a chunk once it is
+/// complete, so a larger one is never passed on and the transfer ends with its idle timeout.
+constexpr size_t kMaxBufferedBytes = 4U << 20U;
 /// Range of the status codes of final responses.
 constexpr int kMinFinalStatus = 200;
 constexpr int kMaxStatus = 599;
@@ -66,6 +71,13 @@
     return;
   }
   evhttp_connection_set_retries(m_connection, 0);
+  evhttp_connection_set_max_headers_size(m_connection, kMaxHeadBytes);
+  if (m_request.m_maxBodyBytes > 0) {
+    evhttp_connection_set_max_body_size(m_connection,
+                                        static_cast<ev_ssize_t>(m_request.m_maxBodyBytes));
+  }
+  bufferevent_setwatermark(
+    evhttp_connection_get_bufferevent(m_connection), EV_READ, 0, kMaxBufferedBytes);
   constexpr int kNoLibraryTimeoutSeconds = 86400;
   evhttp_connection_set_timeout(m_connection, kNoLibraryTimeoutSeconds);
   // Create the request.
@@ -149,6 +161,12 @@
   self->m_lastActivity = base::SteadyClock().Now();
   evbuffer* input = evhttp_request_get_input_buffer(aRequest);
   const size_t size = evbuffer_get_length(input);
+  self->m_bodyBytes += size;
+  const size_t limit = self->m_request.m_maxBodyBytes;
+  if (limit > 0 && self->m_bodyBytes > limit) {
+    self->Fail(TransferFault::AnswerTooLarge);
+    return;
+  }
   const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
   if (size > 0 && self->m_events.m_onData) {
     self->m_events.m_onData({ bytes, size });
--- a/packages/adapters/http/Transfer.h
+++ b/packages/adapters/http/Transfer.h
@@ -41,6 +41,7 @@
   evhttp_connection* m_connection = nullptr;
   bool m_sawHead = false;
   bool m_ended = false;
+  size_t m_bodyBytes = 0;
   base::TimePoint m_lastActivity;
   EventHandlePtr m_connectTimer;
   EventHandlePtr m_idleTimer;
--- a/packages/adapters/http/tests/TransferTest.cpp
+++ b/packages/adapters/http/tests/TransferTest.cpp
@@ -120,4 +120,28 @@
   }
 }
 
+// A client held all bytes of an answer without end.
+BOOST_AUTO_TEST_CASE(AnswersWithoutEndFail) {
+  constexpr size_t kMaxBytes = 64U << 20U;
+  const std::string part(65536, 'x');
+  const std::pair<const char*, std::string> answers[] = {
+    { "HTTP/1.1 200 OK\r\n\r\n", part },
+    { "HTTP/1.1 200 OK\r\nContent-Length: 9999999999\r\n\r\n", part },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "10000\r\n" + part + "\r\n" },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4000000\r\n", part },
+    { "HTTP/1.1 200 OK\r\nX: ", part },
+    { "HTTP/1.1 200 OK\r\n", "X: x\r\n" },
+    { "HTTP/1.1 200 ", part },
+    { "", "HTTP/1.1 100 Continue\r\n\r\n" },
+    { "", part },
+  };
+  for (const auto& [start, repeated] : answers) {
+    RawServer server(start, repeated, kMaxBytes);
+    BOOST_TEST_CONTEXT(start << repeated.substr(0, 8)) {
+      BOOST_TEST(!FetchFrom(server).has_value());
+      BOOST_TEST(!server.HasSentAll());
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/adapters/http1/Connection.cpp
+++ b/packages/adapters/http1/Connection.cpp
@@ -105,7 +105,9 @@
     // The last trailer field of the previous message may be left.
     self.m_name.clear();
     self.m_value.clear();
-    self.m_headBytes = 0;
+    if (!std::exchange(self.m_afterInterim, false)) {
+      self.m_headBytes = 0;
+    }
     self.m_lastWasValue = true;
     self.m_hasInvalidName = false;
     self.m_inMessage = true;
@@ -202,7 +204,7 @@
     } else {
       self.m_head.m_status = static_cast<int>(aParser->status_code);
       if (IsInterim(aParser->status_code)) {
-        return kSkipBody;
+        return self.AddHeadBytes(kMinHeadBytes) ? kSkipBody : -1;
       }
     }
     if (self.m_owner.m_events.m_onHead) {
@@ -224,6 +226,7 @@
     Parser& self = Of(aParser);
     self.m_statusLine.Restart();
     if (!kReadsRequests<Head> && IsInterim(aParser->status_code)) {
+      self.m_afterInterim = true;
       // The next response is parsed in a step of its own.
       http_parser_pause(aParser, 1);
       return 0;
@@ -257,6 +260,8 @@
     return settings;
   }
 
+  /// Size of the shortest head of a response, in bytes.
+  static constexpr size_t kMinHeadBytes = std::string_view("HTTP/1.1 100\r\n\r\n").size();
   /// Result of on_headers_complete for a message without a body.
   static constexpr int kSkipBody = 1;
 
@@ -269,6 +274,8 @@
   size_t m_headBytes = 0;
   bool m_lastWasValue = true;
   bool m_inMessage = false;
+  /// Whether the previous response was an interim one, which counts as a part of this head.
+  bool m_afterInterim = false;
   bool m_tooLarge = false;
   bool m_hasInvalidName = false;
 };
--- a/packages/adapters/http1/JsonClient.cpp
+++ b/packages/adapters/http1/JsonClient.cpp
@@ -1,6 +1,9 @@
 #include "adapters/http1/JsonClient.h"
 
+#include "base/Log.h"
+
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 namespace papayafield::adapters::http1 {
 
@@ -107,9 +110,9 @@
       call->m_result.m_fields = std::move(aHead.m_fields);
     }
   };
-  events.m_onBody = [weak](std::string_view aBytes) {
+  events.m_onBody = [this, weak](std::string_view aBytes) {
     if (const auto call = weak.lock()) {
-      call->m_result.m_body += aBytes;
+      OnBody(call, aBytes);
     }
   };
   events.m_onComplete = [this, weak] {
@@ -133,6 +136,20 @@
   }
 }
 
+void JsonClient::OnBody(const std::shared_ptr<PendingCall>& aCall, std::string_view aBytes) {
+  if (aCall->m_done) {
+    return;
+  }
+  std::string& body = aCall->m_result.m_body;
+  if (body.size() + aBytes.size() > kMaxBodyBytes) {
+    base::Log("http1").Event("response too large",
+                             { { "service", m_service.ToText() }, { "bytes", body.size() } });
+    Finish(aCall, { 0, {}, true }, false);
+    return;
+  }
+  body += aBytes;
+}
+
 void JsonClient::Finish(const std::shared_ptr<PendingCall>& aCall,
                         CallResult aResult,
                         bool aReuse) {
--- a/packages/adapters/http1/JsonClient.h
+++ b/packages/adapters/http1/JsonClient.h
@@ -23,10 +23,12 @@
   Fields m_fields;
 };
 
-/// Calls one HTTP service with small bodies and reuses a few connections to it. Not intended for
-/// the data path. Must be used only on the thread of its loop.
+/// Calls one HTTP service with bodies of up to kMaxBodyBytes and reuses a few connections to it.
+/// Not intended for the data path. Must be used only on the thread of its loop.
 class JsonClient {
 public:
+  /// Maximum size of the body of a response in bytes; a call with a larger one fails.
+  static constexpr size_t kMaxBodyBytes = 16U << 20U;
   /// Called with the result of a call.
   using OnDone = std::function<void(CallResult)>;
 
@@ -58,6 +60,7 @@
 
   void Start(const std::shared_ptr<PendingCall>& aCall);
   void Send(const std::shared_ptr<PendingCall>& aCall);
+  void OnBody(const std::shared_ptr<PendingCall>& aCall, std::string_view aBytes);
   void Expire(const std::shared_ptr<PendingCall>& aCall);
   void Finish(const std::shared_ptr<PendingCall>& aCall, CallResult aResult, bool aReuse);
 
--- a/packages/adapters/http1/tests/ConnectionTest.cpp
+++ b/packages/adapters/http1/tests/ConnectionTest.cpp
@@ -595,4 +595,56 @@
   BOOST_TEST(result->m_maybeExecuted);
 }
 
+// Interim responses count against the limit on the size of a head.
+BOOST_AUTO_TEST_CASE(InterimResponsesWithoutEndAreRejected) {
+  for (const std::string_view interim :
+       { "HTTP/1.1 100\r\n\r\n", "HTTP/1.1 103 X\r\nLink: x\r\n\r\n" }) {
+    ConnectionFixture<ResponseHead> fixture;
+    constexpr base::Millis kReadTime{ 2 };
+    size_t sent = 0;
+    for (; sent < 16384 && !fixture.m_end; sent += interim.size()) {
+      fixture.Send(interim);
+      if (sent % 1024 < interim.size()) {
+        const auto read = fixture.m_loop.After(kReadTime, [&] { fixture.m_loop.Stop(); });
+        fixture.Run();
+      }
+    }
+    BOOST_TEST((fixture.m_end == EndKind::HeadTooLarge));
+  }
+}
+
+// A service whose answer never ended took all memory of its client.
+BOOST_AUTO_TEST_CASE(AnswerWithoutEndFails) {
+  http::EventLoop loop;
+  const base::Address address{ "127.0.0.1", static_cast<uint16_t>(20000 + getpid() % 9000) };
+  const std::string part(65536, 'x');
+  constexpr size_t kMaxSent = 64U << 20U;
+  size_t sent = 0;
+  std::shared_ptr<ServerConnection> served;
+  const Listener listener(loop, address, 4096, [&](std::shared_ptr<ServerConnection> aConnection) {
+    served = std::move(aConnection);
+    ConnectionEvents<RequestHead> events;
+    events.m_onComplete = [&] { served->Write("HTTP/1.1 200 OK\r\n\r\n"); };
+    events.m_onFlushed = [&] {
+      sent += part.size();
+      if (sent > kMaxSent) {
+        loop.Stop();
+      } else {
+        served->Write(part);
+      }
+    };
+    served->SetEvents(std::move(events));
+  });
+  JsonClient client(loop, address);
+  std::optional<CallResult> result;
+  client.Call("GET", "/", {}, {}, base::Millis(60000), [&](const CallResult& aResult) {
+    result = aResult;
+    loop.Stop();
+  });
+  loop.Run();
+  BOOST_REQUIRE(result.has_value());
+  BOOST_TEST(result->m_status == 0);
+  BOOST_TEST(result->m_maybeExecuted);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/forwarding/CallerConnection.cpp
+++ b/packages/forwarding/CallerConnection.cpp
@@ -18,6 +18,8 @@
 /// Maximum number of unsent bytes for a caller that reads slowly; the connection is closed beyond
 /// this.
 constexpr size_t kMaxUnsentBytes = 8U << 20U;
+/// Number of unsent bytes up to which they are not accounted for, in bytes.
+constexpr size_t kMinAccountedBytes = 65536;
 /// Maximum time for which the rest of a rejected request is discarded, so that its caller receives
 /// the answer.
 constexpr base::Millis kMaxDiscardTime{ 3000 };
@@ -26,11 +28,13 @@
 
 CallerConnection::CallerConnection(
   adapters::http::EventLoop& aLoop,
+  base::BufferBudget& aBuffers,
   std::shared_ptr<ServerConnection> aConnection,
   const CallerSettings& aSettings,
   OnRequest aOnRequest,
   std::function<void(const std::shared_ptr<CallerConnection>&)> aOnClosed)
   : m_loop(aLoop)
+  , m_buffers(aBuffers)
   , m_connection(std::move(aConnection))
   , m_settings(aSettings)
   , m_onRequest(std::move(aOnRequest))
@@ -44,6 +48,7 @@
   events.m_onBody = [self](std::string_view aBytes) { self->OnBody(aBytes); };
   events.m_onComplete = [self] { self->OnComplete(); };
   events.m_onEnd = [self](EndKind aKind, bool /*aInMessage*/) { self->OnEnd(aKind); };
+  events.m_onFlushed = [self] { self->m_unsentClaim.reset(); };
   m_connection->SetEvents(std::move(events));
   m_idleLimit = m_settings.m_limits.m_idleTimeout;
   StartIdleTimer();
@@ -196,6 +201,7 @@
   sink.m_onAnswer = [self](const ResponseHead& aHead, std::string_view aBody) {
     self->WriteHead(aHead, "Content-Length", std::to_string(aBody.size()).c_str());
     self->m_connection->Write(aBody);
+    self->ClaimUnsent();
     self->OnAnswered();
   };
   sink.m_onStreamHead = [self](const ResponseHead& aHead) {
@@ -203,8 +209,9 @@
   };
   sink.m_onEvents = [self](std::string_view aEvents) {
     self->m_connection->Write(adapters::http1::EncodeChunk(aEvents));
+    self->ClaimUnsent();
     if (self->m_connection->PendingOutput() > kMaxUnsentBytes) {
-      self->Close();
+      self->DisconnectSlowCaller();
     }
   };
   sink.m_onStreamEnd = [self] {
@@ -220,6 +227,41 @@
   return sink;
 }
 
+/// Accounts for what the caller has not taken yet.
+void CallerConnection::ClaimUnsent() {
+  const size_t unsent = m_connection->PendingOutput();
+  if (!m_unsentClaim && unsent <= kMinAccountedBytes) {
+    return;
+  }
+  if (!m_unsentClaim) {
+    m_unsentClaim.emplace(
+      m_buffers.Open({ "caller " + std::to_string(reinterpret_cast<uintptr_t>(this)),
+                       false,
+                       [weak = weak_from_this()] {
+                         if (const auto self = weak.lock()) {
+                           self->DisconnectSlowCaller();
+                         }
+                       } }));
+  }
+  m_unsentClaim->Resize(unsent);
+}
+
+/// Closes the connection of a caller that has taken too little of its answer.
+void CallerConnection::DisconnectSlowCaller() {
+  const auto self = shared_from_this();
+  base::Log("callers").Event("slow caller disconnected",
+                             { { "peer", m_connection->PeerHost() },
+                               { "unsent", m_connection->PendingOutput() },
+                               { "buffered", m_buffers.UsedBytes() } });
+  if (!m_closed) {
+    Close();
+    return;
+  }
+  m_connection->Close();
+  m_flushing = false;
+  m_onClosed(self);
+}
+
 void CallerConnection::OnAnswered() {
   m_answering = false;
   m_exchange.reset();
--- a/packages/forwarding/CallerConnection.h
+++ b/packages/forwarding/CallerConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/http1/Connection.h"
+#include "base/BufferBudget.h"
 #include "forwarding/Exchange.h"
 
 #include <functional>
@@ -26,7 +27,9 @@
                                                             base::TimePoint aArrival,
                                                             AnswerSink aSink)>;
 
+  /// `aBuffers` limits what callers have not taken yet.
   CallerConnection(adapters::http::EventLoop& aLoop,
+                   base::BufferBudget& aBuffers,
                    std::shared_ptr<adapters::http1::ServerConnection> aConnection,
                    const CallerSettings& aSettings,
                    OnRequest aOnRequest,
@@ -59,6 +62,8 @@
   void OnEnd(adapters::http1::EndKind aKind);
   void Reject(int aStatus);
   void OnAnswered();
+  void ClaimUnsent();
+  void DisconnectSlowCaller();
   void PrepareClose();
   std::function<void()> OnceClosed();
   void CloseWhenFlushed();
@@ -72,6 +77,9 @@
                  const char* aValue);
 
   adapters::http::EventLoop& m_loop;
+  base::BufferBudget& m_buffers;
+  /// Covers the unsent bytes, if there are many.
+  std::optional<base::BufferBudget::Claim> m_unsentClaim;
   std::shared_ptr<adapters::http1::ServerConnection> m_connection;
   const CallerSettings& m_settings;
   OnRequest m_onRequest;
--- a/packages/forwarding/EventSplitter.cpp
+++ b/packages/forwarding/EventSplitter.cpp
@@ -90,7 +90,7 @@
 }
 
 void EventSplitter::StartRun() {
-  m_partialEvent.clear();
+  m_partialEvent = {};
   m_searchedBytes = 0;
   m_runChecked = false;
   m_continuous = true;
--- a/packages/forwarding/EventSplitter.h
+++ b/packages/forwarding/EventSplitter.h
@@ -12,13 +12,20 @@
 /// thread safe.
 class EventSplitter {
 public:
+  /// Maximum size of an event in bytes.
+  static constexpr size_t kMaxEventBytes = 1U << 20U;
+
   /// Appends bytes and returns the events that are now complete, concatenated. Returns nothing once
-  /// the run does not continue the stream.
+  /// the run does not continue the stream, or has overflowed. Takes constant time for each byte.
   std::string Feed(std::string_view aBytes);
   /// Returns the last ID that a complete event carried; empty if none has carried one.
   const std::string& LastEventId() const { return m_lastEventId; }
   /// Returns whether an incomplete event is buffered.
   bool HasPartialEvent() const { return !m_partialEvent.empty(); }
+  /// Returns the number of bytes that are buffered.
+  size_t BufferedBytes() const { return m_partialEvent.capacity(); }
+  /// Returns whether an event of the present run exceeds kMaxEventBytes.
+  bool HasOverflowed() const { return m_partialEvent.size() > kMaxEventBytes; }
   /// Returns false if the first event of the present run does not follow the last one of the
   /// stream: it comes again, events before it are missing, or it has no ID although earlier events
   /// have.
--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -32,6 +32,10 @@
 constexpr base::Millis kMinAttemptTime{ 20 };
 /// Maximum size of a buffered answer, in bytes.
 constexpr size_t kMaxAnswerBytes = 16U << 20U;
+/// Smallest capacity of the buffer of an answer, in bytes.
+constexpr size_t kMinBufferBytes = 4096;
+/// Time for which an endpoint gets no new calls after an answer that exceeded a limit on its size.
+constexpr base::Millis kOversizedAvoidance{ 5000 };
 /// Retry-After of a node that is stopping, in seconds: other nodes can take the call at once.
 constexpr double kStoppingRetrySeconds = 0.05;
 /// Callers honour a Retry-After of up to this fraction of their remaining time.
@@ -66,6 +70,10 @@
   AnswerInfo m_answerInfo;
   ResponseHead m_head;
   std::string m_body;
+  /// Covers the body, or the incomplete event of a stream; nullopt until there are bytes.
+  std::optional<base::BufferBudget::Claim> m_bufferClaim;
+  /// Number of bytes that were received for no caller.
+  size_t m_discardedBytes = 0;
   bool m_hasHead = false;
   /// Whether the current answer belongs to an earlier call on this connection.
   bool m_isMisdirected = false;
@@ -178,8 +186,8 @@
   const auto& ready = m_node.m_directory.Ready();
   const auto choice = m_node.m_placement.Choose(MakePlacementRequest(m_service), ready, now);
   if (!choice) {
-    if (m_errorAnswer) {
-      Deliver(m_errorAnswer->first, m_errorAnswer->second);
+    if (const auto answered = m_errorAttempt) {
+      Deliver(answered->m_head, answered->m_body);
       return;
     }
     if (const auto outage = m_node.m_availability.FindOutage(m_service, ready, now)) {
@@ -446,17 +454,80 @@
 }
 
 void Exchange::OnBody(const std::shared_ptr<ActiveAttempt>& aAttempt, std::string_view aBytes) {
-  if (aAttempt->m_ended || aAttempt->m_isMisdirected) {
+  if (aAttempt->m_ended) {
+    return;
+  }
+  // A call that must not be repeated runs on after its caller has got another answer.
+  if (aAttempt->m_isMisdirected || m_finished) {
+    DiscardBody(aAttempt, aBytes.size());
     return;
   }
   if (aAttempt->m_isStream) {
     OnStreamBytes(aAttempt, aBytes);
     return;
   }
-  aAttempt->m_body += aBytes;
-  if (aAttempt->m_body.size() > kMaxAnswerBytes) {
-    Fail(aAttempt, AttemptFault::Lost, "answer_too_large");
+  std::string& body = aAttempt->m_body;
+  const size_t size = body.size() + aBytes.size();
+  if (size > kMaxAnswerBytes) {
+    FailOversized(aAttempt, "answer_too_large");
+    return;
+  }
+  if (size > body.capacity()) {
+    const size_t capacity = std::max({ size, body.capacity() * 3 / 2, kMinBufferBytes });
+    if (!ClaimBuffer(aAttempt, capacity)) {
+      return;
+    }
+    body.reserve(capacity);
+  }
+  body += aBytes;
+}
+
+/// Counts bytes that are not buffered, so that they have an end as well.
+void Exchange::DiscardBody(const std::shared_ptr<ActiveAttempt>& aAttempt, size_t aBytes) {
+  aAttempt->m_discardedBytes += aBytes;
+  if (aAttempt->m_discardedBytes > kMaxAnswerBytes) {
+    FailOversized(aAttempt, "answer_too_large");
+  }
+}
+
+/// Reserves `aBytes` in total for the buffer of an attempt. Returns false if the attempt was failed
+/// instead, because the node holds too many bytes and its endpoint has sent the most.
+bool Exchange::ClaimBuffer(const std::shared_ptr<ActiveAttempt>& aAttempt, size_t aBytes) {
+  if (!aAttempt->m_bufferClaim) {
+    aAttempt->m_bufferClaim.emplace(
+      m_node.m_buffers.Open({ aAttempt->m_endpoint.m_incarnation.m_endpoint.Text(),
+                              m_route.Repeatable(),
+                              [weak = weak_from_this(), weakAttempt = std::weak_ptr(aAttempt)] {
+                                const auto exchange = weak.lock();
+                                const auto attempt = weakAttempt.lock();
+                                if (exchange && attempt) {
+                                  exchange->OnBufferDropped(attempt);
+                                }
+                              } }));
+  }
+  return aAttempt->m_bufferClaim->Resize(aBytes);
+}
+
+void Exchange::OnBufferDropped(const std::shared_ptr<ActiveAttempt>& aAttempt) {
+  m_node.m_log.Event("answer dropped for its size",
+                     { { "request", m_call.m_id },
+                       { "endpoint", aAttempt->m_endpoint.m_incarnation.m_endpoint.Text() },
+                       { "bytes", aAttempt->m_body.size() },
+                       { "buffered", m_node.m_buffers.UsedBytes() } });
+  aAttempt->m_body = {};
+  if (aAttempt == m_errorAttempt) {
+    m_errorAttempt.reset();
   }
+  FailOversized(aAttempt, "buffers_full");
+}
+
+/// Fails an attempt whose endpoint sends more than it may. Other endpoints are preferred for a
+/// while, since such an endpoint may do so again.
+void Exchange::FailOversized(const std::shared_ptr<ActiveAttempt>& aAttempt,
+                             const std::string& aDetail) {
+  m_node.m_placement.Avoid(aAttempt->m_endpoint.m_incarnation.m_endpoint,
+                           base::BootNow() + kOversizedAvoidance);
+  Fail(aAttempt, AttemptFault::Lost, aDetail);
 }
 
 void Exchange::CountUsage(const std::shared_ptr<ActiveAttempt>& aAttempt, base::TimePoint aBegan) {
@@ -476,6 +547,15 @@
     Fail(aAttempt, AttemptFault::Lost, "not_continuous");
     return;
   }
+  if (m_splitter.HasOverflowed()) {
+    FailOversized(aAttempt, "event_too_large");
+    return;
+  }
+  if (aAttempt->m_bufferClaim || m_splitter.BufferedBytes() > kMinBufferBytes) {
+    if (!ClaimBuffer(aAttempt, m_splitter.BufferedBytes())) {
+      return;
+    }
+  }
   if (events.empty()) {
     return;
   }
@@ -562,6 +642,8 @@
     aAttempt->m_endpoint.m_incarnation.m_endpoint, true, base::BootNow());
   m_node.m_crashGuard.OnAnswered(m_call, base::BootNow(), base::BootNow());
   Release(aAttempt, true);
+  // The caller's connection accounts for the body from here on.
+  aAttempt->m_bufferClaim.reset();
   Deliver(aAttempt->m_head, aAttempt->m_body);
 }
 
@@ -648,7 +730,7 @@
   if (m_silentAttempt != nullptr) {
     LogFailure(*aAttempt, aFault, aDetail, false);
     if (aFault == AttemptFault::Failed) {
-      m_errorAnswer.emplace(aAttempt->m_head, aAttempt->m_body);
+      m_errorAttempt = aAttempt;
     }
     ReturnToSilent("other_failed");
     return;
@@ -670,12 +752,12 @@
     return;
   }
   if (aFault == AttemptFault::Failed) {
-    m_errorAnswer.emplace(aAttempt->m_head, aAttempt->m_body);
+    m_errorAttempt = aAttempt;
   }
   if (willRetry) {
     Dispatch();
-  } else if (m_errorAnswer) {
-    Deliver(m_errorAnswer->first, m_errorAnswer->second);
+  } else if (const auto answered = m_errorAttempt) {
+    Deliver(answered->m_head, answered->m_body);
   } else {
     Reject(FinalStatus(m_possibleRuns > 0, false), std::string(base::NameOf(aFault)), 0.3);
   }
--- a/packages/forwarding/Exchange.h
+++ b/packages/forwarding/Exchange.h
@@ -66,6 +66,10 @@
               adapters::http1::ResponseHead&& aHead);
   void OnBody(const std::shared_ptr<ActiveAttempt>& aAttempt, std::string_view aBytes);
   void OnStreamBytes(const std::shared_ptr<ActiveAttempt>& aAttempt, std::string_view aBytes);
+  void DiscardBody(const std::shared_ptr<ActiveAttempt>& aAttempt, size_t aBytes);
+  bool ClaimBuffer(const std::shared_ptr<ActiveAttempt>& aAttempt, size_t aBytes);
+  void OnBufferDropped(const std::shared_ptr<ActiveAttempt>& aAttempt);
+  void FailOversized(const std::shared_ptr<ActiveAttempt>& aAttempt, const std::string& aDetail);
   void StartSilenceTimer(const std::shared_ptr<ActiveAttempt>& aAttempt, base::Millis aLimit);
   void OnSilence(const std::shared_ptr<ActiveAttempt>& aAttempt, base::Millis aLimit);
   bool MayContinueElsewhere() const;
@@ -139,8 +143,8 @@
   bool m_callerDisconnected = false;
   bool m_finished = false;
   base::TimePoint m_firstByteAt{};
-  /// Error answer of an endpoint, kept while another endpoint is tried.
-  std::optional<std::pair<adapters::http1::ResponseHead, std::string>> m_errorAnswer;
+  /// Attempt that an endpoint answered with an error, kept while another endpoint is tried.
+  std::shared_ptr<ActiveAttempt> m_errorAttempt;
 };
 
 } // namespace papayafield::forwarding
--- a/packages/forwarding/Gateway.cpp
+++ b/packages/forwarding/Gateway.cpp
@@ -26,6 +26,7 @@
   , m_listener(aNode.m_loop, aAddress, kMaxHeadBytes, [this](auto aConnection) {
     auto caller = std::make_shared<CallerConnection>(
       m_node.m_loop,
+      m_node.m_buffers,
       std::move(aConnection),
       m_settings,
       [this](RequestHead&& aHead, std::string&& aBody, base::TimePoint aArrival, AnswerSink aSink) {
--- a/packages/forwarding/NodeState.h
+++ b/packages/forwarding/NodeState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/http/EventLoop.h"
+#include "base/BufferBudget.h"
 #include "base/Digest.h"
 #include "base/Log.h"
 #include "duties/ScalingPolicy.h"
@@ -68,6 +69,8 @@
   const WireFormat m_wire;
   const base::ZoneId m_zone;
   const base::Log m_log{ "forwarding" };
+  /// Answers of endpoints, until they are complete, and what callers have not taken yet.
+  base::BufferBudget m_buffers{ base::BufferBudgetSettings{} };
   fleet::EndpointDirectory m_directory;
   placement::Placement m_placement{ placement::PlacementSettings{} };
   duties::ScalingPolicy m_scaling{ duties::ScalingSettings{} };
--- a/packages/forwarding/tests/CallerConnectionTest.cpp
+++ b/packages/forwarding/tests/CallerConnectionTest.cpp
@@ -17,8 +17,10 @@
   BOOST_REQUIRE(socketpair(AF_UNIX, SOCK_STREAM, 0, sockets) == 0);
   bool closed = false;
   const CallerSettings settings;
+  base::BufferBudget buffers{ base::BufferBudgetSettings{} };
   const auto connection = std::make_shared<CallerConnection>(
     loop,
+    buffers,
     adapters::http1::ServerConnection::FromAcceptedSocket(loop, sockets[0], 4096),
     settings,
     [&](auto&&, auto&&, auto, const AnswerSink& aSink) {
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -159,6 +159,8 @@
   const ServingSettings& Settings() const { return m_settings; }
   /// Updates the gauges and returns all metrics in Prometheus' text format.
   std::string MetricsPage() {
+    m_state.m_metrics.Set("buffered_bytes", static_cast<double>(m_state.m_buffers.UsedBytes()));
+    m_state.m_metrics.Set("buffers_dropped", static_cast<double>(m_state.m_buffers.DropCount()));
     m_state.m_metrics.Set("endpoints_ready",
                           static_cast<double>(m_state.m_directory.Ready().size()));
     m_state.m_metrics.Set("nodes_alive",
--- a/soak/FaultInjector.cpp
+++ b/soak/FaultInjector.cpp
@@ -18,15 +18,34 @@
 /// Time from the return of the store until lost writes of the operator and of runners are repeated.
 constexpr base::Millis kMaxRewriteDelay{ 3000 };
 
-/// Responses of an endpoint that are no responses of HTTP/1.1.
-constexpr std::array<const char*, 4> kInvalidResponses = {
-  "HTTP/1.1 0 \r\nPapayafield-Attempt-Id: {id}\r\nContent-Length: 0\r\n\r\n",
-  "HTTP/1.1 999 X\r\nPapayafield-Attempt-Id: {id}\r\nContent-Length: 0\r\n\r\n",
-  "HTTP/3.7 404 X\r\nPapayafield-Attempt-Id: {id}\r\nContent-Length: 0\r\n\r\n",
-  "HTTP/1.1 103 Hints\r\nContent-Length: 5\r\n\r\nhello"
-  "HTTP/1.1 404 X\r\nPapayafield-Attempt-Id: {id}\r\nContent-Length: 0\r\n\r\n",
+/// Bytes that a runner sends in place of some responses.
+struct RawBytes {
+  const char* m_start;
+  /// Repeated without end; empty if nothing is.
+  const char* m_repeated;
 };
 
+/// Bytes that are no responses of HTTP/1.1, and responses without end.
+constexpr std::array<RawBytes, 9> kRawBytes = { {
+  { "HTTP/1.1 0 \r\nPapayafield-Attempt-Id: {id}\r\nContent-Length: 0\r\n\r\n", "" },
+  { "HTTP/1.1 999 X\r\nPapayafield-Attempt-Id: {id}\r\nContent-Length: 0\r\n\r\n", "" },
+  { "HTTP/3.7 404 X\r\nPapayafield-Attempt-Id: {id}\r\nContent-Length: 0\r\n\r\n", "" },
+  { "HTTP/1.1 103 Hints\r\nContent-Length: 5\r\n\r\nhello"
+    "HTTP/1.1 404 X\r\nPapayafield-Attempt-Id: {id}\r\nContent-Length: 0\r\n\r\n",
+    "" },
+  { "HTTP/1.1 200 OK\r\nPapayafield-Attempt-Id: {id}\r\nPapayafield-Response-Signature: s\r\n"
+    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "2\r\n.\n\r\n" },
+  { "HTTP/1.1 200 OK\r\nPapayafield-Attempt-Id: {id}\r\nPapayafield-Response-Signature: s\r\n"
+    "Content-Type: text/event-stream\r\nContent-Length: 99999999999\r\n\r\n",
+    "data: x\n" },
+  { "HTTP/1.1 500 X\r\nPapayafield-Attempt-Id: {id}\r\n\r\n", "x" },
+  { "HTTP/1.1 200 OK\r\nX: ", "x" },
+  { "", "HTTP/1.1 100\r\n\r\n" },
+} };
+/// One of this many responses is replaced by responses without end.
+constexpr int kOneEndlessIn = 5;
+
 } // namespace
 
 std::string FaultInjector::Advance() {
@@ -137,10 +156,14 @@
   const json healthy = { { "index", runner }, { "mode", "ok" }, { "state", "ready" } };
   const std::string name = std::to_string(runner);
   if (choice < kModes.size()) {
+    const RawBytes& raw = kRawBytes[RandomIndex(kRawBytes.size())];
+    const bool isEndless = *raw.m_repeated != '\0';
     m_fleet.PostControl("runner",
                         { { "index", runner },
                           { "mode", kModes[choice] },
-                          { "raw", kInvalidResponses[RandomIndex(kInvalidResponses.size())] } });
+                          { "raw", raw.m_start },
+                          { "repeated", raw.m_repeated },
+                          { "one_in", isEndless ? kOneEndlessIn : 1 } });
     m_active.push_back({ std::string(kModes[choice]) + "_runner_" + name,
                          [this, healthy] { m_fleet.PostControl("runner", healthy); } });
   } else {
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -2,6 +2,7 @@
 #include "soak/Checks.h"
 #include "soak/FaultInjector.h"
 #include "standins/common/Arguments.h"
+#include "tests/harness/HostMemory.h"
 
 #include <algorithm>
 #include <array>
@@ -27,6 +28,8 @@
 constexpr base::Millis kCheckInterval{ 50 };
 /// Duration of a usage window; matches usage_window_s in the settings of PlatformFleet.
 constexpr base::Millis kUsageWindow{ 1000 };
+/// Memory of a host that runs a node, in bytes.
+constexpr size_t kHostBytes = 260U << 20U;
 /// Time for all planned stops to end.
 constexpr base::Millis kSettleDuration = soak::PlannedWork::kGracePeriod + base::Millis(500);
 
@@ -120,6 +123,15 @@
   });
 }
 
+/// Returns the highest peak of resident memory of the nodes' present processes, in bytes.
+size_t PeakMemory(tests::PlatformFleet& aFleet, size_t aNodes) {
+  size_t peak = 0;
+  for (size_t node = 0; node < aNodes; ++node) {
+    peak = std::max(peak, tests::ReadPeakBytes(aFleet.NodeProcess(node).Pid()));
+  }
+  return peak;
+}
+
 } // namespace
 
 int main(int argc, char** argv) {
@@ -198,12 +210,16 @@
   if (!usageReported) {
     result.m_violations.emplace_back("no usage was reported after the faults");
   }
+  const size_t peakMemory = PeakMemory(fleet, nodes);
+  if (peakMemory > kHostBytes) {
+    result.m_violations.emplace_back("a node exceeded the memory of its host");
+  }
   for (const std::string& line : result.m_violations) {
     std::fprintf(stderr, "BROKEN: %s\n", line.c_str());
   }
   std::fprintf(stderr,
                "seed %lu: %zu calls, %zu served, %zu refused, %zu undisturbed, %zu crossed, "
-               "%zu outlasting, %zu for the newest host, "
+               "%zu outlasting, %zu for the newest host, %zu MiB at most, "
                "%zu promises broken\n",
                seed,
                result.m_calls,
@@ -213,6 +229,7 @@
                result.m_crossed,
                result.m_outlasting,
                result.m_newestServed,
+               peakMemory >> 20U,
                result.m_violations.size());
   return result.m_violations.empty() ? 0 : 1;
 }
