HEAD requests are answered without waiting for a body

Cause: the answer to HEAD has the fields of the answer to GET and no body; the connection waited for it. `Connection::ExpectNoBody` existed and nothing called it.

Change: `Exchange` calls it; an answer to HEAD is never read as a stream; callers get no framing field with it, since the length of the body that a GET would have got is not passed on by endpoints with chunks.

Evidence: PlatformPathTest/HeadRequestIsAnsweredWithoutABody fails without the call (504 for lookups, with each framing) and passes with it.

--- a/packages/forwarding/CallerConnection.cpp
+++ b/packages/forwarding/CallerConnection.cpp
@@ -175,6 +175,7 @@
   m_bodyTimer.reset();
   m_answering = true;
   m_keepAlive = m_connection->ShouldKeepAlive();
+  m_isHeadRequest = m_head.m_method == "HEAD";
   auto exchange = m_onRequest(std::move(m_head), std::move(m_body), m_arrival, MakeSink());
   m_head = {};
   m_body = {};
@@ -188,7 +189,10 @@
                                  const std::string& aFraming,
                                  const char* aValue) {
   m_keepAlive = m_keepAlive && !m_settings.m_closeAfterAnswer;
-  aHead.m_fields.Add(aFraming, aValue);
+  // The length of the body that a GET would have got is not known.
+  if (!m_isHeadRequest) {
+    aHead.m_fields.Add(aFraming, aValue);
+  }
   if (!m_keepAlive) {
     aHead.m_fields.Add("Connection", "close");
   }
--- a/packages/forwarding/CallerConnection.h
+++ b/packages/forwarding/CallerConnection.h
@@ -102,6 +102,8 @@
   base::TimePoint m_arrival{};
   std::shared_ptr<Exchange> m_exchange;
   bool m_reading = false;
+  /// Whether the present request is answered without a body.
+  bool m_isHeadRequest = false;
   bool m_answering = false;
   bool m_keepAlive = false;
   bool m_closed = false;
--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -45,6 +45,9 @@
 /// Mean time in seconds over which callers return after the end of an endpoint's pause.
 constexpr double kReturnSpreadSeconds = 0.2;
 
+/// Method whose answers have no body.
+constexpr std::string_view kHeadMethod = "HEAD";
+
 /// Reason in the log of a call that ended because its time was over.
 constexpr const char* kTimeoutReason = "timeout";
 
@@ -272,6 +275,9 @@
                                  m_call.m_promptTokens.has_value(),
                                  m_splitter.LastEventId() };
   AttachHandlers(attempt);
+  if (m_head.m_method == kHeadMethod) {
+    attempt->m_connection->ExpectNoBody();
+  }
   attempt->m_connection->Write(
     adapters::http1::Serialize(m_node.m_wire.m_encodeAttempt(attemptInfo), m_body));
 }
@@ -443,7 +449,8 @@
     Fail(aAttempt, AttemptFault::Lost, "contradictory_answer");
     return;
   }
-  aAttempt->m_isStream = success && m_route.m_kind == CallKind::Stream && info.m_eventStream;
+  aAttempt->m_isStream = success && m_route.m_kind == CallKind::Stream && info.m_eventStream &&
+                         m_head.m_method != kHeadMethod;
   if (m_streamBegun && !aAttempt->m_isStream && !info.m_notExecuted) {
     Fail(aAttempt, AttemptFault::Lost, "not_resumed");
     return;
--- a/tests/integration/PlatformPathTest.cpp
+++ b/tests/integration/PlatformPathTest.cpp
@@ -525,4 +525,28 @@
   }
 }
 
+// The node waited for the body that the head of the answer announces, until the route's timeout.
+BOOST_AUTO_TEST_CASE(HeadRequestIsAnsweredWithoutABody) {
+  const PlatformFleet fleet(1, 1);
+  for (const char* framing :
+       { "Content-Length: 17", "Transfer-Encoding: chunked", "Content-Type: text/event-stream" }) {
+    fleet.PostControl("runner",
+                      { { "index", 0 },
+                        { "mode", "raw" },
+                        { "raw",
+                          std::string("HTTP/1.1 200 OK\r\nPapayafield-Attempt-Id: {id}\r\n"
+                                      "Papayafield-Response-Signature: s\r\n") +
+                            framing + "\r\n\r\n" } });
+    for (const char* target : { "/safe/a", "/safe/b", "/once/a", "/stream/a" }) {
+      const CallerAnswer answer = fleet.Send(0, "HEAD", target);
+      BOOST_TEST_CONTEXT(framing << ' ' << target) {
+        BOOST_TEST(answer.m_status == 200);
+        BOOST_TEST(answer.m_body.empty());
+      }
+    }
+  }
+  fleet.PostControl("runner", { { "index", 0 }, { "mode", "ok" } });
+  BOOST_TEST(fleet.Send(0, "GET", "/safe/a").m_body == "answer to /safe/a");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
