Test: the endless answer of a service begins with its head

AnswerWithoutEndFails passed whatever the client did: the connection reports that it is flushed when it has just been accepted, so that the body was sent before the head and the client saw a malformed response. The test sends the head first now, and checks that more than the limit was sent.

--- a/packages/adapters/http1/tests/ConnectionTest.cpp
+++ b/packages/adapters/http1/tests/ConnectionTest.cpp
@@ -620,12 +620,20 @@
   const std::string part(65536, 'x');
   constexpr size_t kMaxSent = 64U << 20U;
   size_t sent = 0;
+  bool answering = false;
   std::shared_ptr<ServerConnection> served;
   const Listener listener(loop, address, 4096, [&](std::shared_ptr<ServerConnection> aConnection) {
     served = std::move(aConnection);
     ConnectionEvents<RequestHead> events;
-    events.m_onComplete = [&] { served->Write("HTTP/1.1 200 OK\r\n\r\n"); };
+    events.m_onComplete = [&] {
+      answering = true;
+      served->Write("HTTP/1.1 200 OK\r\n\r\n");
+    };
     events.m_onFlushed = [&] {
+      // Also called when the connection has just been accepted.
+      if (!answering) {
+        return;
+      }
       sent += part.size();
       if (sent > kMaxSent) {
         loop.Stop();
@@ -645,6 +653,7 @@
   BOOST_REQUIRE(result.has_value());
   BOOST_TEST(result->m_status == 0);
   BOOST_TEST(result->m_maybeExecuted);
+  BOOST_TEST(sent > JsonClient::kMaxBodyBytes);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
