Every node removes old counts of usage

Change: `UsageReporter::RemoveOldCounts` on each tick of each node, for windows that no node may report any more, including the greatest lead of a clock. The list of accepted windows is cut too.

Evidence: NodesThatDoNotLeadRemoveOldCounts failed at all three old windows while only `Tick` removed counts, and passes now. The growth of a long-running fleet was not measured.

--- a/packages/duties/UsageReporter.h
+++ b/packages/duties/UsageReporter.h
@@ -88,8 +88,14 @@
                       { "revision", aItem.m_position.m_revision } });
       }
     }
-    const int64_t oldest = m_ledger.WindowOf(now) - kMaxStoredWindows - kMaxClockLeadWindows;
-    m_known.erase(m_known.begin(), m_known.lower_bound(oldest));
+    m_known.erase(m_known.begin(), m_known.lower_bound(OldestWindow(now)));
+  }
+  /// Removes counts that are too old to be reported. Called several times a second on each node,
+  /// whether or not it may become the leader.
+  void RemoveOldCounts() {
+    const int64_t oldest = OldestWindow(m_wallMillis());
+    m_ledger.RemoveWindowsBefore(oldest);
+    m_acceptedWindows.erase(m_acceptedWindows.begin(), m_acceptedWindows.lower_bound(oldest));
   }
   /// Writes reports again that the store has lost in a restore. Called several times a second on
   /// each node that may become the leader, so that the next leader reads them before it reports.
@@ -139,6 +145,11 @@
     bool m_disputed = false;
   };
 
+  /// Returns the oldest window that any node may still report at the wall time `aNow`.
+  int64_t OldestWindow(int64_t aNow) const {
+    return m_ledger.WindowOf(aNow) - kMaxStoredWindows - kMaxClockLeadWindows;
+  }
+
   std::optional<Reports> ParseRecord(const store::Item& aItem, int64_t aNow) const {
     auto reports = ParseUsageReports(aItem.m_data, m_ledger.WindowOf(aNow) + kMaxClockLeadWindows);
     if (!reports) {
--- a/packages/duties/tests/DutiesTest.cpp
+++ b/packages/duties/tests/DutiesTest.cpp
@@ -510,6 +510,25 @@
   BOOST_TEST(reported > due * 95 / 100);
 }
 
+// Only the leader removed old counts, so that those of all nodes piled up at the others.
+BOOST_AUTO_TEST_CASE(NodesThatDoNotLeadRemoveOldCounts) {
+  FakeStore store;
+  FakePlatform platform;
+  Node node(store, platform, "one");
+  const int64_t current = node.m_ledger.WindowOf(base::WallMillis());
+  for (const int64_t age : { 1000, 100, 20, 1, 0 }) {
+    node.m_ledger.CountLocalRequest(kTeam, (current - age) * kWindowMs);
+    node.m_ledger.MergePeerCounts("n2@1", { { current - age, { { kTeam, 4 } } } });
+  }
+  node.m_reporter.RemoveOldCounts();
+  for (const int64_t age : { 1000, 100, 20 }) {
+    BOOST_TEST(node.m_ledger.TotalCounts(current - age).empty(), age << " windows ago");
+  }
+  for (const int64_t age : { 1, 0 }) {
+    BOOST_TEST(node.m_ledger.TotalCounts(current - age)[kTeam] == 5U, age << " windows ago");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(CountsOfAllNodesAddUpAndOnlyGrow) {
   UsageLedger ledger(kWindowMs);
   ledger.CountLocalRequest(kTeam, 10);
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -626,6 +626,8 @@
   }
 
   void RunLeaderTasks() {
+    // Every node counts, also one that never leads.
+    m_reporter.RemoveOldCounts();
     if (!m_settings.m_reportsUsage && !m_settings.m_autoscales) {
       return;
     }
