Soak: the platform's field names stay in the stand-in

The raw responses of the soak named header fields of the platform. The stand-in fills them in for `{fields}` now; what is sent is the same, except that the signature is that of a proper response.

--- a/soak/FaultInjector.cpp
+++ b/soak/FaultInjector.cpp
@@ -27,19 +27,19 @@
 
 /// Bytes that are no responses of HTTP/1.1, and responses without end.
 constexpr std::array<RawBytes, 9> kRawBytes = { {
-  { "HTTP/1.1 0 \r\nPapayafield-Attempt-Id: {id}\r\nContent-Length: 0\r\n\r\n", "" },
-  { "HTTP/1.1 999 X\r\nPapayafield-Attempt-Id: {id}\r\nContent-Length: 0\r\n\r\n", "" },
-  { "HTTP/3.7 404 X\r\nPapayafield-Attempt-Id: {id}\r\nContent-Length: 0\r\n\r\n", "" },
+  { "HTTP/1.1 0 \r\n{fields}Content-Length: 0\r\n\r\n", "" },
+  { "HTTP/1.1 999 X\r\n{fields}Content-Length: 0\r\n\r\n", "" },
+  { "HTTP/3.7 404 X\r\n{fields}Content-Length: 0\r\n\r\n", "" },
   { "HTTP/1.1 103 Hints\r\nContent-Length: 5\r\n\r\nhello"
-    "HTTP/1.1 404 X\r\nPapayafield-Attempt-Id: {id}\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 404 X\r\n{fields}Content-Length: 0\r\n\r\n",
     "" },
-  { "HTTP/1.1 200 OK\r\nPapayafield-Attempt-Id: {id}\r\nPapayafield-Response-Signature: s\r\n"
-    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+  { "HTTP/1.1 200 OK\r\n{fields}Content-Type: text/event-stream\r\nTransfer-Encoding: "
+    "chunked\r\n\r\n",
     "2\r\n.\n\r\n" },
-  { "HTTP/1.1 200 OK\r\nPapayafield-Attempt-Id: {id}\r\nPapayafield-Response-Signature: s\r\n"
-    "Content-Type: text/event-stream\r\nContent-Length: 99999999999\r\n\r\n",
+  { "HTTP/1.1 200 OK\r\n{fields}Content-Type: text/event-stream\r\nContent-Length: "
+    "99999999999\r\n\r\n",
     "data: x\n" },
-  { "HTTP/1.1 500 X\r\nPapayafield-Attempt-Id: {id}\r\n\r\n", "x" },
+  { "HTTP/1.1 500 X\r\n{fields}\r\n", "x" },
   { "HTTP/1.1 200 OK\r\nX: ", "x" },
   { "", "HTTP/1.1 100\r\n\r\n" },
 } };
--- a/standins/fleet/Runner.h
+++ b/standins/fleet/Runner.h
@@ -95,7 +95,7 @@
 
 /// Bytes that a runner sends in place of a response.
 struct RawResponse {
-  /// `{id}` stands for the attempt id.
+  /// `{id}` stands for the attempt id, `{fields}` for the fields that a proper response has.
   std::string m_bytes;
   /// Sent again and again after that, until the caller closes the connection; empty if nothing is.
   std::string m_repeated;
