Tests: findings of the linter, and fleets above the working set

`PlatformFleet` waited until each node names all nodes to callers, which a fleet of more than 16 never does; it waits until each knows all of them then.

--- a/tests/harness/PlatformFleet.h
+++ b/tests/harness/PlatformFleet.h
@@ -100,6 +100,9 @@
   static bool WaitUntil(const std::function<bool()>& aCondition);
 
 private:
+  /// Whether node `aIndex` has heard from all nodes, and directs callers to all of them or, in a
+  /// large fleet, to a part of them.
+  bool KnowsAllNodes(size_t aIndex) const;
   static std::string HostOf(size_t aIndex) { return "127.0.0." + std::to_string(10 + aIndex); }
   int ReadinessStatus(size_t aIndex) const;
   std::string WriteSettingsFile(size_t aIndex) const;
--- a/tests/integration/EndlessAnswersTest.cpp
+++ b/tests/integration/EndlessAnswersTest.cpp
@@ -143,6 +143,7 @@
                 Outcomes& aOutcomes) {
   const auto until = base::BootNow() + aTime;
   std::vector<std::thread> callers;
+  callers.reserve(static_cast<size_t>(aCallers));
   for (int i = 0; i < aCallers; ++i) {
     callers.emplace_back([&, i] {
       SendCalls(aFleet, "c" + std::to_string(i), i % 3 == 0 ? aTarget : nullptr, until, aOutcomes);
