Heartbeats of large rounds are sent in bursts, in random order

Cause: a node of the working set sends up to 40 heartbeats of 2 to 3 kB a round, all at once and in the order of the addresses. On a host with 10 Mbit/s the queue of its link overflows, and the same hosts, those at the end of the order, hear nothing of their busy peers. Change: rounds of more than 12 hosts go out in bursts of six over the tick, in random order.

--- a/packages/serving/GossipExchange.cpp
+++ b/packages/serving/GossipExchange.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/peer/GossipCodec.h"
 #include "adapters/peer/QuarantineCodec.h"
+#include "gossip/SendBursts.h"
 #include "serving/ReplicaCodec.h"
 
 #include <algorithm>
@@ -20,6 +21,9 @@
 /// Maximum number of nodes that one round of heartbeats goes to; bounds the traffic of a large
 /// fleet.
 constexpr size_t kFanout = 12;
+/// Hosts of one burst in a round that goes to more than kFanout of them: about 20 kB, which the
+/// queue of a link with 10 Mbit/s holds.
+constexpr size_t kMaxBurst = 6;
 /// Delay of an announcement, in which endpoints that become known to leave are collected.
 constexpr base::Millis kAnnounceDelay{ 10 };
 /// Lag behind a peer that is tolerated while this node watches the store itself, because the
@@ -82,17 +86,25 @@
   return std::max<size_t>((m_peerTable.All().size() + kFanout - 1) / kFanout, 1);
 }
 
-void GossipExchange::SendTo(const std::vector<std::string>& aHosts) {
-  if (aHosts.empty()) {
-    return;
-  }
-  const std::string bytes = adapters::peer::EncodeHeartbeat(m_makeHeartbeat());
+void GossipExchange::SendTo(const std::vector<std::string>& aHosts, const std::string& aHeartbeat) {
   for (const std::string& host : aHosts) {
-    m_socket.Send({ host, m_settings.m_gossipPort }, bytes);
+    m_socket.Send({ host, m_settings.m_gossipPort }, aHeartbeat);
   }
   SendLeavingNotice(aHosts);
 }
 
+void GossipExchange::SendNextBurst() {
+  m_burstTimer.reset();
+  if (m_bursts.empty()) {
+    return;
+  }
+  SendTo(m_bursts.back(), m_heartbeat);
+  m_bursts.pop_back();
+  if (!m_bursts.empty()) {
+    m_burstTimer = m_loop.After(m_burstInterval, [this] { SendNextBurst(); });
+  }
+}
+
 void GossipExchange::SendLeavingNotice(const std::vector<std::string>& aHosts) {
   const gossip::LeavingNotice notice = m_makeLeavingNotice();
   if (notice.m_marks.empty()) {
@@ -117,14 +129,22 @@
   });
 }
 
-void GossipExchange::SendHeartbeats(const std::vector<std::string>& aAlways) {
+void GossipExchange::SendHeartbeats(const std::vector<std::string>& aAlways,
+                                    base::Millis aDuration) {
   const std::vector<std::string> hosts = Hosts();
   std::set<std::string> targets(aAlways.begin(), aAlways.end());
   for (size_t i = 0; i < std::min(hosts.size(), kFanout); ++i) {
     targets.insert(hosts[m_nextHost++ % hosts.size()]);
   }
   targets.erase(m_settings.m_host);
-  SendTo({ targets.begin(), targets.end() });
+  if (targets.empty()) {
+    return;
+  }
+  m_heartbeat = adapters::peer::EncodeHeartbeat(m_makeHeartbeat());
+  m_bursts =
+    gossip::SplitIntoBursts({ targets.begin(), targets.end() }, kFanout, kMaxBurst, m_random);
+  m_burstInterval = aDuration / static_cast<int64_t>(m_bursts.size());
+  SendNextBurst();
 }
 
 void GossipExchange::SendQuarantineReport(const quarantine::Report& aReport,
--- a/packages/serving/GossipExchange.h
+++ b/packages/serving/GossipExchange.h
@@ -50,9 +50,11 @@
 
   /// Returns whether both ports could be bound.
   bool Bound() const { return m_socket.Bound() && m_server.Listening(); }
-  /// Sends a heartbeat now: to all nodes of a small fleet, to the next ones in rotation of a large
-  /// fleet, and to the hosts `aAlways` in each case.
-  void SendHeartbeats(const std::vector<std::string>& aAlways = {});
+  /// Sends a heartbeat to all nodes of a small fleet, to the next ones in rotation of a large
+  /// fleet, and to the hosts `aAlways` in each case. Many hosts are sent to in bursts over
+  /// `aDuration`, the first one now.
+  void SendHeartbeats(const std::vector<std::string>& aAlways = {},
+                      base::Millis aDuration = base::Millis(0));
   /// Sends a quarantine report now: to all nodes of a small fleet, to some drawn at random of a
   /// large one, and to the hosts `aAlways` in each case. Nodes pass reports on.
   void SendQuarantineReport(const quarantine::Report& aReport,
@@ -77,7 +79,8 @@
   std::optional<std::string> ConfigurationMissingInStore(uint64_t aEra,
                                                          int64_t aKnownVersion) const;
   std::vector<std::string> Hosts() const;
-  void SendTo(const std::vector<std::string>& aHosts);
+  void SendTo(const std::vector<std::string>& aHosts, const std::string& aHeartbeat);
+  void SendNextBurst();
   void SendLeavingNotice(const std::vector<std::string>& aHosts);
   void Receive();
   void ReceiveQuarantineReport(const std::string& aBytes);
@@ -111,6 +114,11 @@
   std::mt19937_64 m_random{ base::RandomSeed() };
   /// Index of the host at which the next round of heartbeats begins.
   size_t m_nextHost = 0;
+  /// Rest of the present round of heartbeats, and the interval between its bursts.
+  std::vector<std::vector<std::string>> m_bursts;
+  std::string m_heartbeat;
+  base::Millis m_burstInterval{ 0 };
+  adapters::http::EventHandlePtr m_burstTimer;
   /// Set while an announcement of leaving endpoints is about to be sent.
   adapters::http::EventHandlePtr m_announceTimer;
   bool m_fetching = false;
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -557,7 +557,7 @@
     m_storeWatcher.SetWatchEnabled(ShouldWatchStore(now));
     m_storeWatcher.OnEra(m_store.LatestEra());
     // Nodes of the working set inform one another first, since they share the load.
-    m_gossip.SendHeartbeats(isWorking ? workingSet : std::vector<std::string>());
+    m_gossip.SendHeartbeats(isWorking ? workingSet : std::vector<std::string>(), kTickInterval);
     m_state.m_crashGuard.Tick(now);
     SendQuarantineReport(isWorking ? workingSet : std::vector<std::string>());
     SendEmptyUpdate(now);
