The fleet's size follows measured rates and late calls

Cause: the leader added up what totals in heartbeats had grown by, so lost heartbeats looked like an end of the demand and the next ones like a burst. The cost model holds the figures of one kind of engine, and nothing corrected it while calls were late. Full-price engines moved to the cheapest zone at each change of the fleet and lost their cached prompts. Change: DemandMeter adds up the nodes' rates. Nodes count the calls to engines that missed their latency target; above 10 % the fleet grows by a quarter, and it does not shrink while over 3 % are late. It shrinks in steps of 15 %. Once there are calls, running engines stay in their zones.

--- a/packages/adapters/peer/GossipCodec.cpp
+++ b/packages/adapters/peer/GossipCodec.cpp
@@ -89,6 +89,8 @@
   heartbeat.m_configuration = aFrom.getConfiguration();
   heartbeat.m_position = { aFrom.getEra(), aFrom.getRevision() };
   heartbeat.m_requestedWorkMs = base::FiniteAmount(aFrom.getWorkAsked());
+  heartbeat.m_engineCalls = base::FiniteAmount(aFrom.getEngineCalls());
+  heartbeat.m_lateEngineCalls = base::FiniteAmount(aFrom.getLateEngineCalls());
   for (const auto load : aFrom.getLoads()) {
     heartbeat.m_loads[base::EndpointId(ToString(load.getEndpoint()))] = {
       base::FiniteAmount(load.getCalls()), base::FiniteAmount(load.getWaitingTokens())
@@ -119,6 +121,8 @@
   aTo.setEra(aHeartbeat.m_position.m_era);
   aTo.setRevision(aHeartbeat.m_position.m_revision);
   aTo.setWorkAsked(aHeartbeat.m_requestedWorkMs);
+  aTo.setEngineCalls(aHeartbeat.m_engineCalls);
+  aTo.setLateEngineCalls(aHeartbeat.m_lateEngineCalls);
   WriteLoads(aTo, aHeartbeat);
   WriteQuota(aTo, aHeartbeat.m_quota);
   WriteUsage(aTo, aHeartbeat);
--- a/packages/adapters/peer/news.capnp
+++ b/packages/adapters/peer/news.capnp
@@ -44,6 +44,8 @@
   levels @12 :List(NewsTotal);
   asked @13 :List(NewsTotal);
   era @14 :UInt64;
+  engineCalls @15 :Float64;
+  lateEngineCalls @16 :Float64;
 }
 
 struct NewsChange {
--- a/packages/adapters/peer/news.capnp.h
+++ b/packages/adapters/peer/news.capnp.h
@@ -101,7 +101,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(962536a4c280ae89, 5, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(962536a4c280ae89, 7, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -573,6 +573,10 @@
 
   inline  ::uint64_t getEra() const;
 
+  inline double getEngineCalls() const;
+
+  inline double getLateEngineCalls() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -678,6 +682,12 @@
   inline  ::uint64_t getEra();
   inline void setEra( ::uint64_t value);
 
+  inline double getEngineCalls();
+  inline void setEngineCalls(double value);
+
+  inline double getLateEngineCalls();
+  inline void setLateEngineCalls(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1632,6 +1642,34 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline double NewsBeat::Reader::getEngineCalls() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline double NewsBeat::Builder::getEngineCalls() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void NewsBeat::Builder::setEngineCalls(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline double NewsBeat::Reader::getLateEngineCalls() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline double NewsBeat::Builder::getLateEngineCalls() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void NewsBeat::Builder::setLateEngineCalls(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool NewsChange::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/duties/ScalingPolicy.cpp
+++ b/packages/duties/ScalingPolicy.cpp
@@ -28,6 +28,7 @@
   /// Reclaimable engines that are running or starting.
   int m_expected = 0;
   int m_fullPrice = 0;
+  int m_minFullPrice = 0;
 };
 
 /// Distributes `aCount` full-price engines over the zones, cheapest first, with at most
@@ -50,8 +51,57 @@
   }
 }
 
+/// Distributes `aCount` full-price engines over the zones so that as few as possible of the running
+/// ones stop: surplus ones stop in the most expensive zone first, and new ones start as in
+/// DistributeFullPrice. `aRunning` holds the engines of each zone, in the order of `aShares`.
+void AdjustFullPrice(std::vector<ZoneShare>& aShares,
+                     const std::vector<int>& aRunning,
+                     int aCount,
+                     int aMaxPerZone) {
+  int surplus = -aCount;
+  for (size_t i = 0; i < aShares.size(); ++i) {
+    aShares[i].m_fullPrice =
+      std::max(aShares[i].m_fullPrice, std::min(aRunning[i], aMaxPerZone - aShares[i].m_expected));
+    surplus += aShares[i].m_fullPrice;
+  }
+  std::vector<int> minimum;
+  for (const ZoneShare& share : aShares) {
+    minimum.push_back(share.m_minFullPrice);
+  }
+  for (size_t i = aShares.size(); i-- > 0 && surplus > 0;) {
+    const int stopped = std::clamp(aShares[i].m_fullPrice - minimum[i], 0, surplus);
+    aShares[i].m_fullPrice -= stopped;
+    surplus -= stopped;
+  }
+  DistributeFullPrice(aShares, aCount, aMaxPerZone);
+}
+
 } // namespace
 
+void ScalingPolicy::RecordLateness(double aCallsPerSecond,
+                                   double aLatePerSecond,
+                                   base::TimePoint aNow) {
+  const std::chrono::duration<double> elapsed = aNow - m_growthChangedAt;
+  m_growthChangedAt = aNow;
+  if (aCallsPerSecond < m_settings.m_minCallsForLateness) {
+    return;
+  }
+  const double lateness = aLatePerSecond / aCallsPerSecond;
+  if (lateness > m_settings.m_toleratedLateness) {
+    m_lastLateAt = aNow;
+  }
+  if (lateness > m_settings.m_excessiveLateness) {
+    // The engines of the last growth have to start before their effect shows.
+    if (aNow - m_lastGrowthAt >= m_settings.m_growthInterval) {
+      m_lastGrowthAt = aNow;
+      m_growth = std::min(m_growth * m_settings.m_growthFactor, m_settings.m_maxGrowth);
+    }
+  } else if (!m_lastLateAt || aNow - *m_lastLateAt >= m_settings.m_peakWindow) {
+    m_growth =
+      std::max(m_growth * std::pow(m_settings.m_growthDecayPerSecond, elapsed.count()), 1.0);
+  }
+}
+
 void ScalingPolicy::RecordDemand(double aWorkPerSecond, base::TimePoint aNow) {
   if (!m_firstDemandAt && aWorkPerSecond > 0) {
     m_firstDemandAt = aNow;
@@ -110,11 +160,11 @@
       : std::max(PeakDemandInEngines(), initialSize * m_settings.m_targetUtilization);
   FleetSize size;
   const double wantedEngines =
-    std::max(demand / m_settings.m_targetUtilization, InitialSizeBound(aNow));
+    std::max(demand * m_growth / m_settings.m_targetUtilization, InitialSizeBound(aNow));
   size.m_total = std::clamp(
     static_cast<int>(std::ceil(wantedEngines)), minTotal, zones * aBounds.m_maxEndpoints);
   const double minFullPrice = IsDemandKnown(aNow)
-                                ? demand * m_settings.m_fullPriceFraction
+                                ? demand * m_growth * m_settings.m_fullPriceFraction
                                 : initialSize * m_settings.m_initialFullPriceFraction;
   size.m_minFullPrice = std::clamp(
     static_cast<int>(std::ceil(minFullPrice)), std::min(size.m_total, zones), size.m_total);
@@ -125,6 +175,9 @@
                                        const ScalingOrder& aOrder,
                                        bool aAccepted,
                                        base::TimePoint aNow) {
+  if (!aOrder.m_reclaimable && aAccepted) {
+    m_fullPriceOrders[{ aService.m_id, aOrder.m_zone }] = aOrder.m_count;
+  }
   if (aOrder.m_reclaimable && aService.m_scaling) {
     m_lastOrders[{ aService.m_id, aOrder.m_zone }] = {
       aAccepted ? aOrder.m_count : 0, aNow + aService.m_scaling->m_boot + m_settings.m_startSlack
@@ -145,6 +198,12 @@
       ++counts.m_reclaimable[endpoint.m_zone];
     } else if (!endpoint.m_draining) {
       ++counts.m_fullPrice;
+      ++counts.m_fullPriceByZone[endpoint.m_zone];
+    }
+  }
+  for (const auto& [key, count] : m_fullPriceOrders) {
+    if (key.first == aService.m_id) {
+      counts.m_fullPriceByZone[key.second] = count;
     }
   }
   counts.m_expected = counts.m_reclaimable;
@@ -174,6 +233,27 @@
   return std::max(neededSoon, std::min(neededNow, aEngines.m_fullPrice));
 }
 
+/// Returns the size that the fleet should have now if `aWanted` engines would be enough. The fleet
+/// grows at once, and shrinks in steps while all calls are answered in time.
+int ScalingPolicy::LimitReduction(int aWanted, base::TimePoint aNow) {
+  if (!IsDemandKnown(aNow) || !m_plannedSize || aWanted >= *m_plannedSize) {
+    m_plannedSize = aWanted;
+    m_lastReductionAt = aNow - m_settings.m_reductionInterval;
+    return aWanted;
+  }
+  const int planned = *m_plannedSize;
+  const bool isLate = m_lastLateAt && aNow - *m_lastLateAt < m_settings.m_peakWindow;
+  const bool isWorthwhile = planned - aWanted >= planned * m_settings.m_minReduction;
+  const auto steps =
+    std::min<int64_t>((aNow - m_lastReductionAt) / m_settings.m_reductionInterval, planned);
+  if (!isLate && isWorthwhile && steps > 0) {
+    m_lastReductionAt = aNow;
+    const int step = std::max(static_cast<int>(planned * m_settings.m_maxReduction), 2);
+    m_plannedSize = std::max(planned - step * static_cast<int>(steps), aWanted);
+  }
+  return *m_plannedSize;
+}
+
 std::vector<ScalingOrder> ScalingPolicy::Plan(const fleet::Service& aService,
                                               const std::vector<fleet::Endpoint>& aEndpoints,
                                               base::TimePoint aNow) {
@@ -188,19 +268,30 @@
   const fleet::ScalingBounds& bounds = *aService.m_scaling;
   const std::vector<base::ZoneId> zones = ZonesByPrice(bounds);
   const int zoneCount = static_cast<int>(zones.size());
-  const FleetSize size = TargetFleetSize(bounds, aNow);
+  FleetSize size = TargetFleetSize(bounds, aNow);
+  size.m_total = LimitReduction(size.m_total, aNow);
   const EngineCounts counts = CountEngines(aService, aEndpoints, aNow);
   const int reclaimableTarget = size.m_total - size.m_minFullPrice;
   std::vector<ZoneShare> shares;
+  std::vector<int> running;
   for (int i = 0; i < zoneCount; ++i) {
     // Reclaimable engines are spread over the zones, since a reclaim takes all of a zone at once.
     const int share = reclaimableTarget / zoneCount + (i < reclaimableTarget % zoneCount ? 1 : 0);
     const auto expected = counts.m_expected.find(zones[static_cast<size_t>(i)]);
     const int available =
       std::min(share, expected == counts.m_expected.end() ? 0 : expected->second);
-    shares.push_back({ share, available, std::max(bounds.m_minEndpoints - share, 0) });
+    const int minimum = std::max(bounds.m_minEndpoints - share, 0);
+    shares.push_back({ share, available, minimum, minimum });
+    const auto full = counts.m_fullPriceByZone.find(zones[static_cast<size_t>(i)]);
+    running.push_back(full == counts.m_fullPriceByZone.end() ? 0 : full->second);
+  }
+  const int fullPrice = FullPriceTarget(size, counts);
+  if (m_firstDemandAt) {
+    AdjustFullPrice(shares, running, fullPrice, bounds.m_maxEndpoints);
+  } else {
+    // Without calls, no cached prompt is lost by a move to cheaper zones.
+    DistributeFullPrice(shares, fullPrice, bounds.m_maxEndpoints);
   }
-  DistributeFullPrice(shares, FullPriceTarget(size, counts), bounds.m_maxEndpoints);
   for (int i = 0; i < zoneCount; ++i) {
     const ZoneShare& share = shares[static_cast<size_t>(i)];
     const base::ZoneId& zone = zones[static_cast<size_t>(i)];
--- a/packages/duties/ScalingPolicy.h
+++ b/packages/duties/ScalingPolicy.h
@@ -33,6 +33,25 @@
   double m_fullPriceFraction = 0.4;
   /// The same minimum as a fraction of the fleet, used before demand is known.
   double m_initialFullPriceFraction = 0.5;
+  /// Minimum interval between two reductions of the fleet, and the largest one as a fraction of
+  /// the fleet. The calls of an engine that stops are prefilled again elsewhere, which the rest of
+  /// the fleet must have time to absorb.
+  base::Millis m_reductionInterval{ 2000 };
+  double m_maxReduction = 0.15;
+  /// Smallest reduction that is worthwhile, as a fraction of the fleet.
+  double m_minReduction = 0.08;
+  /// Fraction of the calls that may miss their latency target while the fleet counts as large
+  /// enough, and the fraction above which it grows.
+  double m_toleratedLateness = 0.03;
+  double m_excessiveLateness = 0.1;
+  /// Number of calls from which a fraction of them says something.
+  double m_minCallsForLateness = 30;
+  /// Factor by which the fleet grows at excessive lateness, and its decay per second afterwards.
+  double m_growthFactor = 1.25;
+  double m_growthDecayPerSecond = 0.97;
+  double m_maxGrowth = 3;
+  /// Minimum interval between two such steps: the start of an engine and one measurement.
+  base::Millis m_growthInterval{ 5000 };
 };
 
 /// The number of engines of one price class that a service should have in one zone.
@@ -60,6 +79,10 @@
   }
   /// Records the demand at `aNow`: requested engine milliseconds per second, over all nodes.
   void RecordDemand(double aWorkPerSecond, base::TimePoint aNow);
+  /// Records how many calls to engines per second got an answer in the latest interval, and how
+  /// many of them missed their latency target or were not answered at all, over all nodes. The
+  /// fleet grows while many do and does not shrink while some do, whatever the cost model says.
+  void RecordLateness(double aCallsPerSecond, double aLatePerSecond, base::TimePoint aNow);
   /// Returns the target engine counts, one order per zone and price class. `aEndpoints` holds the
   /// registrations of all endpoints of the service. Returns no orders if the service has no scaling
   /// bounds, or if neither the size of the fleet nor the demand is known yet.
@@ -88,6 +111,8 @@
   /// Engines of a service that accept new work, and reclaimable ones that will do so soon.
   struct EngineCounts {
     int m_fullPrice = 0;
+    /// Full-price engines as last ordered, or as registered if this node ordered none.
+    std::map<base::ZoneId, int> m_fullPriceByZone;
     std::map<base::ZoneId, int> m_reclaimable;
     std::map<base::ZoneId, int> m_expected;
   };
@@ -104,6 +129,7 @@
   int FullPriceTarget(const FleetSize& aSize, const EngineCounts& aEngines) const;
   double InitialSizeBound(base::TimePoint aNow) const;
   FleetSize TargetFleetSize(const fleet::ScalingBounds& aBounds, base::TimePoint aNow) const;
+  int LimitReduction(int aWanted, base::TimePoint aNow);
 
   struct Sample {
     base::TimePoint m_at;
@@ -117,6 +143,16 @@
   size_t m_readyEngines = 0;
   base::TimePoint m_readySince{};
   std::map<std::pair<fleet::ServiceId, base::ZoneId>, LastOrder> m_lastOrders;
+  /// Accepted counts of full-price engines.
+  std::map<std::pair<fleet::ServiceId, base::ZoneId>, int> m_fullPriceOrders;
+  /// Factor on the demand that excessive lateness has led to.
+  double m_growth = 1;
+  base::TimePoint m_growthChangedAt{};
+  base::TimePoint m_lastGrowthAt{};
+  std::optional<base::TimePoint> m_lastLateAt;
+  /// Planned size of the fleet once demand is known, and the time of its last reduction.
+  std::optional<int> m_plannedSize;
+  base::TimePoint m_lastReductionAt{};
   /// Size of the fleet when it was first completely started.
   std::optional<size_t> m_initialSize;
 };
--- a/packages/duties/tests/ScalingPolicyTest.cpp
+++ b/packages/duties/tests/ScalingPolicyTest.cpp
@@ -180,4 +180,120 @@
   BOOST_TEST(LoadedPolicy(4).Plan(plain, {}, kLater).empty());
 }
 
+/// A service with 94 engines a zone at most, as on a large site.
+fleet::Service LargeService() {
+  fleet::Service service = EngineService();
+  service.m_engine = { 16, 334556, 5 };
+  service.m_scaling->m_maxEndpoints = 94;
+  return service;
+}
+
+/// Returns full-price engines only, so that they stand for all planned engines.
+std::vector<fleet::Endpoint> LargeFleet() {
+  std::vector<fleet::Endpoint> engines;
+  for (const char* zone : { "a", "b", "c" }) {
+    const auto part = MakeEndpoints(46, false, zone);
+    engines.insert(engines.end(), part.begin(), part.end());
+  }
+  return engines;
+}
+
+// By the cost model 40 of 138 engines were enough; the engines were slower than the model, and
+// every second call was late for 20 s without the fleet growing again.
+BOOST_AUTO_TEST_CASE(FleetGrowsWhileCallsAreLate) {
+  ScalingPolicy policy{ ScalingSettings{} };
+  int size = 0;
+  for (int step = 0; step <= 60; ++step) {
+    const auto now = kStart + base::Millis(step * 500);
+    if (step % 3 == 0) {
+      policy.RecordDemand(20000, now);
+      policy.RecordLateness(400, size > 0 && size < 80 ? 160 : 4, now);
+    }
+    const auto orders = policy.Plan(LargeService(), LargeFleet(), now);
+    if (!orders.empty()) {
+      size = TotalEngines(orders, false);
+    }
+  }
+  BOOST_TEST(size >= 80);
+  BOOST_TEST(size < 138);
+}
+
+// A few calls are always late: endpoints crash and hosts freeze. They must not stop the fleet from
+// following the demand downwards.
+BOOST_AUTO_TEST_CASE(FewLateCallsDoNotKeepTheFleetLarge) {
+  ScalingPolicy policy{ ScalingSettings{} };
+  int size = 0;
+  for (int step = 0; step <= 120; ++step) {
+    const auto now = kStart + base::Millis(step * 500);
+    if (step % 3 == 0) {
+      policy.RecordDemand(20000, now);
+      policy.RecordLateness(400, 8, now);
+    }
+    const auto orders = policy.Plan(LargeService(), LargeFleet(), now);
+    if (!orders.empty()) {
+      size = TotalEngines(orders, false);
+    }
+  }
+  BOOST_TEST(size <= 45);
+}
+
+// Each engine that stops takes its cached prompts with it. A fleet that shrank from 140 to 60
+// engines within four seconds prefilled most prompts again and was overloaded by that.
+BOOST_AUTO_TEST_CASE(FleetShrinksInSteps) {
+  ScalingPolicy policy{ ScalingSettings{} };
+  std::vector<int> sizes;
+  for (int step = 0; step <= 60; ++step) {
+    const auto now = kStart + base::Millis(step * 500);
+    policy.RecordDemand(10000, now);
+    const auto orders = policy.Plan(LargeService(), LargeFleet(), now);
+    if (!orders.empty()) {
+      sizes.push_back(TotalEngines(orders, false));
+    }
+  }
+  for (size_t i = 16; i < sizes.size(); ++i) {
+    BOOST_TEST(sizes[i - 4] - sizes[i] <= std::max(sizes[i - 4] * 16 / 100, 2));
+  }
+  BOOST_TEST(sizes.back() <= 22);
+}
+
+// Full-price engines used to move to the cheapest zone whenever the number of reclaimable ones
+// changed: 891 engines were started in 52 s for a fleet of 140.
+BOOST_AUTO_TEST_CASE(EnginesStayInTheirZoneWhenTheFleetChanges) {
+  ScalingPolicy policy = LoadedPolicy(40);
+  std::map<base::ZoneId, int> fullPrice;
+  int moved = 0;
+  for (int step = 0; step < 40; ++step) {
+    const auto now = kLater + base::Millis(step * 500);
+    policy.RecordDemand(40000, now);
+    // Reclaimable engines of one zone after the other are taken back and return.
+    std::vector<fleet::Endpoint> engines;
+    for (const auto& [zone, count] : fullPrice) {
+      const auto part = MakeEndpoints(static_cast<size_t>(count), false, zone.Text());
+      engines.insert(engines.end(), part.begin(), part.end());
+    }
+    for (const char* zone : { "a", "b", "c" }) {
+      const bool isGone = (step / 10) % 3 == *zone - 'a';
+      const auto part = MakeEndpoints(isGone ? 0 : 16, true, zone);
+      engines.insert(engines.end(), part.begin(), part.end());
+    }
+    std::map<base::ZoneId, int> planned;
+    for (const ScalingOrder& order : policy.Plan(LargeService(), engines, now)) {
+      policy.RecordOrderOutcome(LargeService(), order, true, now);
+      if (!order.m_reclaimable) {
+        planned[order.m_zone] = order.m_count;
+      }
+    }
+    int started = 0;
+    int stopped = 0;
+    for (const auto& [zone, count] : planned) {
+      started += std::max(count - fullPrice[zone], 0);
+      stopped += std::max(fullPrice[zone] - count, 0);
+    }
+    // An engine that stops in one zone while another one starts elsewhere has moved.
+    moved += step == 0 ? 0 : std::min(started, stopped);
+    fullPrice = planned;
+  }
+  BOOST_TEST(moved == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -577,6 +577,7 @@
   if (!m_streamBegun) {
     m_streamBegun = true;
     m_firstByteAt = base::BootNow();
+    CountLateness(true);
     m_sink.m_onStreamHead(CallerHead(aAttempt->m_head));
   }
   m_sink.m_onEvents(events);
@@ -904,11 +905,26 @@
   }
 }
 
+/// Counts whether the call met its latency target, for the size of the fleet. Calls that ended for
+/// reasons of their own before that say nothing.
+void Exchange::CountLateness(bool aHasAnswer) {
+  if (!m_call.m_promptTokens || m_route.m_latencyTarget.count() <= 0) {
+    return;
+  }
+  const bool isLate = base::BootNow() - m_arrival > m_route.m_latencyTarget;
+  if (aHasAnswer || isLate || m_attemptCount > 0) {
+    m_node.CountEngineCall(isLate || !aHasAnswer);
+  }
+}
+
 void Exchange::Finish(int aStatus, const std::string& aReason) {
   if (m_finished) {
     return;
   }
   m_finished = true;
+  if (!m_streamBegun && !m_callerDisconnected) {
+    CountLateness(aStatus / 100 == 2);
+  }
   m_deadlineTimer.reset();
   m_overlapTimer.reset();
   if (m_silentAttempt != nullptr) {
--- a/packages/forwarding/Exchange.h
+++ b/packages/forwarding/Exchange.h
@@ -92,6 +92,7 @@
   void Release(const std::shared_ptr<ActiveAttempt>& aAttempt, bool aReuse);
   void CountUsage(const std::shared_ptr<ActiveAttempt>& aAttempt, base::TimePoint aBegan);
   void AddOutputWork();
+  void CountLateness(bool aHasAnswer);
   void RefuseQuarantined(base::Millis aRemaining);
   void OnTimeout();
   bool MayHaveBeenSent() const;
--- a/packages/forwarding/NodeState.h
+++ b/packages/forwarding/NodeState.h
@@ -62,6 +62,15 @@
   void AddRequestedWork(double aMillis) { m_requestedWork += aMillis; }
   /// Returns the engine work requested since the start, in engine milliseconds.
   double RequestedWork() const { return m_requestedWork; }
+  /// Counts a call to an engine whose answer has begun, or that ended without one. `aIsLate` tells
+  /// whether it missed its latency target.
+  void CountEngineCall(bool aIsLate) {
+    m_engineCalls += 1;
+    m_lateEngineCalls += aIsLate ? 1 : 0;
+  }
+  /// Returns the number of calls counted by CountEngineCall, and of the late ones among them.
+  double EngineCalls() const { return m_engineCalls; }
+  double LateEngineCalls() const { return m_lateEngineCalls; }
   /// Returns a random number in [0, 1).
   double Random() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
 
@@ -92,6 +101,8 @@
   size_t m_nodeCount = 3;
   std::map<fleet::ServiceId, requests::RetryBudget> m_budgets;
   double m_requestedWork = 0;
+  double m_engineCalls = 0;
+  double m_lateEngineCalls = 0;
   std::mt19937_64 m_random{ base::RandomSeed() };
 };
 
--- a/packages/gossip/Heartbeat.h
+++ b/packages/gossip/Heartbeat.h
@@ -41,6 +41,9 @@
   store::Position m_position;
   /// Total engine work requested since the node started, in engine milliseconds.
   double m_requestedWorkMs = 0;
+  /// Calls to engines since the node started, and those that missed their latency target.
+  double m_engineCalls = 0;
+  double m_lateEngineCalls = 0;
   /// Calls of this node in flight, by endpoint.
   std::map<base::EndpointId, placement::Load> m_loads;
   /// The node's view of the teams' quotas.
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "duties/Autoscaler.h"
+#include "duties/DemandMeter.h"
 #include "duties/LeaderElection.h"
 #include "duties/UsageReporter.h"
 #include "forwarding/Gateway.h"
@@ -460,6 +461,8 @@
     heartbeat.m_configuration = ConfigurationVersion();
     heartbeat.m_position = m_replica.LastPosition();
     heartbeat.m_requestedWorkMs = m_state.RequestedWork();
+    heartbeat.m_engineCalls = m_state.EngineCalls();
+    heartbeat.m_lateEngineCalls = m_state.LateEngineCalls();
     for (const auto& [endpoint, load] : m_state.m_placement.LocalLoad()) {
       if (load.m_calls > 0) {
         heartbeat.m_loads[endpoint] = load;
@@ -489,7 +492,11 @@
     m_state.m_quota.MergePeerView(
       aHeartbeat.m_from.m_node, aHeartbeat.m_from.m_startMs, isYoung, aHeartbeat.m_quota, now);
     m_state.m_usage.MergePeerCounts(incarnation, aHeartbeat.m_usage);
-    AddPeerWork(incarnation, aHeartbeat.m_requestedWorkMs);
+    RecordDemand(incarnation,
+                 aHeartbeat.m_requestedWorkMs,
+                 aHeartbeat.m_engineCalls,
+                 aHeartbeat.m_lateEngineCalls,
+                 now);
     for (const gossip::Contact& contact : aHeartbeat.m_contacts) {
       m_peerTable.RecordContact(contact, false, now);
     }
@@ -514,14 +521,6 @@
     }
   }
 
-  void AddPeerWork(const std::string& aIncarnation, double aTotal) {
-    const auto previous = m_peerWork.find(aIncarnation);
-    if (previous != m_peerWork.end()) {
-      m_newPeerWork += std::max(aTotal - previous->second, 0.0);
-    }
-    m_peerWork[aIncarnation] = aTotal;
-  }
-
   /// Returns whether each node has sent its counts since `aWallMs`.
   bool AllCountsReceived(int64_t aWallMs) const {
     return m_peerTable.AllHeartbeatsWithin(base::Millis(base::WallMillis() - aWallMs),
@@ -612,17 +611,32 @@
   }
 
   void MeasureDemand(base::TimePoint aNow) {
-    if (aNow - m_demandIntervalStart < kDemandInterval) {
+    if (aNow < m_nextDemandMeasurement) {
       return;
     }
-    const double seconds = std::chrono::duration<double>(aNow - m_demandIntervalStart).count();
-    const double work = m_newPeerWork + m_state.RequestedWork() - m_lastOwnWork;
-    if (m_demandIntervalStart != base::TimePoint{}) {
-      m_state.m_scaling.RecordDemand(work / seconds, aNow);
+    RecordDemand(m_self.IncarnationKey(),
+                 m_state.RequestedWork(),
+                 m_state.EngineCalls(),
+                 m_state.LateEngineCalls(),
+                 aNow);
+    const double work = m_demand.Measure(aNow);
+    const double calls = m_engineCalls.Measure(aNow);
+    const double late = m_lateEngineCalls.Measure(aNow);
+    if (m_nextDemandMeasurement != base::TimePoint{}) {
+      m_state.m_scaling.RecordDemand(work, aNow);
+      m_state.m_scaling.RecordLateness(calls, late, aNow);
     }
-    m_demandIntervalStart = aNow;
-    m_lastOwnWork = m_state.RequestedWork();
-    m_newPeerWork = 0;
+    m_nextDemandMeasurement = aNow + kDemandInterval;
+  }
+
+  void RecordDemand(const std::string& aIncarnation,
+                    double aWork,
+                    double aCalls,
+                    double aLateCalls,
+                    base::TimePoint aNow) {
+    m_demand.Record(aIncarnation, aWork, aNow);
+    m_engineCalls.Record(aIncarnation, aCalls, aNow);
+    m_lateEngineCalls.Record(aIncarnation, aLateCalls, aNow);
   }
 
   void RunLeaderTasks() {
@@ -740,10 +754,11 @@
   adapters::http::EventHandlePtr m_reportTimer;
   bool m_reportScheduled = false;
   std::mt19937_64 m_random{ base::RandomSeed() };
-  std::map<std::string, double> m_peerWork;
-  double m_newPeerWork = 0;
-  double m_lastOwnWork = 0;
-  base::TimePoint m_demandIntervalStart{};
+  /// Engine work, calls to engines, and late ones among them, of all nodes.
+  duties::DemandMeter m_demand;
+  duties::DemandMeter m_engineCalls;
+  duties::DemandMeter m_lateEngineCalls;
+  base::TimePoint m_nextDemandMeasurement{};
   /// Lease of this node's registration.
   store::Lease m_lease;
   base::TimePoint m_nextRegistration{};
