Attempts that are never answered end half a second after their deadline

Cause: an attempt of a call that must not be repeated was kept for as long as its endpoint was silent, also after its caller had gone, and counted as the endpoint's load. Change: the endpoint knows the deadline, so the attempt is closed 500 ms after it and counts as a failure. A gauge shows the open attempts.

--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -45,6 +45,10 @@
 /// Mean time in seconds over which callers return after the end of an endpoint's pause.
 constexpr double kReturnSpreadSeconds = 0.2;
 
+/// Time after the deadline of a call that must not be cancelled at which its attempt is abandoned.
+/// The endpoint was told the deadline and stops at it by itself.
+constexpr base::Millis kAbandonDelay{ 500 };
+
 /// Method whose answers have no body.
 constexpr std::string_view kHeadMethod = "HEAD";
 
@@ -779,10 +783,33 @@
   const bool sent = MayHaveBeenSent();
   if (m_attempt != nullptr && (m_route.m_kind != CallKind::Unsafe || !sent)) {
     Release(m_attempt, false);
+  } else if (m_attempt != nullptr) {
+    m_abandonTimer = m_node.m_loop.After(kAbandonDelay, [weak = weak_from_this()] {
+      if (const auto exchange = weak.lock()) {
+        exchange->AbandonUnansweredAttempt();
+      }
+    });
   }
   Reject(FinalStatus(m_possibleRuns > 0 || sent, true), kTimeoutReason, 0);
 }
 
+/// Ends an attempt that the endpoint has not answered. Otherwise an endpoint that falls silent
+/// would count as loaded with it for as long as the node runs, and get no calls after its recovery.
+void Exchange::AbandonUnansweredAttempt() {
+  const auto attempt = m_attempt;
+  if (attempt == nullptr || attempt->m_ended) {
+    return;
+  }
+  m_node.m_log.Event("unanswered attempt abandoned",
+                     { { "request", m_call.m_id },
+                       { "endpoint", attempt->m_endpoint.m_incarnation.m_endpoint.Text() },
+                       { "route", m_route.m_name } });
+  m_node.m_metrics.Count("attempts_abandoned");
+  m_node.m_placement.RecordOutcome(
+    attempt->m_endpoint.m_incarnation.m_endpoint, false, base::BootNow());
+  Release(attempt, false);
+}
+
 /// Returns whether an attempt is in progress that may run: its connection has been established.
 bool Exchange::MayHaveBeenSent() const {
   return m_silentAttempt != nullptr ||
@@ -809,14 +836,15 @@
 void Exchange::OnCallerDisconnected() {
   const auto self = shared_from_this();
   m_callerDisconnected = true;
-  m_deadlineTimer.reset();
   if (m_finished) {
     return;
   }
   if (m_attempt != nullptr && m_route.m_kind != CallKind::Unsafe) {
     Release(m_attempt, false);
   }
+  // The deadline still limits an attempt that goes on.
   if (m_attempt == nullptr) {
+    m_deadlineTimer.reset();
     Finish(0, "caller_gone");
   }
 }
--- a/packages/forwarding/Exchange.h
+++ b/packages/forwarding/Exchange.h
@@ -95,6 +95,7 @@
   void CountLateness(bool aHasAnswer);
   void RefuseQuarantined(base::Millis aRemaining);
   void OnTimeout();
+  void AbandonUnansweredAttempt();
   bool MayHaveBeenSent() const;
   void Reject(int aStatus,
               const std::string& aReason,
@@ -133,6 +134,8 @@
   std::shared_ptr<ActiveAttempt> m_silentAttempt;
   adapters::http::EventHandlePtr m_overlapTimer;
   adapters::http::EventHandlePtr m_deadlineTimer;
+  /// Limits the wait for an attempt that must not be cancelled, after the deadline.
+  adapters::http::EventHandlePtr m_abandonTimer;
   EventSplitter m_splitter;
   /// Expected delay to the first byte at the most recently selected endpoint, in milliseconds.
   double m_expectedDelayMs = 0;
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -169,6 +169,11 @@
     m_state.m_metrics.Set("configuration", static_cast<double>(ConfigurationVersion()));
     m_state.m_metrics.Set("endpoint_connects", static_cast<double>(m_state.m_pool.ConnectCount()));
     m_state.m_metrics.Set("calls_open", static_cast<double>(m_gateway.BusyCount()));
+    double openAttempts = 0;
+    for (const auto& [endpoint, load] : m_state.m_placement.LocalLoad()) {
+      openAttempts += load.m_calls;
+    }
+    m_state.m_metrics.Set("attempts_open", openAttempts);
     m_state.m_metrics.Set("holds_duties", m_leaderElection.IsLeader() ? 1 : 0);
     return m_state.m_metrics.Page();
   }
