Placement: cost of prompts in mixed services

Change: calls with CallNeeds are placed with the corrected delay and tolerance of packages/scheduling; others as before. Loads carry the urgency of open calls and of pending tokens, in heartbeats as NewsLoad @3 and @4, which nodes of earlier versions ignore. OutlookFor returns the load of all candidates, for refusals.

--- a/packages/adapters/peer/GossipCodec.cpp
+++ b/packages/adapters/peer/GossipCodec.cpp
@@ -66,7 +66,9 @@
   for (const auto& [endpoint, load] : aHeartbeat.m_loads) {
     loads[index].setEndpoint(endpoint.Text());
     loads[index].setCalls(static_cast<float>(load.m_calls));
-    loads[index++].setWaitingTokens(static_cast<float>(load.m_pendingPromptTokens));
+    loads[index].setWaitingTokens(static_cast<float>(load.m_pendingPromptTokens));
+    loads[index].setUrgency(static_cast<float>(load.m_urgency));
+    loads[index++].setUrgentTokens(static_cast<float>(load.m_urgentPromptTokens));
   }
 }
 
@@ -91,7 +93,10 @@
   heartbeat.m_requestedWorkMs = base::FiniteAmount(aFrom.getWorkAsked());
   for (const auto load : aFrom.getLoads()) {
     heartbeat.m_loads[base::EndpointId(ToString(load.getEndpoint()))] = {
-      base::FiniteAmount(load.getCalls()), base::FiniteAmount(load.getWaitingTokens())
+      base::FiniteAmount(load.getCalls()),
+      base::FiniteAmount(load.getWaitingTokens()),
+      base::FiniteAmount(load.getUrgency()),
+      base::FiniteAmount(load.getUrgentTokens())
     };
   }
   ReadTotals(aFrom.getGranted(), heartbeat.m_quota.m_granted);
--- a/packages/adapters/peer/news.capnp
+++ b/packages/adapters/peer/news.capnp
@@ -16,6 +16,8 @@
   endpoint @0 :Text;
   calls @1 :Float32;
   waitingTokens @2 :Float32;
+  urgency @3 :Float32;
+  urgentTokens @4 :Float32;
 }
 
 struct NewsTotal {
--- a/packages/adapters/peer/news.capnp.h
+++ b/packages/adapters/peer/news.capnp.h
@@ -56,7 +56,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(add45e242a0a5315, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(add45e242a0a5315, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -279,6 +279,10 @@
 
   inline float getWaitingTokens() const;
 
+  inline float getUrgency() const;
+
+  inline float getUrgentTokens() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -320,6 +324,12 @@
   inline float getWaitingTokens();
   inline void setWaitingTokens(float value);
 
+  inline float getUrgency();
+  inline void setUrgency(float value);
+
+  inline float getUrgentTokens();
+  inline void setUrgentTokens(float value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1161,6 +1171,34 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline float NewsLoad::Reader::getUrgency() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline float NewsLoad::Builder::getUrgency() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void NewsLoad::Builder::setUrgency(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline float NewsLoad::Reader::getUrgentTokens() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline float NewsLoad::Builder::getUrgentTokens() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void NewsLoad::Builder::setUrgentTokens(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool NewsTotal::Reader::hasTeam() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/placement/Placement.cpp
+++ b/packages/placement/Placement.cpp
@@ -25,6 +25,14 @@
 
 } // namespace
 
+Load& Load::operator+=(const Load& aOther) {
+  m_calls += aOther.m_calls;
+  m_pendingPromptTokens += aOther.m_pendingPromptTokens;
+  m_urgency += aOther.m_urgency;
+  m_urgentPromptTokens += aOther.m_urgentPromptTokens;
+  return *this;
+}
+
 bool Placement::Matches(const PlacementRequest& aRequest, const fleet::Endpoint& aEndpoint) const {
   return aEndpoint.m_service == aRequest.m_service &&
          !aRequest.m_tried.contains(aEndpoint.m_incarnation.m_endpoint) &&
@@ -53,15 +61,48 @@
   return available.empty() ? matching : available;
 }
 
-double Placement::ExpectedLoadDelayMs(const base::EndpointId& aEndpoint, bool aIsEngine) const {
+Load Placement::TotalLoad(const base::EndpointId& aEndpoint) const {
   Load load;
   if (const auto local = m_localLoad.find(aEndpoint); local != m_localLoad.end()) {
     load = local->second;
   }
   if (const auto peers = m_totalPeerLoad.find(aEndpoint); peers != m_totalPeerLoad.end()) {
-    load.m_calls += peers->second.m_calls;
-    load.m_pendingPromptTokens += peers->second.m_pendingPromptTokens;
+    load += peers->second;
   }
+  return load;
+}
+
+scheduling::EngineWork Placement::WorkAt(const base::EndpointId& aEndpoint) const {
+  const Load load = TotalLoad(aEndpoint);
+  return { load.m_calls,
+           load.m_urgency,
+           load.m_pendingPromptTokens,
+           load.m_urgentPromptTokens,
+           m_settings.m_prefillTokensPerMs };
+}
+
+Outlook Placement::OutlookFor(const PlacementRequest& aRequest,
+                              const std::vector<fleet::Endpoint>& aEndpoints,
+                              base::TimePoint aNow) const {
+  scheduling::CallNeeds needs = aRequest.m_mix.value_or(scheduling::CallNeeds{});
+  needs.m_promptTokens = 0;
+  Outlook outlook;
+  for (const size_t i : Candidates(aRequest, aEndpoints, aNow)) {
+    const base::EndpointId& endpoint = aEndpoints[i].m_incarnation.m_endpoint;
+    const scheduling::EngineWork work = WorkAt(endpoint);
+    const double delay =
+      ExpectedLoadDelayMs(endpoint, true) + scheduling::MixedDelayMs(m_mixSettings, needs, work);
+    outlook.m_shortestDelayMs =
+      outlook.m_endpoints == 0 ? delay : std::min(outlook.m_shortestDelayMs, delay);
+    ++outlook.m_endpoints;
+    outlook.m_calls += work.m_calls;
+    outlook.m_waitingCalls += std::max(work.m_calls - needs.m_slots, 0.0);
+  }
+  return outlook;
+}
+
+double Placement::ExpectedLoadDelayMs(const base::EndpointId& aEndpoint, bool aIsEngine) const {
+  const Load load = TotalLoad(aEndpoint);
   return load.m_pendingPromptTokens / m_settings.m_prefillTokensPerMs +
          load.m_calls *
            (aIsEngine ? m_settings.m_engineCallDelayMs : m_settings.m_serviceCallDelayMs);
@@ -84,7 +125,10 @@
     const fleet::Endpoint& endpoint = aEndpoints[i];
     delays.push_back(
       ExpectedDelayMs(endpoint.m_incarnation.m_endpoint, aRequest.m_promptTokens > 0) +
-      (endpoint.m_zone == aRequest.m_zone ? 0 : kOtherZonePenaltyMs));
+      (endpoint.m_zone == aRequest.m_zone ? 0 : kOtherZonePenaltyMs) +
+      (aRequest.m_mix ? scheduling::MixedDelayMs(
+                          m_mixSettings, *aRequest.m_mix, WorkAt(endpoint.m_incarnation.m_endpoint))
+                      : 0));
   }
   const auto shortest = std::min_element(delays.begin(), delays.end());
   if (shortest == delays.end()) {
@@ -95,13 +139,18 @@
   }
   // Choose the endpoint of highest rendezvous rank whose delay is close to the shortest delay. A
   // hot subject thus overflows to few endpoints, which then cache its shared prompt parts too.
+  const double tolerance = aRequest.m_mix
+                             ? scheduling::AffinityToleranceMs(m_mixSettings,
+                                                               *aRequest.m_mix,
+                                                               m_settings.m_prefillTokensPerMs,
+                                                               m_settings.m_maxAffinityDelayMs)
+                             : m_settings.m_maxAffinityDelayMs;
   std::optional<size_t> best;
   uint64_t bestRank = 0;
   for (size_t index = 0; index < candidates.size(); ++index) {
     const uint64_t rank =
       RendezvousRank(aRequest.m_subject, aEndpoints[candidates[index]].m_incarnation.m_endpoint);
-    if (delays[index] <= *shortest + m_settings.m_maxAffinityDelayMs &&
-        (!best || rank > bestRank)) {
+    if (delays[index] <= *shortest + tolerance && (!best || rank > bestRank)) {
       best = candidates[index];
       bestRank = rank;
     }
@@ -109,21 +158,27 @@
   return best;
 }
 
-void Placement::RecordCallStarted(const base::EndpointId& aEndpoint, double aPromptTokens) {
-  Load& load = m_localLoad[aEndpoint];
-  load.m_calls += 1;
-  load.m_pendingPromptTokens += aPromptTokens;
+void Placement::RecordCallStarted(const base::EndpointId& aEndpoint,
+                                  double aPromptTokens,
+                                  double aUrgency) {
+  m_localLoad[aEndpoint] += { 1, aPromptTokens, aUrgency, aPromptTokens * aUrgency };
 }
 
-void Placement::RecordAnswerStarted(const base::EndpointId& aEndpoint, double aPromptTokens) {
+void Placement::RecordAnswerStarted(const base::EndpointId& aEndpoint,
+                                    double aPromptTokens,
+                                    double aUrgency) {
   Load& load = m_localLoad[aEndpoint];
   load.m_pendingPromptTokens = std::max(load.m_pendingPromptTokens - aPromptTokens, 0.0);
+  load.m_urgentPromptTokens = std::max(load.m_urgentPromptTokens - aPromptTokens * aUrgency, 0.0);
 }
 
-void Placement::RecordCallEnded(const base::EndpointId& aEndpoint, double aPromptTokens) {
+void Placement::RecordCallEnded(const base::EndpointId& aEndpoint,
+                                double aPromptTokens,
+                                double aUrgency) {
+  RecordAnswerStarted(aEndpoint, aPromptTokens, aUrgency);
   Load& load = m_localLoad[aEndpoint];
   load.m_calls = std::max(load.m_calls - 1, 0.0);
-  load.m_pendingPromptTokens = std::max(load.m_pendingPromptTokens - aPromptTokens, 0.0);
+  load.m_urgency = std::max(load.m_urgency - aUrgency, 0.0);
 }
 
 void Placement::RecordOutcome(const base::EndpointId& aEndpoint,
@@ -151,8 +206,7 @@
   m_totalPeerLoad.clear();
   for (const auto& [peer, loads] : m_peerLoads) {
     for (const auto& [endpoint, load] : loads) {
-      m_totalPeerLoad[endpoint].m_calls += load.m_calls;
-      m_totalPeerLoad[endpoint].m_pendingPromptTokens += load.m_pendingPromptTokens;
+      m_totalPeerLoad[endpoint] += load;
     }
   }
 }
--- a/packages/placement/Placement.h
+++ b/packages/placement/Placement.h
@@ -2,6 +2,7 @@
 
 #include "base/Time.h"
 #include "fleet/EndpointDirectory.h"
+#include "scheduling/PromptMix.h"
 
 #include <cstdint>
 #include <map>
@@ -18,6 +19,13 @@
   double m_calls = 0;
   /// Prompt tokens of calls whose answer has not started yet.
   double m_pendingPromptTokens = 0;
+  /// Sum of the urgencies of the open calls (`scheduling::CallClasses::Urgency`), and of the
+  /// pending tokens weighted by them. 0 where the service is not mixed.
+  double m_urgency = 0;
+  double m_urgentPromptTokens = 0;
+
+  /// Adds the work of `aOther`.
+  Load& operator+=(const Load& aOther);
 };
 
 /// Recent outcomes of calls to one endpoint.
@@ -43,6 +51,18 @@
   std::set<base::EndpointId> m_tried;
   /// Incarnations that must not get the call, even if there is no other one.
   std::set<fleet::Incarnation> m_unavailable;
+  /// Set if calls with different targets or priorities share the engines of the service.
+  std::optional<scheduling::CallNeeds> m_mix;
+};
+
+/// Load of all endpoints that a call may be sent to.
+struct Outlook {
+  /// Shortest expected delay in milliseconds, without the prefill of the call's own prompt.
+  double m_shortestDelayMs = 0;
+  size_t m_endpoints = 0;
+  double m_calls = 0;
+  /// Calls above the number of slots of their endpoint.
+  double m_waitingCalls = 0;
 };
 
 /// Cost model of the load.
@@ -75,17 +95,29 @@
   /// Returns the expected delay in milliseconds before the first byte of a new call's answer,
   /// including a penalty for recent failures of the endpoint.
   double ExpectedDelayMs(const base::EndpointId& aEndpoint, bool aIsEngine) const;
+  /// Returns the load of the endpoints that a call to a mixed service may be sent to. Penalties for
+  /// failures and the cost to other calls do not count. Requires `aRequest.m_mix`.
+  Outlook OutlookFor(const PlacementRequest& aRequest,
+                     const std::vector<fleet::Endpoint>& aEndpoints,
+                     base::TimePoint aNow) const;
   /// Returns the expected delay in milliseconds without the penalty for failures.
   double ExpectedLoadDelayMs(const base::EndpointId& aEndpoint, bool aIsEngine) const;
 
   /// Records that a call was sent.
-  void RecordCallStarted(const base::EndpointId& aEndpoint, double aPromptTokens);
+  /// \param aUrgency urgency of the call, the same until it ends; 0 where the service is not mixed.
+  void RecordCallStarted(const base::EndpointId& aEndpoint,
+                         double aPromptTokens,
+                         double aUrgency = 0);
   /// Records that the first byte of a call's answer arrived, so its prompt has been prefilled.
-  void RecordAnswerStarted(const base::EndpointId& aEndpoint, double aPromptTokens);
+  void RecordAnswerStarted(const base::EndpointId& aEndpoint,
+                           double aPromptTokens,
+                           double aUrgency = 0);
   /// Records that a call has ended.
   /// \param aPromptTokens the call's prompt tokens that `RecordAnswerStarted` has not subtracted
   /// yet.
-  void RecordCallEnded(const base::EndpointId& aEndpoint, double aPromptTokens);
+  void RecordCallEnded(const base::EndpointId& aEndpoint,
+                       double aPromptTokens,
+                       double aUrgency = 0);
   /// Updates the endpoint's health with the outcome of a call.
   void RecordOutcome(const base::EndpointId& aEndpoint, bool aSucceeded, base::TimePoint aNow);
   /// Stops sending new calls to an endpoint until `aUntil`.
@@ -100,6 +132,8 @@
   void RetainEndpoints(const std::map<base::EndpointId, fleet::Endpoint>& aKnown);
 
 private:
+  Load TotalLoad(const base::EndpointId& aEndpoint) const;
+  scheduling::EngineWork WorkAt(const base::EndpointId& aEndpoint) const;
   bool Matches(const PlacementRequest& aRequest, const fleet::Endpoint& aEndpoint) const;
   bool IsAvoided(const base::EndpointId& aEndpoint, base::TimePoint aNow) const;
   std::vector<size_t> Candidates(const PlacementRequest& aRequest,
@@ -107,6 +141,7 @@
                                  base::TimePoint aNow) const;
 
   PlacementSettings m_settings;
+  scheduling::PromptMixSettings m_mixSettings;
   std::map<base::EndpointId, Load> m_localLoad;
   std::map<std::string, std::map<base::EndpointId, Load>> m_peerLoads;
   std::map<base::EndpointId, Load> m_totalPeerLoad;
--- a/packages/placement/tests/PlacementTest.cpp
+++ b/packages/placement/tests/PlacementTest.cpp
@@ -119,4 +119,56 @@
   BOOST_TEST(!placement.Choose(request, Engines(1), kNow).has_value());
 }
 
+// A short prompt waited behind long ones at the engine that caches a few of its tokens.
+BOOST_AUTO_TEST_CASE(ShortPromptsOfMixedServicesAvoidPendingLongOnes) {
+  Placement placement{ PlacementSettings{} };
+  const auto endpoints = Engines(2);
+  PlacementRequest request = MakeRequest("s");
+  request.m_promptTokens = 600;
+  const size_t preferred = *placement.Choose(request, endpoints, kNow);
+  placement.RecordCallStarted(endpoints[preferred].m_incarnation.m_endpoint, 5000);
+  BOOST_TEST(*placement.Choose(request, endpoints, kNow) == preferred);
+  request.m_mix = scheduling::CallNeeds{ 600, 1, 16, 172, 500 };
+  BOOST_TEST(*placement.Choose(request, endpoints, kNow) == 1 - preferred);
+}
+
+// Long prompts spread over the engines by the urgent calls that peers and this node have there, and
+// return once those have ended.
+BOOST_AUTO_TEST_CASE(LongPromptsAvoidUrgentCalls) {
+  Placement placement{ PlacementSettings{} };
+  const auto endpoints = Engines(2);
+  PlacementRequest request = MakeRequest("");
+  request.m_mix = scheduling::CallNeeds{ 3000, 0, 16, 0, 2000 };
+  placement.RecordCallStarted(base::EndpointId("e1"), 0, 0);
+  placement.SetPeerLoad("n2", { { base::EndpointId("e0"), { 1, 0, 1, 0 } } });
+  BOOST_TEST(*placement.Choose(request, endpoints, kNow) == 1U);
+  placement.SetPeerLoad("n2", {});
+  BOOST_TEST(*placement.Choose(request, endpoints, kNow) == 0U);
+  placement.RecordCallStarted(base::EndpointId("e0"), 500, 1);
+  BOOST_TEST(*placement.Choose(request, endpoints, kNow) == 1U);
+  placement.RecordAnswerStarted(base::EndpointId("e0"), 500, 1);
+  placement.RecordCallEnded(base::EndpointId("e0"), 0, 1);
+  BOOST_TEST(placement.LocalLoad().at(base::EndpointId("e0")).m_urgency == 0);
+  BOOST_TEST(placement.LocalLoad().at(base::EndpointId("e0")).m_urgentPromptTokens == 0);
+  BOOST_TEST(*placement.Choose(request, endpoints, kNow) == 0U);
+}
+
+// Refusals depend on the best endpoint, not on the one that a call prefers for its cached prompt.
+BOOST_AUTO_TEST_CASE(OutlookIsThatOfTheBestEndpoint) {
+  Placement placement{ PlacementSettings{} };
+  const auto endpoints = Engines(3);
+  PlacementRequest request = MakeRequest("s");
+  request.m_mix = scheduling::CallNeeds{ 3000, 0, 2, 0, 2000 };
+  request.m_tried = { base::EndpointId("e2") };
+  for (int i = 0; i < 3; ++i) {
+    placement.RecordCallStarted(base::EndpointId("e0"), 56900);
+  }
+  placement.RecordCallStarted(base::EndpointId("e1"), 569);
+  const Outlook outlook = placement.OutlookFor(request, endpoints, kNow);
+  BOOST_TEST(outlook.m_endpoints == 2U);
+  BOOST_TEST(outlook.m_calls == 4);
+  BOOST_TEST(outlook.m_waitingCalls == 1);
+  BOOST_CHECK_CLOSE(outlook.m_shortestDelayMs, 12.0, 0.001);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
