Forwarding: engine priority by slack and refusal by predicted wait

Cause: the node passed the configured priority on unchanged, so calls of one priority queued by arrival, and refusals drew Retry-After from a constant, without regard to load and priority.

Change: where routes with different targets or priorities share a model service, Exchange sends the level of CallClasses, places with CallNeeds, and refuses a first attempt that the best endpoint cannot answer before the deadline, unless under half of the slots are taken and nothing waits. Its Retry-After, and that of calls which endpoints refused, comes from the predicted delay, capped before it is spread so that the order by priority holds at the cap too. Other services are served as before.

The effect of refusals under load was not measured.

--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -70,6 +70,8 @@
   base::TimePoint m_sentAt;
   /// Prompt tokens that are counted as queued at the endpoint.
   double m_queuedTokens = 0;
+  /// Urgency with which the call is counted at the endpoint.
+  double m_urgency = 0;
   AnswerInfo m_answerInfo;
   ResponseHead m_head;
   std::string m_body;
@@ -161,9 +163,91 @@
   request.m_zone = m_node.m_zone;
   request.m_tried = m_tried;
   request.m_unavailable = m_node.m_availability.Unavailable(base::BootNow());
+  const fleet::Service* service = m_catalog->FindService(aService);
+  if (MixedClasses() != nullptr && service != nullptr && service->m_engine) {
+    const double ownTokens =
+      m_call.m_promptParts.empty() ? *m_call.m_promptTokens : m_call.m_promptParts.back().m_tokens;
+    request.m_mix = scheduling::CallNeeds{ request.m_promptTokens,
+                                           MixedClasses()->Urgency(CallClass()),
+                                           static_cast<double>(service->m_engine->m_slots),
+                                           std::max(*m_call.m_promptTokens - ownTokens, 0.0),
+                                           static_cast<double>(m_route.m_latencyTarget.count()) };
+  }
   return request;
 }
 
+/// Returns the classes of calls that share the engines with this one; null if the calls of the
+/// service do not differ.
+const scheduling::CallClasses* Exchange::MixedClasses() const {
+  return m_call.m_promptTokens ? m_node.MixedClasses(m_service) : nullptr;
+}
+
+scheduling::CallClass Exchange::CallClass() const {
+  return { m_priority, m_route.m_latencyTarget };
+}
+
+/// Returns what is expected for a call to a mixed service, endpoints that it was already sent to
+/// included.
+scheduling::Prospect Exchange::MakeProspect() const {
+  placement::PlacementRequest request = MakePlacementRequest(m_service);
+  request.m_tried.clear();
+  const placement::Outlook outlook =
+    m_node.m_placement.OutlookFor(request, m_node.m_directory.Ready(), base::BootNow());
+  return { outlook.m_shortestDelayMs + m_node.m_scaling.EstimateWorkMs(request.m_promptTokens, 0),
+           static_cast<double>(TimeLeft().count()),
+           outlook.m_calls,
+           outlook.m_waitingCalls,
+           static_cast<double>(outlook.m_endpoints) *
+             request.m_mix.value_or(scheduling::CallNeeds{}).m_slots };
+}
+
+/// Returns the Retry-After of a call to a mixed service.
+double Exchange::PredictedRetrySeconds(double aRoomInMs) {
+  const scheduling::CallClasses* classes = MixedClasses();
+  return m_node.m_admission.RetryAfterSeconds(
+    aRoomInMs,
+    static_cast<double>(TimeLeft().count()),
+    { classes->PriorityRank(m_priority), classes->PriorityCount() },
+    m_node.Random());
+}
+
+/// Refuses a call to a mixed service that no endpoint can answer in time. Returns whether it did.
+bool Exchange::RefuseLate() {
+  const scheduling::Prospect prospect = MakeProspect();
+  if (!m_node.m_admission.Refuses(prospect)) {
+    return false;
+  }
+  const double retryAfter = PredictedRetrySeconds(m_node.m_admission.RoomInMs(prospect));
+  m_node.m_metrics.Count("refused_late");
+  m_node.m_log.Event("call cannot be served in time",
+                     { { "request", m_call.m_id },
+                       { "route", m_route.m_name },
+                       { "service", m_service.Text() },
+                       { "priority", m_priority },
+                       { "expected_ms", prospect.m_expectedMs },
+                       { "left_ms", prospect.m_timeLeftMs },
+                       { "calls", prospect.m_calls },
+                       { "waiting", prospect.m_waitingCalls },
+                       { "slots", prospect.m_slots },
+                       { "retry_after_s", retryAfter } });
+  RejectAfter(503, "overload", retryAfter);
+  return true;
+}
+
+/// Returns the priority of the next attempt at an engine.
+int Exchange::EnginePriority() {
+  const scheduling::CallClasses* classes = MixedClasses();
+  if (classes == nullptr) {
+    return m_priority;
+  }
+  const auto elapsed = std::chrono::duration_cast<base::Millis>(base::BootNow() - m_arrival);
+  m_slackMs = static_cast<double>((m_route.m_latencyTarget - elapsed).count()) - m_expectedDelayMs -
+              m_node.m_scaling.EstimateWorkMs(UncachedTokens(), 0);
+  m_enginePriority = classes->EnginePriority(CallClass(), m_slackMs);
+  m_node.m_metrics.Count("engine_priority_" + std::to_string(*m_enginePriority));
+  return *m_enginePriority;
+}
+
 void Exchange::Start() {
   m_service = SelectService();
   m_node.CreditRetryBudget(m_service);
@@ -202,7 +286,11 @@
   }
   m_expectedDelayMs = m_node.m_placement.ExpectedLoadDelayMs(
     ready[*choice].m_incarnation.m_endpoint, m_call.m_promptTokens.has_value());
-  if (m_attemptCount == 0 && m_expectedDelayMs > static_cast<double>(TimeLeft().count())) {
+  if (MixedClasses() != nullptr) {
+    if (m_attemptCount == 0 && RefuseLate()) {
+      return;
+    }
+  } else if (m_attemptCount == 0 && m_expectedDelayMs > static_cast<double>(TimeLeft().count())) {
     Reject(503, "overload", m_expectedDelayMs / 1000 / 2);
     return;
   }
@@ -263,15 +351,17 @@
   attempt->m_reused = pooled.m_reused;
   attempt->m_sentAt = now;
   attempt->m_queuedTokens = UncachedTokens();
+  attempt->m_urgency = MixedClasses() != nullptr ? MixedClasses()->Urgency(CallClass()) : 0;
   m_attempt = attempt;
   ++m_attemptCount;
   m_tried.insert(aEndpoint.m_incarnation.m_endpoint);
-  m_node.m_placement.RecordCallStarted(aEndpoint.m_incarnation.m_endpoint, attempt->m_queuedTokens);
+  m_node.m_placement.RecordCallStarted(
+    aEndpoint.m_incarnation.m_endpoint, attempt->m_queuedTokens, attempt->m_urgency);
   const AttemptInfo attemptInfo{ m_head,
                                  aEndpoint.m_incarnation.m_endpoint,
                                  m_team,
                                  TimeLeft(),
-                                 m_priority,
+                                 EnginePriority(),
                                  m_call.m_promptTokens.has_value(),
                                  m_splitter.LastEventId() };
   AttachHandlers(attempt);
@@ -569,8 +659,8 @@
   OnAnswerBegun(aAttempt);
   CountEvents(aAttempt, m_splitter.EventCount() - eventsBefore);
   if (aAttempt->m_queuedTokens > 0) {
-    m_node.m_placement.RecordAnswerStarted(aAttempt->m_endpoint.m_incarnation.m_endpoint,
-                                           aAttempt->m_queuedTokens);
+    m_node.m_placement.RecordAnswerStarted(
+      aAttempt->m_endpoint.m_incarnation.m_endpoint, aAttempt->m_queuedTokens, aAttempt->m_urgency);
     aAttempt->m_queuedTokens = 0;
   }
   CountUsage(aAttempt, base::BootNow());
@@ -662,7 +752,8 @@
   aAttempt->m_connectTimer.reset();
   aAttempt->m_silenceTimer.reset();
   const fleet::Incarnation& incarnation = aAttempt->m_endpoint.m_incarnation;
-  m_node.m_placement.RecordCallEnded(incarnation.m_endpoint, aAttempt->m_queuedTokens);
+  m_node.m_placement.RecordCallEnded(
+    incarnation.m_endpoint, aAttempt->m_queuedTokens, aAttempt->m_urgency);
   const bool leaving =
     m_node.m_availability.Check(incarnation, base::BootNow()) == fleet::Unavailability::Leaving;
   if (aReuse && aAttempt->m_connection->ShouldKeepAlive() && !aAttempt->m_sawMisdirected &&
@@ -765,6 +856,12 @@
     Dispatch();
   } else if (const auto answered = m_errorAttempt) {
     Deliver(answered->m_head, answered->m_body);
+  } else if (aFault == AttemptFault::NotExecuted && m_possibleRuns == 0 &&
+             MixedClasses() != nullptr) {
+    // The call itself needs no room; what is pending at the best endpoint has to be worked off.
+    const double roomInMs =
+      MakeProspect().m_expectedMs - m_node.m_scaling.EstimateWorkMs(UncachedTokens(), 0);
+    RejectAfter(503, std::string(base::NameOf(aFault)), PredictedRetrySeconds(roomInMs));
   } else {
     Reject(FinalStatus(m_possibleRuns > 0, false), std::string(base::NameOf(aFault)), 0.3);
   }
@@ -854,19 +951,28 @@
                       const std::string& aReason,
                       double aRetryAfterSeconds,
                       base::Millis aMinRetryAfter) {
-  ResponseHead head;
-  head.m_status = aStatus;
-  head.m_fields.Add(m_node.m_wire.m_idField, m_call.m_id);
+  std::optional<double> delay;
   if (aStatus == 503 && aRetryAfterSeconds > 0) {
     // Spread over 0.5 to 1.5 times the delay, so that callers do not return at the same time.
     const double maxDelay = Seconds(TimeLeft()) * kMaxRetryAfterFraction;
-    double delay = std::min(aRetryAfterSeconds * (0.5 + m_node.Random()), std::max(maxDelay, 0.0));
+    delay = std::min(aRetryAfterSeconds * (0.5 + m_node.Random()), std::max(maxDelay, 0.0));
     if (aMinRetryAfter.count() > 0) {
-      delay = std::min(Seconds(aMinRetryAfter) + delay,
+      delay = std::min(Seconds(aMinRetryAfter) + *delay,
                        std::max(Seconds(CallerTimeLeft()) * kMaxRetryAfterFraction, 0.0));
     }
+  }
+  RejectAfter(aStatus, aReason, delay);
+}
+
+void Exchange::RejectAfter(int aStatus,
+                           const std::string& aReason,
+                           std::optional<double> aRetryAfterSeconds) {
+  ResponseHead head;
+  head.m_status = aStatus;
+  head.m_fields.Add(m_node.m_wire.m_idField, m_call.m_id);
+  if (aRetryAfterSeconds) {
     char text[16];
-    std::snprintf(text, sizeof(text), "%.2f", delay);
+    std::snprintf(text, sizeof(text), "%.2f", *aRetryAfterSeconds);
     head.m_fields.Add("Retry-After", text);
   }
   Conclude(head, {}, aReason);
@@ -941,6 +1047,8 @@
       { "sends", m_attemptCount },
       { "endpoint", m_tried.empty() ? "" : m_tried.rbegin()->Text() },
       { "expected_ms", m_expectedDelayMs },
+      { "engine_priority", m_enginePriority.value_or(m_priority) },
+      { "slack_ms", m_slackMs },
       { "first_ms", m_firstByteAt == base::TimePoint{} ? -1 : elapsedMs(m_firstByteAt) },
       { "total_ms", elapsedMs(now) },
       { "version", m_catalog->Version() },
--- a/packages/forwarding/Exchange.h
+++ b/packages/forwarding/Exchange.h
@@ -99,6 +99,15 @@
               const std::string& aReason,
               double aRetryAfterSeconds,
               base::Millis aMinRetryAfter = base::Millis(0));
+  void RejectAfter(int aStatus,
+                   const std::string& aReason,
+                   std::optional<double> aRetryAfterSeconds);
+  const scheduling::CallClasses* MixedClasses() const;
+  scheduling::CallClass CallClass() const;
+  scheduling::Prospect MakeProspect() const;
+  double PredictedRetrySeconds(double aRoomInMs);
+  bool RefuseLate();
+  int EnginePriority();
   void EndForOutage(const fleet::ServiceOutage& aOutage);
   void Deliver(const adapters::http1::ResponseHead& aHead, const std::string& aBody);
   void Conclude(const adapters::http1::ResponseHead& aHead,
@@ -135,6 +144,10 @@
   EventSplitter m_splitter;
   /// Expected delay to the first byte at the most recently selected endpoint, in milliseconds.
   double m_expectedDelayMs = 0;
+  /// Priority at the engine and slack of the most recent attempt, for the log; nullopt if the calls
+  /// of the service do not differ.
+  std::optional<int> m_enginePriority;
+  double m_slackMs = 0;
   /// Number of attempts of any outcome, for the log.
   int m_attemptCount = 0;
   /// Number of endpoints that may have run the call.
--- a/packages/forwarding/NodeState.cpp
+++ b/packages/forwarding/NodeState.cpp
@@ -37,9 +37,16 @@
   m_catalog = std::move(aCatalog);
   m_quota.Configure(*m_catalog, base::BootNow());
   m_durations.RetainRoutes(*m_catalog);
+  m_mixedServices = scheduling::MixedServices(*m_catalog);
+  m_metrics.Set("mixed_services", static_cast<double>(m_mixedServices.size()));
   return true;
 }
 
+const scheduling::CallClasses* NodeState::MixedClasses(const fleet::ServiceId& aService) const {
+  const auto found = m_mixedServices.find(aService);
+  return found == m_mixedServices.end() ? nullptr : &found->second;
+}
+
 void NodeState::SetNodeCount(size_t aCount) {
   if (aCount == m_nodeCount) {
     return;
--- a/packages/forwarding/NodeState.h
+++ b/packages/forwarding/NodeState.h
@@ -16,6 +16,8 @@
 #include "placement/Placement.h"
 #include "quota/QuotaLedger.h"
 #include "requests/RetryBudget.h"
+#include "scheduling/Admission.h"
+#include "scheduling/CallClasses.h"
 
 #include <map>
 #include <random>
@@ -50,6 +52,9 @@
   const fleet::CatalogPtr& Catalog() const { return m_catalog; }
   /// Activates a configuration unless its version is below the active one. Returns whether it did.
   bool ApplyCatalog(fleet::CatalogPtr aCatalog);
+  /// Returns the classes of calls that share the engines of `aService`; null if its calls do not
+  /// differ. Valid until the next configuration is applied.
+  const scheduling::CallClasses* MixedClasses(const fleet::ServiceId& aService) const;
   /// Sets the number of nodes that share the fleet's retry budgets; at least one is assumed.
   void SetNodeCount(size_t aCount);
   /// Adds to the retry budget of `aService` for a new call.
@@ -73,6 +78,7 @@
   base::BufferBudget m_buffers{ base::BufferBudgetSettings{} };
   fleet::EndpointDirectory m_directory;
   placement::Placement m_placement{ placement::PlacementSettings{} };
+  scheduling::Admission m_admission{ scheduling::AdmissionSettings{} };
   duties::ScalingPolicy m_scaling{ duties::ScalingSettings{} };
   fleet::EndpointAvailability m_availability{ fleet::AvailabilitySettings{} };
   EndpointPool m_pool;
@@ -88,6 +94,7 @@
   requests::RetryBudget& RetryBudgetFor(const fleet::ServiceId& aService);
 
   fleet::CatalogPtr m_catalog;
+  std::map<fleet::ServiceId, scheduling::CallClasses> m_mixedServices;
   RetryLimits m_retryLimits;
   size_t m_nodeCount = 3;
   std::map<fleet::ServiceId, requests::RetryBudget> m_budgets;
