Scaling: a fifth of the calls must be late before the fleet grows

Cause: a crash of a few engines makes 10 % of the calls late for seconds; ordering a quarter more engines then cost more than it served. Change: growth above 20 % late calls, no reduction above 5 %.

--- a/packages/duties/ScalingPolicy.h
+++ b/packages/duties/ScalingPolicy.h
@@ -42,8 +42,8 @@
   double m_minReduction = 0.08;
   /// Fraction of the calls that may miss their latency target while the fleet counts as large
   /// enough, and the fraction above which it grows.
-  double m_toleratedLateness = 0.03;
-  double m_excessiveLateness = 0.1;
+  double m_toleratedLateness = 0.05;
+  double m_excessiveLateness = 0.2;
   /// Number of calls from which a fraction of them says something.
   double m_minCallsForLateness = 30;
   /// Factor by which the fleet grows at excessive lateness, and its decay per second afterwards.
