Mixed services: slots of registrations, test over processes, documents

Cause: the number of slots was read from the service only, although endpoints register their own; nothing tested the priority on the wire.

Change: the registered slots of an endpoint come before those of its service.

--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -197,8 +197,7 @@
            static_cast<double>(TimeLeft().count()),
            outlook.m_calls,
            outlook.m_waitingCalls,
-           static_cast<double>(outlook.m_endpoints) *
-             request.m_mix.value_or(scheduling::CallNeeds{}).m_slots };
+           outlook.m_slots };
 }
 
 /// Returns the Retry-After of a call to a mixed service.
--- a/packages/placement/Placement.cpp
+++ b/packages/placement/Placement.cpp
@@ -23,6 +23,10 @@
   return XXH3_64bits(text.data(), text.size());
 }
 
+double SlotsOf(const scheduling::CallNeeds& aNeeds, const fleet::Endpoint& aEndpoint) {
+  return aEndpoint.m_slots > 0 ? aEndpoint.m_slots : aNeeds.m_slots;
+}
+
 } // namespace
 
 Load& Load::operator+=(const Load& aOther) {
@@ -72,13 +76,17 @@
   return load;
 }
 
-scheduling::EngineWork Placement::WorkAt(const base::EndpointId& aEndpoint) const {
-  const Load load = TotalLoad(aEndpoint);
-  return { load.m_calls,
-           load.m_urgency,
-           load.m_pendingPromptTokens,
-           load.m_urgentPromptTokens,
-           m_settings.m_prefillTokensPerMs };
+double Placement::MixedDelayAt(scheduling::CallNeeds aNeeds,
+                               const fleet::Endpoint& aEndpoint) const {
+  const Load load = TotalLoad(aEndpoint.m_incarnation.m_endpoint);
+  aNeeds.m_slots = SlotsOf(aNeeds, aEndpoint);
+  return scheduling::MixedDelayMs(m_mixSettings,
+                                  aNeeds,
+                                  { load.m_calls,
+                                    load.m_urgency,
+                                    load.m_pendingPromptTokens,
+                                    load.m_urgentPromptTokens,
+                                    m_settings.m_prefillTokensPerMs });
 }
 
 Outlook Placement::OutlookFor(const PlacementRequest& aRequest,
@@ -88,15 +96,16 @@
   needs.m_promptTokens = 0;
   Outlook outlook;
   for (const size_t i : Candidates(aRequest, aEndpoints, aNow)) {
-    const base::EndpointId& endpoint = aEndpoints[i].m_incarnation.m_endpoint;
-    const scheduling::EngineWork work = WorkAt(endpoint);
-    const double delay =
-      ExpectedLoadDelayMs(endpoint, true) + scheduling::MixedDelayMs(m_mixSettings, needs, work);
+    const base::EndpointId& id = aEndpoints[i].m_incarnation.m_endpoint;
+    const double delay = ExpectedLoadDelayMs(id, true) + MixedDelayAt(needs, aEndpoints[i]);
+    const double calls = TotalLoad(id).m_calls;
+    const double slots = SlotsOf(needs, aEndpoints[i]);
     outlook.m_shortestDelayMs =
       outlook.m_endpoints == 0 ? delay : std::min(outlook.m_shortestDelayMs, delay);
     ++outlook.m_endpoints;
-    outlook.m_calls += work.m_calls;
-    outlook.m_waitingCalls += std::max(work.m_calls - needs.m_slots, 0.0);
+    outlook.m_calls += calls;
+    outlook.m_waitingCalls += std::max(calls - slots, 0.0);
+    outlook.m_slots += slots;
   }
   return outlook;
 }
@@ -126,9 +135,7 @@
     delays.push_back(
       ExpectedDelayMs(endpoint.m_incarnation.m_endpoint, aRequest.m_promptTokens > 0) +
       (endpoint.m_zone == aRequest.m_zone ? 0 : kOtherZonePenaltyMs) +
-      (aRequest.m_mix ? scheduling::MixedDelayMs(
-                          m_mixSettings, *aRequest.m_mix, WorkAt(endpoint.m_incarnation.m_endpoint))
-                      : 0));
+      (aRequest.m_mix ? MixedDelayAt(*aRequest.m_mix, endpoint) : 0));
   }
   const auto shortest = std::min_element(delays.begin(), delays.end());
   if (shortest == delays.end()) {
--- a/packages/placement/Placement.h
+++ b/packages/placement/Placement.h
@@ -63,6 +63,7 @@
   double m_calls = 0;
   /// Calls above the number of slots of their endpoint.
   double m_waitingCalls = 0;
+  double m_slots = 0;
 };
 
 /// Cost model of the load.
@@ -133,7 +134,9 @@
 
 private:
   Load TotalLoad(const base::EndpointId& aEndpoint) const;
-  scheduling::EngineWork WorkAt(const base::EndpointId& aEndpoint) const;
+  /// Returns what `MixedDelayMs` adds for a call to `aEndpoint`, whose registered number of slots
+  /// replaces that of the service.
+  double MixedDelayAt(scheduling::CallNeeds aNeeds, const fleet::Endpoint& aEndpoint) const;
   bool Matches(const PlacementRequest& aRequest, const fleet::Endpoint& aEndpoint) const;
   bool IsAvoided(const base::EndpointId& aEndpoint, base::TimePoint aNow) const;
   std::vector<size_t> Candidates(const PlacementRequest& aRequest,
--- a/packages/placement/tests/PlacementTest.cpp
+++ b/packages/placement/tests/PlacementTest.cpp
@@ -156,7 +156,8 @@
 // Refusals depend on the best endpoint, not on the one that a call prefers for its cached prompt.
 BOOST_AUTO_TEST_CASE(OutlookIsThatOfTheBestEndpoint) {
   Placement placement{ PlacementSettings{} };
-  const auto endpoints = Engines(3);
+  auto endpoints = Engines(3);
+  endpoints[1].m_slots = 5;
   PlacementRequest request = MakeRequest("s");
   request.m_mix = scheduling::CallNeeds{ 3000, 0, 2, 0, 2000 };
   request.m_tried = { base::EndpointId("e2") };
@@ -168,6 +169,7 @@
   BOOST_TEST(outlook.m_endpoints == 2U);
   BOOST_TEST(outlook.m_calls == 4);
   BOOST_TEST(outlook.m_waitingCalls == 1);
+  BOOST_TEST(outlook.m_slots == 7);
   BOOST_CHECK_CLOSE(outlook.m_shortestDelayMs, 12.0, 0.001);
 }
 
--- a/packages/scheduling/PromptMix.h
+++ b/packages/scheduling/PromptMix.h
@@ -8,7 +8,7 @@
   double m_promptTokens = 0;
   /// From 0 (least urgent class of the service) to 1 (most urgent one).
   double m_urgency = 0;
-  /// Number of requests that an engine of the service runs concurrently.
+  /// Number of requests that the engine runs concurrently; 0 if it is not known.
   double m_slots = 0;
   /// Prompt tokens that need not be read where the shared parts of the prompt are cached.
   double m_sharedTokens = 0;
@@ -29,8 +29,9 @@
 
 /// Weights of the costs.
 struct PromptMixSettings {
-  /// Factor of the delay that a prompt causes to more urgent calls at the engine. Chosen by the
-  /// replay of the first load in docs/design/hard-load.md.
+  /// Factor of the delay that a prompt causes to more urgent calls at the engine. In replays, 0.25
+  /// lowers the long gaps of urgent calls slightly; with 1, more calls miss their targets
+  /// (docs/POLICY.md).
   double m_displacementWeight = 0.25;
   /// Mean time in milliseconds for which a call holds a slot: 100 output tokens at 5 ms per step,
   /// and as long again for the prompts that are read in between.
--- a/packages/scheduling/tests/CallClassesTest.cpp
+++ b/packages/scheduling/tests/CallClassesTest.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <numeric>
+
 using namespace papayafield;
 using namespace papayafield::scheduling;
 
@@ -71,10 +73,8 @@
 
 // More priorities than an engine has levels cannot have separate ranges.
 BOOST_AUTO_TEST_CASE(TooManyPrioritiesAreSentAsConfigured) {
-  std::vector<int> priorities;
-  for (int priority = 0; priority < 11; ++priority) {
-    priorities.push_back(priority);
-  }
+  std::vector<int> priorities(11);
+  std::iota(priorities.begin(), priorities.end(), 0);
   const CallClasses classes({ MakeClass(0, 500), MakeClass(1, 800) }, priorities);
   BOOST_TEST(classes.EnginePriority(MakeClass(7, 500), 0) == 7);
 }
--- a/packages/scheduling/tests/ReplayTest.cpp
+++ b/packages/scheduling/tests/ReplayTest.cpp
@@ -232,9 +232,10 @@
   bool Step(size_t aEngine) {
     Engine& engine = m_engines[aEngine];
     const auto firstInQueue = [&] {
-      return std::min_element(engine.m_queue.begin(), engine.m_queue.end(), [](auto& a, auto& b) {
-        return a.m_priority < b.m_priority;
-      });
+      return std::min_element(
+        engine.m_queue.begin(), engine.m_queue.end(), [](auto& aLeft, auto& aRight) {
+          return aLeft.m_priority < aRight.m_priority;
+        });
     };
     while (!engine.m_queue.empty() &&
            engine.m_running.size() < static_cast<size_t>(m_load.m_slots)) {
--- a/standins/fleet/Runner.cpp
+++ b/standins/fleet/Runner.cpp
@@ -236,6 +236,7 @@
     { attemptId,
       m_id,
       HeaderValue(aCallerConnection->m_head, "Papayafield-Tenant"),
+      HeaderValue(aCallerConnection->m_head, "Papayafield-Request-Priority"),
       lastEventId,
       !previousId.empty() });
   if (!QueryParameter(aCallerConnection->m_head.m_target, "cut").empty()) {
--- a/standins/fleet/Runner.h
+++ b/standins/fleet/Runner.h
@@ -61,6 +61,8 @@
   std::string m_attemptId;
   std::string m_runner;
   std::string m_team;
+  /// Value of the Papayafield-Request-Priority field; empty if there was none.
+  std::string m_priority;
   /// Id of the event after which a stream was resumed; empty if it started at the beginning.
   std::string m_lastEventId;
   /// Whether an earlier call had been executed on the same connection.
--- a/standins/fleet/main.cpp
+++ b/standins/fleet/main.cpp
@@ -244,6 +244,7 @@
       runs.push_back({ { "call", run.m_attemptId },
                        { "runner", run.m_runner },
                        { "team", run.m_team },
+                       { "priority", run.m_priority },
                        { "last_event", run.m_lastEventId },
                        { "reused", run.m_isReusedConnection } });
     }
