--- a/tests/harness/PlatformFleet.cpp
+++ b/tests/harness/PlatformFleet.cpp
@@ -73,8 +73,12 @@
            { "Papayafield-Attempt-Id", aId } };
 }
 
-PlatformFleet::PlatformFleet(size_t aNodes, size_t aRunners, Proxies aProxies)
+PlatformFleet::PlatformFleet(size_t aNodes,
+                             size_t aRunners,
+                             Proxies aProxies,
+                             HostLimits aHostLimits)
   : m_folder(MakeTemporaryFolder())
+  , m_hostLimits(aHostLimits)
   , m_port(FreePort())
   , m_platform{ "127.0.0.1", FreePort() }
   , m_platformFronts(aNodes, m_platform) {
@@ -137,6 +141,15 @@
        << "usage_window_s = 1\nusage_late_s = 10\n[platform]\naddress = \""
        << m_platformFronts[aIndex].ToText() << "\"\n[cloud]\naddress = \""
        << m_platformFronts[aIndex].ToText() << "\"\nduties = [\"metering\"]\n";
+  if (m_hostLimits.m_memoryMb > 0 || m_hostLimits.m_maxFds > 0) {
+    file << "[limits]\n";
+  }
+  if (m_hostLimits.m_memoryMb > 0) {
+    file << "memory_mb = " << m_hostLimits.m_memoryMb << "\n";
+  }
+  if (m_hostLimits.m_maxFds > 0) {
+    file << "max_fds = " << m_hostLimits.m_maxFds << "\n";
+  }
   return path;
 }
 
--- a/tests/harness/PlatformFleet.h
+++ b/tests/harness/PlatformFleet.h
@@ -34,6 +34,12 @@
   nlohmann::json m_overrides = nlohmann::json::object();
 };
 
+/// Limits of the hosts of nodes, as their settings files state them; 0 leaves a key out.
+struct HostLimits {
+  int m_memoryMb = 0;
+  int m_maxFds = 0;
+};
+
 /// Runs nodes in the mode for the users' platform as processes, against a stand-in of that
 /// platform. Each node has its own loopback address. Not thread safe.
 class PlatformFleet {
@@ -42,7 +48,10 @@
   enum class Proxies { None, All };
 
   /// Starts `aNodes` nodes and `aRunners` runners, and waits until all nodes are ready.
-  PlatformFleet(size_t aNodes, size_t aRunners, Proxies aProxies = Proxies::None);
+  PlatformFleet(size_t aNodes,
+                size_t aRunners,
+                Proxies aProxies = Proxies::None,
+                HostLimits aHostLimits = {});
   ~PlatformFleet();
   PlatformFleet(const PlatformFleet&) = delete;
   PlatformFleet& operator=(const PlatformFleet&) = delete;
@@ -109,6 +118,7 @@
   void StartProxy(const base::Address& aListen, const base::Address& aTo);
 
   std::string m_folder;
+  HostLimits m_hostLimits;
   uint16_t m_port;
   base::Address m_platform;
   /// Addresses at which the nodes reach the platform; those of proxies, if any.
