BufferBudget: incomplete and pinned requests

Cause: the budget knows answers only, so that request bodies have no limit for all of them together.

Requests hold three quarters of the limit at most. A complete request is pinned and stays. A request that is alone may exceed the limit.

Nothing claims for requests yet.

--- a/packages/base/BufferBudget.h
+++ b/packages/base/BufferBudget.h
@@ -14,11 +14,22 @@
   size_t m_maxBytes = 64U << 20U;
 };
 
+/// What a buffer holds, which decides when it is dropped.
+enum class BufferKind {
+  /// An answer, or a part of one that its reader has not taken.
+  Answer,
+  /// A request that has not been received completely. Dropped before anything else.
+  IncompleteRequest,
+};
+
 /// Limits the bytes that buffers hold together, whatever each of them may hold. Each buffer has a
 /// claim, and each claim an owner: the peer that sends the bytes or does not take them. When the
-/// limit is exceeded, buffers of the owner that holds the most are dropped until the rest fits: the
-/// ones whose loss is repaired elsewhere before the others, and larger ones first. The buffers of
-/// other owners are kept. Not thread safe.
+/// limit is exceeded, incomplete requests are dropped first, the one first whose buffer has not
+/// grown for the longest time. Requests hold three quarters of the limit at most, so that a part is
+/// left for answers. Then answers of the owner that holds the most are dropped until the rest fits:
+/// the ones whose loss is repaired elsewhere before the others, and larger ones first. The buffers
+/// of other owners are kept. Pinned requests are never dropped, and an incomplete request that is
+/// alone may exceed the limit. Not thread safe.
 class BufferBudget {
 public:
   /// A buffer that may be dropped.
@@ -29,6 +40,7 @@
     bool m_isReplaceable = false;
     /// Called when the buffer has to be freed at once. May destroy the claim.
     std::function<void()> m_onDropped;
+    BufferKind m_kind = BufferKind::Answer;
   };
   /// A buffer's share of the budget. Gives it back when destroyed, also after the budget. Not
   /// thread safe.
@@ -43,6 +55,8 @@
     /// Sets the size of the buffer to `aBytes`; call it before the buffer grows. May drop other
     /// buffers. Returns false if this buffer was dropped, now or before.
     bool Resize(size_t aBytes);
+    /// Protects the buffer of a request that is now complete. Must not be called for an answer.
+    void Pin();
 
   private:
     friend class BufferBudget;
@@ -60,6 +74,10 @@
   Claim Open(BufferInfo aInfo);
   /// Returns the number of bytes that all buffers hold.
   size_t UsedBytes() const;
+  /// Returns the maximum number of bytes that all buffers hold.
+  size_t MaxBytes() const;
+  /// Returns the number of incomplete requests dropped so far.
+  uint64_t RequestDropCount() const;
   /// Returns the number of buffers dropped so far.
   uint64_t DropCount() const;
 
--- a/packages/base/tests/BufferBudgetTest.cpp
+++ b/packages/base/tests/BufferBudgetTest.cpp
@@ -20,6 +20,16 @@
   BufferBudget::Claim m_claim;
 };
 
+/// A request that records that it was dropped.
+struct Request {
+  explicit Request(BufferBudget& aBudget)
+    : m_claim(aBudget.Open(
+        { "caller", false, [this] { m_dropped = true; }, BufferKind::IncompleteRequest })) {}
+
+  bool m_dropped = false;
+  BufferBudget::Claim m_claim;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(BufferBudgetTest)
@@ -72,6 +82,41 @@
   BOOST_TEST(buffer.m_claim.Resize(6));
 }
 
+// Callers that stop short of the end of their requests must not cost the requests of others.
+BOOST_AUTO_TEST_CASE(RequestThatHasNotGrownForTheLongestTimeIsDroppedFirst) {
+  BufferBudget budget({ 100 });
+  Buffer answer(budget, "endpoint", true);
+  Request stalled(budget);
+  Request complete(budget);
+  Request growing(budget);
+  BOOST_TEST(answer.m_claim.Resize(25));
+  BOOST_TEST(complete.m_claim.Resize(20));
+  complete.m_claim.Pin();
+  BOOST_TEST(growing.m_claim.Resize(10));
+  BOOST_TEST(stalled.m_claim.Resize(30));
+  BOOST_TEST(growing.m_claim.Resize(20));
+  BOOST_TEST(growing.m_claim.Resize(26));
+  BOOST_TEST(stalled.m_dropped);
+  BOOST_TEST(growing.m_claim.Resize(55));
+  BOOST_TEST(!growing.m_claim.Resize(56));
+  BOOST_TEST(!answer.m_dropped);
+  BOOST_TEST(!complete.m_dropped);
+  BOOST_TEST(budget.UsedBytes() == 45U);
+  BOOST_TEST(budget.RequestDropCount() == 2U);
+}
+
+// The largest request that is allowed is served without other load, whatever the limit.
+BOOST_AUTO_TEST_CASE(RequestThatIsAloneMayExceedTheLimit) {
+  BufferBudget budget({ 100 });
+  Request request(budget);
+  Buffer answer(budget, "endpoint", false);
+  BOOST_TEST(request.m_claim.Resize(200));
+  request.m_claim.Pin();
+  BOOST_TEST(answer.m_claim.Resize(25));
+  BOOST_TEST(!answer.m_claim.Resize(30));
+  BOOST_TEST(!request.m_dropped);
+}
+
 // With any sequence of changes, the limit holds and the sum is that of the buffers that are left.
 BOOST_AUTO_TEST_CASE(LimitHoldsAfterEachChange) {
   constexpr size_t kLimit = 1000;
