Node: limits on the memory of requests and on callers' connections

Cause: each caller's body was held up to its own limit, in a string that left as much again in gaps of the heap, and up to three times while it was forwarded. Heads were counted without the cost of their fields, empty lines were skipped without a limit, and every connection was accepted.

Change: - A request that is being read has a claim in the buffer budget, for its body and for the memory that its head takes. The one that has not grown for the longest time is rejected with 503 and Retry-After when the budget is full. - Bodies are held in blocks that the call and the connection to the endpoint share (RequestBody), without copies.

--- a/packages/adapters/http1/Connection.cpp
+++ b/packages/adapters/http1/Connection.cpp
@@ -28,6 +28,15 @@
 /// Maximum number of buffered unparsed bytes while a message is being handled; TCP flow control
 /// then stops the peer.
 constexpr size_t kMaxPendingInputBytes = 262144;
+/// Maximum number of empty lines before a request. A few are left by callers that end a body with
+/// one.
+constexpr size_t kMaxEmptyLines = 8;
+/// Growth of a head that is reported, in bytes of memory.
+constexpr size_t kHeadGrowthStepBytes = 4096;
+/// Memory of a string beyond its object, up to which it is held within the object.
+constexpr size_t kInlineStringBytes = 15;
+/// Shortest framing of a field beside its name and value: a colon and a line feed.
+constexpr size_t kMinFieldFramingBytes = 2;
 /// Idle time before TCP keep-alive probes start and interval between them, in seconds. A lost peer
 /// is detected after about 4 s.
 constexpr int kKeepAliveProbeSeconds = 1;
@@ -59,6 +68,11 @@
   return static_cast<unsigned char>(aCharacter) < ' ' || aCharacter == kDelete;
 }
 
+/// Returns the memory that `aText` takes on the heap.
+size_t HeapBytes(const std::string& aText) {
+  return aText.capacity() > kInlineStringBytes ? aText.capacity() + 1 : 0;
+}
+
 /// Whether `aText` contains characters that a request target must not contain.
 bool HasInvalidTargetCharacter(std::string_view aText) {
   return std::any_of(aText.begin(), aText.end(), [](char aCharacter) {
@@ -111,6 +125,9 @@
     self.m_lastWasValue = true;
     self.m_hasInvalidName = false;
     self.m_inMessage = true;
+    self.m_emptyLineBytes = 0;
+    self.m_heldBytes = 0;
+    self.m_reportedBytes = 0;
     if (self.m_owner.m_events.m_onBegin) {
       self.m_owner.m_events.m_onBegin();
     }
@@ -123,6 +140,35 @@
     return !m_tooLarge;
   }
 
+  /// Reports how much memory the head takes, if that has grown noticeably.
+  void ReportGrowth() {
+    const size_t bytes = m_heldBytes + HeapBytes(m_name) + HeapBytes(m_value);
+    if (bytes < m_reportedBytes + kHeadGrowthStepBytes) {
+      return;
+    }
+    m_reportedBytes = bytes;
+    if (m_owner.IsOpen() && m_owner.m_events.m_onHeadGrowth) {
+      m_owner.m_events.m_onHeadGrowth(bytes);
+    }
+  }
+
+  /// Counts bytes before a message, which the parser skips if they are line ends. Returns false if
+  /// there are too many of them.
+  bool CountEmptyLines(std::string_view aBytes) {
+    if (!kReadsRequests<Head> || m_inMessage) {
+      return true;
+    }
+    m_emptyLineBytes += std::min(aBytes.find_first_not_of("\r\n"), aBytes.size());
+    return m_emptyLineBytes <= kMaxEmptyLines * 2;
+  }
+
+  /// Frees the head of a message that is not wanted any more.
+  void DropHead() {
+    m_head = {};
+    m_name = {};
+    m_value = {};
+  }
+
   static int OnTarget(http_parser* aParser, const char* aAt, size_t aLength) {
     Parser& self = Of(aParser);
     if constexpr (kReadsRequests<Head>) {
@@ -150,6 +196,8 @@
       // http-parser accepts whitespace in field names, which other implementations interpret
       // differently.
       m_hasInvalidName = m_hasInvalidName || m_name.find_first_of(" \t") != std::string::npos;
+      // The list of fields may have twice the capacity that it needs.
+      m_heldBytes += 2 * sizeof(Field) + HeapBytes(m_name) + HeapBytes(m_value);
       m_head.m_fields.Add(std::move(m_name), std::move(m_value));
     }
     m_name.clear();
@@ -161,8 +209,10 @@
     if (self.m_lastWasValue) {
       self.FlushField();
       self.m_lastWasValue = false;
+      self.m_headBytes += kMinFieldFramingBytes;
     }
     self.m_name.append(aAt, aLength);
+    self.ReportGrowth();
     return self.AddHeadBytes(aLength) ? 0 : 1;
   }
 
@@ -170,6 +220,7 @@
     Parser& self = Of(aParser);
     self.m_lastWasValue = true;
     self.m_value.append(aAt, aLength);
+    self.ReportGrowth();
     return self.AddHeadBytes(aLength) ? 0 : 1;
   }
 
@@ -272,6 +323,11 @@
   std::string m_name;
   std::string m_value;
   size_t m_headBytes = 0;
+  /// Memory of the complete fields, and that of the head as reported last.
+  size_t m_heldBytes = 0;
+  size_t m_reportedBytes = 0;
+  /// Number of bytes of empty lines before the next message.
+  size_t m_emptyLineBytes = 0;
   bool m_lastWasValue = true;
   bool m_inMessage = false;
   /// Whether the previous response was an interim one, which counts as a part of this head.
@@ -353,6 +409,24 @@
   }
 }
 
+template<class Head>
+void Connection<Head>::WriteShared(std::shared_ptr<const void> aOwner, std::string_view aBytes) {
+  if (m_buffer == nullptr || aBytes.empty()) {
+    return;
+  }
+  auto owner = std::make_unique<std::shared_ptr<const void>>(std::move(aOwner));
+  const auto release = [](const void* /*aData*/, size_t /*aLength*/, void* aSharedOwner) {
+    const std::unique_ptr<std::shared_ptr<const void>> last(
+      static_cast<std::shared_ptr<const void>*>(aSharedOwner));
+  };
+  if (evbuffer_add_reference(
+        bufferevent_get_output(m_buffer), aBytes.data(), aBytes.size(), release, owner.get()) ==
+      0) {
+    // The buffer owns it from here on.
+    static_cast<void>(owner.release());
+  }
+}
+
 template<class Head>
 void Connection<Head>::Resume() {
   if (m_buffer == nullptr || !m_isPaused) {
@@ -416,6 +490,9 @@
     return;
   }
   m_discardInput = true;
+  if (!m_isParsing) {
+    m_parser->DropHead();
+  }
   bufferevent_enable(m_buffer, EV_READ);
   evbuffer_drain(bufferevent_get_input(m_buffer), PendingInput());
   Events events;
@@ -478,6 +555,10 @@
     End(EndKind::Malformed);
     return false;
   }
+  if (!m_parser->CountEmptyLines(step)) {
+    End(EndKind::Malformed);
+    return false;
+  }
   const size_t parsed =
     http_parser_execute(&m_parser->m_parser, &Parser::Settings(), step.data(), step.size());
   if (m_buffer == nullptr || m_discardInput) {
@@ -518,6 +599,9 @@
          ParseStep()) {
   }
   m_isParsing = false;
+  if (m_buffer == nullptr || m_discardInput) {
+    m_parser->DropHead();
+  }
   if (m_buffer != nullptr && m_isPaused && PendingInput() > 0 && m_events.m_onUnexpectedData) {
     m_events.m_onUnexpectedData();
   }
@@ -612,12 +696,17 @@
 
 } // namespace
 
-std::string Serialize(const RequestHead& aHead, std::string_view aBody) {
+std::string SerializeHead(const RequestHead& aHead, size_t aBodyBytes) {
   std::string text = aHead.m_method + " " + aHead.m_target + " HTTP/1.1\r\n";
-  if (!aBody.empty() || (aHead.m_method != "GET" && aHead.m_method != "HEAD")) {
-    text += "Content-Length: " + std::to_string(aBody.size()) + "\r\n";
+  if (aBodyBytes > 0 || (aHead.m_method != "GET" && aHead.m_method != "HEAD")) {
+    text += "Content-Length: " + std::to_string(aBodyBytes) + "\r\n";
   }
   AppendFields(text, aHead.m_fields);
+  return text;
+}
+
+std::string Serialize(const RequestHead& aHead, std::string_view aBody) {
+  std::string text = SerializeHead(aHead, aBody.size());
   text += aBody;
   return text;
 }
--- a/packages/adapters/http1/Connection.h
+++ b/packages/adapters/http1/Connection.h
@@ -33,6 +33,9 @@
 struct ConnectionEvents {
   /// Called when the first byte of a message has been received.
   std::function<void()> m_onBegin;
+  /// Called while the fields of a message arrive, in steps of a few KiB, with the number of bytes
+  /// of memory that they take.
+  std::function<void(size_t)> m_onHeadGrowth;
   /// Called when the head of a message has been received.
   std::function<void(Head&&)> m_onHead;
   /// Called when bytes of the body have been received.
@@ -80,6 +83,11 @@
   void SetEvents(Events aEvents);
   /// Queues bytes to send. Does nothing if the connection has ended.
   void Write(std::string_view aBytes);
+  /// Queues `aBytes` without copying them; `aOwner` keeps them until they have been sent. Does
+  /// nothing if the connection has ended.
+  void WriteShared(std::shared_ptr<const void> aOwner, std::string_view aBytes);
+  /// Changes the maximum size of a message head, in bytes.
+  void SetMaxHeadBytes(size_t aMaxHeadBytes) { m_maxHeadBytes = aMaxHeadBytes; }
   /// Continues with the next message after one has been completed.
   void Resume();
   /// Marks the next response as one without a body, whatever its head says (for HEAD requests).
@@ -153,6 +161,9 @@
 /// Serializes a request with its complete body. Adds Content-Length, except to a GET or HEAD
 /// request without a body. Thread safe.
 std::string Serialize(const RequestHead& aHead, std::string_view aBody);
+/// Serializes the head of a request whose body of `aBodyBytes` is written separately. Adds
+/// Content-Length as for a complete request. Thread safe.
+std::string SerializeHead(const RequestHead& aHead, size_t aBodyBytes);
 /// Serializes the head of a response. The caller must add the framing fields. Thread safe.
 std::string Serialize(const ResponseHead& aHead);
 /// Encodes `aBytes` as one chunk of a chunked body. Thread safe.
--- a/packages/forwarding/CallerConnection.cpp
+++ b/packages/forwarding/CallerConnection.cpp
@@ -4,7 +4,10 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cstdio>
 #include <nlohmann/json.hpp>
+#include <random>
+#include <utility>
 
 namespace papayafield::forwarding {
 
@@ -20,6 +23,17 @@
 constexpr size_t kMaxUnsentBytes = 8U << 20U;
 /// Number of unsent bytes up to which they are not accounted for, in bytes.
 constexpr size_t kMinAccountedBytes = 65536;
+/// Size of a request in memory up to which it is not accounted for, in bytes. Smaller than what a
+/// connection takes anyway.
+constexpr size_t kMinClaimedRequestBytes = 4096;
+/// Mean Retry-After of a request that was dropped for its size, in seconds; callers return spread
+/// between half and one and a half of it.
+constexpr double kDroppedRetrySeconds = 0.5;
+/// Maximum number of connections whose rest is discarded at a time. Others are closed at once, and
+/// their callers may miss the answer.
+constexpr size_t kMaxDiscarding = 64;
+/// Maximum size of a request head that a configuration can allow, in bytes.
+constexpr size_t kMaxHeadBytes = 65536;
 /// Maximum time for which the rest of a rejected request is discarded, so that its caller receives
 /// the answer.
 constexpr base::Millis kMaxDiscardTime{ 3000 };
@@ -44,6 +58,7 @@
   const auto self = shared_from_this();
   ServerConnection::Events events;
   events.m_onBegin = [self] { self->OnBegin(); };
+  events.m_onHeadGrowth = [self](size_t aBytes) { self->OnHeadGrowth(aBytes); };
   events.m_onHead = [self](RequestHead&& aHead) { self->OnHead(std::move(aHead)); };
   events.m_onBody = [self](std::string_view aBytes) { self->OnBody(aBytes); };
   events.m_onComplete = [self] { self->OnComplete(); };
@@ -96,6 +111,8 @@
 /// Rejects the request as not run if its head does not arrive in time.
 void CallerConnection::OnBegin() {
   m_idleTimer.reset();
+  m_headBytes = 0;
+  m_connection->SetMaxHeadBytes(std::min(m_settings.m_limits.m_headBytes, kMaxHeadBytes));
   m_headTimer = m_loop.After(m_settings.m_limits.m_headTimeout, [this, weak = weak_from_this()] {
     if (weak.expired()) {
       return;
@@ -109,12 +126,46 @@
   });
 }
 
+void CallerConnection::OnHeadGrowth(size_t aBytes) {
+  if (!m_closed) {
+    m_headBytes = aBytes;
+    ClaimRequest(m_body.Capacity());
+  }
+}
+
+/// Accounts for the request that is being read, with a body of up to `aBodyCapacity` bytes. Returns
+/// false if it was rejected instead, because the node holds too much.
+bool CallerConnection::ClaimRequest(size_t aBodyCapacity) {
+  const size_t bytes = m_headBytes + aBodyCapacity;
+  if (!m_requestClaim && bytes <= kMinClaimedRequestBytes) {
+    return true;
+  }
+  if (!m_requestClaim) {
+    m_requestClaim.emplace(m_buffers.Open({ {},
+                                            false,
+                                            [weak = weak_from_this()] {
+                                              if (const auto self = weak.lock()) {
+                                                self->OnRequestDropped();
+                                              }
+                                            },
+                                            base::BufferKind::IncompleteRequest }));
+  }
+  return m_requestClaim->Resize(bytes);
+}
+
+/// Rejects the request, which has not run, since the node needs its memory.
+void CallerConnection::OnRequestDropped() {
+  if (!m_closed && !m_answering) {
+    Reject(503);
+  }
+}
+
 void CallerConnection::OnHead(RequestHead&& aHead) {
   m_headTimer.reset();
   m_reading = true;
   m_arrival = base::BootNow();
   m_head = std::move(aHead);
-  m_body.clear();
+  m_body = {};
   m_bodyLimit = m_settings.m_limits.m_bodyBytes;
   const auto length = m_head.m_fields.Find("Content-Length");
   uint64_t bytes = 0;
@@ -146,7 +197,7 @@
       base::Log("callers").Event("request body stalled",
                                  { { "peer", m_connection->PeerHost() },
                                    { "target", m_head.m_target },
-                                   { "received", m_body.size() },
+                                   { "received", m_body.Size() },
                                    { "silent_ms", silence.count() } });
       Reject(408);
     } else {
@@ -159,11 +210,16 @@
   if (m_closed) {
     return;
   }
-  if (m_body.size() + aBytes.size() > m_bodyLimit) {
+  if (m_body.Size() + aBytes.size() > m_bodyLimit) {
     Reject(413);
     return;
   }
-  m_body += aBytes;
+  while (!(aBytes = m_body.Append(aBytes)).empty()) {
+    if (!ClaimRequest(m_body.NextCapacity())) {
+      return;
+    }
+    m_body.AddBlock();
+  }
   m_lastInputAt = base::BootNow();
 }
 
@@ -176,7 +232,14 @@
   m_answering = true;
   m_keepAlive = m_connection->ShouldKeepAlive();
   m_isHeadRequest = m_head.m_method == "HEAD";
-  auto exchange = m_onRequest(std::move(m_head), std::move(m_body), m_arrival, MakeSink());
+  auto body = std::make_shared<RequestBody>(std::move(m_body));
+  if (m_requestClaim) {
+    // A call that may have been sent is never dropped.
+    m_requestClaim->Pin();
+    body->Keep(std::move(*m_requestClaim));
+    m_requestClaim.reset();
+  }
+  auto exchange = m_onRequest(std::move(m_head), std::move(body), m_arrival, MakeSink());
   m_head = {};
   m_body = {};
   if (exchange != nullptr && m_answering) {
@@ -280,22 +343,65 @@
   m_connection->Resume();
 }
 
-void CallerConnection::Reject(int aStatus) {
-  base::Log("callers").Event("request rejected before it was complete",
-                             { { "peer", m_connection->PeerHost() },
-                               { "target", m_head.m_target },
-                               { "received", m_body.size() },
-                               { "status", aStatus } });
+ResponseHead CallerConnection::MakeRejection(int aStatus) const {
   ResponseHead head;
   head.m_status = aStatus;
   head.m_fields.Add("Content-Length", "0");
   head.m_fields.Add("Connection", "close");
-  m_connection->Write(adapters::http1::Serialize(head));
+  if (aStatus == 503) {
+    std::uniform_real_distribution<double> spread(0.5, 1.5);
+    char text[16];
+    std::snprintf(
+      text, sizeof(text), "%.2f", kDroppedRetrySeconds * spread(m_settings.m_load->m_random));
+    head.m_fields.Add("Retry-After", text);
+  }
+  return head;
+}
+
+void CallerConnection::Reject(int aStatus) {
+  CallerLoad& load = *m_settings.m_load;
+  if (load.m_rejections.TryTake(base::BootNow())) {
+    base::Log("callers").Event("request rejected before it was complete",
+                               { { "peer", m_connection->PeerHost() },
+                                 { "target", m_head.m_target },
+                                 { "received", m_body.Size() },
+                                 { "head_bytes", m_headBytes },
+                                 { "status", aStatus },
+                                 { "buffered", m_buffers.UsedBytes() },
+                                 { "max_buffered", m_buffers.MaxBytes() },
+                                 { "left_out", load.m_rejections.TakeLeftOut() } });
+  }
+  m_connection->Write(adapters::http1::Serialize(MakeRejection(aStatus)));
   m_reading = false;
+  m_head = {};
+  m_body = {};
+  m_requestClaim.reset();
   PrepareClose();
+  if (load.m_discarding >= kMaxDiscarding) {
+    ++load.m_cutOff;
+    m_connection->CloseWhenFlushed(OnceClosed());
+    return;
+  }
+  ++load.m_discarding;
+  m_isDiscarding = true;
   m_connection->CloseWhenPeerDone(kMaxDiscardTime, OnceClosed());
 }
 
+void CallerConnection::Refuse() {
+  const auto self = shared_from_this();
+  CallerLoad& load = *m_settings.m_load;
+  ++load.m_refused;
+  if (load.m_connections.TryTake(base::BootNow())) {
+    base::Log("callers").Event("connection refused",
+                               { { "peer", m_connection->PeerHost() },
+                                 { "max_connections", m_settings.m_maxConnections },
+                                 { "refused", load.m_refused },
+                                 { "left_out", load.m_connections.TakeLeftOut() } });
+  }
+  m_connection->Write(adapters::http1::Serialize(MakeRejection(503)));
+  CloseWhenFlushed();
+}
+
 /// Ends all activity except that the output is still being sent.
 void CallerConnection::PrepareClose() {
   m_closed = true;
@@ -307,6 +413,9 @@
 
 std::function<void()> CallerConnection::OnceClosed() {
   return [self = shared_from_this()] {
+    if (std::exchange(self->m_isDiscarding, false)) {
+      --self->m_settings.m_load->m_discarding;
+    }
     self->m_flushing = false;
     self->m_onClosed(self);
   };
@@ -356,7 +465,7 @@
   base::Log("callers").Event("connection closed in a request",
                              { { "by", m_connection->IsOpen() ? "node" : "caller" },
                                { "target", m_reading ? m_head.m_target : "" },
-                               { "received", m_body.size() },
+                               { "received", m_body.Size() },
                                { "unread", m_connection->PendingInput() } });
 }
 
@@ -372,6 +481,9 @@
   m_headTimer.reset();
   m_bodyTimer.reset();
   m_connection->Close();
+  m_head = {};
+  m_body = {};
+  m_requestClaim.reset();
   if (const auto exchange = std::exchange(m_exchange, nullptr)) {
     exchange->OnCallerDisconnected();
   }
--- a/packages/forwarding/CallerConnection.h
+++ b/packages/forwarding/CallerConnection.h
@@ -2,6 +2,7 @@
 
 #include "adapters/http1/Connection.h"
 #include "base/BufferBudget.h"
+#include "forwarding/CallerLoad.h"
 #include "forwarding/Exchange.h"
 
 #include <functional>
@@ -14,6 +15,10 @@
   fleet::CallerLimits m_limits;
   /// Whether each answer closes its connection.
   bool m_closeAfterAnswer = false;
+  /// Maximum number of connections; 0 if there is no limit.
+  size_t m_maxConnections = 0;
+  /// Shared by all connections of the node.
+  std::shared_ptr<CallerLoad> m_load = std::make_shared<CallerLoad>();
 };
 
 /// One connection of a caller: reads its requests one after the other and writes their answers.
@@ -23,11 +28,11 @@
   /// Called with a complete request. Returns the call that is now in progress, or null if the
   /// request has already been answered.
   using OnRequest = std::function<std::shared_ptr<Exchange>(adapters::http1::RequestHead&& aHead,
-                                                            std::string&& aBody,
+                                                            RequestBodyPtr aBody,
                                                             base::TimePoint aArrival,
                                                             AnswerSink aSink)>;
 
-  /// `aBuffers` limits what callers have not taken yet.
+  /// `aBuffers` limits what callers have sent, and what they have not taken yet.
   CallerConnection(adapters::http::EventLoop& aLoop,
                    base::BufferBudget& aBuffers,
                    std::shared_ptr<adapters::http1::ServerConnection> aConnection,
@@ -52,15 +57,26 @@
   void OnLimitsChanged();
   /// Closes the connection at once.
   void Close();
+  /// Returns since when no request has been read or answered; nullopt if one is.
+  std::optional<base::TimePoint> IdleSince() const {
+    return m_closed || IsBusy() ? std::nullopt : std::optional(m_idleSince);
+  }
+  /// Answers that the node has no room for the connection, and closes it. Nothing that its caller
+  /// sends is run. Call it instead of Start.
+  void Refuse();
 
 private:
   bool IsReading() const { return m_reading || (!m_closed && m_connection->IsInMessage()); }
   void OnBegin();
+  void OnHeadGrowth(size_t aBytes);
   void OnHead(adapters::http1::RequestHead&& aHead);
   void OnBody(std::string_view aBytes);
   void OnComplete();
   void OnEnd(adapters::http1::EndKind aKind);
   void Reject(int aStatus);
+  bool ClaimRequest(size_t aBodyCapacity);
+  void OnRequestDropped();
+  adapters::http1::ResponseHead MakeRejection(int aStatus) const;
   void OnAnswered();
   void ClaimUnsent();
   void DisconnectSlowCaller();
@@ -98,7 +114,11 @@
   /// Time of the last bytes of a request.
   base::TimePoint m_lastInputAt{};
   adapters::http1::RequestHead m_head;
-  std::string m_body;
+  RequestBody m_body;
+  /// Memory that the present head takes, as far as it is known.
+  size_t m_headBytes = 0;
+  /// Covers head and body of a request that is being read, if they are large.
+  std::optional<base::BufferBudget::Claim> m_requestClaim;
   base::TimePoint m_arrival{};
   std::shared_ptr<Exchange> m_exchange;
   bool m_reading = false;
@@ -107,6 +127,8 @@
   bool m_answering = false;
   bool m_keepAlive = false;
   bool m_closed = false;
+  /// Whether this connection counts among those whose input is discarded.
+  bool m_isDiscarding = false;
   /// Whether the connection only waits until its output has been sent, and its caller has stopped
   /// sending.
   bool m_flushing = false;
--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -32,6 +32,9 @@
 constexpr base::Millis kMinAttemptTime{ 20 };
 /// Maximum size of a buffered answer, in bytes.
 constexpr size_t kMaxAnswerBytes = 16U << 20U;
+/// Size of a request body up to which it is sent together with its head; larger ones are not
+/// copied.
+constexpr size_t kMaxCopiedBodyBytes = 4096;
 /// Smallest capacity of the buffer of an answer, in bytes.
 constexpr size_t kMinBufferBytes = 4096;
 /// Time for which an endpoint gets no new calls after an answer that exceeded a limit on its size.
@@ -100,7 +103,7 @@
                    const fleet::Team* aTeam,
                    CallInfo aCall,
                    adapters::http1::RequestHead aHead,
-                   std::string aBody,
+                   RequestBodyPtr aBody,
                    base::TimePoint aArrival,
                    AnswerSink aSink)
   : m_node(aNode)
@@ -278,8 +281,16 @@
   if (m_head.m_method == kHeadMethod) {
     attempt->m_connection->ExpectNoBody();
   }
-  attempt->m_connection->Write(
-    adapters::http1::Serialize(m_node.m_wire.m_encodeAttempt(attemptInfo), m_body));
+  const adapters::http1::RequestHead head = m_node.m_wire.m_encodeAttempt(attemptInfo);
+  if (m_body->Size() <= kMaxCopiedBodyBytes && m_body->Blocks().size() <= 1) {
+    attempt->m_connection->Write(adapters::http1::Serialize(
+      head, m_body->Blocks().empty() ? std::string_view() : m_body->Blocks().front()));
+    return;
+  }
+  attempt->m_connection->Write(adapters::http1::SerializeHead(head, m_body->Size()));
+  for (const std::string& block : m_body->Blocks()) {
+    attempt->m_connection->WriteShared(m_body, block);
+  }
 }
 
 void Exchange::AttachHandlers(const std::shared_ptr<ActiveAttempt>& aAttempt) {
--- a/packages/forwarding/Exchange.h
+++ b/packages/forwarding/Exchange.h
@@ -3,6 +3,7 @@
 #include "forwarding/Call.h"
 #include "forwarding/EventSplitter.h"
 #include "forwarding/NodeState.h"
+#include "forwarding/RequestBody.h"
 #include "forwarding/RetryDecision.h"
 
 #include <functional>
@@ -41,7 +42,7 @@
            const fleet::Team* aTeam,
            CallInfo aCall,
            adapters::http1::RequestHead aHead,
-           std::string aBody,
+           RequestBodyPtr aBody,
            base::TimePoint aArrival,
            AnswerSink aSink);
 
@@ -120,7 +121,7 @@
   const int m_priority;
   const CallInfo m_call;
   const adapters::http1::RequestHead m_head;
-  const std::string m_body;
+  const RequestBodyPtr m_body;
   const base::TimePoint m_arrival;
   base::TimePoint m_deadline;
   AnswerSink m_sink;
--- a/packages/forwarding/Gateway.cpp
+++ b/packages/forwarding/Gateway.cpp
@@ -16,12 +16,15 @@
 constexpr double kStoppingRetrySeconds = 0.05;
 /// Callers honour a Retry-After of up to this fraction of their remaining time.
 constexpr double kMaxRetryAfterFraction = 0.33;
+/// Maximum number of connections above the limit that are open until their refusal has been sent.
+/// Others are closed without an answer, so that a burst cannot use up the descriptors.
+constexpr size_t kMaxRefusing = 32;
 /// Maximum size of a request head, in bytes.
 constexpr size_t kMaxHeadBytes = 65536;
 
 } // namespace
 
-Gateway::Gateway(NodeState& aNode, const base::Address& aAddress)
+Gateway::Gateway(NodeState& aNode, const base::Address& aAddress, size_t aMaxConnections)
   : m_node(aNode)
   , m_listener(aNode.m_loop, aAddress, kMaxHeadBytes, [this](auto aConnection) {
     auto caller = std::make_shared<CallerConnection>(
@@ -29,13 +32,68 @@
       m_node.m_buffers,
       std::move(aConnection),
       m_settings,
-      [this](RequestHead&& aHead, std::string&& aBody, base::TimePoint aArrival, AnswerSink aSink) {
+      [this](
+        RequestHead&& aHead, RequestBodyPtr aBody, base::TimePoint aArrival, AnswerSink aSink) {
         return OnRequest(std::move(aHead), std::move(aBody), aArrival, std::move(aSink));
       },
       [this](const std::shared_ptr<CallerConnection>& aClosed) { m_connections.erase(aClosed); });
+    const bool hasRoom = MakeRoom();
+    if (!hasRoom && m_connections.size() >= m_settings.m_maxConnections + kMaxRefusing) {
+      ++m_settings.m_load->m_refused;
+      return;
+    }
     m_connections.insert(caller);
-    caller->Start();
-  }) {}
+    if (hasRoom) {
+      caller->Start();
+    } else {
+      caller->Refuse();
+    }
+  }) {
+  m_settings.m_maxConnections = aMaxConnections;
+}
+
+/// Closes the connection that has been idle for the longest time if there are too many. Returns
+/// whether there is room for one more.
+bool Gateway::MakeRoom() {
+  if (m_settings.m_maxConnections == 0 || m_connections.size() < m_settings.m_maxConnections) {
+    return true;
+  }
+  std::shared_ptr<CallerConnection> longest;
+  for (const auto& caller : m_connections) {
+    const auto since = caller->IdleSince();
+    if (since && (longest == nullptr || *since < *longest->IdleSince())) {
+      longest = caller;
+    }
+  }
+  if (longest == nullptr) {
+    return false;
+  }
+  CallerLoad& load = *m_settings.m_load;
+  ++load.m_idleClosed;
+  const auto now = base::BootNow();
+  if (load.m_connections.TryTake(now)) {
+    m_node.m_log.Event(
+      "idle connection closed for a new one",
+      { { "idle_ms",
+          std::chrono::duration_cast<base::Millis>(now - *longest->IdleSince()).count() },
+        { "max_connections", m_settings.m_maxConnections },
+        { "closed", load.m_idleClosed },
+        { "left_out", load.m_connections.TakeLeftOut() } });
+  }
+  longest->Close();
+  return true;
+}
+
+void Gateway::SetMetrics() const {
+  const CallerLoad& load = *m_settings.m_load;
+  Metrics& metrics = m_node.m_metrics;
+  metrics.Set("caller_connections", static_cast<double>(m_connections.size()));
+  metrics.Set("caller_connections_limit", static_cast<double>(m_settings.m_maxConnections));
+  metrics.Set("connections_refused", static_cast<double>(load.m_refused));
+  metrics.Set("idle_connections_closed", static_cast<double>(load.m_idleClosed));
+  metrics.Set("requests_discarding", static_cast<double>(load.m_discarding));
+  metrics.Set("requests_cut_off", static_cast<double>(load.m_cutOff));
+}
 
 size_t Gateway::BusyCount() const {
   return static_cast<size_t>(std::count_if(m_connections.begin(),
@@ -126,7 +184,7 @@
 }
 
 std::shared_ptr<Exchange> Gateway::OnRequest(RequestHead&& aHead,
-                                             std::string&& aBody,
+                                             RequestBodyPtr aBody,
                                              base::TimePoint aArrival,
                                              AnswerSink aSink) {
   CallInfo call = m_node.m_wire.m_decodeCall(aHead);
--- a/packages/forwarding/Gateway.h
+++ b/packages/forwarding/Gateway.h
@@ -15,7 +15,8 @@
 /// each request, and admits or rejects it. Belongs to the event loop's thread.
 class Gateway {
 public:
-  Gateway(NodeState& aNode, const base::Address& aAddress);
+  /// Accepts callers on `aAddress`, at most `aMaxConnections` at a time; 0 is no limit.
+  Gateway(NodeState& aNode, const base::Address& aAddress, size_t aMaxConnections);
 
   /// Returns whether the address could be bound.
   bool Listening() const { return m_listener.Listening(); }
@@ -29,14 +30,17 @@
   size_t BusyCount() const;
   /// Returns the number of open connections.
   size_t ConnectionCount() const { return m_connections.size(); }
+  /// Updates the metrics of callers' connections.
+  void SetMetrics() const;
   /// Applies the limits for callers after a change of the configuration.
   void ApplyLimits(const fleet::CallerLimits& aLimits);
 
 private:
   std::shared_ptr<Exchange> OnRequest(adapters::http1::RequestHead&& aHead,
-                                      std::string&& aBody,
+                                      RequestBodyPtr aBody,
                                       base::TimePoint aArrival,
                                       AnswerSink aSink);
+  bool MakeRoom();
   void Reject(const AnswerSink& aSink,
               const CallInfo& aCall,
               int aStatus,
--- a/packages/forwarding/NodeState.cpp
+++ b/packages/forwarding/NodeState.cpp
@@ -19,10 +19,12 @@
                      quota::QuotaTolerance aQuotaTolerance,
                      base::Millis aExpiryGrace,
                      int64_t aWindowMs,
+                     base::BufferBudgetSettings aBufferSettings,
                      std::function<void()> aOnEndpointLeaving)
   : m_loop(aLoop)
   , m_wire(std::move(aWire))
   , m_zone(std::move(aZone))
+  , m_buffers(aBufferSettings)
   , m_directory(aExpiryGrace)
   , m_pool(aLoop)
   , m_signals(m_availability, m_pool, std::move(aOnEndpointLeaving))
--- a/packages/forwarding/NodeState.h
+++ b/packages/forwarding/NodeState.h
@@ -35,7 +35,8 @@
 /// State shared by all calls of one node. Belongs to the event loop's thread.
 class NodeState {
 public:
-  /// `aWindowMs` is the length of a usage window. `aOnEndpointLeaving` is called when this node
+  /// `aWindowMs` is the length of a usage window. `aBufferSettings` limits what the node holds of
+  /// requests and answers. `aOnEndpointLeaving` is called when this node
   /// learns that an endpoint leaves.
   NodeState(adapters::http::EventLoop& aLoop,
             WireFormat aWire,
@@ -44,6 +45,7 @@
             quota::QuotaTolerance aQuotaTolerance,
             base::Millis aExpiryGrace,
             int64_t aWindowMs,
+            base::BufferBudgetSettings aBufferSettings,
             std::function<void()> aOnEndpointLeaving);
 
   /// Returns the active configuration; null before the first one.
@@ -69,8 +71,9 @@
   const WireFormat m_wire;
   const base::ZoneId m_zone;
   const base::Log m_log{ "forwarding" };
-  /// Answers of endpoints, until they are complete, and what callers have not taken yet.
-  base::BufferBudget m_buffers{ base::BufferBudgetSettings{} };
+  /// Requests of callers, answers of endpoints until they are complete, and what callers have not
+  /// taken yet.
+  base::BufferBudget m_buffers;
   fleet::EndpointDirectory m_directory;
   placement::Placement m_placement{ placement::PlacementSettings{} };
   duties::ScalingPolicy m_scaling{ duties::ScalingSettings{} };
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -57,6 +57,7 @@
               m_settings.m_quotaTolerance,
               kExpiryGrace,
               m_settings.m_usageWindowMs,
+              m_settings.m_buffers,
               [this] { m_gossip.AnnounceLeaving(); })
     , m_replica(
         [this](const std::string& aKey,
@@ -98,7 +99,7 @@
         },
         m_configuration,
         [this](const std::string& aData) { ApplyConfiguration(aData, "peer"); })
-    , m_gateway(m_state, m_settings.m_callerAddress)
+    , m_gateway(m_state, m_settings.m_callerAddress, m_settings.m_maxCallerConnections)
     , m_leaderElection(aStore, m_replica, MakeElectionSettings())
     , m_reporter(
         aStore,
@@ -161,6 +162,10 @@
   std::string MetricsPage() {
     m_state.m_metrics.Set("buffered_bytes", static_cast<double>(m_state.m_buffers.UsedBytes()));
     m_state.m_metrics.Set("buffers_dropped", static_cast<double>(m_state.m_buffers.DropCount()));
+    m_state.m_metrics.Set("buffer_limit_bytes", static_cast<double>(m_state.m_buffers.MaxBytes()));
+    m_state.m_metrics.Set("requests_dropped",
+                          static_cast<double>(m_state.m_buffers.RequestDropCount()));
+    m_gateway.SetMetrics();
     m_state.m_metrics.Set("endpoints_ready",
                           static_cast<double>(m_state.m_directory.Ready().size()));
     m_state.m_metrics.Set("nodes_alive",
--- a/packages/serving/ServingSettings.h
+++ b/packages/serving/ServingSettings.h
@@ -30,6 +30,10 @@
   base::Millis m_entryCacheTime{ 1000 };
   /// Time after which leadership expires if the leader no longer renews it.
   base::Millis m_leaderLease{ 3000 };
+  /// Limit on what the node holds of requests and answers.
+  base::BufferBudgetSettings m_buffers;
+  /// Maximum number of connections of callers; 0 if there is no limit.
+  size_t m_maxCallerConnections = 0;
   WorkingSetSettings m_workingSet;
   forwarding::RetryLimits m_retries;
   quota::QuotaTolerance m_quotaTolerance;
