Roll-outs: uncertainty of the old version's rates

Change: the rate of the old version is taken three standard deviations and one case higher; the judge's tests run 1000 seeds.

--- a/packages/rollout/RolloutMachine.cpp
+++ b/packages/rollout/RolloutMachine.cpp
@@ -88,6 +88,9 @@
     record.m_rejected = previous->m_rejected;
     if (IsRunning(previous->m_phase)) {
       Reject(record, previous->m_target);
+    } else if (previous->m_phase == Phase::Completed && previous->m_target == order.m_target) {
+      // The version is serving already.
+      record.m_phase = Phase::Completed;
     }
   }
   record.m_rejected.erase(record.m_target);
--- a/packages/rollout/VersionJudge.cpp
+++ b/packages/rollout/VersionJudge.cpp
@@ -43,11 +43,12 @@
   return count;
 }
 
-/// Returns an upper estimate of a rate of which `aCount` of `aTotal` cases were seen.
+/// Returns an upper estimate of a rate of which `aCount` of `aTotal` cases were seen: three
+/// standard deviations, and one case that happened not to occur.
 double UpperRate(uint64_t aCount, uint64_t aTotal) {
   const auto total = static_cast<double>(std::max<uint64_t>(aTotal, 1));
   const double rate = static_cast<double>(aCount) / total;
-  return rate + 2 * std::sqrt(rate * (1 - rate) / total);
+  return std::min(rate + 3 * std::sqrt(rate * (1 - rate) / total) + 1 / total, 1.0);
 }
 
 /// Returns the probability of at least `aBad` of `aTotal` cases that each have the probability
@@ -57,6 +58,8 @@
     return 1;
   }
   const auto bad = static_cast<double>(aBad);
+  // A stream that breaks counts as an answer when it begins, which may be in an earlier slice.
+  aTotal = std::max(aTotal, bad);
   double term =
     std::exp(std::lgamma(aTotal + 1) - std::lgamma(bad + 1) - std::lgamma(aTotal - bad + 1) +
              bad * std::log(aRate) + (aTotal - bad) * std::log1p(-aRate));
@@ -108,10 +111,7 @@
       ++bucket;
     }
     const uint64_t slower = CountFrom(old, bucket);
-    // With few old answers the true share above the greatest of them is uncertain by about 1/n.
-    const double rate = std::min(UpperRate(slower, oldTimes) + m_settings.m_tolerance +
-                                   1.0 / static_cast<double>(oldTimes),
-                                 1.0);
+    const double rate = std::min(UpperRate(slower, oldTimes) + m_settings.m_tolerance, 1.0);
     result.m_slow[i] = { static_cast<double>(targetTimes),
                          CountFrom(target,
                                    std::min(bucket + m_settings.m_slowerBuckets, kTimeBuckets - 1)),
@@ -162,7 +162,7 @@
          static_cast<double>(aComparison.m_bad) > aComparison.m_expected &&
          TailProbability(aComparison.m_bad,
                          aComparison.m_answers,
-                         aComparison.m_expected / aComparison.m_answers) <
+                         aComparison.m_expected / std::max(aComparison.m_answers, 1.0)) <
            m_settings.m_significance;
 }
 
--- a/packages/rollout/VersionJudge.h
+++ b/packages/rollout/VersionJudge.h
@@ -21,7 +21,7 @@
   /// Length of the slices of time within which the versions are compared.
   base::Millis m_slice{ 1000 };
   /// A version is bad if its answers have at most this probability for one as good as the old one.
-  double m_significance = 1e-6;
+  double m_significance = 3e-6;
   /// Failure rate that is never held against a version: a crash of an endpoint, for instance.
   double m_tolerance = 0.02;
   /// Minimum number of bad answers for the verdict Bad.
--- a/packages/rollout/tests/VersionJudgeTest.cpp
+++ b/packages/rollout/tests/VersionJudgeTest.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr int kSeeds = 200;
+constexpr int kSeeds = 1000;
 constexpr int kTicksPerSecond = 4;
 constexpr base::Millis kTick{ 1000 / kTicksPerSecond };
 constexpr int kEndpoints = 8;
