--- a/packages/adapters/peer/GossipCodec.cpp
+++ b/packages/adapters/peer/GossipCodec.cpp
@@ -79,6 +79,88 @@
   }
 }
 
+void WriteAnswers(wire::NewsAnswers::Builder aTo, const rollout::AnswerCounts& aCounts) {
+  aTo.setAnswers(aCounts.m_answers);
+  aTo.setFailures(aCounts.m_failures);
+  unsigned size = rollout::kTimeBuckets;
+  while (size > 0 && aCounts.m_times[size - 1] == 0) {
+    --size;
+  }
+  auto times = aTo.initTimes(size);
+  for (unsigned i = 0; i < size; ++i) {
+    times.set(i, base::SaturatingCast<uint32_t>(static_cast<double>(aCounts.m_times[i])));
+  }
+}
+
+rollout::AnswerCounts ReadAnswers(wire::NewsAnswers::Reader aFrom) {
+  rollout::AnswerCounts counts;
+  counts.m_answers = aFrom.getAnswers();
+  counts.m_failures = aFrom.getFailures();
+  const auto times = aFrom.getTimes();
+  for (unsigned i = 0; i < times.size() && i < rollout::kTimeBuckets; ++i) {
+    counts.m_times[i] = times[i];
+  }
+  return counts;
+}
+
+void WriteRollouts(wire::NewsBeat::Builder aTo, const gossip::Heartbeat& aHeartbeat) {
+  auto allCounts = aTo.initRolloutCounts(static_cast<unsigned>(aHeartbeat.m_rolloutCounts.size()));
+  unsigned index = 0;
+  for (const auto& [service, counts] : aHeartbeat.m_rolloutCounts) {
+    auto to = allCounts[index++];
+    to.setService(service.Text());
+    to.setEra(counts.m_order.m_era);
+    to.setRevision(counts.m_order.m_revision);
+    to.setRequests(counts.m_requests);
+    to.setSent(counts.m_sent);
+    to.setOldOpen(counts.m_oldOpen);
+    auto routes = to.initRoutes(static_cast<unsigned>(counts.m_routes.size()));
+    unsigned route = 0;
+    for (const auto& [name, versions] : counts.m_routes) {
+      routes[route].setRoute(name);
+      WriteAnswers(routes[route].initOld(), versions.m_old);
+      WriteAnswers(routes[route++].initTarget(), versions.m_target);
+    }
+  }
+  auto allGrants = aTo.initRolloutGrants(static_cast<unsigned>(aHeartbeat.m_rolloutGrants.size()));
+  index = 0;
+  for (const auto& [service, grants] : aHeartbeat.m_rolloutGrants) {
+    auto to = allGrants[index++];
+    to.setService(service.Text());
+    to.setEra(grants.m_order.m_era);
+    to.setRevision(grants.m_order.m_revision);
+    to.setFence(grants.m_token);
+    auto nodes = to.initNodes(static_cast<unsigned>(grants.m_calls.size()));
+    unsigned node = 0;
+    for (const auto& [incarnation, calls] : grants.m_calls) {
+      nodes[node].setIncarnation(incarnation);
+      nodes[node++].setCalls(calls);
+    }
+  }
+}
+
+void ReadRollouts(wire::NewsBeat::Reader aFrom, gossip::Heartbeat& aHeartbeat) {
+  for (const auto from : aFrom.getRolloutCounts()) {
+    auto& counts = aHeartbeat.m_rolloutCounts[fleet::ServiceId(ToString(from.getService()))];
+    counts.m_order = { from.getEra(), from.getRevision() };
+    counts.m_requests = from.getRequests();
+    counts.m_sent = from.getSent();
+    counts.m_oldOpen = from.getOldOpen();
+    for (const auto route : from.getRoutes()) {
+      counts.m_routes[ToString(route.getRoute())] = { ReadAnswers(route.getOld()),
+                                                      ReadAnswers(route.getTarget()) };
+    }
+  }
+  for (const auto from : aFrom.getRolloutGrants()) {
+    auto& grants = aHeartbeat.m_rolloutGrants[fleet::ServiceId(ToString(from.getService()))];
+    grants.m_order = { from.getEra(), from.getRevision() };
+    grants.m_token = from.getFence();
+    for (const auto node : from.getNodes()) {
+      grants.m_calls[ToString(node.getIncarnation())] = node.getCalls();
+    }
+  }
+}
+
 gossip::Heartbeat ReadHeartbeat(wire::NewsBeat::Reader aFrom) {
   gossip::Heartbeat heartbeat;
   heartbeat.m_from = ReadContact(aFrom.getFrom());
@@ -103,6 +185,7 @@
         base::SaturatingCast<uint64_t>(total.getUnits());
     }
   }
+  ReadRollouts(aFrom, heartbeat);
   for (const auto contact : aFrom.getContacts()) {
     heartbeat.m_contacts.push_back(ReadContact(contact));
   }
@@ -122,6 +205,7 @@
   WriteLoads(aTo, aHeartbeat);
   WriteQuota(aTo, aHeartbeat.m_quota);
   WriteUsage(aTo, aHeartbeat);
+  WriteRollouts(aTo, aHeartbeat);
   auto contacts = aTo.initContacts(static_cast<unsigned>(aHeartbeat.m_contacts.size()));
   for (unsigned i = 0; i < contacts.size(); ++i) {
     WriteContact(contacts[i], aHeartbeat.m_contacts[i]);
--- a/packages/adapters/peer/news.capnp
+++ b/packages/adapters/peer/news.capnp
@@ -28,6 +28,45 @@
   counts @1 :List(NewsTotal);
 }
 
+# Answers of one version on one route, as running totals. Buckets of times after the last
+# non-empty one are left out.
+struct NewsAnswers {
+  answers @0 :UInt64;
+  failures @1 :UInt64;
+  times @2 :List(UInt32);
+}
+
+struct NewsVersionRoute {
+  route @0 :Text;
+  old @1 :NewsAnswers;
+  target @2 :NewsAnswers;
+}
+
+# What a node has counted of the roll-out of a service, by the position of its order.
+struct NewsRolloutCounts {
+  service @0 :Text;
+  era @1 :UInt64;
+  revision @2 :UInt64;
+  requests @3 :UInt64;
+  sent @4 :UInt64;
+  oldOpen @5 :UInt64;
+  routes @6 :List(NewsVersionRoute);
+}
+
+struct NewsNodeGrant {
+  incarnation @0 :Text;
+  calls @1 :UInt64;
+}
+
+# Calls that the leader lets each node send to the version that is rolled out, as running totals.
+struct NewsRolloutGrants {
+  service @0 :Text;
+  era @1 :UInt64;
+  revision @2 :UInt64;
+  fence @3 :UInt64;
+  nodes @4 :List(NewsNodeGrant);
+}
+
 struct NewsBeat {
   from @0 :NewsContact;
   zone @1 :Text;
@@ -44,6 +83,10 @@
   levels @12 :List(NewsTotal);
   asked @13 :List(NewsTotal);
   era @14 :UInt64;
+  engineCalls @15 :Float64;
+  lateEngineCalls @16 :Float64;
+  rolloutCounts @17 :List(NewsRolloutCounts);
+  rolloutGrants @18 :List(NewsRolloutGrants);
 }
 
 struct NewsChange {
--- a/packages/adapters/peer/news.capnp.h
+++ b/packages/adapters/peer/news.capnp.h
@@ -20,6 +20,11 @@
 CAPNP_DECLARE_SCHEMA(add45e242a0a5315);
 CAPNP_DECLARE_SCHEMA(afc62ae918c320c8);
 CAPNP_DECLARE_SCHEMA(d83284ed9adeed1b);
+CAPNP_DECLARE_SCHEMA(e36857530e0f6f2f);
+CAPNP_DECLARE_SCHEMA(8a8341ec8b3213d4);
+CAPNP_DECLARE_SCHEMA(8f8c30d3b4c5a344);
+CAPNP_DECLARE_SCHEMA(aab6c739fd1e8216);
+CAPNP_DECLARE_SCHEMA(8e186f81a6884b7b);
 CAPNP_DECLARE_SCHEMA(962536a4c280ae89);
 CAPNP_DECLARE_SCHEMA(ce9fede55e590fea);
 CAPNP_DECLARE_SCHEMA(9b1a004f81b6ba28);
@@ -93,6 +98,81 @@
   };
 };
 
+struct NewsAnswers {
+  NewsAnswers() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e36857530e0f6f2f, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct NewsVersionRoute {
+  NewsVersionRoute() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8a8341ec8b3213d4, 0, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct NewsRolloutCounts {
+  NewsRolloutCounts() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8f8c30d3b4c5a344, 5, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct NewsNodeGrant {
+  NewsNodeGrant() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(aab6c739fd1e8216, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct NewsRolloutGrants {
+  NewsRolloutGrants() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8e186f81a6884b7b, 3, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct NewsBeat {
   NewsBeat() = delete;
 
@@ -101,7 +181,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(962536a4c280ae89, 5, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(962536a4c280ae89, 7, 10)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -518,9 +598,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class NewsBeat::Reader {
+class NewsAnswers::Reader {
 public:
-  typedef NewsBeat Reads;
+  typedef NewsAnswers Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -535,43 +615,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasFrom() const;
-  inline  ::papayafield::adapters::peer::wire::NewsContact::Reader getFrom() const;
-
-  inline bool hasZone() const;
-  inline  ::capnp::Text::Reader getZone() const;
-
-  inline bool getReady() const;
-
-  inline bool getStopping() const;
-
-  inline bool getStoreAnswers() const;
-
-  inline  ::int64_t getConfiguration() const;
-
-  inline  ::uint64_t getRevision() const;
-
-  inline double getWorkAsked() const;
-
-  inline bool hasLoads() const;
-  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsLoad,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
-
-  inline bool hasGranted() const;
-  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Reader getGranted() const;
-
-  inline bool hasUsage() const;
-  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsWindow,  ::capnp::Kind::STRUCT>::Reader getUsage() const;
+  inline  ::uint64_t getAnswers() const;
 
-  inline bool hasContacts() const;
-  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsContact,  ::capnp::Kind::STRUCT>::Reader getContacts() const;
-
-  inline bool hasLevels() const;
-  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Reader getLevels() const;
-
-  inline bool hasAsked() const;
-  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Reader getAsked() const;
+  inline  ::uint64_t getFailures() const;
 
-  inline  ::uint64_t getEra() const;
+  inline bool hasTimes() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getTimes() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -585,9 +634,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class NewsBeat::Builder {
+class NewsAnswers::Builder {
 public:
-  typedef NewsBeat Builds;
+  typedef NewsAnswers Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -601,82 +650,19 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasFrom();
-  inline  ::papayafield::adapters::peer::wire::NewsContact::Builder getFrom();
-  inline void setFrom( ::papayafield::adapters::peer::wire::NewsContact::Reader value);
-  inline  ::papayafield::adapters::peer::wire::NewsContact::Builder initFrom();
-  inline void adoptFrom(::capnp::Orphan< ::papayafield::adapters::peer::wire::NewsContact>&& value);
-  inline ::capnp::Orphan< ::papayafield::adapters::peer::wire::NewsContact> disownFrom();
-
-  inline bool hasZone();
-  inline  ::capnp::Text::Builder getZone();
-  inline void setZone( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initZone(unsigned int size);
-  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownZone();
-
-  inline bool getReady();
-  inline void setReady(bool value);
-
-  inline bool getStopping();
-  inline void setStopping(bool value);
-
-  inline bool getStoreAnswers();
-  inline void setStoreAnswers(bool value);
-
-  inline  ::int64_t getConfiguration();
-  inline void setConfiguration( ::int64_t value);
-
-  inline  ::uint64_t getRevision();
-  inline void setRevision( ::uint64_t value);
-
-  inline double getWorkAsked();
-  inline void setWorkAsked(double value);
-
-  inline bool hasLoads();
-  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsLoad,  ::capnp::Kind::STRUCT>::Builder getLoads();
-  inline void setLoads( ::capnp::List< ::papayafield::adapters::peer::wire::NewsLoad,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsLoad,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
-  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsLoad,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsLoad,  ::capnp::Kind::STRUCT>> disownLoads();
-
-  inline bool hasGranted();
-  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Builder getGranted();
-  inline void setGranted( ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Builder initGranted(unsigned int size);
-  inline void adoptGranted(::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>> disownGranted();
-
-  inline bool hasUsage();
-  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsWindow,  ::capnp::Kind::STRUCT>::Builder getUsage();
-  inline void setUsage( ::capnp::List< ::papayafield::adapters::peer::wire::NewsWindow,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsWindow,  ::capnp::Kind::STRUCT>::Builder initUsage(unsigned int size);
-  inline void adoptUsage(::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsWindow,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsWindow,  ::capnp::Kind::STRUCT>> disownUsage();
-
-  inline bool hasContacts();
-  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsContact,  ::capnp::Kind::STRUCT>::Builder getContacts();
-  inline void setContacts( ::capnp::List< ::papayafield::adapters::peer::wire::NewsContact,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsContact,  ::capnp::Kind::STRUCT>::Builder initContacts(unsigned int size);
-  inline void adoptContacts(::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsContact,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsContact,  ::capnp::Kind::STRUCT>> disownContacts();
-
-  inline bool hasLevels();
-  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Builder getLevels();
-  inline void setLevels( ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Builder initLevels(unsigned int size);
-  inline void adoptLevels(::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>> disownLevels();
+  inline  ::uint64_t getAnswers();
+  inline void setAnswers( ::uint64_t value);
 
-  inline bool hasAsked();
-  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Builder getAsked();
-  inline void setAsked( ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Builder initAsked(unsigned int size);
-  inline void adoptAsked(::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>> disownAsked();
+  inline  ::uint64_t getFailures();
+  inline void setFailures( ::uint64_t value);
 
-  inline  ::uint64_t getEra();
-  inline void setEra( ::uint64_t value);
+  inline bool hasTimes();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getTimes();
+  inline void setTimes( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setTimes(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initTimes(unsigned int size);
+  inline void adoptTimes(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownTimes();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -688,15 +674,14 @@
 };
 
 #if !CAPNP_LITE
-class NewsBeat::Pipeline {
+class NewsAnswers::Pipeline {
 public:
-  typedef NewsBeat Pipelines;
+  typedef NewsAnswers Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::papayafield::adapters::peer::wire::NewsContact::Pipeline getFrom();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -705,9 +690,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class NewsChange::Reader {
+class NewsVersionRoute::Reader {
 public:
-  typedef NewsChange Reads;
+  typedef NewsVersionRoute Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -722,17 +707,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasKey() const;
-  inline  ::capnp::Text::Reader getKey() const;
-
-  inline bool hasData() const;
-  inline  ::capnp::Data::Reader getData() const;
-
-  inline  ::uint64_t getRevision() const;
+  inline bool hasRoute() const;
+  inline  ::capnp::Text::Reader getRoute() const;
 
-  inline  ::uint64_t getCreated() const;
+  inline bool hasOld() const;
+  inline  ::papayafield::adapters::peer::wire::NewsAnswers::Reader getOld() const;
 
-  inline bool getRemoved() const;
+  inline bool hasTarget() const;
+  inline  ::papayafield::adapters::peer::wire::NewsAnswers::Reader getTarget() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -746,9 +728,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class NewsChange::Builder {
+class NewsVersionRoute::Builder {
 public:
-  typedef NewsChange Builds;
+  typedef NewsVersionRoute Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -762,28 +744,26 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasKey();
-  inline  ::capnp::Text::Builder getKey();
-  inline void setKey( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initKey(unsigned int size);
-  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownKey();
-
-  inline bool hasData();
-  inline  ::capnp::Data::Builder getData();
-  inline void setData( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initData(unsigned int size);
-  inline void adoptData(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownData();
-
-  inline  ::uint64_t getRevision();
-  inline void setRevision( ::uint64_t value);
-
-  inline  ::uint64_t getCreated();
-  inline void setCreated( ::uint64_t value);
-
-  inline bool getRemoved();
-  inline void setRemoved(bool value);
+  inline bool hasRoute();
+  inline  ::capnp::Text::Builder getRoute();
+  inline void setRoute( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRoute(unsigned int size);
+  inline void adoptRoute(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRoute();
+
+  inline bool hasOld();
+  inline  ::papayafield::adapters::peer::wire::NewsAnswers::Builder getOld();
+  inline void setOld( ::papayafield::adapters::peer::wire::NewsAnswers::Reader value);
+  inline  ::papayafield::adapters::peer::wire::NewsAnswers::Builder initOld();
+  inline void adoptOld(::capnp::Orphan< ::papayafield::adapters::peer::wire::NewsAnswers>&& value);
+  inline ::capnp::Orphan< ::papayafield::adapters::peer::wire::NewsAnswers> disownOld();
+
+  inline bool hasTarget();
+  inline  ::papayafield::adapters::peer::wire::NewsAnswers::Builder getTarget();
+  inline void setTarget( ::papayafield::adapters::peer::wire::NewsAnswers::Reader value);
+  inline  ::papayafield::adapters::peer::wire::NewsAnswers::Builder initTarget();
+  inline void adoptTarget(::capnp::Orphan< ::papayafield::adapters::peer::wire::NewsAnswers>&& value);
+  inline ::capnp::Orphan< ::papayafield::adapters::peer::wire::NewsAnswers> disownTarget();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -795,14 +775,16 @@
 };
 
 #if !CAPNP_LITE
-class NewsChange::Pipeline {
+class NewsVersionRoute::Pipeline {
 public:
-  typedef NewsChange Pipelines;
+  typedef NewsVersionRoute Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::papayafield::adapters::peer::wire::NewsAnswers::Pipeline getOld();
+  inline  ::papayafield::adapters::peer::wire::NewsAnswers::Pipeline getTarget();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -811,9 +793,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class NewsUpdate::Reader {
+class NewsRolloutCounts::Reader {
 public:
-  typedef NewsUpdate Reads;
+  typedef NewsRolloutCounts Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -828,17 +810,21 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasFrom() const;
-  inline  ::papayafield::adapters::peer::wire::NewsContact::Reader getFrom() const;
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
-  inline  ::uint64_t getAfter() const;
+  inline  ::uint64_t getEra() const;
 
   inline  ::uint64_t getRevision() const;
 
-  inline bool hasChanges() const;
-  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsChange,  ::capnp::Kind::STRUCT>::Reader getChanges() const;
+  inline  ::uint64_t getRequests() const;
 
-  inline  ::uint64_t getEra() const;
+  inline  ::uint64_t getSent() const;
+
+  inline  ::uint64_t getOldOpen() const;
+
+  inline bool hasRoutes() const;
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsVersionRoute,  ::capnp::Kind::STRUCT>::Reader getRoutes() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -852,9 +838,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class NewsUpdate::Builder {
+class NewsRolloutCounts::Builder {
 public:
-  typedef NewsUpdate Builds;
+  typedef NewsRolloutCounts Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -868,28 +854,34 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasFrom();
-  inline  ::papayafield::adapters::peer::wire::NewsContact::Builder getFrom();
-  inline void setFrom( ::papayafield::adapters::peer::wire::NewsContact::Reader value);
-  inline  ::papayafield::adapters::peer::wire::NewsContact::Builder initFrom();
-  inline void adoptFrom(::capnp::Orphan< ::papayafield::adapters::peer::wire::NewsContact>&& value);
-  inline ::capnp::Orphan< ::papayafield::adapters::peer::wire::NewsContact> disownFrom();
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
 
-  inline  ::uint64_t getAfter();
-  inline void setAfter( ::uint64_t value);
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
 
   inline  ::uint64_t getRevision();
   inline void setRevision( ::uint64_t value);
 
-  inline bool hasChanges();
-  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsChange,  ::capnp::Kind::STRUCT>::Builder getChanges();
-  inline void setChanges( ::capnp::List< ::papayafield::adapters::peer::wire::NewsChange,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsChange,  ::capnp::Kind::STRUCT>::Builder initChanges(unsigned int size);
-  inline void adoptChanges(::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsChange,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsChange,  ::capnp::Kind::STRUCT>> disownChanges();
+  inline  ::uint64_t getRequests();
+  inline void setRequests( ::uint64_t value);
 
-  inline  ::uint64_t getEra();
-  inline void setEra( ::uint64_t value);
+  inline  ::uint64_t getSent();
+  inline void setSent( ::uint64_t value);
+
+  inline  ::uint64_t getOldOpen();
+  inline void setOldOpen( ::uint64_t value);
+
+  inline bool hasRoutes();
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsVersionRoute,  ::capnp::Kind::STRUCT>::Builder getRoutes();
+  inline void setRoutes( ::capnp::List< ::papayafield::adapters::peer::wire::NewsVersionRoute,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsVersionRoute,  ::capnp::Kind::STRUCT>::Builder initRoutes(unsigned int size);
+  inline void adoptRoutes(::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsVersionRoute,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsVersionRoute,  ::capnp::Kind::STRUCT>> disownRoutes();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -901,15 +893,14 @@
 };
 
 #if !CAPNP_LITE
-class NewsUpdate::Pipeline {
+class NewsRolloutCounts::Pipeline {
 public:
-  typedef NewsUpdate Pipelines;
+  typedef NewsRolloutCounts Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::papayafield::adapters::peer::wire::NewsContact::Pipeline getFrom();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -918,9 +909,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class NewsDatagram::Reader {
+class NewsNodeGrant::Reader {
 public:
-  typedef NewsDatagram Reads;
+  typedef NewsNodeGrant Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -935,14 +926,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline Which which() const;
-  inline bool isBeat() const;
-  inline bool hasBeat() const;
-  inline  ::papayafield::adapters::peer::wire::NewsBeat::Reader getBeat() const;
+  inline bool hasIncarnation() const;
+  inline  ::capnp::Text::Reader getIncarnation() const;
 
-  inline bool isUpdate() const;
-  inline bool hasUpdate() const;
-  inline  ::papayafield::adapters::peer::wire::NewsUpdate::Reader getUpdate() const;
+  inline  ::uint64_t getCalls() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -956,9 +943,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class NewsDatagram::Builder {
+class NewsNodeGrant::Builder {
 public:
-  typedef NewsDatagram Builds;
+  typedef NewsNodeGrant Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -972,22 +959,121 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline Which which();
-  inline bool isBeat();
-  inline bool hasBeat();
-  inline  ::papayafield::adapters::peer::wire::NewsBeat::Builder getBeat();
-  inline void setBeat( ::papayafield::adapters::peer::wire::NewsBeat::Reader value);
-  inline  ::papayafield::adapters::peer::wire::NewsBeat::Builder initBeat();
-  inline void adoptBeat(::capnp::Orphan< ::papayafield::adapters::peer::wire::NewsBeat>&& value);
-  inline ::capnp::Orphan< ::papayafield::adapters::peer::wire::NewsBeat> disownBeat();
+  inline bool hasIncarnation();
+  inline  ::capnp::Text::Builder getIncarnation();
+  inline void setIncarnation( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initIncarnation(unsigned int size);
+  inline void adoptIncarnation(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownIncarnation();
 
-  inline bool isUpdate();
-  inline bool hasUpdate();
-  inline  ::papayafield::adapters::peer::wire::NewsUpdate::Builder getUpdate();
-  inline void setUpdate( ::papayafield::adapters::peer::wire::NewsUpdate::Reader value);
-  inline  ::papayafield::adapters::peer::wire::NewsUpdate::Builder initUpdate();
-  inline void adoptUpdate(::capnp::Orphan< ::papayafield::adapters::peer::wire::NewsUpdate>&& value);
-  inline ::capnp::Orphan< ::papayafield::adapters::peer::wire::NewsUpdate> disownUpdate();
+  inline  ::uint64_t getCalls();
+  inline void setCalls( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class NewsNodeGrant::Pipeline {
+public:
+  typedef NewsNodeGrant Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class NewsRolloutGrants::Reader {
+public:
+  typedef NewsRolloutGrants Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline  ::uint64_t getEra() const;
+
+  inline  ::uint64_t getRevision() const;
+
+  inline  ::uint64_t getFence() const;
+
+  inline bool hasNodes() const;
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsNodeGrant,  ::capnp::Kind::STRUCT>::Reader getNodes() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class NewsRolloutGrants::Builder {
+public:
+  typedef NewsRolloutGrants Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline  ::uint64_t getFence();
+  inline void setFence( ::uint64_t value);
+
+  inline bool hasNodes();
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsNodeGrant,  ::capnp::Kind::STRUCT>::Builder getNodes();
+  inline void setNodes( ::capnp::List< ::papayafield::adapters::peer::wire::NewsNodeGrant,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsNodeGrant,  ::capnp::Kind::STRUCT>::Builder initNodes(unsigned int size);
+  inline void adoptNodes(::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsNodeGrant,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsNodeGrant,  ::capnp::Kind::STRUCT>> disownNodes();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -999,262 +1085,1263 @@
 };
 
 #if !CAPNP_LITE
-class NewsDatagram::Pipeline {
-public:
-  typedef NewsDatagram Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
+class NewsRolloutGrants::Pipeline {
+public:
+  typedef NewsRolloutGrants Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class NewsBeat::Reader {
+public:
+  typedef NewsBeat Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFrom() const;
+  inline  ::papayafield::adapters::peer::wire::NewsContact::Reader getFrom() const;
+
+  inline bool hasZone() const;
+  inline  ::capnp::Text::Reader getZone() const;
+
+  inline bool getReady() const;
+
+  inline bool getStopping() const;
+
+  inline bool getStoreAnswers() const;
+
+  inline  ::int64_t getConfiguration() const;
+
+  inline  ::uint64_t getRevision() const;
+
+  inline double getWorkAsked() const;
+
+  inline bool hasLoads() const;
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsLoad,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
+
+  inline bool hasGranted() const;
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Reader getGranted() const;
+
+  inline bool hasUsage() const;
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsWindow,  ::capnp::Kind::STRUCT>::Reader getUsage() const;
+
+  inline bool hasContacts() const;
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsContact,  ::capnp::Kind::STRUCT>::Reader getContacts() const;
+
+  inline bool hasLevels() const;
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Reader getLevels() const;
+
+  inline bool hasAsked() const;
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Reader getAsked() const;
+
+  inline  ::uint64_t getEra() const;
+
+  inline double getEngineCalls() const;
+
+  inline double getLateEngineCalls() const;
+
+  inline bool hasRolloutCounts() const;
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsRolloutCounts,  ::capnp::Kind::STRUCT>::Reader getRolloutCounts() const;
+
+  inline bool hasRolloutGrants() const;
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsRolloutGrants,  ::capnp::Kind::STRUCT>::Reader getRolloutGrants() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class NewsBeat::Builder {
+public:
+  typedef NewsBeat Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFrom();
+  inline  ::papayafield::adapters::peer::wire::NewsContact::Builder getFrom();
+  inline void setFrom( ::papayafield::adapters::peer::wire::NewsContact::Reader value);
+  inline  ::papayafield::adapters::peer::wire::NewsContact::Builder initFrom();
+  inline void adoptFrom(::capnp::Orphan< ::papayafield::adapters::peer::wire::NewsContact>&& value);
+  inline ::capnp::Orphan< ::papayafield::adapters::peer::wire::NewsContact> disownFrom();
+
+  inline bool hasZone();
+  inline  ::capnp::Text::Builder getZone();
+  inline void setZone( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initZone(unsigned int size);
+  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownZone();
+
+  inline bool getReady();
+  inline void setReady(bool value);
+
+  inline bool getStopping();
+  inline void setStopping(bool value);
+
+  inline bool getStoreAnswers();
+  inline void setStoreAnswers(bool value);
+
+  inline  ::int64_t getConfiguration();
+  inline void setConfiguration( ::int64_t value);
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline double getWorkAsked();
+  inline void setWorkAsked(double value);
+
+  inline bool hasLoads();
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsLoad,  ::capnp::Kind::STRUCT>::Builder getLoads();
+  inline void setLoads( ::capnp::List< ::papayafield::adapters::peer::wire::NewsLoad,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsLoad,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
+  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsLoad,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsLoad,  ::capnp::Kind::STRUCT>> disownLoads();
+
+  inline bool hasGranted();
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Builder getGranted();
+  inline void setGranted( ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Builder initGranted(unsigned int size);
+  inline void adoptGranted(::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>> disownGranted();
+
+  inline bool hasUsage();
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsWindow,  ::capnp::Kind::STRUCT>::Builder getUsage();
+  inline void setUsage( ::capnp::List< ::papayafield::adapters::peer::wire::NewsWindow,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsWindow,  ::capnp::Kind::STRUCT>::Builder initUsage(unsigned int size);
+  inline void adoptUsage(::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsWindow,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsWindow,  ::capnp::Kind::STRUCT>> disownUsage();
+
+  inline bool hasContacts();
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsContact,  ::capnp::Kind::STRUCT>::Builder getContacts();
+  inline void setContacts( ::capnp::List< ::papayafield::adapters::peer::wire::NewsContact,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsContact,  ::capnp::Kind::STRUCT>::Builder initContacts(unsigned int size);
+  inline void adoptContacts(::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsContact,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsContact,  ::capnp::Kind::STRUCT>> disownContacts();
+
+  inline bool hasLevels();
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Builder getLevels();
+  inline void setLevels( ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Builder initLevels(unsigned int size);
+  inline void adoptLevels(::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>> disownLevels();
+
+  inline bool hasAsked();
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Builder getAsked();
+  inline void setAsked( ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Builder initAsked(unsigned int size);
+  inline void adoptAsked(::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>> disownAsked();
+
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
+  inline double getEngineCalls();
+  inline void setEngineCalls(double value);
+
+  inline double getLateEngineCalls();
+  inline void setLateEngineCalls(double value);
+
+  inline bool hasRolloutCounts();
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsRolloutCounts,  ::capnp::Kind::STRUCT>::Builder getRolloutCounts();
+  inline void setRolloutCounts( ::capnp::List< ::papayafield::adapters::peer::wire::NewsRolloutCounts,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsRolloutCounts,  ::capnp::Kind::STRUCT>::Builder initRolloutCounts(unsigned int size);
+  inline void adoptRolloutCounts(::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsRolloutCounts,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsRolloutCounts,  ::capnp::Kind::STRUCT>> disownRolloutCounts();
+
+  inline bool hasRolloutGrants();
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsRolloutGrants,  ::capnp::Kind::STRUCT>::Builder getRolloutGrants();
+  inline void setRolloutGrants( ::capnp::List< ::papayafield::adapters::peer::wire::NewsRolloutGrants,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsRolloutGrants,  ::capnp::Kind::STRUCT>::Builder initRolloutGrants(unsigned int size);
+  inline void adoptRolloutGrants(::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsRolloutGrants,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsRolloutGrants,  ::capnp::Kind::STRUCT>> disownRolloutGrants();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class NewsBeat::Pipeline {
+public:
+  typedef NewsBeat Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::papayafield::adapters::peer::wire::NewsContact::Pipeline getFrom();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class NewsChange::Reader {
+public:
+  typedef NewsChange Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKey() const;
+  inline  ::capnp::Text::Reader getKey() const;
+
+  inline bool hasData() const;
+  inline  ::capnp::Data::Reader getData() const;
+
+  inline  ::uint64_t getRevision() const;
+
+  inline  ::uint64_t getCreated() const;
+
+  inline bool getRemoved() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class NewsChange::Builder {
+public:
+  typedef NewsChange Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKey();
+  inline  ::capnp::Text::Builder getKey();
+  inline void setKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKey();
+
+  inline bool hasData();
+  inline  ::capnp::Data::Builder getData();
+  inline void setData( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initData(unsigned int size);
+  inline void adoptData(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownData();
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline  ::uint64_t getCreated();
+  inline void setCreated( ::uint64_t value);
+
+  inline bool getRemoved();
+  inline void setRemoved(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class NewsChange::Pipeline {
+public:
+  typedef NewsChange Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class NewsUpdate::Reader {
+public:
+  typedef NewsUpdate Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFrom() const;
+  inline  ::papayafield::adapters::peer::wire::NewsContact::Reader getFrom() const;
+
+  inline  ::uint64_t getAfter() const;
+
+  inline  ::uint64_t getRevision() const;
+
+  inline bool hasChanges() const;
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsChange,  ::capnp::Kind::STRUCT>::Reader getChanges() const;
+
+  inline  ::uint64_t getEra() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class NewsUpdate::Builder {
+public:
+  typedef NewsUpdate Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFrom();
+  inline  ::papayafield::adapters::peer::wire::NewsContact::Builder getFrom();
+  inline void setFrom( ::papayafield::adapters::peer::wire::NewsContact::Reader value);
+  inline  ::papayafield::adapters::peer::wire::NewsContact::Builder initFrom();
+  inline void adoptFrom(::capnp::Orphan< ::papayafield::adapters::peer::wire::NewsContact>&& value);
+  inline ::capnp::Orphan< ::papayafield::adapters::peer::wire::NewsContact> disownFrom();
+
+  inline  ::uint64_t getAfter();
+  inline void setAfter( ::uint64_t value);
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline bool hasChanges();
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsChange,  ::capnp::Kind::STRUCT>::Builder getChanges();
+  inline void setChanges( ::capnp::List< ::papayafield::adapters::peer::wire::NewsChange,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsChange,  ::capnp::Kind::STRUCT>::Builder initChanges(unsigned int size);
+  inline void adoptChanges(::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsChange,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsChange,  ::capnp::Kind::STRUCT>> disownChanges();
+
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class NewsUpdate::Pipeline {
+public:
+  typedef NewsUpdate Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::papayafield::adapters::peer::wire::NewsContact::Pipeline getFrom();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class NewsDatagram::Reader {
+public:
+  typedef NewsDatagram Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline Which which() const;
+  inline bool isBeat() const;
+  inline bool hasBeat() const;
+  inline  ::papayafield::adapters::peer::wire::NewsBeat::Reader getBeat() const;
+
+  inline bool isUpdate() const;
+  inline bool hasUpdate() const;
+  inline  ::papayafield::adapters::peer::wire::NewsUpdate::Reader getUpdate() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class NewsDatagram::Builder {
+public:
+  typedef NewsDatagram Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline Which which();
+  inline bool isBeat();
+  inline bool hasBeat();
+  inline  ::papayafield::adapters::peer::wire::NewsBeat::Builder getBeat();
+  inline void setBeat( ::papayafield::adapters::peer::wire::NewsBeat::Reader value);
+  inline  ::papayafield::adapters::peer::wire::NewsBeat::Builder initBeat();
+  inline void adoptBeat(::capnp::Orphan< ::papayafield::adapters::peer::wire::NewsBeat>&& value);
+  inline ::capnp::Orphan< ::papayafield::adapters::peer::wire::NewsBeat> disownBeat();
+
+  inline bool isUpdate();
+  inline bool hasUpdate();
+  inline  ::papayafield::adapters::peer::wire::NewsUpdate::Builder getUpdate();
+  inline void setUpdate( ::papayafield::adapters::peer::wire::NewsUpdate::Reader value);
+  inline  ::papayafield::adapters::peer::wire::NewsUpdate::Builder initUpdate();
+  inline void adoptUpdate(::capnp::Orphan< ::papayafield::adapters::peer::wire::NewsUpdate>&& value);
+  inline ::capnp::Orphan< ::papayafield::adapters::peer::wire::NewsUpdate> disownUpdate();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class NewsDatagram::Pipeline {
+public:
+  typedef NewsDatagram Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool NewsContact::Reader::hasNode() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool NewsContact::Builder::hasNode() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NewsContact::Reader::getNode() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NewsContact::Builder::getNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void NewsContact::Builder::setNode( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NewsContact::Builder::initNode(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void NewsContact::Builder::adoptNode(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NewsContact::Builder::disownNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t NewsContact::Reader::getBorn() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t NewsContact::Builder::getBorn() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void NewsContact::Builder::setBorn( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NewsContact::Reader::hasHost() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool NewsContact::Builder::hasHost() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NewsContact::Reader::getHost() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NewsContact::Builder::getHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void NewsContact::Builder::setHost( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NewsContact::Builder::initHost(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void NewsContact::Builder::adoptHost(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NewsContact::Builder::disownHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool NewsLoad::Reader::hasEndpoint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool NewsLoad::Builder::hasEndpoint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NewsLoad::Reader::getEndpoint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NewsLoad::Builder::getEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void NewsLoad::Builder::setEndpoint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NewsLoad::Builder::initEndpoint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void NewsLoad::Builder::adoptEndpoint(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NewsLoad::Builder::disownEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline float NewsLoad::Reader::getCalls() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline float NewsLoad::Builder::getCalls() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void NewsLoad::Builder::setCalls(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline float NewsLoad::Reader::getWaitingTokens() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline float NewsLoad::Builder::getWaitingTokens() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void NewsLoad::Builder::setWaitingTokens(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NewsTotal::Reader::hasTeam() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool NewsTotal::Builder::hasTeam() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NewsTotal::Reader::getTeam() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NewsTotal::Builder::getTeam() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void NewsTotal::Builder::setTeam( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NewsTotal::Builder::initTeam(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void NewsTotal::Builder::adoptTeam(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NewsTotal::Builder::disownTeam() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline double NewsTotal::Reader::getUnits() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline double NewsTotal::Builder::getUnits() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void NewsTotal::Builder::setUnits(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t NewsWindow::Reader::getNumber() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t NewsWindow::Builder::getNumber() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void NewsWindow::Builder::setNumber( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NewsWindow::Reader::hasCounts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool NewsWindow::Builder::hasCounts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Reader NewsWindow::Reader::getCounts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Builder NewsWindow::Builder::getCounts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void NewsWindow::Builder::setCounts( ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Builder NewsWindow::Builder::initCounts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void NewsWindow::Builder::adoptCounts(
+    ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>> NewsWindow::Builder::disownCounts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t NewsAnswers::Reader::getAnswers() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NewsAnswers::Builder::getAnswers() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void NewsAnswers::Builder::setAnswers( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t NewsAnswers::Reader::getFailures() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NewsAnswers::Builder::getFailures() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void NewsAnswers::Builder::setFailures( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NewsAnswers::Reader::hasTimes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool NewsAnswers::Builder::hasTimes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader NewsAnswers::Reader::getTimes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder NewsAnswers::Builder::getTimes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void NewsAnswers::Builder::setTimes( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void NewsAnswers::Builder::setTimes(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder NewsAnswers::Builder::initTimes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void NewsAnswers::Builder::adoptTimes(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> NewsAnswers::Builder::disownTimes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool NewsVersionRoute::Reader::hasRoute() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool NewsVersionRoute::Builder::hasRoute() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NewsVersionRoute::Reader::getRoute() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NewsVersionRoute::Builder::getRoute() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void NewsVersionRoute::Builder::setRoute( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NewsVersionRoute::Builder::initRoute(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void NewsVersionRoute::Builder::adoptRoute(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NewsVersionRoute::Builder::disownRoute() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool NewsVersionRoute::Reader::hasOld() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool NewsVersionRoute::Builder::hasOld() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::papayafield::adapters::peer::wire::NewsAnswers::Reader NewsVersionRoute::Reader::getOld() const {
+  return ::capnp::_::PointerHelpers< ::papayafield::adapters::peer::wire::NewsAnswers>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::papayafield::adapters::peer::wire::NewsAnswers::Builder NewsVersionRoute::Builder::getOld() {
+  return ::capnp::_::PointerHelpers< ::papayafield::adapters::peer::wire::NewsAnswers>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::papayafield::adapters::peer::wire::NewsAnswers::Pipeline NewsVersionRoute::Pipeline::getOld() {
+  return  ::papayafield::adapters::peer::wire::NewsAnswers::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void NewsVersionRoute::Builder::setOld( ::papayafield::adapters::peer::wire::NewsAnswers::Reader value) {
+  ::capnp::_::PointerHelpers< ::papayafield::adapters::peer::wire::NewsAnswers>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::papayafield::adapters::peer::wire::NewsAnswers::Builder NewsVersionRoute::Builder::initOld() {
+  return ::capnp::_::PointerHelpers< ::papayafield::adapters::peer::wire::NewsAnswers>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void NewsVersionRoute::Builder::adoptOld(
+    ::capnp::Orphan< ::papayafield::adapters::peer::wire::NewsAnswers>&& value) {
+  ::capnp::_::PointerHelpers< ::papayafield::adapters::peer::wire::NewsAnswers>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::papayafield::adapters::peer::wire::NewsAnswers> NewsVersionRoute::Builder::disownOld() {
+  return ::capnp::_::PointerHelpers< ::papayafield::adapters::peer::wire::NewsAnswers>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool NewsVersionRoute::Reader::hasTarget() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool NewsVersionRoute::Builder::hasTarget() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::papayafield::adapters::peer::wire::NewsAnswers::Reader NewsVersionRoute::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers< ::papayafield::adapters::peer::wire::NewsAnswers>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::papayafield::adapters::peer::wire::NewsAnswers::Builder NewsVersionRoute::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers< ::papayafield::adapters::peer::wire::NewsAnswers>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::papayafield::adapters::peer::wire::NewsAnswers::Pipeline NewsVersionRoute::Pipeline::getTarget() {
+  return  ::papayafield::adapters::peer::wire::NewsAnswers::Pipeline(_typeless.getPointerField(2));
+}
 #endif  // !CAPNP_LITE
+inline void NewsVersionRoute::Builder::setTarget( ::papayafield::adapters::peer::wire::NewsAnswers::Reader value) {
+  ::capnp::_::PointerHelpers< ::papayafield::adapters::peer::wire::NewsAnswers>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::papayafield::adapters::peer::wire::NewsAnswers::Builder NewsVersionRoute::Builder::initTarget() {
+  return ::capnp::_::PointerHelpers< ::papayafield::adapters::peer::wire::NewsAnswers>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void NewsVersionRoute::Builder::adoptTarget(
+    ::capnp::Orphan< ::papayafield::adapters::peer::wire::NewsAnswers>&& value) {
+  ::capnp::_::PointerHelpers< ::papayafield::adapters::peer::wire::NewsAnswers>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::papayafield::adapters::peer::wire::NewsAnswers> NewsVersionRoute::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers< ::papayafield::adapters::peer::wire::NewsAnswers>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
 
-// =======================================================================================
-
-inline bool NewsContact::Reader::hasNode() const {
+inline bool NewsRolloutCounts::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool NewsContact::Builder::hasNode() {
+inline bool NewsRolloutCounts::Builder::hasService() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader NewsContact::Reader::getNode() const {
+inline  ::capnp::Text::Reader NewsRolloutCounts::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder NewsContact::Builder::getNode() {
+inline  ::capnp::Text::Builder NewsRolloutCounts::Builder::getService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void NewsContact::Builder::setNode( ::capnp::Text::Reader value) {
+inline void NewsRolloutCounts::Builder::setService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder NewsContact::Builder::initNode(unsigned int size) {
+inline  ::capnp::Text::Builder NewsRolloutCounts::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void NewsContact::Builder::adoptNode(
+inline void NewsRolloutCounts::Builder::adoptService(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> NewsContact::Builder::disownNode() {
+inline ::capnp::Orphan< ::capnp::Text> NewsRolloutCounts::Builder::disownService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t NewsContact::Reader::getBorn() const {
-  return _reader.getDataField< ::int64_t>(
+inline  ::uint64_t NewsRolloutCounts::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t NewsContact::Builder::getBorn() {
-  return _builder.getDataField< ::int64_t>(
+inline  ::uint64_t NewsRolloutCounts::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void NewsContact::Builder::setBorn( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
+inline void NewsRolloutCounts::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool NewsContact::Reader::hasHost() const {
+inline  ::uint64_t NewsRolloutCounts::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NewsRolloutCounts::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void NewsRolloutCounts::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t NewsRolloutCounts::Reader::getRequests() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NewsRolloutCounts::Builder::getRequests() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void NewsRolloutCounts::Builder::setRequests( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t NewsRolloutCounts::Reader::getSent() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NewsRolloutCounts::Builder::getSent() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void NewsRolloutCounts::Builder::setSent( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t NewsRolloutCounts::Reader::getOldOpen() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NewsRolloutCounts::Builder::getOldOpen() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void NewsRolloutCounts::Builder::setOldOpen( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NewsRolloutCounts::Reader::hasRoutes() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool NewsContact::Builder::hasHost() {
+inline bool NewsRolloutCounts::Builder::hasRoutes() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader NewsContact::Reader::getHost() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsVersionRoute,  ::capnp::Kind::STRUCT>::Reader NewsRolloutCounts::Reader::getRoutes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsVersionRoute,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder NewsContact::Builder::getHost() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsVersionRoute,  ::capnp::Kind::STRUCT>::Builder NewsRolloutCounts::Builder::getRoutes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsVersionRoute,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void NewsContact::Builder::setHost( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void NewsRolloutCounts::Builder::setRoutes( ::capnp::List< ::papayafield::adapters::peer::wire::NewsVersionRoute,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsVersionRoute,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder NewsContact::Builder::initHost(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsVersionRoute,  ::capnp::Kind::STRUCT>::Builder NewsRolloutCounts::Builder::initRoutes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsVersionRoute,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void NewsContact::Builder::adoptHost(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void NewsRolloutCounts::Builder::adoptRoutes(
+    ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsVersionRoute,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsVersionRoute,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> NewsContact::Builder::disownHost() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsVersionRoute,  ::capnp::Kind::STRUCT>> NewsRolloutCounts::Builder::disownRoutes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsVersionRoute,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool NewsLoad::Reader::hasEndpoint() const {
+inline bool NewsNodeGrant::Reader::hasIncarnation() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool NewsLoad::Builder::hasEndpoint() {
+inline bool NewsNodeGrant::Builder::hasIncarnation() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader NewsLoad::Reader::getEndpoint() const {
+inline  ::capnp::Text::Reader NewsNodeGrant::Reader::getIncarnation() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder NewsLoad::Builder::getEndpoint() {
+inline  ::capnp::Text::Builder NewsNodeGrant::Builder::getIncarnation() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void NewsLoad::Builder::setEndpoint( ::capnp::Text::Reader value) {
+inline void NewsNodeGrant::Builder::setIncarnation( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder NewsLoad::Builder::initEndpoint(unsigned int size) {
+inline  ::capnp::Text::Builder NewsNodeGrant::Builder::initIncarnation(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void NewsLoad::Builder::adoptEndpoint(
+inline void NewsNodeGrant::Builder::adoptIncarnation(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> NewsLoad::Builder::disownEndpoint() {
+inline ::capnp::Orphan< ::capnp::Text> NewsNodeGrant::Builder::disownIncarnation() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline float NewsLoad::Reader::getCalls() const {
-  return _reader.getDataField<float>(
+inline  ::uint64_t NewsNodeGrant::Reader::getCalls() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline float NewsLoad::Builder::getCalls() {
-  return _builder.getDataField<float>(
+inline  ::uint64_t NewsNodeGrant::Builder::getCalls() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void NewsLoad::Builder::setCalls(float value) {
-  _builder.setDataField<float>(
+inline void NewsNodeGrant::Builder::setCalls( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline float NewsLoad::Reader::getWaitingTokens() const {
-  return _reader.getDataField<float>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline float NewsLoad::Builder::getWaitingTokens() {
-  return _builder.getDataField<float>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void NewsLoad::Builder::setWaitingTokens(float value) {
-  _builder.setDataField<float>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool NewsTotal::Reader::hasTeam() const {
+inline bool NewsRolloutGrants::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool NewsTotal::Builder::hasTeam() {
+inline bool NewsRolloutGrants::Builder::hasService() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader NewsTotal::Reader::getTeam() const {
+inline  ::capnp::Text::Reader NewsRolloutGrants::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder NewsTotal::Builder::getTeam() {
+inline  ::capnp::Text::Builder NewsRolloutGrants::Builder::getService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void NewsTotal::Builder::setTeam( ::capnp::Text::Reader value) {
+inline void NewsRolloutGrants::Builder::setService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder NewsTotal::Builder::initTeam(unsigned int size) {
+inline  ::capnp::Text::Builder NewsRolloutGrants::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void NewsTotal::Builder::adoptTeam(
+inline void NewsRolloutGrants::Builder::adoptService(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> NewsTotal::Builder::disownTeam() {
+inline ::capnp::Orphan< ::capnp::Text> NewsRolloutGrants::Builder::disownService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline double NewsTotal::Reader::getUnits() const {
-  return _reader.getDataField<double>(
+inline  ::uint64_t NewsRolloutGrants::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline double NewsTotal::Builder::getUnits() {
-  return _builder.getDataField<double>(
+inline  ::uint64_t NewsRolloutGrants::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void NewsTotal::Builder::setUnits(double value) {
-  _builder.setDataField<double>(
+inline void NewsRolloutGrants::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t NewsWindow::Reader::getNumber() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t NewsRolloutGrants::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t NewsWindow::Builder::getNumber() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t NewsRolloutGrants::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void NewsWindow::Builder::setNumber( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void NewsRolloutGrants::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool NewsWindow::Reader::hasCounts() const {
+inline  ::uint64_t NewsRolloutGrants::Reader::getFence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NewsRolloutGrants::Builder::getFence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void NewsRolloutGrants::Builder::setFence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NewsRolloutGrants::Reader::hasNodes() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool NewsWindow::Builder::hasCounts() {
+inline bool NewsRolloutGrants::Builder::hasNodes() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Reader NewsWindow::Reader::getCounts() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsNodeGrant,  ::capnp::Kind::STRUCT>::Reader NewsRolloutGrants::Reader::getNodes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsNodeGrant,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Builder NewsWindow::Builder::getCounts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsNodeGrant,  ::capnp::Kind::STRUCT>::Builder NewsRolloutGrants::Builder::getNodes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsNodeGrant,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void NewsWindow::Builder::setCounts( ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void NewsRolloutGrants::Builder::setNodes( ::capnp::List< ::papayafield::adapters::peer::wire::NewsNodeGrant,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsNodeGrant,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>::Builder NewsWindow::Builder::initCounts(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsNodeGrant,  ::capnp::Kind::STRUCT>::Builder NewsRolloutGrants::Builder::initNodes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsNodeGrant,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void NewsWindow::Builder::adoptCounts(
-    ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void NewsRolloutGrants::Builder::adoptNodes(
+    ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsNodeGrant,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsNodeGrant,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>> NewsWindow::Builder::disownCounts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsTotal,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsNodeGrant,  ::capnp::Kind::STRUCT>> NewsRolloutGrants::Builder::disownNodes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsNodeGrant,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool NewsBeat::Reader::hasFrom() const {
@@ -1632,6 +2719,102 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline double NewsBeat::Reader::getEngineCalls() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline double NewsBeat::Builder::getEngineCalls() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void NewsBeat::Builder::setEngineCalls(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline double NewsBeat::Reader::getLateEngineCalls() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline double NewsBeat::Builder::getLateEngineCalls() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void NewsBeat::Builder::setLateEngineCalls(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NewsBeat::Reader::hasRolloutCounts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool NewsBeat::Builder::hasRolloutCounts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsRolloutCounts,  ::capnp::Kind::STRUCT>::Reader NewsBeat::Reader::getRolloutCounts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsRolloutCounts,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsRolloutCounts,  ::capnp::Kind::STRUCT>::Builder NewsBeat::Builder::getRolloutCounts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsRolloutCounts,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void NewsBeat::Builder::setRolloutCounts( ::capnp::List< ::papayafield::adapters::peer::wire::NewsRolloutCounts,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsRolloutCounts,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsRolloutCounts,  ::capnp::Kind::STRUCT>::Builder NewsBeat::Builder::initRolloutCounts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsRolloutCounts,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void NewsBeat::Builder::adoptRolloutCounts(
+    ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsRolloutCounts,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsRolloutCounts,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsRolloutCounts,  ::capnp::Kind::STRUCT>> NewsBeat::Builder::disownRolloutCounts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsRolloutCounts,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
+inline bool NewsBeat::Reader::hasRolloutGrants() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool NewsBeat::Builder::hasRolloutGrants() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsRolloutGrants,  ::capnp::Kind::STRUCT>::Reader NewsBeat::Reader::getRolloutGrants() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsRolloutGrants,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsRolloutGrants,  ::capnp::Kind::STRUCT>::Builder NewsBeat::Builder::getRolloutGrants() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsRolloutGrants,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void NewsBeat::Builder::setRolloutGrants( ::capnp::List< ::papayafield::adapters::peer::wire::NewsRolloutGrants,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsRolloutGrants,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsRolloutGrants,  ::capnp::Kind::STRUCT>::Builder NewsBeat::Builder::initRolloutGrants(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsRolloutGrants,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+}
+inline void NewsBeat::Builder::adoptRolloutGrants(
+    ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsRolloutGrants,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsRolloutGrants,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsRolloutGrants,  ::capnp::Kind::STRUCT>> NewsBeat::Builder::disownRolloutGrants() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsRolloutGrants,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
 inline bool NewsChange::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/duties/Autoscaler.h
+++ b/packages/duties/Autoscaler.h
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <functional>
 #include <map>
 #include <tuple>
 
@@ -21,16 +22,20 @@
     , m_policy(aPolicy) {}
 
   /// Sends the orders that differ from the last accepted ones. Called twice a second while this
-  /// node is the leader.
+  /// node is the leader. Services for which `aIsFixed` returns true are left as they are.
   void Tick(const Leadership& aLeadership,
             const fleet::Catalog& aCatalog,
-            const fleet::EndpointDirectory& aDirectory) {
+            const fleet::EndpointDirectory& aDirectory,
+            const std::function<bool(const fleet::ServiceId&)>& aIsFixed = {}) {
     if (m_fencingToken != aLeadership.m_token) {
       m_fencingToken = aLeadership.m_token;
       m_sentOrders.clear();
     }
     const auto now = base::BootNow();
     for (const fleet::Service& service : aCatalog.Services()) {
+      if (aIsFixed && aIsFixed(service.m_id)) {
+        continue;
+      }
       std::vector<fleet::Endpoint> endpoints;
       for (const auto& [id, endpoint] : aDirectory.All()) {
         if (endpoint.m_service == service.m_id) {
--- a/packages/fleet/EndpointDirectory.h
+++ b/packages/fleet/EndpointDirectory.h
@@ -26,6 +26,8 @@
   bool m_reclaimable = false;
   /// Store position of the registration.
   store::Position m_position;
+  /// Version of its software; empty if the registration does not state it.
+  std::string m_version;
 };
 
 /// A registration read from the store. `m_endpoint` is nullopt if it could not be parsed.
--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -51,6 +51,9 @@
 /// Reason in the log of a call that ended because its time was over.
 constexpr const char* kTimeoutReason = "timeout";
 
+/// Appended to a route's name where the gaps between the events of its streams are counted.
+constexpr const char* kGapSuffix = "/gap";
+
 /// Returns the priority of a call: the team's, if it has one, otherwise the route's.
 int PriorityOf(const fleet::Team* aTeam, const fleet::Route& aRoute) {
   return aTeam == nullptr ? aRoute.m_priority : aTeam->m_priority.value_or(aRoute.m_priority);
@@ -88,6 +91,8 @@
   /// Number of complete events that this attempt has returned, and when the first one arrived.
   size_t m_events = 0;
   base::TimePoint m_firstEventAt{};
+  /// The version that a running roll-out counts the attempt for.
+  rollout::AttemptVersion m_version;
   bool m_ended = false;
   adapters::http::EventHandlePtr m_connectTimer;
   adapters::http::EventHandlePtr m_silenceTimer;
@@ -161,12 +166,19 @@
   request.m_zone = m_node.m_zone;
   request.m_tried = m_tried;
   request.m_unavailable = m_node.m_availability.Unavailable(base::BootNow());
+  m_node.m_versions.AddExcluded(aService,
+                                m_node.m_directory.Ready(),
+                                m_tried,
+                                m_attemptCount == 0 && m_call.m_lastEventId.empty(),
+                                base::BootNow(),
+                                request.m_unavailable);
   return request;
 }
 
 void Exchange::Start() {
   m_service = SelectService();
   m_node.CreditRetryBudget(m_service);
+  m_node.m_versions.CountRequest(m_service);
   if (m_call.m_promptTokens) {
     m_node.AddRequestedWork(m_node.m_scaling.EstimateWorkMs(UncachedTokens(), 0));
   }
@@ -263,6 +275,7 @@
   attempt->m_reused = pooled.m_reused;
   attempt->m_sentAt = now;
   attempt->m_queuedTokens = UncachedTokens();
+  attempt->m_version = m_node.m_versions.CountSent(aEndpoint);
   m_attempt = attempt;
   ++m_attemptCount;
   m_tried.insert(aEndpoint.m_incarnation.m_endpoint);
@@ -591,6 +604,7 @@
   const size_t before = aAttempt->m_events;
   if (before == 0) {
     aAttempt->m_firstEventAt = now;
+    CountVersionAnswer(*aAttempt, m_route.m_name, now - aAttempt->m_sentAt);
   }
   aAttempt->m_events += aCount;
   if (before < CrashGuard::kFirstEvents && aAttempt->m_events >= CrashGuard::kFirstEvents) {
@@ -598,6 +612,16 @@
   }
 }
 
+/// Counts an answer that took `aDuration` for the version that the attempt was sent to.
+void Exchange::CountVersionAnswer(const ActiveAttempt& aAttempt,
+                                  const std::string& aRoute,
+                                  base::TimePoint::duration aDuration) {
+  m_node.m_versions.CountAnswer(aAttempt.m_endpoint.m_service,
+                                aRoute,
+                                aAttempt.m_version,
+                                std::chrono::duration<double, std::milli>(aDuration).count());
+}
+
 void Exchange::OnComplete(const std::shared_ptr<ActiveAttempt>& aAttempt) {
   if (aAttempt->m_ended) {
     return;
@@ -634,6 +658,12 @@
     if (aAttempt->m_events > 0 && aAttempt->m_events < CrashGuard::kFirstEvents) {
       m_node.m_crashGuard.OnAnswered(m_call, aAttempt->m_firstEventAt, base::BootNow());
     }
+    if (aAttempt->m_events > 1) {
+      CountVersionAnswer(*aAttempt,
+                         m_route.m_name + kGapSuffix,
+                         (base::BootNow() - aAttempt->m_firstEventAt) /
+                           static_cast<int64_t>(aAttempt->m_events - 1));
+    }
     Release(aAttempt, true);
     m_sink.m_onStreamEnd();
     Finish(aAttempt->m_head.m_status, "served");
@@ -648,6 +678,7 @@
   m_node.m_placement.RecordOutcome(
     aAttempt->m_endpoint.m_incarnation.m_endpoint, true, base::BootNow());
   m_node.m_crashGuard.OnAnswered(m_call, base::BootNow(), base::BootNow());
+  CountVersionAnswer(*aAttempt, m_route.m_name, base::BootNow() - aAttempt->m_sentAt);
   Release(aAttempt, true);
   // The caller's connection accounts for the body from here on.
   aAttempt->m_bufferClaim.reset();
@@ -663,6 +694,7 @@
   aAttempt->m_silenceTimer.reset();
   const fleet::Incarnation& incarnation = aAttempt->m_endpoint.m_incarnation;
   m_node.m_placement.RecordCallEnded(incarnation.m_endpoint, aAttempt->m_queuedTokens);
+  m_node.m_versions.CountEnded(aAttempt->m_endpoint.m_service, aAttempt->m_version);
   const bool leaving =
     m_node.m_availability.Check(incarnation, base::BootNow()) == fleet::Unavailability::Leaving;
   if (aReuse && aAttempt->m_connection->ShouldKeepAlive() && !aAttempt->m_sawMisdirected &&
@@ -692,6 +724,14 @@
     m_node.m_pool.CloseIdle(endpoint.m_incarnation);
   }
   m_node.m_placement.RecordOutcome(endpoint.m_incarnation.m_endpoint, false, now);
+  if (aFault != AttemptFault::NotSent && aFault != AttemptFault::NotExecuted) {
+    m_node.m_versions.CountFailure(endpoint,
+                                   m_route.m_name,
+                                   aAttempt->m_version,
+                                   aAttempt->m_events > 0,
+                                   aFault == AttemptFault::Lost && aAttempt->m_connectionLost,
+                                   now);
+  }
   if (aFault == AttemptFault::Lost && aAttempt->m_connectionLost) {
     m_node.m_crashGuard.OnConnectionLost(
       m_call, endpoint.m_incarnation.m_endpoint, aAttempt->m_events, now);
@@ -776,6 +816,14 @@
     return;
   }
   const bool sent = MayHaveBeenSent();
+  if (m_attempt != nullptr && m_attempt->m_connection->IsEstablished()) {
+    m_node.m_versions.CountFailure(m_attempt->m_endpoint,
+                                   m_route.m_name,
+                                   m_attempt->m_version,
+                                   m_attempt->m_events > 0,
+                                   false,
+                                   base::BootNow());
+  }
   if (m_attempt != nullptr && (m_route.m_kind != CallKind::Unsafe || !sent)) {
     Release(m_attempt, false);
   }
--- a/packages/forwarding/Exchange.h
+++ b/packages/forwarding/Exchange.h
@@ -64,6 +64,9 @@
   void AttachHandlers(const std::shared_ptr<ActiveAttempt>& aAttempt);
   void OnHead(const std::shared_ptr<ActiveAttempt>& aAttempt,
               adapters::http1::ResponseHead&& aHead);
+  void CountVersionAnswer(const ActiveAttempt& aAttempt,
+                          const std::string& aRoute,
+                          base::TimePoint::duration aDuration);
   void OnBody(const std::shared_ptr<ActiveAttempt>& aAttempt, std::string_view aBytes);
   void OnStreamBytes(const std::shared_ptr<ActiveAttempt>& aAttempt, std::string_view aBytes);
   void DiscardBody(const std::shared_ptr<ActiveAttempt>& aAttempt, size_t aBytes);
--- a/packages/forwarding/NodeState.h
+++ b/packages/forwarding/NodeState.h
@@ -16,6 +16,7 @@
 #include "placement/Placement.h"
 #include "quota/QuotaLedger.h"
 #include "requests/RetryBudget.h"
+#include "rollout/VersionGate.h"
 
 #include <map>
 #include <random>
@@ -75,6 +76,7 @@
   placement::Placement m_placement{ placement::PlacementSettings{} };
   duties::ScalingPolicy m_scaling{ duties::ScalingSettings{} };
   fleet::EndpointAvailability m_availability{ fleet::AvailabilitySettings{} };
+  rollout::VersionGate m_versions;
   EndpointPool m_pool;
   CallDurations m_durations;
   EndpointSignals m_signals;
--- a/packages/gossip/Heartbeat.h
+++ b/packages/gossip/Heartbeat.h
@@ -4,6 +4,7 @@
 #include "duties/UsageLedger.h"
 #include "placement/Placement.h"
 #include "quota/QuotaLedger.h"
+#include "rollout/RolloutTypes.h"
 #include "store/Position.h"
 
 #include <cstdint>
@@ -47,6 +48,9 @@
   quota::QuotaLedger::View m_quota;
   /// Usage counts of this node in the latest windows.
   duties::UsageLedger::Windows m_usage;
+  /// Counts of this node for running roll-outs, and what it grants as the leader, by service.
+  std::map<fleet::ServiceId, rollout::NodeCounts> m_rolloutCounts;
+  std::map<fleet::ServiceId, rollout::RolloutGrants> m_rolloutGrants;
   /// Some of the nodes it knows, so that membership spreads without the store.
   std::vector<Contact> m_contacts;
 };
--- a/packages/rollout/RolloutTypes.h
+++ b/packages/rollout/RolloutTypes.h
@@ -133,6 +133,16 @@
   CountsByRoute m_routes;
 };
 
+/// What the leader grants for the roll-out of one service.
+struct RolloutGrants {
+  /// Position of the order.
+  store::Position m_order;
+  /// Fencing token of the leader.
+  uint64_t m_token = 0;
+  /// Running totals of calls to the target, by incarnation of a node.
+  std::map<std::string, uint64_t> m_calls;
+};
+
 } // namespace papayafield::rollout
 
 namespace papayafield::base {
