Roll-outs: wiring in the node

Change: RolloutTask applies orders and records, exchanges counts and grants, and takes the leader's decisions; platform/RolloutCodec translates orders, records and status; [bounds] exposure_share enables it.

--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -7,6 +7,7 @@
 #include "gossip/PeerTable.h"
 #include "serving/EntryChoice.h"
 #include "serving/GossipExchange.h"
+#include "serving/RolloutTask.h"
 #include "serving/ServingSettings.h"
 #include "sync/StoreWatcher.h"
 
@@ -30,6 +31,8 @@
   /// Returns the registration; its endpoint is empty if the data is invalid.
   std::function<fleet::Registration(const base::EndpointId& aId, const store::Item& aItem)>
     m_registration;
+  /// What roll-outs read and write.
+  RolloutCodec m_rollout;
 };
 
 /// One node: watches the store, exchanges gossip, serves callers, and runs the leader tasks while
@@ -67,7 +70,7 @@
         aLoop,
         aStore,
         m_replica,
-        { { m_keys.m_configurationKey, m_keys.m_endpointPrefix, m_keys.m_ownPrefix } },
+        { ListedPrefixes() },
         [this](bool /*aAnswers*/) { UpdateStoreAvailability(); },
         [this] {
           m_reporter.OnLoaded(base::WallMillis());
@@ -108,7 +111,14 @@
         { UsageRecordKey(), kUsageSettleTime, kMaxUsageCountWait, m_settings.m_usageReportDelay },
         [this](int64_t aWallMs) { return AllCountsReceived(aWallMs); },
         [this](duties::FencingToken aToken) { m_leaderElection.OnTokenRejected(aToken); })
-    , m_autoscaler(aDuties, m_state.m_scaling) {}
+    , m_autoscaler(aDuties, m_state.m_scaling)
+    , m_rollout(aStore,
+                m_replica,
+                m_state,
+                m_codec.m_rollout,
+                m_keys.m_ownPrefix,
+                m_settings.m_exposure,
+                m_self.IncarnationKey()) {}
 
   /// Returns whether all ports could be bound.
   bool Bound() const { return m_gossip.Bound() && m_gateway.Listening(); }
@@ -249,7 +259,21 @@
       }
     } else if (aKey.starts_with(nodes)) {
       OnNodeRegistration(base::NodeId(aKey.substr(nodes.size())), aItem);
+    } else {
+      m_rollout.OnItem(aKey, aItem, aPosition);
+    }
+  }
+
+  /// Returns the prefixes of the keys that this node needs.
+  std::vector<std::string> ListedPrefixes() const {
+    std::vector<std::string> prefixes{ m_keys.m_configurationKey,
+                                       m_keys.m_endpointPrefix,
+                                       m_keys.m_ownPrefix };
+    if (m_settings.m_exposure) {
+      prefixes.push_back(m_codec.m_rollout.m_orderPrefix);
+      prefixes.push_back(m_codec.m_rollout.m_statusPrefix);
     }
+    return prefixes;
   }
 
   std::string DemandRecordKey() const { return m_keys.m_ownPrefix + "demand"; }
@@ -274,6 +298,7 @@
                   { "revision_before", aLast.m_revision },
                   { "version", ConfigurationVersion() } });
     m_state.m_directory.OnStoreRestored(now);
+    m_rollout.OnStoreRestored(now);
     if (m_lease.m_era < aEra) {
       ForgetRegistrationLease();
       m_nextRegistration = now + base::Millis(m_random() % kRegistrationRenewInterval.count());
@@ -469,6 +494,7 @@
     const auto& usage = m_state.m_usage.LocalCounts();
     const int64_t oldest = m_state.m_usage.WindowOf(base::WallMillis()) - kUsageWindowsPerHeartbeat;
     heartbeat.m_usage.insert(usage.lower_bound(oldest), usage.end());
+    m_rollout.AddTo(heartbeat);
     for (const auto& [node, peer] : m_peerTable.All()) {
       if (heartbeat.m_contacts.size() < kContactsPerHeartbeat &&
           m_peerTable.IsAlive(peer, base::BootNow())) {
@@ -490,6 +516,7 @@
       aHeartbeat.m_from.m_node, aHeartbeat.m_from.m_startMs, isYoung, aHeartbeat.m_quota, now);
     m_state.m_usage.MergePeerCounts(incarnation, aHeartbeat.m_usage);
     AddPeerWork(incarnation, aHeartbeat.m_requestedWorkMs);
+    m_rollout.OnHeartbeat(aHeartbeat, now);
     for (const gossip::Contact& contact : aHeartbeat.m_contacts) {
       m_peerTable.RecordContact(contact, false, now);
     }
@@ -628,7 +655,7 @@
   void RunLeaderTasks() {
     // Every node counts, also one that never leads.
     m_reporter.RemoveOldCounts();
-    if (!m_settings.m_reportsUsage && !m_settings.m_autoscales) {
+    if (!m_settings.m_reportsUsage && !m_settings.m_autoscales && !m_rollout.IsEnabled()) {
       return;
     }
     // Older nodes have received the counts of nodes that have ended since.
@@ -640,6 +667,7 @@
       m_reporter.RestoreRecord();
     }
     const auto leadership = m_leaderElection.CurrentLeadership();
+    m_rollout.Tick(leadership, base::BootNow());
     if (!leadership || m_state.Catalog() == nullptr) {
       return;
     }
@@ -648,7 +676,11 @@
       m_reporter.Tick(*leadership);
     }
     if (m_settings.m_autoscales) {
-      m_autoscaler.Tick(*leadership, *m_state.Catalog(), m_state.m_directory);
+      m_autoscaler.Tick(
+        *leadership,
+        *m_state.Catalog(),
+        m_state.m_directory,
+        [this](const fleet::ServiceId& aService) { return m_rollout.IsRunning(aService); });
     }
   }
 
@@ -736,6 +768,7 @@
   duties::LeaderElection<Store> m_leaderElection;
   duties::UsageReporter<Store, Duties> m_reporter;
   duties::Autoscaler<Duties> m_autoscaler;
+  RolloutTask<Store> m_rollout;
   adapters::http::EventHandlePtr m_tickTimer;
   adapters::http::EventHandlePtr m_reportTimer;
   bool m_reportScheduled = false;
--- a/packages/serving/ServingSettings.h
+++ b/packages/serving/ServingSettings.h
@@ -5,6 +5,7 @@
 #include "forwarding/NodeState.h"
 #include "serving/EntryChoice.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,8 @@
   /// Whether the leader sends usage reports, and whether it scales the fleet.
   bool m_reportsUsage = false;
   bool m_autoscales = false;
+  /// Limits on unproven versions; nullopt if roll-out orders are ignored.
+  std::optional<rollout::ExposureBounds> m_exposure;
 };
 
 /// Keys and key prefixes in the store.
