Roll-outs: test with real nodes, restored orders, earlier ramp

Cause: the stand-in platform knew no orders, a restore of the store looked like a withdrawn order, and a roll-out was completed 55 to 205 ms before its deadline.

Deadlines count from 150 ms before an order was seen, and half an interval of decisions ahead.

--- a/packages/rollout/RolloutMachine.cpp
+++ b/packages/rollout/RolloutMachine.cpp
@@ -6,17 +6,20 @@
 
 namespace {
 
-/// Parts of the exposure share and of the slack that grants may use. While exposing, three fifths
-/// of the share are kept for ramping: at 0.1 and 12 s, they carry all calls of about 0.7 s.
+/// Parts of the exposure share and of the slack that grants may use. While exposing, most of the
+/// share is kept for ramping: at 0.1 and 12 s, it carries all calls of about 0.7 s.
 constexpr double kExposingFraction = 0.4;
 constexpr double kRampingFraction = 0.8;
 constexpr double kSlackFraction = 0.5;
 /// Part of the bound that ramping is planned with, up to the deadline.
 constexpr double kPlannedFraction = 0.95;
-/// Ramping takes at least this time before the deadline: two heartbeats and two writes to the
-/// store. It ends before the deadline by the fraction that is left.
-constexpr int64_t kMinRampMs = 700;
-constexpr double kRampBeforeCompletion = 0.4;
+/// Ramping begins at least this time before the deadline: two heartbeats and two writes to the
+/// store. It ends after this part of the time left, or half an interval of decisions before.
+constexpr int64_t kMinRampMs = 600;
+constexpr double kRampBeforeCompletion = 0.35;
+constexpr int64_t kHalfDecisionIntervalMs = 125;
+/// An order is seen up to this time after it was written: the pause of the watch after changes.
+constexpr int64_t kOrderDelayMs = 150;
 /// Time for which new calls go to the target before the old endpoints may be stopped early.
 constexpr int64_t kMinTimeRampingMs = 300;
 /// Time after the deadline in which a leader may still collect evidence.
@@ -37,8 +40,15 @@
   aRecord.m_rejected.insert(aVersion);
 }
 
-/// Returns the record of the same order in an earlier era of the store, or null if there is none.
-const RolloutRecord* FindEarlier(const RolloutInputs& aInputs) {
+RolloutRecord Reverted(RolloutRecord aRecord) {
+  aRecord.m_phase = Phase::Reverted;
+  Reject(aRecord, aRecord.m_target);
+  return aRecord;
+}
+
+} // namespace
+
+const RolloutRecord* FindEarlierRecord(const RolloutInputs& aInputs) {
   const RolloutOrder& order = *aInputs.m_order;
   const auto matches = [&](const std::optional<RolloutRecord>& aRecord) {
     return aRecord && aRecord->m_order.m_era < order.m_position.m_era &&
@@ -53,14 +63,6 @@
   return isSame ? &*aInputs.m_record : nullptr;
 }
 
-RolloutRecord Reverted(RolloutRecord aRecord) {
-  aRecord.m_phase = Phase::Reverted;
-  Reject(aRecord, aRecord.m_target);
-  return aRecord;
-}
-
-} // namespace
-
 uint64_t RolloutMachine::Allowance(Phase aPhase, double aRequests) const {
   const double fraction = aPhase == Phase::Ramping ? kRampingFraction : kExposingFraction;
   return static_cast<uint64_t>(fraction * m_bounds.m_share * aRequests +
@@ -70,7 +72,7 @@
 /// Begins the roll-out of a new order, or continues that of the same order before a restore.
 RolloutRecord RolloutMachine::Begin(const RolloutInputs& aInputs) const {
   const RolloutOrder& order = *aInputs.m_order;
-  if (const auto* earlier = FindEarlier(aInputs)) {
+  if (const auto* earlier = FindEarlierRecord(aInputs)) {
     RolloutRecord record = *earlier;
     record.m_order = order.m_position;
     if (aInputs.m_record) {
@@ -82,7 +84,7 @@
   record.m_target = order.m_target;
   record.m_order = order.m_position;
   record.m_duration = order.m_duration;
-  record.m_startMs = std::min(aInputs.m_orderSeenMs, aInputs.m_nowMs);
+  record.m_startMs = std::min(aInputs.m_orderSeenMs, aInputs.m_nowMs) - kOrderDelayMs;
   record.m_reserved = Allowance(Phase::Exposing, 0);
   if (const auto& previous = aInputs.m_record) {
     record.m_rejected = previous->m_rejected;
@@ -101,13 +103,15 @@
                                     const RolloutInputs& aInputs) const {
   const double rate = std::max(aInputs.m_requestsPerSecond, 1.0);
   const double left =
-    std::max(static_cast<double>(aRecord.DeadlineMs() - aInputs.m_nowMs), 0.0) / 1000;
+    std::max(static_cast<double>(aRecord.DeadlineMs() + kOrderDelayMs - aInputs.m_nowMs), 0.0) /
+    1000;
   const double total = static_cast<double>(aInputs.m_requests) + rate * left;
   const double calls = kPlannedFraction * (m_bounds.m_share * total + m_bounds.m_slack) -
                        static_cast<double>(aInputs.m_exposed);
   const auto longest = aRecord.m_duration.count() / 2;
   const auto span = static_cast<int64_t>(std::max(calls, 0.0) / rate * 1000);
-  return aRecord.DeadlineMs() - std::clamp(span, kMinRampMs, std::max(longest, kMinRampMs));
+  return aRecord.DeadlineMs() + kOrderDelayMs -
+         std::clamp(span, kMinRampMs, std::max(longest, kMinRampMs));
 }
 
 void RolloutMachine::Progress(const RolloutInputs& aInputs, RolloutDecision& aDecision) const {
@@ -134,7 +138,7 @@
                                       kRampBeforeCompletion),
                record.m_rampMs);
     const bool oldEnded = aInputs.m_oldOpen == 0 && now >= record.m_rampMs + kMinTimeRampingMs;
-    if (aInputs.m_hasCapacity && (oldEnded || now >= latest)) {
+    if (aInputs.m_hasCapacity && (oldEnded || now + kHalfDecisionIntervalMs >= latest)) {
       aDecision.m_write = record;
       aDecision.m_write->m_phase = Phase::Completed;
       aDecision.m_reason = oldEnded ? "old calls ended" : "deadline";
@@ -178,7 +182,7 @@
   }
   if (!record || !BelongsTo(*record, *aInputs.m_order)) {
     decision.m_write = Begin(aInputs);
-    decision.m_reason = FindEarlier(aInputs) == nullptr ? "order" : "store restored";
+    decision.m_reason = FindEarlierRecord(aInputs) == nullptr ? "order" : "store restored";
     return decision;
   }
   if (!IsRunning(record->m_phase)) {
--- a/packages/rollout/RolloutMachine.h
+++ b/packages/rollout/RolloutMachine.h
@@ -42,6 +42,10 @@
   uint64_t m_limit = 0;
 };
 
+/// Returns the record that the order had in an earlier era of the store, or null if there is none.
+/// Precondition: there is an order. Thread safe.
+const RolloutRecord* FindEarlierRecord(const RolloutInputs& aInputs);
+
 /// Decides the next step of a roll-out from the record in the store and the present counts alone,
 /// so that a leader that takes over continues where the store says. Thread safe.
 class RolloutMachine {
--- a/packages/serving/RolloutTask.h
+++ b/packages/serving/RolloutTask.h
@@ -76,8 +76,8 @@
   void OnStoreRestored(base::TimePoint aNow) {
     m_restoredAt = aNow;
     for (auto& [service, rollout] : m_rollouts) {
-      if (rollout.m_record) {
-        rollout.m_remembered = rollout.m_record;
+      if (const auto effective = EffectiveRecord(rollout, aNow)) {
+        rollout.m_remembered = effective;
       }
       rollout.m_lead.reset();
     }
@@ -112,6 +112,7 @@
     if (!IsEnabled()) {
       return;
     }
+    RemoveMissingOrders(aNow);
     for (const auto& [service, counts] : m_state.m_versions.Counts()) {
       MergeCounts(service, m_incarnation, counts, aNow);
       m_state.m_metrics.Set("rollout_sent_" + service.Text(), static_cast<double>(counts.m_sent));
@@ -123,7 +124,9 @@
       return;
     }
     for (auto& [service, rollout] : m_rollouts) {
-      Lead(service, rollout, aLeadership->m_token, aNow);
+      if (!rollout.m_orderMissing) {
+        Lead(service, rollout, aLeadership->m_token, aNow);
+      }
     }
   }
   /// Returns whether a roll-out of the service is running, so that it must not be scaled.
@@ -165,6 +168,8 @@
   struct Rollout {
     std::optional<rollout::RolloutOrder> m_order;
     int64_t m_orderSeenMs = 0;
+    /// Whether the store lacks the order since its restore.
+    bool m_orderMissing = false;
     std::optional<rollout::RolloutRecord> m_record;
     std::optional<rollout::RolloutRecord> m_remembered;
     /// Latest counts by incarnation.
@@ -180,12 +185,20 @@
                const std::optional<store::Item>& aItem,
                const store::Position& aPosition) {
     Rollout& rollout = m_rollouts[aService];
+    const auto now = base::BootNow();
+    if (!aItem && rollout.m_order && IsRecentlyRestored(now) &&
+        rollout.m_order->m_position.m_era < aPosition.m_era) {
+      // The operator writes again what the restore has undone.
+      rollout.m_orderMissing = true;
+      return;
+    }
+    rollout.m_orderMissing = false;
     const auto order = aItem ? m_codec.m_readOrder(aService, *aItem) : std::nullopt;
     if (!rollout.m_order || !order || rollout.m_order->m_position != order->m_position) {
       rollout.m_orderSeenMs = base::WallMillis();
     }
     rollout.m_order = order;
-    m_state.m_versions.SetOrder(aService, order);
+    UpdateGate(aService, rollout, now);
     m_log.Event(!aItem  ? "roll-out order removed"
                 : order ? "roll-out ordered"
                         : "invalid roll-out order ignored",
@@ -200,9 +213,14 @@
     Rollout& rollout = m_rollouts[aService];
     const auto before = rollout.m_record;
     rollout.m_record = aItem ? m_codec.m_readRecord(aItem->m_data) : std::nullopt;
-    m_state.m_versions.SetRecord(aService, rollout.m_record);
+    if (aItem && !rollout.m_record) {
+      m_log.Event("roll-out record unreadable", { { "service", aService.Text() } });
+    }
+    UpdateGate(aService, rollout, base::BootNow());
     if (rollout.m_record && (!before || before->m_phase != rollout.m_record->m_phase ||
                              before->m_order != rollout.m_record->m_order)) {
+      m_state.m_metrics.Set("rollout_phase_" + aService.Text(),
+                            static_cast<double>(rollout.m_record->m_phase));
       m_state.m_metrics.Count("rollout_" + std::string(base::NameOf(rollout.m_record->m_phase)));
       m_log.Event("roll-out in phase",
                   { { "service", aService.Text() },
@@ -212,6 +230,50 @@
     }
   }
 
+  bool IsRecentlyRestored(base::TimePoint aNow) const {
+    return m_restoredAt && aNow - *m_restoredAt < kRewriteTime;
+  }
+
+  /// Drops orders that the operator has not written again after a restore.
+  void RemoveMissingOrders(base::TimePoint aNow) {
+    for (auto& [service, rollout] : m_rollouts) {
+      if (rollout.m_orderMissing && !IsRecentlyRestored(aNow)) {
+        rollout.m_orderMissing = false;
+        rollout.m_order.reset();
+        UpdateGate(service, rollout, aNow);
+        m_log.Event("roll-out order removed",
+                    { { "service", service.Text() }, { "why", "not written after restore" } });
+      }
+    }
+  }
+
+  /// Returns the record that holds at this node: after a restore of the store, that of the same
+  /// order before it, until the leader has written it again.
+  std::optional<rollout::RolloutRecord> EffectiveRecord(const Rollout& aRollout,
+                                                        base::TimePoint aNow) const {
+    if (!aRollout.m_order || BelongsToOrder(aRollout)) {
+      return aRollout.m_record;
+    }
+    rollout::RolloutInputs inputs;
+    inputs.m_order = aRollout.m_order;
+    inputs.m_record = aRollout.m_record;
+    if (IsRecentlyRestored(aNow)) {
+      inputs.m_remembered = aRollout.m_remembered;
+    }
+    const auto* earlier = rollout::FindEarlierRecord(inputs);
+    if (earlier == nullptr) {
+      return aRollout.m_orderMissing ? aRollout.m_remembered : aRollout.m_record;
+    }
+    rollout::RolloutRecord record = *earlier;
+    record.m_order = aRollout.m_order->m_position;
+    return record;
+  }
+
+  void UpdateGate(const fleet::ServiceId& aService, Rollout& aRollout, base::TimePoint aNow) {
+    m_state.m_versions.SetOrder(aService, aRollout.m_order);
+    m_state.m_versions.SetRecord(aService, EffectiveRecord(aRollout, aNow));
+  }
+
   void MergeCounts(const fleet::ServiceId& aService,
                    const std::string& aIncarnation,
                    const rollout::NodeCounts& aCounts,
@@ -268,7 +330,7 @@
     rollout::RolloutInputs inputs;
     inputs.m_order = aRollout.m_order;
     inputs.m_record = aRollout.m_record;
-    if (m_restoredAt && aNow - *m_restoredAt < kRewriteTime) {
+    if (IsRecentlyRestored(aNow)) {
       inputs.m_remembered = aRollout.m_remembered;
     }
     inputs.m_orderSeenMs = aRollout.m_orderSeenMs;
--- a/standins/fleet/Runner.h
+++ b/standins/fleet/Runner.h
@@ -160,6 +160,9 @@
   void SetSignals(RunnerSignals aSignals) { m_signals = std::move(aSignals); }
   /// Start time that the runner registers; another one makes it a new incarnation.
   int64_t Born() const { return m_born; }
+  /// Version of its software that the runner registers.
+  const std::string& Version() const { return m_version; }
+  void SetVersion(std::string aVersion) { m_version = std::move(aVersion); }
   void SetBorn(int64_t aBorn) { m_born = aBorn; }
 
 private:
@@ -191,6 +194,7 @@
   int m_rawCalls = 0;
   RunnerSignals m_signals;
   int64_t m_born = 1;
+  std::string m_version = "v1";
   std::set<std::shared_ptr<CallerConnection>> m_callerConnections;
   /// Null after a crash.
   std::unique_ptr<adapters::http1::Listener> m_listener;
--- a/standins/fleet/Store.cpp
+++ b/standins/fleet/Store.cpp
@@ -36,6 +36,18 @@
   return text;
 }
 
+std::string DecodeBase64(const std::string& aText) {
+  std::string bytes(aText.size() / 4 * 3, '\0');
+  if (EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
+                      reinterpret_cast<const unsigned char*>(aText.data()),
+                      static_cast<int>(aText.size())) < 0) {
+    return {};
+  }
+  const size_t padding = aText.size() - (aText.find_last_not_of('=') + 1);
+  bytes.resize(bytes.size() - padding);
+  return bytes;
+}
+
 /// Returns whether a key belongs to the operator or to an endpoint, and not to a node.
 bool IsExternalKey(const std::string& aKey) {
   return aKey.starts_with("op/") || aKey.starts_with("servers/");
@@ -92,6 +104,16 @@
   ApplyExternalWrite(aKey, aBase64);
 }
 
+std::map<std::string, std::string> Store::Texts(const std::string& aPrefix) const {
+  std::map<std::string, std::string> texts;
+  for (const auto& [key, item] : m_state.m_items) {
+    if (key.starts_with(aPrefix)) {
+      texts[key] = DecodeBase64(item.m_data);
+    }
+  }
+  return texts;
+}
+
 void Store::Remove(const std::string& aKey) {
   ApplyExternalWrite(aKey, std::nullopt);
 }
@@ -250,6 +272,11 @@
     }
   }
   for (const json& row : aBody.at("write")) {
+    if (row.at("key").get<std::string>().starts_with("op/")) {
+      // Only the operator writes there.
+      aReply(403, json::object());
+      return;
+    }
     const auto lease = row.value("lease_id", uint64_t{ 0 });
     if (lease != 0 && !m_state.m_leases.contains(lease)) {
       aReply(404, json::object());
--- a/standins/fleet/Store.h
+++ b/standins/fleet/Store.h
@@ -48,6 +48,8 @@
   void PutEncoded(const std::string& aKey, const std::string& aBase64);
   /// Removes an item.
   void Remove(const std::string& aKey);
+  /// Returns the text of the items whose keys start with `aPrefix`.
+  std::map<std::string, std::string> Texts(const std::string& aPrefix) const;
   /// Discards the revision history, so that watches from an older revision are rejected with 410.
   void Compact();
   /// Closes all connections that carry calls for `aDowntime` and then continues from a copy of the
--- a/standins/fleet/main.cpp
+++ b/standins/fleet/main.cpp
@@ -67,7 +67,7 @@
       address.m_port = static_cast<uint16_t>(m_proxyPort + std::stoi(aRunner.Id().substr(2)));
     }
     const json entry = { { "service", m_service },  { "address", address.ToText() },
-                         { "zone", "a" },           { "version", "v1" },
+                         { "zone", "a" },           { "version", aRunner.Version() },
                          { "slots", 64 },           { "state", aState },
                          { "cold_left_ms", 0 },     { "sequence", 1 },
                          { "born", aRunner.Born() } };
@@ -185,6 +185,10 @@
       }
       return true;
     }
+    if (aPath == "/control/remove") {
+      m_store.Remove(base::ValueOr<std::string>(aBody, "key", ""));
+      return true;
+    }
     if (aPath == "/control/compact") {
       m_store.Compact();
       return true;
@@ -229,6 +233,7 @@
     runner.SetSignals(
       { aBody.value("leaving", false), aBody.value("retry_after", std::vector<std::string>()) });
     runner.SetBorn(aBody.value("born", runner.Born()));
+    runner.SetVersion(aBody.value("version", runner.Version()));
     const std::string state = aBody.value("state", "");
     if (state == "gone") {
       m_store.Remove("servers/" + runner.Id());
@@ -279,6 +284,7 @@
              { "cut_off", m_callLog.m_interruptedCalls },
              { "duties", m_leaderCalls },
              { "stale_duties", m_staleLeaderCalls },
+             { "status", m_store.Texts("status/") },
              { "store_calls", m_store.CallCount() } };
   }
 
--- a/tests/harness/PlatformFleet.cpp
+++ b/tests/harness/PlatformFleet.cpp
@@ -73,8 +73,9 @@
            { "Papayafield-Attempt-Id", aId } };
 }
 
-PlatformFleet::PlatformFleet(size_t aNodes, size_t aRunners, Proxies aProxies)
+PlatformFleet::PlatformFleet(size_t aNodes, size_t aRunners, Proxies aProxies, std::string aBounds)
   : m_folder(MakeTemporaryFolder())
+  , m_bounds(std::move(aBounds))
   , m_port(FreePort())
   , m_platform{ "127.0.0.1", FreePort() }
   , m_platformFronts(aNodes, m_platform) {
@@ -134,9 +135,10 @@
        << port(PortOffset::CallerPort) << "\"\nready = \"" << host << ":" << port(CheckPort)
        << "\"\ndirectory = \"" << host << ":" << port(DirectoryPort)
        << "\"\n[bounds]\ngrace_s = 8\nlease_ms = 1500\nretry_ratio = 0.2\nretry_slack = 100\n"
-       << "usage_window_s = 1\nusage_late_s = 10\n[platform]\naddress = \""
-       << m_platformFronts[aIndex].ToText() << "\"\n[cloud]\naddress = \""
-       << m_platformFronts[aIndex].ToText() << "\"\nduties = [\"metering\"]\n";
+       << "usage_window_s = 1\nusage_late_s = 10\n"
+       << m_bounds << "[platform]\naddress = \"" << m_platformFronts[aIndex].ToText()
+       << "\"\n[cloud]\naddress = \"" << m_platformFronts[aIndex].ToText()
+       << "\"\nduties = [\"metering\"]\n";
   return path;
 }
 
--- a/tests/harness/PlatformFleet.h
+++ b/tests/harness/PlatformFleet.h
@@ -42,7 +42,11 @@
   enum class Proxies { None, All };
 
   /// Starts `aNodes` nodes and `aRunners` runners, and waits until all nodes are ready.
-  PlatformFleet(size_t aNodes, size_t aRunners, Proxies aProxies = Proxies::None);
+  /// `aBounds`: further lines of the section [bounds] of the nodes' settings.
+  PlatformFleet(size_t aNodes,
+                size_t aRunners,
+                Proxies aProxies = Proxies::None,
+                std::string aBounds = {});
   ~PlatformFleet();
   PlatformFleet(const PlatformFleet&) = delete;
   PlatformFleet& operator=(const PlatformFleet&) = delete;
@@ -109,6 +113,7 @@
   void StartProxy(const base::Address& aListen, const base::Address& aTo);
 
   std::string m_folder;
+  std::string m_bounds;
   uint16_t m_port;
   base::Address m_platform;
   /// Addresses at which the nodes reach the platform; those of proxies, if any.
