--- a/packages/adapters/peer/tests/GossipCodecTest.cpp
+++ b/packages/adapters/peer/tests/GossipCodecTest.cpp
@@ -114,4 +114,35 @@
   BOOST_TEST(!DecodeGossip("").has_value());
 }
 
+// Counts and grants of roll-outs arrive as they were sent, also those of the last bucket.
+BOOST_AUTO_TEST_CASE(RolloutsRoundTrip) {
+  gossip::Heartbeat sent = MakeFullHeartbeat();
+  rollout::NodeCounts& counts = sent.m_rolloutCounts[fleet::ServiceId("s")];
+  counts.m_order = { 2, 7 };
+  counts.m_requests = 100;
+  counts.m_sent = 9;
+  counts.m_oldOpen = 3;
+  counts.m_routes["r"].m_old.m_answers = 80;
+  counts.m_routes["r"].m_old.m_times[rollout::kTimeBuckets - 1] = 80;
+  counts.m_routes["r"].m_target.m_answers = 9;
+  counts.m_routes["r"].m_target.m_failures = 4;
+  counts.m_routes["r"].m_target.m_times[2] = 5;
+  sent.m_rolloutGrants[fleet::ServiceId("s")] = { { 2, 7 }, 12, { { "n2@5", 17 } } };
+  const auto news = DecodeGossip(EncodeHeartbeat(sent));
+  BOOST_REQUIRE(news.has_value());
+  const auto& read = std::get<gossip::Heartbeat>(*news);
+  const rollout::NodeCounts& readCounts = read.m_rolloutCounts.at(fleet::ServiceId("s"));
+  BOOST_TEST((readCounts.m_order == store::Position{ 2, 7 }));
+  BOOST_TEST(readCounts.m_requests == 100U);
+  BOOST_TEST(readCounts.m_sent == 9U);
+  BOOST_TEST(readCounts.m_oldOpen == 3U);
+  BOOST_TEST((readCounts.m_routes.at("r").m_old.m_times == counts.m_routes["r"].m_old.m_times));
+  BOOST_TEST(readCounts.m_routes.at("r").m_target.m_failures == 4U);
+  BOOST_TEST(
+    (readCounts.m_routes.at("r").m_target.m_times == counts.m_routes["r"].m_target.m_times));
+  const rollout::RolloutGrants& grants = read.m_rolloutGrants.at(fleet::ServiceId("s"));
+  BOOST_TEST(grants.m_token == 12U);
+  BOOST_TEST(grants.m_calls.at("n2@5") == 17U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/serving/RolloutTask.h
+++ b/packages/serving/RolloutTask.h
@@ -17,6 +17,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace papayafield::serving {
 
@@ -103,9 +104,26 @@
       MergeCounts(service, aHeartbeat.m_from.IncarnationKey(), counts, aNow);
     }
     for (const auto& [service, grants] : aHeartbeat.m_rolloutGrants) {
+      m_leaderHost = aHeartbeat.m_from.m_host;
+      m_leaderHeardAt = aNow;
       ApplyGrants(service, grants, aNow);
     }
   }
+  /// Returns the hosts that must get each heartbeat of this node because of a running roll-out: for
+  /// the leader all of `aWorkingSet`, for other nodes the leader.
+  std::vector<std::string> HeartbeatHosts(const std::vector<std::string>& aWorkingSet,
+                                          base::TimePoint aNow) const {
+    const bool isLeading =
+      std::any_of(m_rollouts.begin(), m_rollouts.end(), [&](const auto& aEntry) {
+        return aEntry.second.m_lead && aNow < aEntry.second.m_lead->m_grantsEnd;
+      });
+    if (isLeading) {
+      return aWorkingSet;
+    }
+    return m_leaderHeardAt && aNow - *m_leaderHeardAt < kLeaderMemory
+             ? std::vector<std::string>{ m_leaderHost }
+             : std::vector<std::string>();
+  }
   /// Takes the leader's decisions. Called several times a second on each node; `aLeadership` is
   /// nullopt on all but the leader.
   void Tick(const std::optional<duties::Leadership>& aLeadership, base::TimePoint aNow) {
@@ -144,6 +162,8 @@
   static constexpr base::Millis kReservationInterval{ 400 };
   /// Time after a write in which the replica should show it.
   static constexpr base::Millis kMaxReadBack{ 600 };
+  /// Time after its last grants for which a node sends the leader each of its heartbeats.
+  static constexpr base::Millis kLeaderMemory{ 3000 };
   /// Time for which grants are repeated in heartbeats after the last tick.
   static constexpr base::Millis kGrantRepeat{ 400 };
   /// Maximum number of incarnations whose counts are kept for a service.
@@ -536,6 +556,9 @@
   const base::Log m_log{ "rollout" };
   std::map<fleet::ServiceId, Rollout> m_rollouts;
   std::optional<base::TimePoint> m_restoredAt;
+  /// Host of the node whose grants were received last.
+  std::string m_leaderHost;
+  std::optional<base::TimePoint> m_leaderHeardAt;
 };
 
 } // namespace papayafield::serving
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -584,7 +584,11 @@
     m_storeWatcher.SetWatchEnabled(ShouldWatchStore(now));
     m_storeWatcher.OnEra(m_store.LatestEra());
     // Nodes of the working set inform one another first, since they share the load.
-    m_gossip.SendHeartbeats(isWorking ? workingSet : std::vector<std::string>());
+    std::vector<std::string> hosts = m_rollout.HeartbeatHosts(workingSet, now);
+    if (isWorking) {
+      hosts.insert(hosts.end(), workingSet.begin(), workingSet.end());
+    }
+    m_gossip.SendHeartbeats(hosts);
     m_state.m_crashGuard.Tick(now);
     SendQuarantineReport(isWorking ? workingSet : std::vector<std::string>());
     SendEmptyUpdate(now);
