--- a/packages/forwarding/NodeState.h
+++ b/packages/forwarding/NodeState.h
@@ -16,6 +16,7 @@
 #include "placement/Placement.h"
 #include "quota/QuotaLedger.h"
 #include "requests/RetryBudget.h"
+#include "rollout/VersionGate.h"
 #include "scheduling/Admission.h"
 #include "scheduling/CallClasses.h"
 
@@ -93,6 +94,7 @@
   scheduling::Admission m_admission{ scheduling::AdmissionSettings{} };
   duties::ScalingPolicy m_scaling{ duties::ScalingSettings{} };
   fleet::EndpointAvailability m_availability{ fleet::AvailabilitySettings{} };
+  rollout::VersionGate m_versions;
   EndpointPool m_pool;
   CallDurations m_durations;
   EndpointSignals m_signals;
--- a/tests/harness/PlatformFleet.h
+++ b/tests/harness/PlatformFleet.h
@@ -48,10 +48,12 @@
   enum class Proxies { None, All };
 
   /// Starts `aNodes` nodes and `aRunners` runners, and waits until all nodes are ready.
+  /// `aBounds`: further lines of the section [bounds] of the nodes' settings.
   PlatformFleet(size_t aNodes,
                 size_t aRunners,
                 Proxies aProxies = Proxies::None,
-                HostLimits aHostLimits = {});
+                HostLimits aHostLimits = {},
+                std::string aBounds = {});
   ~PlatformFleet();
   PlatformFleet(const PlatformFleet&) = delete;
   PlatformFleet& operator=(const PlatformFleet&) = delete;
@@ -119,6 +121,7 @@
 
   std::string m_folder;
   HostLimits m_hostLimits;
+  std::string m_bounds;
   uint16_t m_port;
   base::Address m_platform;
   /// Addresses at which the nodes reach the platform; those of proxies, if any.
