engines: median and more samples for plain calls

Cause: the fastest fifth of plain calls of 20 to 100 ms is half of their mean, so a service that matches the prior of 60 ms would seem faster.

Change: plain calls use the median of at least eight samples that did not wait; a slowdown counts after four slow calls in a row.

--- a/packages/engines/EngineModel.cpp
+++ b/packages/engines/EngineModel.cpp
@@ -12,6 +12,8 @@
 /// The part of the samples that is taken for undisturbed. The others waited in a queue, or for the
 /// calls of other nodes.
 constexpr double kFastQuantile = 0.2;
+/// Plain calls differ in their work, and only those are used that have not waited.
+constexpr double kPlainQuantile = 0.5;
 /// First events that are closer than this come from prompts that were read together.
 constexpr base::Millis kSameStep{ 1 };
 /// At most this part of a measured time is attributed to steps instead of reading.
@@ -179,12 +181,16 @@
       recent.push_back({ sample.m_factor, sample.m_weight });
     }
   }
-  const auto& used = recent.size() >= m_settings.m_minRecentSamples ? recent : all;
-  if (used.size() < m_settings.m_minSamples) {
+  const bool isPlain = aQuantity == Quantity::PlainCall || aQuantity == Quantity::PlainShare;
+  if (all.size() < (isPlain ? m_settings.m_minPlainSamples : m_settings.m_minSamples)) {
     return std::nullopt;
   }
-  const double fast = QuantileOf(used, kFastQuantile);
-  const auto count = static_cast<std::ptrdiff_t>(m_settings.m_changeSamples);
+  const bool recentOnly = !isPlain && recent.size() >= m_settings.m_minRecentSamples;
+  const auto& used = recentOnly ? recent : all;
+  const double fast = QuantileOf(used, isPlain ? kPlainQuantile : kFastQuantile);
+  const size_t changeSamples =
+    isPlain ? m_settings.m_plainChangeSamples : m_settings.m_changeSamples;
+  const auto count = static_cast<std::ptrdiff_t>(std::min(changeSamples, all.size()));
   const bool isSlower =
     std::all_of(aSamples.end() - count, aSamples.end(), [&](const Sample& aSample) {
       return aSample.m_factor > fast * m_settings.m_changeFactor;
--- a/packages/engines/EngineModel.h
+++ b/packages/engines/EngineModel.h
@@ -43,8 +43,10 @@
   /// Learned values within this fraction of the value that they would replace do not replace it, so
   /// that noise does not move calls between equal endpoints.
   double m_deadBand = 0.1;
-  /// Samples needed before a value is learned, and number of them that are kept for each value.
+  /// Samples needed before a value is learned (more for plain calls, which differ in their work),
+  /// and number of them that are kept for each value.
   size_t m_minSamples = 4;
+  size_t m_minPlainSamples = 8;
   size_t m_maxSamples = 32;
   /// Samples of this age are used alone if there are m_minRecentSamples of them, so that changes of
   /// speed show within two seconds.
@@ -57,6 +59,8 @@
   /// value, the earlier ones do not count. Not applied to steps: a prompt that is read delays many
   /// of them in a row.
   size_t m_changeSamples = 2;
+  /// The same for plain calls, whose durations differ more.
+  size_t m_plainChangeSamples = 4;
   double m_changeFactor = 2.5;
   /// Prompts of fewer tokens are not used alone, since their time is mostly that of steps.
   double m_minPromptTokens = 400;
--- a/packages/engines/tests/EngineModelTest.cpp
+++ b/packages/engines/tests/EngineModelTest.cpp
@@ -314,6 +314,24 @@
   }
 }
 
+// Guards against sending calls to a plain endpoint whose host slows it down, and against taking
+// calls that are long by themselves for a slow endpoint.
+BOOST_AUTO_TEST_CASE(SlowPlainEndpointIsFoundWithinTwoSeconds) {
+  std::mt19937 random(1);
+  std::uniform_real_distribution<double> draw(0, 1);
+  EngineModel model{ EngineModelSettings{} };
+  for (double now = 0; now < 7000; now += 150) {
+    for (size_t i = 0; i < 4; ++i) {
+      const double slowness = i == 2 && now > 5000 ? 5 : 1;
+      const double durationMs = slowness * (20 + 80 * draw(random));
+      model.RecordPlainCall(MakeEndpoint(i), durationMs, 1 + 4 * draw(random), At(now + i));
+    }
+    CheckNear(model.CallDelayMs(Id(1), false), 10, 0.35);
+  }
+  CheckNear(model.PlainCallMs(kService), 60, 0.2);
+  BOOST_TEST(model.CallDelayMs(Id(2), false) > 3 * model.CallDelayMs(Id(1), false));
+}
+
 // State must not grow with endpoints that come and go.
 BOOST_AUTO_TEST_CASE(StateOfRemovedEndpointsIsDropped) {
   EngineModel model{ EngineModelSettings{} };
