--- a/packages/placement/Placement.cpp
+++ b/packages/placement/Placement.cpp
@@ -108,6 +108,7 @@
                                         base::TimePoint aNow) const {
   const std::vector<size_t> candidates = Candidates(aRequest, aEndpoints, aNow);
   std::vector<double> delays;
+  delays.reserve(candidates.size());
   for (const size_t i : candidates) {
     delays.push_back(ExpectedStartMs(aRequest, aEndpoints[i]));
   }
