forwarding: learn the speed of endpoints and use it

Cause: the node did not take into account what answers show of the speed of its endpoints, neither for placement nor for the work that scaling counts.

Change: Exchange feeds EngineModel with the first event of first attempts, gaps between events that arrive one by one, and plain calls with status 2xx. Placement reads the model; requested work uses the learned speeds of the service.

No load run was made on real processes.

--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -68,6 +68,8 @@
   std::shared_ptr<ClientConnection> m_connection;
   bool m_reused = false;
   base::TimePoint m_sentAt;
+  /// Open calls at the endpoint over all nodes when this one had been sent.
+  double m_openCalls = 0;
   /// Prompt tokens that are counted as queued at the endpoint.
   double m_queuedTokens = 0;
   AnswerInfo m_answerInfo;
@@ -88,6 +90,9 @@
   /// Number of complete events that this attempt has returned, and when the first one arrived.
   size_t m_events = 0;
   base::TimePoint m_firstEventAt{};
+  /// When the latest events arrived, and how many came at once.
+  base::TimePoint m_lastEventsAt{};
+  size_t m_lastEvents = 0;
   bool m_ended = false;
   adapters::http::EventHandlePtr m_connectTimer;
   adapters::http::EventHandlePtr m_silenceTimer;
@@ -129,13 +134,18 @@
   return m_call.m_callerTimeout ? *m_call.m_callerTimeout - elapsed : TimeLeft();
 }
 
+/// Returns the prompt tokens that no endpoint has cached.
+double Exchange::OwnTokens() const {
+  return m_call.m_promptParts.empty() ? m_call.m_promptTokens.value_or(0)
+                                      : m_call.m_promptParts.back().m_tokens;
+}
+
+double Exchange::SharedTokens() const {
+  return std::max(m_call.m_promptTokens.value_or(0) - OwnTokens(), 0.0);
+}
+
 double Exchange::UncachedTokens() const {
-  if (!m_call.m_promptTokens) {
-    return 0;
-  }
-  const double ownTokens =
-    m_call.m_promptParts.empty() ? *m_call.m_promptTokens : m_call.m_promptParts.back().m_tokens;
-  return ownTokens + std::max(*m_call.m_promptTokens - ownTokens, 0.0) * kSharedPrefillFraction;
+  return m_call.m_promptTokens ? OwnTokens() + SharedTokens() * kSharedPrefillFraction : 0;
 }
 
 fleet::ServiceId Exchange::SelectService() {
@@ -158,6 +168,7 @@
   request.m_service = aService;
   request.m_subject = m_call.SharedPartId();
   request.m_promptTokens = UncachedTokens();
+  request.m_sharedTokens = SharedTokens();
   request.m_zone = m_node.m_zone;
   request.m_tried = m_tried;
   request.m_unavailable = m_node.m_availability.Unavailable(base::BootNow());
@@ -168,7 +179,7 @@
   m_service = SelectService();
   m_node.CreditRetryBudget(m_service);
   if (m_call.m_promptTokens) {
-    m_node.AddRequestedWork(m_node.m_scaling.EstimateWorkMs(UncachedTokens(), 0));
+    m_node.AddRequestedWork(m_node.m_engines.WorkMs(m_service, UncachedTokens(), 0));
   }
   m_splitter.Resume(m_call.m_lastEventId);
   m_deadlineTimer = m_node.m_loop.After(std::max(TimeLeft(), base::Millis(0)),
@@ -267,6 +278,7 @@
   ++m_attemptCount;
   m_tried.insert(aEndpoint.m_incarnation.m_endpoint);
   m_node.m_placement.RecordCallStarted(aEndpoint.m_incarnation.m_endpoint, attempt->m_queuedTokens);
+  attempt->m_openCalls = m_node.m_placement.TotalLoad(aEndpoint.m_incarnation.m_endpoint).m_calls;
   const AttemptInfo attemptInfo{ m_head,
                                  aEndpoint.m_incarnation.m_endpoint,
                                  m_team,
@@ -573,6 +585,7 @@
                                            aAttempt->m_queuedTokens);
     aAttempt->m_queuedTokens = 0;
   }
+  LearnFromEvents(*aAttempt, m_splitter.EventCount() - eventsBefore);
   CountUsage(aAttempt, base::BootNow());
   if (!m_streamBegun) {
     m_streamBegun = true;
@@ -598,6 +611,37 @@
   }
 }
 
+/// Feeds the model of the endpoint's speed with `aCount` events that have just arrived.
+void Exchange::LearnFromEvents(ActiveAttempt& aAttempt, size_t aCount) {
+  const auto now = base::BootNow();
+  const fleet::Service* service = m_catalog->FindService(m_service);
+  if (service != nullptr && service->m_engine && m_call.m_promptTokens) {
+    const auto& loads = m_node.m_placement.LocalLoad();
+    const auto load = loads.find(aAttempt.m_endpoint.m_incarnation.m_endpoint);
+    // A resumed stream has also its output read again. Of several events that arrive at once, some
+    // were delayed.
+    if (aAttempt.m_lastEvents == 0 && m_attemptCount == 1 && m_call.m_lastEventId.empty()) {
+      m_node.m_engines.RecordFirstEvent(
+        aAttempt.m_endpoint,
+        { aAttempt.m_sentAt,
+          now,
+          OwnTokens(),
+          aAttempt.m_openCalls,
+          load != loads.end() && load->second.m_pendingPromptTokens >= 1 });
+    } else if (aAttempt.m_lastEvents == 1 && aCount == 1) {
+      const std::chrono::duration<double, std::milli> gap = now - aAttempt.m_lastEventsAt;
+      m_node.m_engines.RecordGap(
+        aAttempt.m_endpoint,
+        gap.count(),
+        service->m_engine->m_tokensPerEvent,
+        m_node.m_placement.TotalLoad(aAttempt.m_endpoint.m_incarnation.m_endpoint).m_calls,
+        now);
+    }
+  }
+  aAttempt.m_lastEvents = aCount;
+  aAttempt.m_lastEventsAt = now;
+}
+
 void Exchange::OnComplete(const std::shared_ptr<ActiveAttempt>& aAttempt) {
   if (aAttempt->m_ended) {
     return;
@@ -648,6 +692,11 @@
   m_node.m_placement.RecordOutcome(
     aAttempt->m_endpoint.m_incarnation.m_endpoint, true, base::BootNow());
   m_node.m_crashGuard.OnAnswered(m_call, base::BootNow(), base::BootNow());
+  if (status / 100 == 2 && !m_call.m_promptTokens) {
+    const std::chrono::duration<double, std::milli> duration = base::BootNow() - aAttempt->m_sentAt;
+    m_node.m_engines.RecordPlainCall(
+      aAttempt->m_endpoint, duration.count(), aAttempt->m_openCalls, base::BootNow());
+  }
   Release(aAttempt, true);
   // The caller's connection accounts for the body from here on.
   aAttempt->m_bufferClaim.reset();
@@ -900,7 +949,7 @@
   if (service != nullptr && service->m_engine) {
     const auto tokens =
       static_cast<double>(m_splitter.EventCount()) * service->m_engine->m_tokensPerEvent;
-    m_node.AddRequestedWork(m_node.m_scaling.EstimateWorkMs(0, tokens));
+    m_node.AddRequestedWork(m_node.m_engines.WorkMs(m_service, 0, tokens));
   }
 }
 
--- a/packages/forwarding/Exchange.h
+++ b/packages/forwarding/Exchange.h
@@ -74,6 +74,7 @@
   void OnSilence(const std::shared_ptr<ActiveAttempt>& aAttempt, base::Millis aLimit);
   bool MayContinueElsewhere() const;
   base::Millis EventTimeout() const;
+  void LearnFromEvents(ActiveAttempt& aAttempt, size_t aCount);
   void CountEvents(const std::shared_ptr<ActiveAttempt>& aAttempt, size_t aCount);
   void OnComplete(const std::shared_ptr<ActiveAttempt>& aAttempt);
   void OnAnswerComplete(const std::shared_ptr<ActiveAttempt>& aAttempt);
@@ -111,6 +112,8 @@
   base::Millis TimeLeft() const;
   base::Millis CallerTimeLeft() const;
   base::Millis AttemptTimeout() const;
+  double OwnTokens() const;
+  double SharedTokens() const;
   double UncachedTokens() const;
 
   NodeState& m_node;
--- a/packages/forwarding/NodeState.cpp
+++ b/packages/forwarding/NodeState.cpp
@@ -50,6 +50,23 @@
   }
 }
 
+void NodeState::SetSpeedGauges() {
+  if (m_catalog == nullptr) {
+    return;
+  }
+  for (const fleet::Service& service : m_catalog->Services()) {
+    const std::string suffix = "_" + service.m_id.Text();
+    if (service.m_engine) {
+      m_metrics.Set("prefill_tokens_per_ms" + suffix, m_engines.PrefillTokensPerMs(service.m_id));
+      m_metrics.Set("output_ms_per_token" + suffix, m_engines.OutputMsPerToken(service.m_id));
+    } else {
+      m_metrics.Set("plain_call_ms" + suffix, m_engines.PlainCallMs(service.m_id));
+      m_metrics.Set("plain_concurrency" + suffix, m_engines.PlainConcurrency(service.m_id));
+    }
+  }
+  m_metrics.Set("implausible_answers", static_cast<double>(m_engines.ImplausibleCount()));
+}
+
 requests::RetryBudgetSettings NodeState::MakeRetryBudgetSettings() const {
   const auto nodes = static_cast<double>(m_nodeCount);
   requests::RetryBudgetSettings settings;
--- a/packages/forwarding/NodeState.h
+++ b/packages/forwarding/NodeState.h
@@ -6,6 +6,7 @@
 #include "base/Log.h"
 #include "duties/ScalingPolicy.h"
 #include "duties/UsageLedger.h"
+#include "engines/EngineModel.h"
 #include "fleet/EndpointDirectory.h"
 #include "forwarding/Call.h"
 #include "forwarding/CallDurations.h"
@@ -62,6 +63,8 @@
   void AddRequestedWork(double aMillis) { m_requestedWork += aMillis; }
   /// Returns the engine work requested since the start, in engine milliseconds.
   double RequestedWork() const { return m_requestedWork; }
+  /// Sets the gauges of the learned speed of each service.
+  void SetSpeedGauges();
   /// Returns a random number in [0, 1).
   double Random() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
 
@@ -72,7 +75,8 @@
   /// Answers of endpoints, until they are complete, and what callers have not taken yet.
   base::BufferBudget m_buffers{ base::BufferBudgetSettings{} };
   fleet::EndpointDirectory m_directory;
-  placement::Placement m_placement{ placement::PlacementSettings{} };
+  engines::EngineModel m_engines{ engines::EngineModelSettings{} };
+  placement::Placement m_placement{ placement::PlacementSettings{}, &m_engines };
   duties::ScalingPolicy m_scaling{ duties::ScalingSettings{} };
   fleet::EndpointAvailability m_availability{ fleet::AvailabilitySettings{} };
   EndpointPool m_pool;
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -169,6 +169,7 @@
     m_state.m_metrics.Set("endpoint_connects", static_cast<double>(m_state.m_pool.ConnectCount()));
     m_state.m_metrics.Set("calls_open", static_cast<double>(m_gateway.BusyCount()));
     m_state.m_metrics.Set("holds_duties", m_leaderElection.IsLeader() ? 1 : 0);
+    m_state.SetSpeedGauges();
     return m_state.m_metrics.Page();
   }
 
@@ -536,6 +537,8 @@
     }
     m_state.m_pool.CloseExpired(m_state.m_directory.All(), now);
     m_state.m_placement.RetainEndpoints(m_state.m_directory.All());
+    m_state.m_engines.RetainEndpoints(m_state.m_directory.All());
+    m_state.m_engines.Update(now);
     m_state.m_availability.RemoveObsolete(m_state.m_directory.All(), now);
     for (const base::NodeId& node : m_peerTable.RemoveStale(now)) {
       m_state.m_quota.RemovePeer(node);
