--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -78,6 +78,8 @@
   std::shared_ptr<ClientConnection> m_connection;
   bool m_reused = false;
   base::TimePoint m_sentAt;
+  /// Open calls at the endpoint over all nodes when this one had been sent.
+  double m_openCalls = 0;
   /// Prompt tokens that are counted as queued at the endpoint.
   double m_queuedTokens = 0;
   /// Urgency with which the call is counted at the endpoint.
@@ -102,6 +104,9 @@
   base::TimePoint m_firstEventAt{};
   /// The version that a running roll-out counts the attempt for.
   rollout::AttemptVersion m_version;
+  /// When the latest events arrived, and how many came at once.
+  base::TimePoint m_lastEventsAt{};
+  size_t m_lastEvents = 0;
   bool m_ended = false;
   adapters::http::EventHandlePtr m_connectTimer;
   adapters::http::EventHandlePtr m_silenceTimer;
@@ -143,13 +148,18 @@
   return m_call.m_callerTimeout ? *m_call.m_callerTimeout - elapsed : TimeLeft();
 }
 
+/// Returns the prompt tokens that no endpoint has cached.
+double Exchange::OwnTokens() const {
+  return m_call.m_promptParts.empty() ? m_call.m_promptTokens.value_or(0)
+                                      : m_call.m_promptParts.back().m_tokens;
+}
+
+double Exchange::SharedTokens() const {
+  return std::max(m_call.m_promptTokens.value_or(0) - OwnTokens(), 0.0);
+}
+
 double Exchange::UncachedTokens() const {
-  if (!m_call.m_promptTokens) {
-    return 0;
-  }
-  const double ownTokens =
-    m_call.m_promptParts.empty() ? *m_call.m_promptTokens : m_call.m_promptParts.back().m_tokens;
-  return ownTokens + std::max(*m_call.m_promptTokens - ownTokens, 0.0) * kSharedPrefillFraction;
+  return m_call.m_promptTokens ? OwnTokens() + SharedTokens() * kSharedPrefillFraction : 0;
 }
 
 fleet::ServiceId Exchange::SelectService() {
@@ -177,12 +187,11 @@
   request.m_unavailable = m_node.m_availability.Unavailable(base::BootNow());
   const fleet::Service* service = m_catalog->FindService(aService);
   if (MixedClasses() != nullptr && service != nullptr && service->m_engine) {
-    const double ownTokens =
-      m_call.m_promptParts.empty() ? *m_call.m_promptTokens : m_call.m_promptParts.back().m_tokens;
+    request.m_sharedTokens = SharedTokens();
     request.m_mix = scheduling::CallNeeds{ request.m_promptTokens,
                                            MixedClasses()->Urgency(CallClass()),
                                            static_cast<double>(service->m_engine->m_slots),
-                                           std::max(*m_call.m_promptTokens - ownTokens, 0.0),
+                                           SharedTokens(),
                                            static_cast<double>(m_route.m_latencyTarget.count()) };
   }
   m_node.m_versions.AddExcluded(aService,
@@ -211,7 +220,8 @@
   request.m_tried.clear();
   const placement::Outlook outlook =
     m_node.m_placement.OutlookFor(request, m_node.m_directory.Ready(), base::BootNow());
-  return { outlook.m_shortestDelayMs + m_node.m_scaling.EstimateWorkMs(request.m_promptTokens, 0),
+  return { outlook.m_shortestDelayMs +
+             m_node.m_engines.WorkMs(m_service, request.m_promptTokens, 0),
            static_cast<double>(TimeLeft().count()),
            outlook.m_calls,
            outlook.m_waitingCalls,
@@ -259,7 +269,7 @@
   }
   const auto elapsed = std::chrono::duration_cast<base::Millis>(base::BootNow() - m_arrival);
   m_slackMs = static_cast<double>((m_route.m_latencyTarget - elapsed).count()) - m_expectedDelayMs -
-              m_node.m_scaling.EstimateWorkMs(UncachedTokens(), 0);
+              m_node.m_engines.WorkMs(m_service, UncachedTokens(), 0);
   m_enginePriority = classes->EnginePriority(CallClass(), m_slackMs);
   m_node.m_metrics.Count("engine_priority_" + std::to_string(*m_enginePriority));
   return *m_enginePriority;
@@ -270,7 +280,7 @@
   m_node.CreditRetryBudget(m_service);
   m_node.m_versions.CountRequest(m_service);
   if (m_call.m_promptTokens) {
-    m_node.AddRequestedWork(m_node.m_scaling.EstimateWorkMs(UncachedTokens(), 0));
+    m_node.AddRequestedWork(m_node.m_engines.WorkMs(m_service, UncachedTokens(), 0));
   }
   m_splitter.Resume(m_call.m_lastEventId);
   m_deadlineTimer = m_node.m_loop.After(std::max(TimeLeft(), base::Millis(0)),
@@ -376,6 +386,7 @@
   m_tried.insert(aEndpoint.m_incarnation.m_endpoint);
   m_node.m_placement.RecordCallStarted(
     aEndpoint.m_incarnation.m_endpoint, attempt->m_queuedTokens, attempt->m_urgency);
+  attempt->m_openCalls = m_node.m_placement.TotalLoad(aEndpoint.m_incarnation.m_endpoint).m_calls;
   const AttemptInfo attemptInfo{ m_head,
                                  aEndpoint.m_incarnation.m_endpoint,
                                  m_team,
@@ -690,6 +701,7 @@
       aAttempt->m_endpoint.m_incarnation.m_endpoint, aAttempt->m_queuedTokens, aAttempt->m_urgency);
     aAttempt->m_queuedTokens = 0;
   }
+  LearnFromEvents(*aAttempt, m_splitter.EventCount() - eventsBefore);
   CountUsage(aAttempt, base::BootNow());
   if (!m_streamBegun) {
     m_streamBegun = true;
@@ -727,6 +739,37 @@
                                 std::chrono::duration<double, std::milli>(aDuration).count());
 }
 
+/// Feeds the model of the endpoint's speed with `aCount` events that have just arrived.
+void Exchange::LearnFromEvents(ActiveAttempt& aAttempt, size_t aCount) {
+  const auto now = base::BootNow();
+  const fleet::Service* service = m_catalog->FindService(m_service);
+  if (service != nullptr && service->m_engine && m_call.m_promptTokens) {
+    const auto& loads = m_node.m_placement.LocalLoad();
+    const auto load = loads.find(aAttempt.m_endpoint.m_incarnation.m_endpoint);
+    // A resumed stream has also its output read again. Of several events that arrive at once, some
+    // were delayed.
+    if (aAttempt.m_lastEvents == 0 && m_attemptCount == 1 && m_call.m_lastEventId.empty()) {
+      m_node.m_engines.RecordFirstEvent(
+        aAttempt.m_endpoint,
+        { aAttempt.m_sentAt,
+          now,
+          OwnTokens(),
+          aAttempt.m_openCalls,
+          load != loads.end() && load->second.m_pendingPromptTokens >= 1 });
+    } else if (aAttempt.m_lastEvents == 1 && aCount == 1) {
+      const std::chrono::duration<double, std::milli> gap = now - aAttempt.m_lastEventsAt;
+      m_node.m_engines.RecordGap(
+        aAttempt.m_endpoint,
+        gap.count(),
+        service->m_engine->m_tokensPerEvent,
+        m_node.m_placement.TotalLoad(aAttempt.m_endpoint.m_incarnation.m_endpoint).m_calls,
+        now);
+    }
+  }
+  aAttempt.m_lastEvents = aCount;
+  aAttempt.m_lastEventsAt = now;
+}
+
 void Exchange::OnComplete(const std::shared_ptr<ActiveAttempt>& aAttempt) {
   if (aAttempt->m_ended) {
     return;
@@ -784,6 +827,11 @@
     aAttempt->m_endpoint.m_incarnation.m_endpoint, true, base::BootNow());
   m_node.m_crashGuard.OnAnswered(m_call, base::BootNow(), base::BootNow());
   CountVersionAnswer(*aAttempt, m_route.m_name, base::BootNow() - aAttempt->m_sentAt);
+  if (status / 100 == 2 && !m_call.m_promptTokens) {
+    const std::chrono::duration<double, std::milli> duration = base::BootNow() - aAttempt->m_sentAt;
+    m_node.m_engines.RecordPlainCall(
+      aAttempt->m_endpoint, duration.count(), aAttempt->m_openCalls, base::BootNow());
+  }
   Release(aAttempt, true);
   // The caller's connection accounts for the body from here on.
   aAttempt->m_bufferClaim.reset();
@@ -915,7 +963,7 @@
              MixedClasses() != nullptr) {
     // The call itself needs no room; what is pending at the best endpoint has to be worked off.
     const double roomInMs =
-      MakeProspect().m_expectedMs - m_node.m_scaling.EstimateWorkMs(UncachedTokens(), 0);
+      MakeProspect().m_expectedMs - m_node.m_engines.WorkMs(m_service, UncachedTokens(), 0);
     RejectAfter(503, std::string(base::NameOf(aFault)), PredictedRetrySeconds(roomInMs));
   } else {
     Reject(FinalStatus(m_possibleRuns > 0, false), std::string(base::NameOf(aFault)), 0.3);
@@ -1093,7 +1141,7 @@
   if (service != nullptr && service->m_engine) {
     const auto tokens =
       static_cast<double>(m_splitter.EventCount()) * service->m_engine->m_tokensPerEvent;
-    m_node.AddRequestedWork(m_node.m_scaling.EstimateWorkMs(0, tokens));
+    m_node.AddRequestedWork(m_node.m_engines.WorkMs(m_service, 0, tokens));
   }
 }
 
--- a/packages/forwarding/NodeState.h
+++ b/packages/forwarding/NodeState.h
@@ -6,6 +6,7 @@
 #include "base/Log.h"
 #include "duties/ScalingPolicy.h"
 #include "duties/UsageLedger.h"
+#include "engines/EngineModel.h"
 #include "fleet/EndpointDirectory.h"
 #include "forwarding/Call.h"
 #include "forwarding/CallDurations.h"
@@ -79,6 +80,8 @@
   /// Returns the number of calls counted by CountEngineCall, and of the late ones among them.
   double EngineCalls() const { return m_engineCalls; }
   double LateEngineCalls() const { return m_lateEngineCalls; }
+  /// Sets the gauges of the learned speed of each service.
+  void SetSpeedGauges();
   /// Returns a random number in [0, 1).
   double Random() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
 
@@ -90,7 +93,8 @@
   /// taken yet.
   base::BufferBudget m_buffers;
   fleet::EndpointDirectory m_directory;
-  placement::Placement m_placement{ placement::PlacementSettings{} };
+  engines::EngineModel m_engines{ engines::EngineModelSettings{} };
+  placement::Placement m_placement{ placement::PlacementSettings{}, &m_engines };
   scheduling::Admission m_admission{ scheduling::AdmissionSettings{} };
   duties::ScalingPolicy m_scaling{ duties::ScalingSettings{} };
   fleet::EndpointAvailability m_availability{ fleet::AvailabilitySettings{} };
--- a/packages/placement/Placement.cpp
+++ b/packages/placement/Placement.cpp
@@ -86,7 +86,7 @@
                                     load.m_urgency,
                                     load.m_pendingPromptTokens,
                                     load.m_urgentPromptTokens,
-                                    m_settings.m_prefillTokensPerMs });
+                                    1 / Model().ReadMs(aEndpoint.m_incarnation.m_endpoint, 1) });
 }
 
 Outlook Placement::OutlookFor(const PlacementRequest& aRequest,
@@ -110,19 +110,42 @@
   return outlook;
 }
 
+double Placement::FailurePenaltyMs(const base::EndpointId& aEndpoint) const {
+  const auto health = m_health.find(aEndpoint);
+  return health == m_health.end() ? 0 : health->second.m_failureRate * kFailurePenaltyMs;
+}
+
 double Placement::ExpectedLoadDelayMs(const base::EndpointId& aEndpoint, bool aIsEngine) const {
   const Load load = TotalLoad(aEndpoint);
-  return load.m_pendingPromptTokens / m_settings.m_prefillTokensPerMs +
-         load.m_calls *
-           (aIsEngine ? m_settings.m_engineCallDelayMs : m_settings.m_serviceCallDelayMs);
+  return Model().QueueDelayMs(aEndpoint, aIsEngine, load.m_calls, load.m_pendingPromptTokens);
 }
 
 double Placement::ExpectedDelayMs(const base::EndpointId& aEndpoint, bool aIsEngine) const {
-  double delay = ExpectedLoadDelayMs(aEndpoint, aIsEngine);
-  if (const auto health = m_health.find(aEndpoint); health != m_health.end()) {
-    delay += health->second.m_failureRate * kFailurePenaltyMs;
+  return ExpectedLoadDelayMs(aEndpoint, aIsEngine) + FailurePenaltyMs(aEndpoint);
+}
+
+/// Returns the expected time to the first byte with the penalties, in milliseconds.
+double Placement::ExpectedStartMs(const PlacementRequest& aRequest,
+                                  const fleet::Endpoint& aEndpoint) const {
+  const base::EndpointId& id = aEndpoint.m_incarnation.m_endpoint;
+  const Load load = TotalLoad(id);
+  return Model().FirstByteMs(id,
+                             aRequest.m_promptTokens > 0,
+                             load.m_calls,
+                             load.m_pendingPromptTokens,
+                             aRequest.m_promptTokens) +
+         FailurePenaltyMs(id) + (aEndpoint.m_zone == aRequest.m_zone ? 0 : kOtherZonePenaltyMs);
+}
+
+/// Returns the extra delay in milliseconds that is accepted to reuse cached prompt parts: the time
+/// to read them again at the endpoint that would be chosen otherwise.
+double Placement::AffinityDelayMs(const PlacementRequest& aRequest,
+                                  const fleet::Endpoint& aAlternative) const {
+  if (!aRequest.m_sharedTokens) {
+    return m_settings.m_maxAffinityDelayMs;
   }
-  return delay;
+  return std::min(Model().ReadMs(aAlternative.m_incarnation.m_endpoint, *aRequest.m_sharedTokens),
+                  m_settings.m_maxAffinityDelayMs);
 }
 
 std::optional<size_t> Placement::Choose(const PlacementRequest& aRequest,
@@ -130,28 +153,28 @@
                                         base::TimePoint aNow) const {
   const std::vector<size_t> candidates = Candidates(aRequest, aEndpoints, aNow);
   std::vector<double> delays;
+  delays.reserve(candidates.size());
   for (const size_t i : candidates) {
-    const fleet::Endpoint& endpoint = aEndpoints[i];
-    delays.push_back(
-      ExpectedDelayMs(endpoint.m_incarnation.m_endpoint, aRequest.m_promptTokens > 0) +
-      (endpoint.m_zone == aRequest.m_zone ? 0 : kOtherZonePenaltyMs) +
-      (aRequest.m_mix ? MixedDelayAt(*aRequest.m_mix, endpoint) : 0));
+    delays.push_back(ExpectedStartMs(aRequest, aEndpoints[i]) +
+                     (aRequest.m_mix ? MixedDelayAt(*aRequest.m_mix, aEndpoints[i]) : 0));
   }
   const auto shortest = std::min_element(delays.begin(), delays.end());
   if (shortest == delays.end()) {
     return std::nullopt;
   }
+  const size_t fastest = candidates[static_cast<size_t>(shortest - delays.begin())];
   if (aRequest.m_subject.empty()) {
-    return candidates[static_cast<size_t>(shortest - delays.begin())];
+    return fastest;
   }
   // Choose the endpoint of highest rendezvous rank whose delay is close to the shortest delay. A
   // hot subject thus overflows to few endpoints, which then cache its shared prompt parts too.
-  const double tolerance = aRequest.m_mix
-                             ? scheduling::AffinityToleranceMs(m_mixSettings,
-                                                               *aRequest.m_mix,
-                                                               m_settings.m_prefillTokensPerMs,
-                                                               m_settings.m_maxAffinityDelayMs)
-                             : m_settings.m_maxAffinityDelayMs;
+  const double tolerance =
+    aRequest.m_mix ? scheduling::AffinityToleranceMs(
+                       m_mixSettings,
+                       *aRequest.m_mix,
+                       1 / Model().ReadMs(aEndpoints[fastest].m_incarnation.m_endpoint, 1),
+                       m_settings.m_maxAffinityDelayMs)
+                   : AffinityDelayMs(aRequest, aEndpoints[fastest]);
   std::optional<size_t> best;
   uint64_t bestRank = 0;
   for (size_t index = 0; index < candidates.size(); ++index) {
