Soak: callers that never complete a request; closed connections drop their input

Cause: the soak did not cover this load. In the run by hand with 1,000 heads of short fields, rejected connections above the 64 that are discarded still parsed what arrived until their answer had been sent (peak 106 MiB of 120).

Change: the fault kind `callers` of the soak; the callers of UncontrolledCallersTest move to tests/harness/UncontrolledCallers for it, with crowd and bounds as they were. A connection that closes once it is flushed discards its input.

--- a/packages/adapters/http1/Connection.cpp
+++ b/packages/adapters/http1/Connection.cpp
@@ -460,6 +460,11 @@
 template<class Head>
 void Connection<Head>::CloseWhenFlushed(std::function<void()> aOnClosed) {
   m_closeWhenFlushed = true;
+  // What still arrives must not be held by the parser.
+  m_discardInput = true;
+  if (!m_isParsing) {
+    m_parser->DropHead();
+  }
   if (m_buffer == nullptr || PendingOutput() == 0) {
     Close();
     if (aOnClosed) {
--- a/soak/FaultInjector.cpp
+++ b/soak/FaultInjector.cpp
@@ -1,7 +1,10 @@
 #include "soak/FaultInjector.h"
 
+#include "tests/harness/UncontrolledCallers.h"
+
 #include <array>
 #include <csignal>
+#include <thread>
 
 namespace papayafield::soak {
 
@@ -45,6 +48,31 @@
 } };
 /// One of this many responses is replaced by responses without end.
 constexpr int kOneEndlessIn = 5;
+/// Callers that never complete their requests, and how long they send at most. 40 bodies of the
+/// maximum size exceed what a node may hold.
+constexpr int kUncontrolledCallers = 40;
+constexpr base::Millis kMaxSendTime{ 1000 };
+
+/// Callers that send beside the event loop and keep their connections until the destructor.
+class UncontrolledCallers {
+public:
+  UncontrolledCallers(const base::Address& aTo, tests::Load aLoad)
+    : m_load(std::move(aLoad))
+    , m_thread([this, aTo] {
+      tests::Connect(aTo, m_load, kUncontrolledCallers, m_crowd);
+      tests::SendAll(m_crowd, kMaxSendTime);
+    }) {}
+  ~UncontrolledCallers() { m_thread.join(); }
+  UncontrolledCallers(const UncontrolledCallers&) = delete;
+  UncontrolledCallers& operator=(const UncontrolledCallers&) = delete;
+  UncontrolledCallers(UncontrolledCallers&&) = delete;
+  UncontrolledCallers& operator=(UncontrolledCallers&&) = delete;
+
+private:
+  tests::Load m_load;
+  tests::Crowd m_crowd;
+  std::thread m_thread;
+};
 
 } // namespace
 
@@ -77,7 +105,7 @@
 }
 
 void FaultInjector::InjectRandom() {
-  switch (RandomIndex(5)) {
+  switch (RandomIndex(6)) {
     case 0:
       InjectNodeFault();
       break;
@@ -90,6 +118,9 @@
     case 3:
       InjectRestore();
       break;
+    case 4:
+      InjectUncontrolledCallers();
+      break;
     default:
       InjectProxyFault();
       break;
@@ -173,6 +204,19 @@
   }
 }
 
+void FaultInjector::InjectUncontrolledCallers() {
+  const size_t node = RandomIndex(m_nodes);
+  std::vector<tests::Load> loads = tests::HeadLoads();
+  for (tests::Load& load : tests::BodyLoads()) {
+    loads.push_back(std::move(load));
+  }
+  const size_t choice = RandomIndex(loads.size());
+  auto callers =
+    std::make_shared<UncontrolledCallers>(m_fleet.CallerAddress(node), std::move(loads[choice]));
+  m_active.push_back({ "callers_" + std::to_string(choice) + "_node_" + std::to_string(node),
+                       [callers]() mutable { callers.reset(); } });
+}
+
 void FaultInjector::InjectProxyFault() {
   const size_t proxy = RandomIndex(m_fleet.ProxyCount());
   const std::string name = "_proxy_" + std::to_string(proxy);
--- a/soak/FaultInjector.h
+++ b/soak/FaultInjector.h
@@ -56,6 +56,8 @@
   void InjectRestore();
   void InjectRunnerFault();
   void InjectProxyFault();
+  /// Lets callers of one node send requests that they never complete.
+  void InjectUncontrolledCallers();
   size_t RandomIndex(size_t aCount) { return m_random() % aCount; }
   /// Returns a random time from `aMin` up to `aMax`.
   base::Millis RandomTime(base::Millis aMin, base::Millis aMax) {
--- a/tests/integration/UncontrolledCallersTest.cpp
+++ b/tests/integration/UncontrolledCallersTest.cpp
@@ -1,16 +1,10 @@
+#include "tests/harness/UncontrolledCallers.h"
 #include "tests/harness/HostMemory.h"
 #include "tests/harness/PlatformFleet.h"
 #include "tests/harness/RawCaller.h"
 
 #include <boost/test/unit_test.hpp>
 
-#include <arpa/inet.h>
-#include <fcntl.h>
-#include <netinet/in.h>
-#include <poll.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <algorithm>
 #include <cstdlib>
 #include <filesystem>
@@ -32,10 +26,7 @@
 constexpr int kCallers = 60;
 /// Memory of the host, in MiB. Smaller than any real one, so that a small crowd exceeds it.
 constexpr int kHostMb = 48;
-/// Size of a body whose chunks are single bytes; 60 of them exceed the host's memory.
-constexpr size_t kTinyChunksBodyBytes = 1U << 20U;
 constexpr size_t kMaxBodyBytes = 4U << 20U;
-constexpr size_t kUnitBytes = 16384;
 /// Maximum time for sending a load. Sending stops then; nothing depends on how much was sent.
 constexpr base::Millis kMaxSendTime{ 60000 };
 /// Descriptors of a node beside those of its callers' connections.
@@ -59,151 +50,6 @@
   return FromEnvironment("UNCONTROLLED_HOST_MB", kHostMb);
 }
 
-/// What each caller of a load sends before it falls silent and keeps its connection open.
-struct Load {
-  const char* m_name;
-  std::string m_start;
-  /// Sent until `m_repeatedBytes` bytes were sent after the start.
-  std::string m_repeated;
-  size_t m_repeatedBytes = 0;
-};
-
-std::string Repeat(std::string_view aText, size_t aCount) {
-  std::string text;
-  text.reserve(aText.size() * aCount);
-  for (size_t i = 0; i < aCount; ++i) {
-    text += aText;
-  }
-  return text;
-}
-
-/// Returns a request head up to and without the empty line.
-std::string HeadStart(const std::string& aFraming) {
-  std::string head = "POST /safe/a HTTP/1.1\r\n";
-  for (const auto& field : MakeCallerHeaders("h.example", "key-1", "uncontrolled", kCallTimeout)) {
-    head += field.m_name + ": " + field.m_value + "\r\n";
-  }
-  return head + aFraming;
-}
-
-std::vector<Load> HeadLoads() {
-  return { { "head of very many short fields", HeadStart(""), Repeat("a:\r\n", 4096), 16U << 20U },
-           { "one unterminated field", HeadStart("X: "), std::string(kUnitBytes, 'x'), 16U << 20U },
-           { "endless empty lines", "", Repeat("\r\n", 8192), 16U << 20U },
-           { "incomplete head of 60 KB", HeadStart("X: "), std::string(61440, 'x'), 61440 } };
-}
-
-std::vector<Load> BodyLoads() {
-  const std::string chunked = HeadStart("Transfer-Encoding: chunked\r\n\r\n");
-  const std::string chunk = "4000\r\n" + std::string(kUnitBytes, 'x') + "\r\n";
-  const std::string tinyChunks = Repeat("1\r\nx\r\n", 4096);
-  return {
-    { "bodies with a length",
-      HeadStart("Content-Length: " + std::to_string(kMaxBodyBytes) + "\r\n\r\n"),
-      std::string(kUnitBytes, 'x'),
-      kMaxBodyBytes - kUnitBytes },
-    { "chunks of 16 KiB", chunked, chunk, (kMaxBodyBytes / kUnitBytes - 1) * chunk.size() },
-    { "chunks of 1 byte", chunked, tinyChunks, kTinyChunksBodyBytes / 4096 * tinyChunks.size() },
-  };
-}
-
-/// The connection of one caller of a load. Never blocks; not thread safe.
-class SilentCaller {
-public:
-  SilentCaller(const base::Address& aTo, const Load& aLoad)
-    : m_load(aLoad)
-    , m_total(aLoad.m_start.size() + aLoad.m_repeatedBytes)
-    , m_fd(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(aTo.m_port);
-    inet_pton(AF_INET, aTo.m_host.c_str(), &address.sin_addr);
-    if (connect(m_fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0) {
-      m_ended = true;
-    }
-    fcntl(m_fd, F_SETFL, O_NONBLOCK);
-  }
-  ~SilentCaller() { close(m_fd); }
-  SilentCaller(const SilentCaller&) = delete;
-  SilentCaller& operator=(const SilentCaller&) = delete;
-  SilentCaller(SilentCaller&&) = delete;
-  SilentCaller& operator=(SilentCaller&&) = delete;
-
-  int Fd() const { return m_fd; }
-  /// Whether the node has ended the connection.
-  bool HasEnded() const { return m_ended; }
-  /// Whether more is to be sent.
-  bool IsSending() const { return !m_ended && m_sent < m_total; }
-  /// Sends the next part, as far as the connection takes it.
-  void SendMore() {
-    const std::string_view part = NextPart();
-    const ssize_t sent = send(m_fd, part.data(), part.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
-    if (sent > 0) {
-      m_sent += static_cast<size_t>(sent);
-    } else if (sent < 0 && errno != EAGAIN) {
-      m_ended = true;
-    }
-  }
-  /// Takes note of the end of the connection; what the node sends is discarded.
-  void ReadMore() {
-    char part[4096];
-    const ssize_t bytes = recv(m_fd, part, sizeof(part), MSG_DONTWAIT);
-    m_ended = m_ended || bytes == 0 || (bytes < 0 && errno != EAGAIN);
-  }
-
-private:
-  std::string_view NextPart() const {
-    const std::string_view start = m_load.m_start;
-    const std::string_view repeated = m_load.m_repeated;
-    if (m_sent < start.size()) {
-      return start.substr(m_sent);
-    }
-    const std::string_view rest = repeated.substr((m_sent - start.size()) % repeated.size());
-    return rest.substr(0, m_total - m_sent);
-  }
-
-  const Load& m_load;
-  size_t m_total;
-  size_t m_sent = 0;
-  int m_fd = -1;
-  bool m_ended = false;
-};
-
-using Crowd = std::vector<std::unique_ptr<SilentCaller>>;
-
-void Connect(const PlatformFleet& aFleet, const Load& aLoad, int aCallers, Crowd& aCrowd) {
-  for (int i = 0; i < aCallers; ++i) {
-    aCrowd.push_back(std::make_unique<SilentCaller>(aFleet.CallerAddress(0), aLoad));
-  }
-}
-
-/// Sends what all callers have to send, or until the node has ended the connections.
-void SendAll(const Crowd& aCrowd, base::Millis aMaxTime = kMaxSendTime) {
-  const auto until = base::BootNow() + aMaxTime;
-  while (base::BootNow() < until) {
-    std::vector<pollfd> waiting;
-    std::vector<SilentCaller*> callers;
-    for (const auto& caller : aCrowd) {
-      if (caller->IsSending()) {
-        waiting.push_back({ caller->Fd(), POLLIN | POLLOUT, 0 });
-        callers.push_back(caller.get());
-      }
-    }
-    if (waiting.empty()) {
-      return;
-    }
-    poll(waiting.data(), waiting.size(), 100);
-    for (size_t i = 0; i < waiting.size(); ++i) {
-      if ((waiting[i].revents & (POLLIN | POLLHUP | POLLERR)) != 0) {
-        callers[i]->ReadMore();
-      }
-      if (!callers[i]->HasEnded() && (waiting[i].revents & POLLOUT) != 0) {
-        callers[i]->SendMore();
-      }
-    }
-  }
-}
-
 /// Waits until the node has read what is left in the buffers of the kernel.
 void WaitUntilRead(const HostMemory& aMemory) {
   const auto until = base::BootNow() + kMaxSendTime;
@@ -261,8 +107,8 @@
 void CheckLoad(const Load& aLoad) {
   SmallHost host;
   Crowd crowd;
-  Connect(host.m_fleet, aLoad, CallerCount(), crowd);
-  SendAll(crowd);
+  Connect(host.m_fleet.CallerAddress(0), aLoad, CallerCount(), crowd);
+  SendAll(crowd, kMaxSendTime);
   CheckNode(host.m_fleet, host.m_memory, crowd, aLoad.m_name);
 }
 
@@ -315,14 +161,17 @@
   }
   Crowd crowd;
   for (const Load& load : loads) {
-    Connect(host.m_fleet, load, CallerCount(), crowd);
-    SendAll(crowd);
+    Connect(host.m_fleet.CallerAddress(0), load, CallerCount(), crowd);
+    SendAll(crowd, kMaxSendTime);
     CheckNode(host.m_fleet, host.m_memory, crowd, load.m_name);
   }
   for (const Load& load : loads) {
-    Connect(host.m_fleet, load, std::max(CallerCount() / static_cast<int>(loads.size()), 1), crowd);
+    Connect(host.m_fleet.CallerAddress(0),
+            load,
+            std::max(CallerCount() / static_cast<int>(loads.size()), 1),
+            crowd);
   }
-  SendAll(crowd);
+  SendAll(crowd, kMaxSendTime);
   CheckNode(host.m_fleet, host.m_memory, crowd, "mixed");
 }
 
@@ -333,8 +182,8 @@
   const std::string lines = Repeat("\r\n", kLines);
   const Load load{ "empty lines", "", lines, lines.size() };
   Crowd crowd;
-  Connect(host.m_fleet, load, CallerCount(), crowd);
-  SendAll(crowd);
+  Connect(host.m_fleet.CallerAddress(0), load, CallerCount(), crowd);
+  SendAll(crowd, kMaxSendTime);
   BOOST_TEST(PlatformFleet::WaitUntil([&] {
     return std::all_of(crowd.begin(), crowd.end(), [](const auto& aCaller) {
       aCaller->ReadMore();
@@ -352,8 +201,8 @@
   const Load heads{ "connections with an incomplete head", HeadStart("X: "), "", 0 };
   for (const Load& load : { idle, heads }) {
     Crowd crowd;
-    Connect(fleet, load, std::max(CallerCount(), kMaxFds), crowd);
-    SendAll(crowd);
+    Connect(fleet.CallerAddress(0), load, std::max(CallerCount(), kMaxFds), crowd);
+    SendAll(crowd, kMaxSendTime);
     std::this_thread::sleep_for(base::Millis(200));
     const size_t descriptors = CountDescriptors(fleet.NodeProcess(0).Pid());
     BOOST_TEST_MESSAGE(load.m_name << ": " << descriptors << " descriptors");
