Roll-outs: reading of shared prompt parts is not held against new engines

Cause: engines of a new version have cached nothing, so answers to prompts with long shared parts begin several times later than at the old ones.

Change: the reading time of the shared parts at 40 tokens per ms, at most 2 s, is subtracted from the target's times to the first byte.

Result: builds; not measured.

--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -54,6 +54,11 @@
 /// Appended to a route's name where the gaps between the events of its streams are counted.
 constexpr const char* kGapSuffix = "/gap";
 
+/// Prompt tokens that the slowest engines of known deployments read per millisecond, and the
+/// longest reading time of shared parts that is taken into account.
+constexpr double kSlowestTokensPerMs = 40;
+constexpr base::Millis kMaxReading{ 2000 };
+
 /// Returns the priority of a call: the team's, if it has one, otherwise the route's.
 int PriorityOf(const fleet::Team* aTeam, const fleet::Route& aRoute) {
   return aTeam == nullptr ? aRoute.m_priority : aTeam->m_priority.value_or(aRoute.m_priority);
@@ -604,7 +609,7 @@
   const size_t before = aAttempt->m_events;
   if (before == 0) {
     aAttempt->m_firstEventAt = now;
-    CountVersionAnswer(*aAttempt, m_route.m_name, now - aAttempt->m_sentAt);
+    CountVersionAnswer(*aAttempt, m_route.m_name, ComparedTime(*aAttempt, now));
   }
   aAttempt->m_events += aCount;
   if (before < CrashGuard::kFirstEvents && aAttempt->m_events >= CrashGuard::kFirstEvents) {
@@ -612,6 +617,22 @@
   }
 }
 
+/// Returns the time that an answer took, for the comparison of versions. New endpoints have cached
+/// no shared prompt parts yet; the time to read those is not held against their version.
+base::TimePoint::duration Exchange::ComparedTime(const ActiveAttempt& aAttempt,
+                                                 base::TimePoint aAnsweredAt) const {
+  const auto elapsed = aAnsweredAt - aAttempt.m_sentAt;
+  if (!aAttempt.m_version.m_isTarget || m_call.m_promptParts.empty()) {
+    return elapsed;
+  }
+  const double sharedTokens =
+    std::max(m_call.m_promptTokens.value_or(0) - m_call.m_promptParts.back().m_tokens, 0.0);
+  const std::chrono::duration<double, std::milli> reading(sharedTokens / kSlowestTokensPerMs);
+  return std::max(elapsed - std::chrono::duration_cast<base::TimePoint::duration>(std::min(
+                              reading, std::chrono::duration<double, std::milli>(kMaxReading))),
+                  base::TimePoint::duration(0));
+}
+
 /// Counts an answer that took `aDuration` for the version that the attempt was sent to.
 void Exchange::CountVersionAnswer(const ActiveAttempt& aAttempt,
                                   const std::string& aRoute,
@@ -678,7 +699,7 @@
   m_node.m_placement.RecordOutcome(
     aAttempt->m_endpoint.m_incarnation.m_endpoint, true, base::BootNow());
   m_node.m_crashGuard.OnAnswered(m_call, base::BootNow(), base::BootNow());
-  CountVersionAnswer(*aAttempt, m_route.m_name, base::BootNow() - aAttempt->m_sentAt);
+  CountVersionAnswer(*aAttempt, m_route.m_name, ComparedTime(*aAttempt, base::BootNow()));
   Release(aAttempt, true);
   // The caller's connection accounts for the body from here on.
   aAttempt->m_bufferClaim.reset();
--- a/packages/forwarding/Exchange.h
+++ b/packages/forwarding/Exchange.h
@@ -64,6 +64,8 @@
   void AttachHandlers(const std::shared_ptr<ActiveAttempt>& aAttempt);
   void OnHead(const std::shared_ptr<ActiveAttempt>& aAttempt,
               adapters::http1::ResponseHead&& aHead);
+  base::TimePoint::duration ComparedTime(const ActiveAttempt& aAttempt,
+                                         base::TimePoint aAnsweredAt) const;
   void CountVersionAnswer(const ActiveAttempt& aAttempt,
                           const std::string& aRoute,
                           base::TimePoint::duration aDuration);
