Roll-outs: times of endpoints that have just started are not compared

Cause: registrations state how long an endpoint stays slow after its start (cold_left_ms); the endpoints of a new version have all just started.

Change: the directory keeps until when an endpoint is slow; its answers count for the comparison of versions, their times do not.

--- a/packages/fleet/EndpointDirectory.h
+++ b/packages/fleet/EndpointDirectory.h
@@ -28,6 +28,8 @@
   store::Position m_position;
   /// Version of its software; empty if the registration does not state it.
   std::string m_version;
+  /// Until then it may be slow because it has just started.
+  base::TimePoint m_warmFrom{};
 };
 
 /// A registration read from the store. `m_endpoint` is nullopt if it could not be parsed.
--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -280,7 +280,7 @@
   attempt->m_reused = pooled.m_reused;
   attempt->m_sentAt = now;
   attempt->m_queuedTokens = UncachedTokens();
-  attempt->m_version = m_node.m_versions.CountSent(aEndpoint);
+  attempt->m_version = m_node.m_versions.CountSent(aEndpoint, now);
   m_attempt = attempt;
   ++m_attemptCount;
   m_tried.insert(aEndpoint.m_incarnation.m_endpoint);
--- a/packages/rollout/VersionGate.cpp
+++ b/packages/rollout/VersionGate.cpp
@@ -129,7 +129,7 @@
   }
 }
 
-AttemptVersion VersionGate::CountSent(const fleet::Endpoint& aEndpoint) {
+AttemptVersion VersionGate::CountSent(const fleet::Endpoint& aEndpoint, base::TimePoint aNow) {
   const auto found = m_services.find(aEndpoint.m_service);
   if (found == m_services.end() || !found->second.IsRunning()) {
     return {};
@@ -137,7 +137,7 @@
   ServiceState& state = found->second;
   const bool isTarget = aEndpoint.m_version == state.m_order->m_target;
   ++(isTarget ? state.m_counts.m_sent : state.m_counts.m_oldOpen);
-  return { state.m_order->m_position, isTarget };
+  return { state.m_order->m_position, isTarget, aNow < aEndpoint.m_warmFrom };
 }
 
 VersionGate::ServiceState* VersionGate::FindCounted(const fleet::ServiceId& aService,
@@ -168,7 +168,7 @@
   AnswerCounts* counts = state == nullptr ? nullptr : CountsOf(*state, aRoute, aVersion);
   if (counts != nullptr) {
     ++counts->m_answers;
-    ++counts->m_times[BucketOf(aMillis)];
+    counts->m_times[BucketOf(aMillis)] += aVersion.m_isCold ? 0 : 1;
   }
 }
 
--- a/packages/rollout/VersionGate.h
+++ b/packages/rollout/VersionGate.h
@@ -16,6 +16,8 @@
   /// Position of the order; nullopt if no roll-out was running.
   std::optional<store::Position> m_order;
   bool m_isTarget = false;
+  /// Whether the endpoint was still slow after its start, so that its times show nothing.
+  bool m_isCold = false;
 };
 
 /// A grant of the leader.
@@ -53,7 +55,7 @@
   /// Counts a request of a caller.
   void CountRequest(const fleet::ServiceId& aService);
   /// Counts an attempt that is about to be sent, and spends a call of the grant if it needs one.
-  AttemptVersion CountSent(const fleet::Endpoint& aEndpoint);
+  AttemptVersion CountSent(const fleet::Endpoint& aEndpoint, base::TimePoint aNow);
   /// Counts a usable answer, or the first event of a stream, that took `aMillis`.
   void CountAnswer(const fleet::ServiceId& aService,
                    const std::string& aRoute,
