--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -61,6 +61,10 @@
 /// Appended to a route's name where the gaps between the events of its streams are counted.
 constexpr const char* kGapSuffix = "/gap";
 
+/// Longest reading time of shared prompt parts that is taken into account when versions are
+/// compared.
+constexpr double kMaxReadingMs = 2000;
+
 /// Returns the priority of a call: the team's, if it has one, otherwise the route's.
 int PriorityOf(const fleet::Team* aTeam, const fleet::Route& aRoute) {
   return aTeam == nullptr ? aRoute.m_priority : aTeam->m_priority.value_or(aRoute.m_priority);
@@ -380,7 +384,7 @@
   attempt->m_sentAt = now;
   attempt->m_queuedTokens = UncachedTokens();
   attempt->m_urgency = MixedClasses() != nullptr ? MixedClasses()->Urgency(CallClass()) : 0;
-  attempt->m_version = m_node.m_versions.CountSent(aEndpoint);
+  attempt->m_version = m_node.m_versions.CountSent(aEndpoint, now);
   m_attempt = attempt;
   ++m_attemptCount;
   m_tried.insert(aEndpoint.m_incarnation.m_endpoint);
@@ -721,7 +725,7 @@
   const size_t before = aAttempt->m_events;
   if (before == 0) {
     aAttempt->m_firstEventAt = now;
-    CountVersionAnswer(*aAttempt, m_route.m_name, now - aAttempt->m_sentAt);
+    CountVersionAnswer(*aAttempt, m_route.m_name, ComparedTime(*aAttempt, now));
   }
   aAttempt->m_events += aCount;
   if (before < CrashGuard::kFirstEvents && aAttempt->m_events >= CrashGuard::kFirstEvents) {
@@ -729,6 +733,20 @@
   }
 }
 
+/// Returns the time that an answer took, for the comparison of versions. New endpoints have cached
+/// no shared prompt parts yet; the time to read those is not held against their version.
+base::TimePoint::duration Exchange::ComparedTime(const ActiveAttempt& aAttempt,
+                                                 base::TimePoint aAnsweredAt) const {
+  const auto elapsed = aAnsweredAt - aAttempt.m_sentAt;
+  if (!aAttempt.m_version.m_isTarget || m_call.m_promptParts.empty()) {
+    return elapsed;
+  }
+  const std::chrono::duration<double, std::milli> reading(
+    std::min(m_node.m_engines.WorkMs(m_service, SharedTokens(), 0), kMaxReadingMs));
+  return std::max(elapsed - std::chrono::duration_cast<base::TimePoint::duration>(reading),
+                  base::TimePoint::duration(0));
+}
+
 /// Counts an answer that took `aDuration` for the version that the attempt was sent to.
 void Exchange::CountVersionAnswer(const ActiveAttempt& aAttempt,
                                   const std::string& aRoute,
@@ -826,7 +844,7 @@
   m_node.m_placement.RecordOutcome(
     aAttempt->m_endpoint.m_incarnation.m_endpoint, true, base::BootNow());
   m_node.m_crashGuard.OnAnswered(m_call, base::BootNow(), base::BootNow());
-  CountVersionAnswer(*aAttempt, m_route.m_name, base::BootNow() - aAttempt->m_sentAt);
+  CountVersionAnswer(*aAttempt, m_route.m_name, ComparedTime(*aAttempt, base::BootNow()));
   if (status / 100 == 2 && !m_call.m_promptTokens) {
     const std::chrono::duration<double, std::milli> duration = base::BootNow() - aAttempt->m_sentAt;
     m_node.m_engines.RecordPlainCall(
--- a/tests/integration/RolloutTest.cpp
+++ b/tests/integration/RolloutTest.cpp
@@ -71,6 +71,7 @@
     : m_fleet(kNodes,
               2 * kOldRunners,
               PlatformFleet::Proxies::None,
+              {},
               "exposure_share = 0.1\nexposure_slack = 50\nrollback_ms = 5000\n") {
     for (size_t i = kOldRunners; i < 2 * kOldRunners; ++i) {
       m_fleet.PostControl("runner", { { "index", i }, { "state", "gone" }, { "version", "v2" } });
