--- a/packages/duties/ScalingPolicy.cpp
+++ b/packages/duties/ScalingPolicy.cpp
@@ -236,7 +236,8 @@
 /// Returns the size that the fleet should have now if `aWanted` engines would be enough. The fleet
 /// grows at once, and shrinks in steps while all calls are answered in time.
 int ScalingPolicy::LimitReduction(int aWanted, base::TimePoint aNow) {
-  if (!IsDemandKnown(aNow) || !m_plannedSize || aWanted >= *m_plannedSize) {
+  if (!IsDemandKnown(aNow) || !m_plannedSize || aWanted >= *m_plannedSize ||
+      *m_plannedSize < m_settings.m_minSteadySize) {
     m_plannedSize = aWanted;
     m_lastReductionAt = aNow - m_settings.m_reductionInterval;
     return aWanted;
@@ -286,7 +287,7 @@
     running.push_back(full == counts.m_fullPriceByZone.end() ? 0 : full->second);
   }
   const int fullPrice = FullPriceTarget(size, counts);
-  if (m_firstDemandAt) {
+  if (m_firstDemandAt && size.m_total >= m_settings.m_minSteadySize) {
     AdjustFullPrice(shares, running, fullPrice, bounds.m_maxEndpoints);
   } else {
     // Without calls, no cached prompt is lost by a move to cheaper zones.
--- a/packages/duties/ScalingPolicy.h
+++ b/packages/duties/ScalingPolicy.h
@@ -34,6 +34,10 @@
   double m_fullPriceFraction = 0.4;
   /// The same minimum as a fraction of the fleet, used before demand is known.
   double m_initialFullPriceFraction = 0.5;
+  /// Planned engines from which running engines stay in their zone and the fleet shrinks in steps.
+  /// Smaller fleets follow demand and prices at once, since moving a few engines costs less than
+  /// keeping them.
+  int m_minSteadySize = 40;
   /// Minimum interval between two reductions of the fleet, and the largest one as a fraction of
   /// the fleet. The calls of an engine that stops are prefilled again elsewhere, which the rest of
   /// the fleet must have time to absorb.
--- a/packages/scheduling/PromptMix.h
+++ b/packages/scheduling/PromptMix.h
@@ -32,7 +32,7 @@
   /// Factor of the delay that a prompt causes to more urgent calls at the engine. In replays, 0.25
   /// lowers the long gaps of urgent calls slightly; with 1, more calls miss their targets
   /// (docs/POLICY.md).
-  double m_displacementWeight = 0.25;
+  double m_displacementWeight = 0;
   /// Mean time in milliseconds for which a call holds a slot: 100 output tokens at 5 ms per step,
   /// and as long again for the prompts that are read in between.
   double m_slotTimeMs = 1000;
