--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -191,7 +191,6 @@
   request.m_unavailable = m_node.m_availability.Unavailable(base::BootNow());
   const fleet::Service* service = m_catalog->FindService(aService);
   if (MixedClasses() != nullptr && service != nullptr && service->m_engine) {
-    request.m_sharedTokens = SharedTokens();
     request.m_mix = scheduling::CallNeeds{ request.m_promptTokens,
                                            MixedClasses()->Urgency(CallClass()),
                                            static_cast<double>(service->m_engine->m_slots),
--- a/packages/placement/Placement.cpp
+++ b/packages/placement/Placement.cpp
@@ -152,11 +152,12 @@
                                         const std::vector<fleet::Endpoint>& aEndpoints,
                                         base::TimePoint aNow) const {
   const std::vector<size_t> candidates = Candidates(aRequest, aEndpoints, aNow);
+  const bool weighsMix = m_settings.m_weighsPromptMix && aRequest.m_mix;
   std::vector<double> delays;
   delays.reserve(candidates.size());
   for (const size_t i : candidates) {
     delays.push_back(ExpectedStartMs(aRequest, aEndpoints[i]) +
-                     (aRequest.m_mix ? MixedDelayAt(*aRequest.m_mix, aEndpoints[i]) : 0));
+                     (weighsMix ? MixedDelayAt(*aRequest.m_mix, aEndpoints[i]) : 0));
   }
   const auto shortest = std::min_element(delays.begin(), delays.end());
   if (shortest == delays.end()) {
--- a/packages/placement/Placement.h
+++ b/packages/placement/Placement.h
@@ -75,6 +75,10 @@
   /// prompt. Below it, the delay is the time to read them again. Longer waits at one endpoint are
   /// hard to predict, since the loads that peers report are up to a second old.
   double m_maxAffinityDelayMs = 120.0;
+  /// Whether the choice weighs what long prompts cost more urgent calls, and keeps short prompts
+  /// from waiting for a few cached tokens. Off, because days of whole fleets were served worse with
+  /// it: more prompts were read again (docs/POLICY.md).
+  bool m_weighsPromptMix = false;
 };
 
 /// Chooses an endpoint for each call by the expected time to its first byte, so that endpoints get
--- a/packages/scheduling/PromptMix.cpp
+++ b/packages/scheduling/PromptMix.cpp
@@ -38,7 +38,7 @@
                            double aMaxMs) {
   const double rereadMs =
     aPrefillTokensPerMs > 0 ? aCall.m_sharedTokens / aPrefillTokensPerMs : aMaxMs;
-  return std::min(rereadMs * aSettings.m_rereadWeight, aMaxMs);
+  return std::min({ rereadMs, aCall.m_targetMs * aSettings.m_maxAffinityPart, aMaxMs });
 }
 
 } // namespace papayafield::scheduling
--- a/packages/scheduling/PromptMix.h
+++ b/packages/scheduling/PromptMix.h
@@ -32,13 +32,12 @@
   /// Factor of the delay that a prompt causes to more urgent calls at the engine. In replays, 0.25
   /// lowers the long gaps of urgent calls slightly; with 1, more calls miss their targets
   /// (docs/POLICY.md).
-  double m_displacementWeight = 0;
+  double m_displacementWeight = 0.25;
   /// Mean time in milliseconds for which a call holds a slot: 100 output tokens at 5 ms per step,
   /// and as long again for the prompts that are read in between.
   double m_slotTimeMs = 1000;
-  /// Extra delay that a call accepts per millisecond of reading shared parts again. Reading them
-  /// again also delays all other calls at the engine.
-  double m_rereadWeight = 3;
+  /// Part of its target by which a call may be delayed for the sake of cached prompt parts.
+  double m_maxAffinityPart = 0.05;
 };
 
 /// Returns the milliseconds that are to be added to the expected delay of a call, which assumes
@@ -55,8 +54,9 @@
                     const EngineWork& aWork);
 
 /// Returns the extra delay in milliseconds that a call may accept to reuse the cached parts of its
-/// prompt: a multiple of the time needed to read them again, at most `aMaxMs`. A short prompt thus
-/// does not wait behind long ones for a few cached tokens. Thread safe.
+/// prompt: the time needed to read them again, at most `m_maxAffinityPart` of its target and
+/// `aMaxMs`. A short prompt thus does not wait behind long ones for a few cached tokens. Thread
+/// safe.
 double AffinityToleranceMs(const PromptMixSettings& aSettings,
                            const CallNeeds& aCall,
                            double aPrefillTokensPerMs,
