--- a/packages/rollout/tests/RolloutMachineTest.cpp
+++ b/packages/rollout/tests/RolloutMachineTest.cpp
@@ -112,7 +112,8 @@
 // bad is never completed, and one that was reverted is not used again.
 BOOST_AUTO_TEST_CASE(AllOrdersOfEvents) {
   using Event = std::function<void(World&)>;
-  bool wasBad = false;
+  /// Target that was found bad before it was completed; empty if there is none.
+  std::string badTarget;
   const std::vector<Event> events = {
     [](World& aWorld) { aWorld.m_isLeader = false; },
     [](World& aWorld) { aWorld.m_isLeader = true; },
@@ -136,7 +137,11 @@
       aWorld.m_inputs.m_exposed = 0;
     },
     [&](World& aWorld) {
-      wasBad = true;
+      const auto& record = aWorld.m_inputs.m_record;
+      const auto& order = aWorld.m_inputs.m_order;
+      const bool isCompleted = record && order && record->m_phase == Phase::Completed &&
+                               record->m_target == order->m_target;
+      badTarget = order && !isCompleted ? order->m_target : std::string();
       aWorld.m_inputs.m_verdict = Verdict::Bad;
     },
   };
@@ -145,7 +150,7 @@
     for (const int64_t gap : { 250, 500, 4000 }) {
       for (int code = 0; code < count * count * count; ++code) {
         World world;
-        wasBad = false;
+        badTarget.clear();
         world.m_inputs.m_verdict = Verdict::Good;
         std::optional<RolloutRecord> reverted;
         int64_t at = first;
@@ -161,6 +166,12 @@
         for (int i = 0; i < 120; ++i) {
           const auto before = world.m_inputs.m_record;
           world.Step();
+          const auto& now = world.m_inputs.m_record;
+          // Guards against completing a version that was found bad before.
+          if (now && !badTarget.empty() && now->m_target == badTarget && before &&
+              before->m_phase != Phase::Completed) {
+            BOOST_REQUIRE((now->m_phase != Phase::Completed));
+          }
           if (before && !IsRunning(before->m_phase) && world.m_inputs.m_record &&
               before->m_order == world.m_inputs.m_record->m_order) {
             BOOST_REQUIRE((before->m_phase == world.m_inputs.m_record->m_phase));
