--- a/packages/scheduling/tests/ReplayTest.cpp
+++ b/packages/scheduling/tests/ReplayTest.cpp
@@ -144,7 +144,7 @@
   }
 
 private:
-  /// Long prompts come in bursts of one second in four; their mean rate is that of the page.
+  /// Long prompts come in bursts of one second in four; their mean rate is that of the design note.
   static double Burst(size_t aKind, double aNow) {
     return aKind != 0 ? 1 : std::fmod(aNow, 4000) < 1000 ? kBurst : (4 - kBurst) / 3;
   }
@@ -320,7 +320,7 @@
            5.05 };
 }
 
-/// The page states no shared parts for this load, so those of the first one are taken.
+/// The design note states no shared parts for this load, so those of the first one are taken.
 Load SecondLoad() {
   return { { { 9190, 6300, { 0, base::Millis(600) }, 36.75, 100 },
              { 2368, 568, { 1, base::Millis(1000) }, 44.75, 100 },
