The order by slack at engines is a setting, off by default

Cause: an overloaded engine served late calls before those that could still be in time. Change: [scheduling] order_by_slack in a node's settings; default false.

--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -267,7 +267,7 @@
 /// Returns the priority of the next attempt at an engine.
 int Exchange::EnginePriority() {
   const scheduling::CallClasses* classes = MixedClasses();
-  if (classes == nullptr) {
+  if (classes == nullptr || !m_node.m_ordersBySlack) {
     return m_priority;
   }
   const auto elapsed = std::chrono::duration_cast<base::Millis>(base::BootNow() - m_arrival);
--- a/packages/forwarding/NodeState.cpp
+++ b/packages/forwarding/NodeState.cpp
@@ -20,10 +20,12 @@
                      base::Millis aExpiryGrace,
                      int64_t aWindowMs,
                      base::BufferBudgetSettings aBufferSettings,
+                     bool aOrdersBySlack,
                      std::function<void()> aOnEndpointLeaving)
   : m_loop(aLoop)
   , m_wire(std::move(aWire))
   , m_zone(std::move(aZone))
+  , m_ordersBySlack(aOrdersBySlack)
   , m_buffers(aBufferSettings)
   , m_directory(aExpiryGrace)
   , m_pool(aLoop)
--- a/packages/forwarding/NodeState.h
+++ b/packages/forwarding/NodeState.h
@@ -39,9 +39,10 @@
 /// State shared by all calls of one node. Belongs to the event loop's thread.
 class NodeState {
 public:
-  /// `aWindowMs` is the length of a usage window. `aBufferSettings` limits what the node holds of
-  /// requests and answers. `aOnEndpointLeaving` is called when this node
-  /// learns that an endpoint leaves.
+  /// `aWindowMs` is the length of a usage window. `aOrdersBySlack` tells whether engines
+  /// serve calls of one priority in the order of their slack.
+  /// `aBufferSettings` limits what the node holds of requests and answers. `aOnEndpointLeaving` is
+  /// called when this node learns that an endpoint leaves.
   NodeState(adapters::http::EventLoop& aLoop,
             WireFormat aWire,
             base::ZoneId aZone,
@@ -50,6 +51,7 @@
             base::Millis aExpiryGrace,
             int64_t aWindowMs,
             base::BufferBudgetSettings aBufferSettings,
+            bool aOrdersBySlack,
             std::function<void()> aOnEndpointLeaving);
 
   /// Returns the active configuration; null before the first one.
@@ -88,6 +90,7 @@
   adapters::http::EventLoop& m_loop;
   const WireFormat m_wire;
   const base::ZoneId m_zone;
+  const bool m_ordersBySlack;
   const base::Log m_log{ "forwarding" };
   /// Requests of callers, answers of endpoints until they are complete, and what callers have not
   /// taken yet.
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -62,6 +62,7 @@
               kExpiryGrace,
               m_settings.m_usageWindowMs,
               m_settings.m_buffers,
+              m_settings.m_ordersBySlack,
               [this] { m_gossip.AnnounceLeaving(); })
     , m_replica(
         [this](const std::string& aKey,
--- a/packages/serving/ServingSettings.h
+++ b/packages/serving/ServingSettings.h
@@ -42,6 +42,9 @@
   int64_t m_usageWindowMs = 5000;
   /// Time after the end of a usage window at which its report is due.
   base::Millis m_usageReportDelay{ 10000 };
+  /// Whether engines serve calls of one priority in the order of their slack, where routes of one
+  /// model service have different targets or priorities.
+  bool m_ordersBySlack = false;
   /// Whether the leader sends usage reports, and whether it scales the fleet.
   bool m_reportsUsage = false;
   bool m_autoscales = false;
--- a/tests/integration/MixedServiceTest.cpp
+++ b/tests/integration/MixedServiceTest.cpp
@@ -36,10 +36,11 @@
 
 BOOST_AUTO_TEST_SUITE(MixedServiceTest)
 
-// Nodes use levels of their own only where the configuration calls for it, and then keep those of
-// the configured priorities apart.
+// Nodes use levels of their own only where settings and configuration call for it, and then keep
+// those of the configured priorities apart.
 BOOST_AUTO_TEST_CASE(LevelsFollowTheConfiguration) {
-  PlatformFleet fleet(1, 1);
+  PlatformFleet fleet(
+    1, 1, PlatformFleet::Proxies::None, {}, "[scheduling]\norder_by_slack = true\n");
   BOOST_TEST(PriorityAtRunner(fleet, "/stream/a", "same") == "1");
   BOOST_TEST(fleet.ReadMetric(0, "mixed_services") == 0);
   ConfigurationOptions options;
