--- a/packages/duties/ScalingPolicy.cpp
+++ b/packages/duties/ScalingPolicy.cpp
@@ -65,6 +65,7 @@
     surplus += aShares[i].m_fullPrice;
   }
   std::vector<int> minimum;
+  minimum.reserve(aShares.size());
   for (const ZoneShare& share : aShares) {
     minimum.push_back(share.m_minFullPrice);
   }
