Placement: mixed services keep the tolerance for cached prompts unless the mix is weighed

Change: the smaller tolerance applies only with m_weighsPromptMix. Measured: the new test fails on the code before; placement_tests pass (14).

--- a/packages/placement/Placement.cpp
+++ b/packages/placement/Placement.cpp
@@ -170,12 +170,12 @@
   // Choose the endpoint of highest rendezvous rank whose delay is close to the shortest delay. A
   // hot subject thus overflows to few endpoints, which then cache its shared prompt parts too.
   const double tolerance =
-    aRequest.m_mix ? scheduling::AffinityToleranceMs(
-                       m_mixSettings,
-                       *aRequest.m_mix,
-                       1 / Model().ReadMs(aEndpoints[fastest].m_incarnation.m_endpoint, 1),
-                       m_settings.m_maxAffinityDelayMs)
-                   : AffinityDelayMs(aRequest, aEndpoints[fastest]);
+    weighsMix ? scheduling::AffinityToleranceMs(
+                  m_mixSettings,
+                  *aRequest.m_mix,
+                  1 / Model().ReadMs(aEndpoints[fastest].m_incarnation.m_endpoint, 1),
+                  m_settings.m_maxAffinityDelayMs)
+              : AffinityDelayMs(aRequest, aEndpoints[fastest]);
   std::optional<size_t> best;
   uint64_t bestRank = 0;
   for (size_t index = 0; index < candidates.size(); ++index) {
--- a/packages/placement/tests/PlacementTest.cpp
+++ b/packages/placement/tests/PlacementTest.cpp
@@ -136,6 +136,21 @@
   BOOST_TEST(*placement.Choose(request, endpoints, kNow) == 1 - preferred);
 }
 
+// Calls of mixed services left the engine that caches their prompt for a few milliseconds of delay,
+// although the settings do not weigh the mix. Their shared parts were read again elsewhere.
+BOOST_AUTO_TEST_CASE(MixedServicesKeepTheirCachedPromptsUnlessTheMixIsWeighed) {
+  const auto endpoints = Engines(2);
+  for (const bool weighs : { false, true }) {
+    Placement placement{ { .m_weighsPromptMix = weighs } };
+    PlacementRequest request = MakeRequest("s");
+    request.m_mix = scheduling::CallNeeds{ 3000, 1, 16, 6300, 600 };
+    const size_t preferred = *placement.Choose(request, endpoints, kNow);
+    placement.RecordCallStarted(endpoints[preferred].m_incarnation.m_endpoint, 5000);
+    const size_t expected = weighs ? 1 - preferred : preferred;
+    BOOST_TEST(*placement.Choose(request, endpoints, kNow) == expected);
+  }
+}
+
 // Long prompts spread over the engines by the urgent calls that peers and this node have there, and
 // return once those have ended.
 BOOST_AUTO_TEST_CASE(LongPromptsAvoidUrgentCalls) {
