EngineModel: new endpoints have the speed of their service at once

A new endpoint was unknown to the model until the next tick (250 ms) and was expected to have the prior, 10 ms an open call, while its service was learned to have 1 to 2 ms; it got no calls until then. Besides, samples of plain calls faster than a tenth of the prior were dropped, so that endpoints were judged by the calls that the machine delayed. Change: estimates take the endpoint with its service and incarnation; fast plain samples count at the bound; differences below 5 ms between plain endpoints are taken for noise.

--- a/packages/engines/EngineModel.cpp
+++ b/packages/engines/EngineModel.cpp
@@ -26,6 +26,10 @@
   return static_cast<size_t>(aQuantity);
 }
 
+bool IsPlain(Quantity aQuantity) {
+  return aQuantity == Quantity::PlainCall || aQuantity == Quantity::PlainShare;
+}
+
 /// A value and its weight.
 using Weighted = std::pair<double, double>;
 
@@ -59,21 +63,32 @@
 }
 
 void EngineModel::AddSample(EndpointState& aState, Quantity aQuantity, const Sample& aSample) {
-  if (aSample.m_factor < 1 / MaxFactor(aQuantity)) {
+  Sample sample = aSample;
+  const double fastest = 1 / MaxFactor(aQuantity);
+  if (sample.m_factor < fastest) {
     ++m_implausible;
-    return;
+    if (!IsPlain(aQuantity)) {
+      return;
+    }
+    // Without the fast samples, a plain endpoint would be judged by its slow ones only.
+    sample.m_factor = fastest;
   }
   auto& samples = aState.m_samples[Index(aQuantity)];
-  samples.push_back(aSample);
+  samples.push_back(sample);
   if (samples.size() > m_settings.m_maxSamples) {
     samples.pop_front();
   }
 }
 
 double EngineModel::MaxFactor(Quantity aQuantity) const {
-  return aQuantity == Quantity::PlainCall || aQuantity == Quantity::PlainShare
-           ? m_settings.m_maxPlainFactor
-           : m_settings.m_maxFactor;
+  return IsPlain(aQuantity) ? m_settings.m_maxPlainFactor : m_settings.m_maxFactor;
+}
+
+/// Returns the difference up to which a learned factor does not replace `aReference`.
+double EngineModel::DeadBand(double aReference, Quantity aQuantity) const {
+  const double noise =
+    IsPlain(aQuantity) ? m_settings.m_plainNoiseMs / m_settings.m_plainCallMs : 0;
+  return std::max(m_settings.m_deadBand * aReference, noise);
 }
 
 double EngineModel::PriorStepMs(double aCalls, int aSlots) const {
@@ -93,7 +108,7 @@
     return;
   }
   const double stepsMs = span.m_steps * PriorStepMs(span.m_openCalls, aState.m_endpoint.m_slots) *
-                         EndpointFactor(aState.m_endpoint.m_incarnation.m_endpoint, Quantity::Step);
+                         EndpointFactor(aState.m_endpoint, Quantity::Step);
   const double readMs = spanMs - std::min(stepsMs, spanMs * kMaxStepPart);
   const double factor = readMs * m_settings.m_prefillTokensPerMs / span.m_tokens;
   AddSample(aState, Quantity::Prefill, { span.m_until, factor, span.m_tokens });
@@ -181,7 +196,7 @@
       recent.push_back({ sample.m_factor, sample.m_weight });
     }
   }
-  const bool isPlain = aQuantity == Quantity::PlainCall || aQuantity == Quantity::PlainShare;
+  const bool isPlain = IsPlain(aQuantity);
   if (all.size() < (isPlain ? m_settings.m_minPlainSamples : m_settings.m_minSamples)) {
     return std::nullopt;
   }
@@ -215,28 +230,31 @@
       }
     }
   }
-  const auto settle = [this](double aFactor, double aReference) {
-    return std::abs(aFactor - aReference) <= m_settings.m_deadBand * aReference ? aReference
-                                                                                : aFactor;
+  const auto settle = [this](double aFactor, double aReference, Quantity aQuantity) {
+    return std::abs(aFactor - aReference) <= DeadBand(aReference, aQuantity) ? aReference : aFactor;
   };
   for (auto& [service, lists] : factors) {
     for (size_t i = 0; i < kQuantities; ++i) {
       if (!lists[i].empty()) {
         const double median = QuantileOf(lists[i], 0.5);
-        const double bound = MaxFactor(static_cast<Quantity>(i));
-        m_services[service].m_learned[i] = settle(std::clamp(median, 1 / bound, bound), 1.0);
+        const auto quantity = static_cast<Quantity>(i);
+        const double bound = MaxFactor(quantity);
+        m_services[service].m_learned[i] =
+          settle(std::clamp(median, 1 / bound, bound), 1.0, quantity);
       }
     }
   }
   for (auto& [id, state] : m_endpoints) {
     for (size_t i = 0; i < kQuantities; ++i) {
       if (state.m_learned[i]) {
-        const double shared = ServiceFactor(state.m_endpoint.m_service, static_cast<Quantity>(i));
-        state.m_learned[i] = settle(
-          std::clamp(*state.m_learned[i],
-                     shared / m_settings.m_maxSpeedup,
-                     std::max(m_settings.m_maxEndpointFactor, MaxFactor(static_cast<Quantity>(i)))),
-          shared);
+        const auto quantity = static_cast<Quantity>(i);
+        const double shared = ServiceFactor(state.m_endpoint.m_service, quantity);
+        state.m_learned[i] =
+          settle(std::clamp(*state.m_learned[i],
+                            shared / m_settings.m_maxSpeedup,
+                            std::max(m_settings.m_maxEndpointFactor, MaxFactor(quantity))),
+                 shared,
+                 quantity);
       }
     }
   }
@@ -260,32 +278,35 @@
   return found == m_services.end() ? 1.0 : found->second.m_learned[Index(aQuantity)].value_or(1.0);
 }
 
-double EngineModel::EndpointFactor(const base::EndpointId& aEndpoint, Quantity aQuantity) const {
-  const auto found = m_endpoints.find(aEndpoint);
-  if (found == m_endpoints.end()) {
-    return 1.0;
-  }
-  const auto& learned = found->second.m_learned[Index(aQuantity)];
-  return learned ? *learned : ServiceFactor(found->second.m_endpoint.m_service, aQuantity);
+/// Returns the state of an endpoint; null for an incarnation that is not known yet.
+const EngineModel::EndpointState* EngineModel::FindState(const fleet::Endpoint& aEndpoint) const {
+  const auto found = m_endpoints.find(aEndpoint.m_incarnation.m_endpoint);
+  return found != m_endpoints.end() &&
+             found->second.m_endpoint.m_incarnation == aEndpoint.m_incarnation
+           ? &found->second
+           : nullptr;
 }
 
-double EngineModel::ReadMs(const base::EndpointId& aEndpoint, double aTokens) const {
+double EngineModel::EndpointFactor(const fleet::Endpoint& aEndpoint, Quantity aQuantity) const {
+  const EndpointState* state = FindState(aEndpoint);
+  const auto learned = state == nullptr ? std::nullopt : state->m_learned[Index(aQuantity)];
+  return learned ? *learned : ServiceFactor(aEndpoint.m_service, aQuantity);
+}
+
+double EngineModel::ReadMs(const fleet::Endpoint& aEndpoint, double aTokens) const {
   return aTokens / m_settings.m_prefillTokensPerMs * EndpointFactor(aEndpoint, Quantity::Prefill);
 }
 
-double EngineModel::CallDelayMs(const base::EndpointId& aEndpoint, bool aIsEngine) const {
+double EngineModel::CallDelayMs(const fleet::Endpoint& aEndpoint, bool aIsEngine) const {
   if (aIsEngine) {
     return m_settings.m_engineCallDelayMs * EndpointFactor(aEndpoint, Quantity::Step);
   }
-  const auto found = m_endpoints.find(aEndpoint);
-  if (found == m_endpoints.end()) {
-    return m_settings.m_plainCallMs / m_settings.m_plainConcurrency;
-  }
-  const fleet::ServiceId& service = found->second.m_endpoint.m_service;
-  const auto& share = found->second.m_learned[Index(Quantity::PlainShare)];
-  if (share) {
-    return m_settings.m_plainCallMs / m_settings.m_plainConcurrency * *share;
+  const EndpointState* state = FindState(aEndpoint);
+  if (state != nullptr && state->m_learned[Index(Quantity::PlainShare)]) {
+    return m_settings.m_plainCallMs / m_settings.m_plainConcurrency *
+           *state->m_learned[Index(Quantity::PlainShare)];
   }
+  const fleet::ServiceId& service = aEndpoint.m_service;
   return PlainShareMs(service) * EndpointFactor(aEndpoint, Quantity::PlainCall) /
          ServiceFactor(service, Quantity::PlainCall);
 }
@@ -297,14 +318,14 @@
          ServiceFactor(aService, quantity);
 }
 
-double EngineModel::QueueDelayMs(const base::EndpointId& aEndpoint,
+double EngineModel::QueueDelayMs(const fleet::Endpoint& aEndpoint,
                                  bool aIsEngine,
                                  double aCalls,
                                  double aPendingTokens) const {
   return ReadMs(aEndpoint, aPendingTokens) + aCalls * CallDelayMs(aEndpoint, aIsEngine);
 }
 
-double EngineModel::FirstByteMs(const base::EndpointId& aEndpoint,
+double EngineModel::FirstByteMs(const fleet::Endpoint& aEndpoint,
                                 bool aIsEngine,
                                 double aCalls,
                                 double aPendingTokens,
--- a/packages/engines/EngineModel.h
+++ b/packages/engines/EngineModel.h
@@ -43,6 +43,10 @@
   /// Learned values within this fraction of the value that they would replace do not replace it, so
   /// that noise does not move calls between equal endpoints.
   double m_deadBand = 0.1;
+  /// The same for plain calls in milliseconds: what the network and the event loops of both sides
+  /// add to a call. Without it, an endpoint of calls of 1 ms gets no calls because a few of them
+  /// took 6 ms.
+  double m_plainNoiseMs = 5.0;
   /// Samples needed before a value is learned (more for plain calls, which differ in their work),
   /// and number of them that are kept for each value.
   size_t m_minSamples = 4;
@@ -99,8 +103,9 @@
 
 /// Learns how fast endpoints are from the answers that this node sees. Each value is a factor of
 /// its prior. Queueing makes answers late but never early, so values are taken from the fastest
-/// samples. An endpoint without enough samples has the values of its service, which are the medians
-/// of its endpoints; a service without any has the priors. Not thread safe.
+/// samples. An endpoint without enough samples has the values of its service, also before the model
+/// knows of it. Those are the medians of the endpoints; a service without any has the priors. Not
+/// thread safe.
 class EngineModel {
 public:
   explicit EngineModel(EngineModelSettings aSettings)
@@ -132,19 +137,19 @@
   void RetainEndpoints(const std::map<base::EndpointId, fleet::Endpoint>& aKnown);
 
   /// Returns the time in milliseconds to read `aTokens` prompt tokens at an endpoint.
-  double ReadMs(const base::EndpointId& aEndpoint, double aTokens) const;
+  double ReadMs(const fleet::Endpoint& aEndpoint, double aTokens) const;
   /// Returns the delay in milliseconds that each open call adds to a new call at an endpoint.
-  double CallDelayMs(const base::EndpointId& aEndpoint, bool aIsEngine) const;
+  double CallDelayMs(const fleet::Endpoint& aEndpoint, bool aIsEngine) const;
   /// Returns the expected time in milliseconds until an endpoint begins with a new call.
   /// \param aCalls open calls at the endpoint.
   /// \param aPendingTokens prompt tokens of calls whose answer has not started.
-  double QueueDelayMs(const base::EndpointId& aEndpoint,
+  double QueueDelayMs(const fleet::Endpoint& aEndpoint,
                       bool aIsEngine,
                       double aCalls,
                       double aPendingTokens) const;
   /// Returns the expected time in milliseconds to the first byte of a new call with
   /// `aUncachedTokens`; the other parameters are those of QueueDelayMs.
-  double FirstByteMs(const base::EndpointId& aEndpoint,
+  double FirstByteMs(const fleet::Endpoint& aEndpoint,
                      bool aIsEngine,
                      double aCalls,
                      double aPendingTokens,
@@ -214,11 +219,13 @@
                                    Quantity aQuantity,
                                    base::TimePoint aNow) const;
   double ServiceFactor(const fleet::ServiceId& aService, Quantity aQuantity) const;
-  double EndpointFactor(const base::EndpointId& aEndpoint, Quantity aQuantity) const;
+  const EndpointState* FindState(const fleet::Endpoint& aEndpoint) const;
+  double EndpointFactor(const fleet::Endpoint& aEndpoint, Quantity aQuantity) const;
   double PlainShareMs(const fleet::ServiceId& aService) const;
   double PlainCapacity(const fleet::Endpoint& aEndpoint) const;
   double PriorStepMs(double aCalls, int aSlots) const;
   double MaxFactor(Quantity aQuantity) const;
+  double DeadBand(double aReference, Quantity aQuantity) const;
 
   EngineModelSettings m_settings;
   std::map<base::EndpointId, EndpointState> m_endpoints;
--- a/packages/engines/tests/EngineModelTest.cpp
+++ b/packages/engines/tests/EngineModelTest.cpp
@@ -32,7 +32,7 @@
 }
 
 double Speed(const EngineModel& aModel, size_t aIndex) {
-  return 1 / aModel.ReadMs(Id(aIndex), 1);
+  return 1 / aModel.ReadMs(MakeEndpoint(aIndex), 1);
 }
 
 /// Checks that `aValue` is within `aFraction` of `aTruth`.
@@ -176,7 +176,7 @@
       fleet.Run(1000, kKinds[1].m_callsPerSecond);
       CheckNear(fleet.m_model.PrefillTokensPerMs(kService), 56.9, 0.1);
       CheckNear(fleet.m_model.OutputMsPerToken(kService), 0.26, 0.1);
-      CheckNear(fleet.m_model.CallDelayMs(Id(0), true), 2.0, 0.1);
+      CheckNear(fleet.m_model.CallDelayMs(MakeEndpoint(0), true), 2.0, 0.1);
     }
   }
 }
@@ -197,8 +197,8 @@
       fleet.Run(2000, kind.m_callsPerSecond);
       BOOST_TEST(Speed(fleet.m_model, 2) < before / 3);
       BOOST_TEST(Speed(fleet.m_model, 1) > before / 2);
-      BOOST_TEST(fleet.m_model.FirstByteMs(Id(2), true, 4, 1000, 2000) >
-                 fleet.m_model.FirstByteMs(Id(1), true, 4, 1000, 2000) * 2.5);
+      BOOST_TEST(fleet.m_model.FirstByteMs(MakeEndpoint(2), true, 4, 1000, 2000) >
+                 fleet.m_model.FirstByteMs(MakeEndpoint(1), true, 4, 1000, 2000) * 2.5);
     }
   }
 }
@@ -276,12 +276,12 @@
     model.RecordPlainCall(endpoint, 5, 1, At(now + 95));
   }
   model.Update(At(1000));
-  BOOST_TEST(model.ReadMs(Id(0), 56.9) == 1.0);
-  BOOST_TEST(model.CallDelayMs(Id(0), true) == 2.0);
-  BOOST_TEST(model.CallDelayMs(Id(0), false) == 10.0);
+  BOOST_TEST(model.ReadMs(MakeEndpoint(0), 56.9) == 1.0);
+  BOOST_TEST(model.CallDelayMs(MakeEndpoint(0), true) == 2.0);
+  BOOST_TEST(model.CallDelayMs(MakeEndpoint(0), false) == 10.0);
   BOOST_TEST(model.OutputMsPerToken(kService) == 0.26);
   BOOST_TEST(model.WorkMs(kService, 569, 100) == 36.0);
-  BOOST_TEST(model.QueueDelayMs(Id(7), true, 3, 569) == 16.0);
+  BOOST_TEST(model.QueueDelayMs(MakeEndpoint(7), true, 3, 569) == 16.0);
 }
 
 // Plain services of 15, 30 and 60 ms that run six calls concurrently, under and over their
@@ -310,7 +310,7 @@
     }
     CheckNear(model.PlainCallMs(kService), callMs, 0.2);
     CheckNear(model.PlainConcurrency(kService), 6, 0.25);
-    CheckNear(model.CallDelayMs(Id(0), false), callMs / 6, 0.3);
+    CheckNear(model.CallDelayMs(MakeEndpoint(0), false), callMs / 6, 0.3);
   }
 }
 
@@ -326,10 +326,48 @@
       const double durationMs = slowness * (20 + 80 * draw(random));
       model.RecordPlainCall(MakeEndpoint(i), durationMs, 1 + 4 * draw(random), At(now));
     }
-    CheckNear(model.CallDelayMs(Id(1), false), 10, 0.35);
+    CheckNear(model.CallDelayMs(MakeEndpoint(1), false), 10, 0.35);
   }
   CheckNear(model.PlainCallMs(kService), 60, 0.2);
-  BOOST_TEST(model.CallDelayMs(Id(2), false) > 3 * model.CallDelayMs(Id(1), false));
+  BOOST_TEST(model.CallDelayMs(MakeEndpoint(2), false) >
+             3 * model.CallDelayMs(MakeEndpoint(1), false));
+}
+
+// Endpoints that answered within a millisecond were left out for seconds, because a busy machine
+// delayed a few of their calls, and only those were plausible.
+BOOST_AUTO_TEST_CASE(DelaysOfTheMachineDoNotMakeShortCallsSlow) {
+  EngineModel model{ EngineModelSettings{} };
+  std::map<base::EndpointId, fleet::Endpoint> known;
+  for (size_t i = 0; i < 3; ++i) {
+    known[Id(i)] = MakeEndpoint(i);
+  }
+  model.RetainEndpoints(known);
+  for (int i = 0; i < 200; ++i) {
+    const double now = 10 * i;
+    model.RecordPlainCall(MakeEndpoint(0), i % 10 == 0 ? 9 : 1, 2, At(now));
+    model.RecordPlainCall(MakeEndpoint(1), i % 10 == 0 ? 60 : 2, 2, At(now));
+  }
+  model.Update(At(2000));
+  BOOST_TEST(model.CallDelayMs(MakeEndpoint(0), false) ==
+             model.CallDelayMs(MakeEndpoint(1), false));
+  BOOST_TEST(model.CallDelayMs(MakeEndpoint(0), false) ==
+             model.CallDelayMs(MakeEndpoint(2), false));
+}
+
+// A new endpoint got no calls until the model knew of it, because it was expected to have the speed
+// of the prior while its service was learned to be ten times as fast.
+BOOST_AUTO_TEST_CASE(NewEndpointsAreExpectedToBeAsFastAsTheirService) {
+  EngineModel model{ EngineModelSettings{} };
+  fleet::Endpoint known = MakeEndpoint(0);
+  model.RetainEndpoints({ { Id(0), known } });
+  for (int i = 0; i < 20; ++i) {
+    model.RecordPlainCall(known, 6, 2, At(10 * i));
+  }
+  model.Update(At(200));
+  BOOST_TEST(model.CallDelayMs(known, false) < 2);
+  BOOST_TEST(model.CallDelayMs(MakeEndpoint(1), false) == model.CallDelayMs(known, false));
+  known.m_incarnation.m_startMs = 7;
+  BOOST_TEST(model.CallDelayMs(known, false) == model.CallDelayMs(MakeEndpoint(0), false));
 }
 
 // State must not grow with endpoints that come and go.
--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -315,8 +315,8 @@
     Reject(FinalStatus(m_possibleRuns > 0, false), "no_endpoint", 1.0);
     return;
   }
-  m_expectedDelayMs = m_node.m_placement.ExpectedLoadDelayMs(
-    ready[*choice].m_incarnation.m_endpoint, m_call.m_promptTokens.has_value());
+  m_expectedDelayMs =
+    m_node.m_placement.ExpectedLoadDelayMs(ready[*choice], m_call.m_promptTokens.has_value());
   if (MixedClasses() != nullptr) {
     if (m_attemptCount == 0 && RefuseLate()) {
       return;
--- a/packages/placement/Placement.cpp
+++ b/packages/placement/Placement.cpp
@@ -86,7 +86,7 @@
                                     load.m_urgency,
                                     load.m_pendingPromptTokens,
                                     load.m_urgentPromptTokens,
-                                    1 / Model().ReadMs(aEndpoint.m_incarnation.m_endpoint, 1) });
+                                    1 / Model().ReadMs(aEndpoint, 1) });
 }
 
 Outlook Placement::OutlookFor(const PlacementRequest& aRequest,
@@ -97,7 +97,8 @@
   Outlook outlook;
   for (const size_t i : Candidates(aRequest, aEndpoints, aNow)) {
     const base::EndpointId& id = aEndpoints[i].m_incarnation.m_endpoint;
-    const double delay = ExpectedLoadDelayMs(id, true) + MixedDelayAt(needs, aEndpoints[i]);
+    const double delay =
+      ExpectedLoadDelayMs(aEndpoints[i], true) + MixedDelayAt(needs, aEndpoints[i]);
     const double calls = TotalLoad(id).m_calls;
     const double slots = SlotsOf(needs, aEndpoints[i]);
     outlook.m_shortestDelayMs =
@@ -115,13 +116,14 @@
   return health == m_health.end() ? 0 : health->second.m_failureRate * kFailurePenaltyMs;
 }
 
-double Placement::ExpectedLoadDelayMs(const base::EndpointId& aEndpoint, bool aIsEngine) const {
-  const Load load = TotalLoad(aEndpoint);
+double Placement::ExpectedLoadDelayMs(const fleet::Endpoint& aEndpoint, bool aIsEngine) const {
+  const Load load = TotalLoad(aEndpoint.m_incarnation.m_endpoint);
   return Model().QueueDelayMs(aEndpoint, aIsEngine, load.m_calls, load.m_pendingPromptTokens);
 }
 
-double Placement::ExpectedDelayMs(const base::EndpointId& aEndpoint, bool aIsEngine) const {
-  return ExpectedLoadDelayMs(aEndpoint, aIsEngine) + FailurePenaltyMs(aEndpoint);
+double Placement::ExpectedDelayMs(const fleet::Endpoint& aEndpoint, bool aIsEngine) const {
+  return ExpectedLoadDelayMs(aEndpoint, aIsEngine) +
+         FailurePenaltyMs(aEndpoint.m_incarnation.m_endpoint);
 }
 
 /// Returns the expected time to the first byte with the penalties, in milliseconds.
@@ -129,7 +131,7 @@
                                   const fleet::Endpoint& aEndpoint) const {
   const base::EndpointId& id = aEndpoint.m_incarnation.m_endpoint;
   const Load load = TotalLoad(id);
-  return Model().FirstByteMs(id,
+  return Model().FirstByteMs(aEndpoint,
                              aRequest.m_promptTokens > 0,
                              load.m_calls,
                              load.m_pendingPromptTokens,
@@ -144,7 +146,7 @@
   if (!aRequest.m_sharedTokens) {
     return m_settings.m_maxAffinityDelayMs;
   }
-  return std::min(Model().ReadMs(aAlternative.m_incarnation.m_endpoint, *aRequest.m_sharedTokens),
+  return std::min(Model().ReadMs(aAlternative, *aRequest.m_sharedTokens),
                   m_settings.m_maxAffinityDelayMs);
 }
 
@@ -170,11 +172,10 @@
   // Choose the endpoint of highest rendezvous rank whose delay is close to the shortest delay. A
   // hot subject thus overflows to few endpoints, which then cache its shared prompt parts too.
   const double tolerance =
-    weighsMix ? scheduling::AffinityToleranceMs(
-                  m_mixSettings,
-                  *aRequest.m_mix,
-                  1 / Model().ReadMs(aEndpoints[fastest].m_incarnation.m_endpoint, 1),
-                  m_settings.m_maxAffinityDelayMs)
+    weighsMix ? scheduling::AffinityToleranceMs(m_mixSettings,
+                                                *aRequest.m_mix,
+                                                1 / Model().ReadMs(aEndpoints[fastest], 1),
+                                                m_settings.m_maxAffinityDelayMs)
               : AffinityDelayMs(aRequest, aEndpoints[fastest]);
   std::optional<size_t> best;
   uint64_t bestRank = 0;
--- a/packages/placement/Placement.h
+++ b/packages/placement/Placement.h
@@ -99,14 +99,14 @@
                                base::TimePoint aNow) const;
   /// Returns the expected delay in milliseconds before the first byte of a new call's answer,
   /// including a penalty for recent failures of the endpoint.
-  double ExpectedDelayMs(const base::EndpointId& aEndpoint, bool aIsEngine) const;
+  double ExpectedDelayMs(const fleet::Endpoint& aEndpoint, bool aIsEngine) const;
   /// Returns the load of the endpoints that a call to a mixed service may be sent to. Penalties for
   /// failures and the cost to other calls do not count. Requires `aRequest.m_mix`.
   Outlook OutlookFor(const PlacementRequest& aRequest,
                      const std::vector<fleet::Endpoint>& aEndpoints,
                      base::TimePoint aNow) const;
   /// Returns the expected delay in milliseconds without the penalty for failures.
-  double ExpectedLoadDelayMs(const base::EndpointId& aEndpoint, bool aIsEngine) const;
+  double ExpectedLoadDelayMs(const fleet::Endpoint& aEndpoint, bool aIsEngine) const;
 
   /// Records that a call was sent.
   /// \param aUrgency urgency of the call, the same until it ends; 0 where the service is not mixed.
