scheduling: divide the engines of a mixed service between long and short prompts

Cause: urgent short prompts wait at engines that read long, less urgent ones. Change: PromptSplit; long, less urgent prompts prefer a share of the engines that follows the load, all others the rest. No engine is set aside.

--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -196,6 +196,10 @@
                                            static_cast<double>(service->m_engine->m_slots),
                                            SharedTokens(),
                                            static_cast<double>(m_route.m_latencyTarget.count()) };
+    request.m_preference = m_node.SplitOf(aService).PreferenceOf(CallClass());
+    if (request.m_preference) {
+      request.m_sharedTokens = SharedTokens();
+    }
   }
   m_node.m_versions.AddExcluded(aService,
                                 m_node.m_directory.Ready(),
@@ -284,6 +288,13 @@
   m_node.m_versions.CountRequest(m_service);
   if (m_call.m_promptTokens) {
     m_node.AddRequestedWork(m_node.m_scaling.EstimateWorkMs(UncachedTokens(), 0));
+    if (MixedClasses() != nullptr) {
+      m_node.SplitOf(m_service).RecordCall(CallClass(),
+                                           *m_call.m_promptTokens,
+                                           UncachedTokens(),
+                                           m_node.m_engines.PrefillTokensPerMs(m_service),
+                                           base::BootNow());
+    }
   }
   m_splitter.Resume(m_call.m_lastEventId);
   m_deadlineTimer = m_node.m_loop.After(std::max(TimeLeft(), base::Millis(0)),
--- a/packages/forwarding/NodeState.cpp
+++ b/packages/forwarding/NodeState.cpp
@@ -42,6 +42,8 @@
   m_quota.Configure(*m_catalog, base::BootNow());
   m_durations.RetainRoutes(*m_catalog);
   m_mixedServices = scheduling::MixedServices(*m_catalog);
+  std::erase_if(m_splits,
+                [&](const auto& aEntry) { return !m_mixedServices.contains(aEntry.first); });
   m_metrics.Set("mixed_services", static_cast<double>(m_mixedServices.size()));
   return true;
 }
@@ -51,6 +53,10 @@
   return found == m_mixedServices.end() ? nullptr : &found->second;
 }
 
+scheduling::PromptSplit& NodeState::SplitOf(const fleet::ServiceId& aService) {
+  return m_splits.try_emplace(aService, scheduling::PromptSplitSettings{}).first->second;
+}
+
 void NodeState::SetNodeCount(size_t aCount) {
   if (aCount == m_nodeCount) {
     return;
@@ -67,6 +73,9 @@
   }
   for (const fleet::Service& service : m_catalog->Services()) {
     const std::string suffix = "_" + service.m_id.Text();
+    if (const auto split = m_splits.find(service.m_id); split != m_splits.end()) {
+      m_metrics.Set("long_prompt_engines" + suffix, split->second.LongShare().value_or(0));
+    }
     if (service.m_engine) {
       m_metrics.Set("prefill_tokens_per_ms" + suffix, m_engines.PrefillTokensPerMs(service.m_id));
       m_metrics.Set("output_ms_per_token" + suffix, m_engines.OutputMsPerToken(service.m_id));
--- a/packages/forwarding/NodeState.h
+++ b/packages/forwarding/NodeState.h
@@ -20,6 +20,7 @@
 #include "rollout/VersionGate.h"
 #include "scheduling/Admission.h"
 #include "scheduling/CallClasses.h"
+#include "scheduling/PromptSplit.h"
 
 #include <map>
 #include <random>
@@ -61,6 +62,8 @@
   /// Returns the classes of calls that share the engines of `aService`; null if its calls do not
   /// differ. Valid until the next configuration is applied.
   const scheduling::CallClasses* MixedClasses(const fleet::ServiceId& aService) const;
+  /// Returns the division of the engines of the mixed service `aService`.
+  scheduling::PromptSplit& SplitOf(const fleet::ServiceId& aService);
   /// Sets the number of nodes that share the fleet's retry budgets; at least one is assumed.
   void SetNodeCount(size_t aCount);
   /// Adds to the retry budget of `aService` for a new call.
@@ -116,6 +119,7 @@
 
   fleet::CatalogPtr m_catalog;
   std::map<fleet::ServiceId, scheduling::CallClasses> m_mixedServices;
+  std::map<fleet::ServiceId, scheduling::PromptSplit> m_splits;
   RetryLimits m_retryLimits;
   size_t m_nodeCount = 3;
   std::map<fleet::ServiceId, requests::RetryBudget> m_budgets;
--- a/packages/placement/Placement.cpp
+++ b/packages/placement/Placement.cpp
@@ -126,6 +126,15 @@
          FailurePenaltyMs(aEndpoint.m_incarnation.m_endpoint);
 }
 
+double Placement::PreferencePenaltyMs(const PlacementRequest& aRequest,
+                                      const fleet::Endpoint& aEndpoint) const {
+  const auto& preference = aRequest.m_preference;
+  return preference && scheduling::IsLongEngine(aEndpoint.m_incarnation.m_endpoint,
+                                                preference->m_longShare) != preference->m_isLong
+           ? preference->m_penaltyMs
+           : 0;
+}
+
 /// Returns the expected time to the first byte with the penalties, in milliseconds.
 double Placement::ExpectedStartMs(const PlacementRequest& aRequest,
                                   const fleet::Endpoint& aEndpoint) const {
@@ -136,7 +145,8 @@
                              load.m_calls,
                              load.m_pendingPromptTokens,
                              aRequest.m_promptTokens) +
-         FailurePenaltyMs(id) + (aEndpoint.m_zone == aRequest.m_zone ? 0 : kOtherZonePenaltyMs);
+         FailurePenaltyMs(id) + PreferencePenaltyMs(aRequest, aEndpoint) +
+         (aEndpoint.m_zone == aRequest.m_zone ? 0 : kOtherZonePenaltyMs);
 }
 
 /// Returns the extra delay in milliseconds that is accepted to reuse cached prompt parts: the time
--- a/packages/placement/Placement.h
+++ b/packages/placement/Placement.h
@@ -4,6 +4,7 @@
 #include "engines/EngineModel.h"
 #include "fleet/EndpointDirectory.h"
 #include "scheduling/PromptMix.h"
+#include "scheduling/PromptSplit.h"
 
 #include <cstdint>
 #include <map>
@@ -57,6 +58,8 @@
   std::set<fleet::Incarnation> m_unavailable;
   /// Set if calls with different targets or priorities share the engines of the service.
   std::optional<scheduling::CallNeeds> m_mix;
+  /// Engines that the call prefers; nullopt if it has no preference.
+  std::optional<scheduling::EnginePreference> m_preference;
 };
 
 /// Load of all endpoints that a call may be sent to.
@@ -150,6 +153,8 @@
 
   const engines::EngineModel& Model() const { return m_model != nullptr ? *m_model : m_priors; }
   double FailurePenaltyMs(const base::EndpointId& aEndpoint) const;
+  double PreferencePenaltyMs(const PlacementRequest& aRequest,
+                             const fleet::Endpoint& aEndpoint) const;
   double ExpectedStartMs(const PlacementRequest& aRequest, const fleet::Endpoint& aEndpoint) const;
   double AffinityDelayMs(const PlacementRequest& aRequest,
                          const fleet::Endpoint& aAlternative) const;
--- a/packages/scheduling/tests/ReplayTest.cpp
+++ b/packages/scheduling/tests/ReplayTest.cpp
@@ -1,5 +1,6 @@
 #include "scheduling/CallClasses.h"
 #include "scheduling/PromptMix.h"
+#include "scheduling/PromptSplit.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -34,6 +35,19 @@
 constexpr double kPrefill = 56.9;
 constexpr double kCallDelayMs = 2;
 constexpr double kAffinityMs = 120;
+/// The second quarter of a replay of 20 s.
+constexpr double kOverloadStartMs = 5000;
+constexpr double kOverloadMs = 5000;
+
+/// How calls are placed.
+enum class Rule {
+  /// By expected delay and cached prompt parts alone.
+  Before,
+  /// By the cost of a prompt to other calls, in the order of slack.
+  Mix,
+  /// With engines divided between long and short prompts.
+  Split,
+};
 
 struct Kind {
   double m_tokens;
@@ -49,6 +63,8 @@
   int m_slots;
   double m_tokensPerMs;
   double m_stepMs;
+  /// Factor of all rates during the overload.
+  double m_overload = 1;
 };
 
 struct Call {
@@ -102,13 +118,14 @@
 
 class Replay {
 public:
-  Replay(Load aLoad, bool aNewRule, uint64_t aSeed)
+  Replay(Load aLoad, Rule aRule, uint64_t aSeed)
     : m_load(std::move(aLoad))
-    , m_newRule(aNewRule)
+    , m_rule(aRule)
     , m_random(aSeed)
     , m_engines(m_load.m_engines)
     , m_known(kNodes,
               std::vector(kNodes, std::vector<EngineWork>(static_cast<size_t>(m_load.m_engines))))
+    , m_splits(kNodes, PromptSplit(PromptSplitSettings{}))
     , m_outcomes(m_load.m_kinds.size()) {
     for (int i = 0; i < m_load.m_engines; ++i) {
       // Endpoints of one service differ 2.7 times in speed.
@@ -127,7 +144,7 @@
     for (double now = 0; now < aSeconds * 1000; now += kTickMs) {
       for (size_t kind = 0; kind < m_load.m_kinds.size(); ++kind) {
         if (uniform(m_random) <
-            m_load.m_kinds[kind].m_perSecond * Burst(kind, now) * kTickMs / 1000) {
+            m_load.m_kinds[kind].m_perSecond * Burst(kind, now) * Overload(now) * kTickMs / 1000) {
           Arrive(kind, callClasses, now);
         }
       }
@@ -149,6 +166,11 @@
     return aKind != 0 ? 1 : std::fmod(aNow, 4000) < 1000 ? kBurst : (4 - kBurst) / 3;
   }
 
+  double Overload(double aNow) const {
+    return aNow >= kOverloadStartMs && aNow < kOverloadStartMs + kOverloadMs ? m_load.m_overload
+                                                                             : 1;
+  }
+
   void Arrive(size_t aKind, const CallClasses& aClasses, double aNow) {
     const Kind& kind = m_load.m_kinds[aKind];
     // Subjects of a kind are unevenly popular: subject k is drawn with a weight of 1 / k.
@@ -171,12 +193,18 @@
                            static_cast<double>(m_load.m_slots),
                            kind.m_shared,
                            static_cast<double>(kind.m_class.m_target.count()) };
+    m_splits[call.m_node].RecordCall(kind.m_class,
+                                     kind.m_tokens,
+                                     call.m_queuedTokens,
+                                     m_load.m_tokensPerMs,
+                                     base::TimePoint(base::Millis(static_cast<int64_t>(aNow))));
     const size_t chosen = Choose(call, needs);
     const double delayMs = DelayMs(Known(call.m_node, chosen)) + call.m_queuedTokens / kPrefill;
     call.m_priority =
-      m_newRule ? aClasses.EnginePriority(
-                    kind.m_class, static_cast<double>(kind.m_class.m_target.count()) - delayMs)
-                : kind.m_class.m_priority;
+      m_rule == Rule::Mix
+        ? aClasses.EnginePriority(kind.m_class,
+                                  static_cast<double>(kind.m_class.m_target.count()) - delayMs)
+        : kind.m_class.m_priority;
     Add(m_known[call.m_node][call.m_node][chosen], 1, call.m_urgency, call.m_queuedTokens);
     m_engines[chosen].m_queue.push_back(call);
     ++m_outcomes[aKind].m_calls;
@@ -207,16 +235,25 @@
 
   /// The choice of `placement::Placement`, with its constants at the time of writing.
   size_t Choose(const Call& aCall, const CallNeeds& aNeeds) const {
+    const std::optional<EnginePreference> preference =
+      m_rule == Rule::Split
+        ? m_splits[aCall.m_node].PreferenceOf(m_load.m_kinds[aCall.m_kind].m_class)
+        : std::nullopt;
     std::vector<double> delays;
     for (size_t i = 0; i < m_engines.size(); ++i) {
       const EngineWork work = Known(aCall.m_node, i);
       delays.push_back(DelayMs(work) +
-                       (m_newRule ? MixedDelayMs(PromptMixSettings{}, aNeeds, work) : 0));
+                       (m_rule == Rule::Mix ? MixedDelayMs(PromptMixSettings{}, aNeeds, work) : 0));
+      if (preference &&
+          IsLongEngine(EngineId(i), preference->m_longShare) != preference->m_isLong) {
+        delays.back() += preference->m_penaltyMs;
+      }
     }
     const double shortest = *std::min_element(delays.begin(), delays.end());
     const double tolerance =
-      m_newRule ? AffinityToleranceMs(PromptMixSettings{}, aNeeds, kPrefill, kAffinityMs)
-                : kAffinityMs;
+      m_rule == Rule::Mix ? AffinityToleranceMs(PromptMixSettings{}, aNeeds, kPrefill, kAffinityMs)
+      : preference        ? std::min(aNeeds.m_sharedTokens / kPrefill, kAffinityMs)
+                          : kAffinityMs;
     size_t best = 0;
     size_t bestRank = 0;
     for (size_t i = 0; i < delays.size(); ++i) {
@@ -229,6 +266,10 @@
     return best;
   }
 
+  static base::EndpointId EngineId(size_t aIndex) {
+    return base::EndpointId("e" + std::to_string(aIndex));
+  }
+
   bool Step(size_t aEngine) {
     Engine& engine = m_engines[aEngine];
     const auto firstInQueue = [&] {
@@ -302,11 +343,12 @@
   }
 
   const Load m_load;
-  const bool m_newRule;
+  const Rule m_rule;
   std::mt19937_64 m_random;
   std::vector<Engine> m_engines;
   /// What each node knows of the work that each node has at each engine.
   std::vector<std::vector<std::vector<EngineWork>>> m_known;
+  std::vector<PromptSplit> m_splits;
   std::vector<Outcome> m_outcomes;
 };
 
@@ -331,10 +373,10 @@
            3.03 };
 }
 
-std::vector<Outcome> RunSeeds(const Load& aLoad, bool aNewRule) {
+std::vector<Outcome> RunSeeds(const Load& aLoad, Rule aRule) {
   std::vector<Outcome> sums(aLoad.m_kinds.size());
   for (uint64_t seed = 1; seed <= 8; ++seed) {
-    const std::vector<Outcome> outcomes = Replay(aLoad, aNewRule, seed).Run(20);
+    const std::vector<Outcome> outcomes = Replay(aLoad, aRule, seed).Run(20);
     for (size_t kind = 0; kind < sums.size(); ++kind) {
       sums[kind].Add(outcomes[kind]);
     }
@@ -350,8 +392,8 @@
 // few of their tokens, and miss their target. All kinds meet it with the new one, and long prompts
 // lose little throughput.
 BOOST_AUTO_TEST_CASE(ShortPromptsMeetTheirTargetBesideLongOnes) {
-  const std::vector<Outcome> before = RunSeeds(FirstLoad(), false);
-  const std::vector<Outcome> after = RunSeeds(FirstLoad(), true);
+  const std::vector<Outcome> before = RunSeeds(FirstLoad(), Rule::Before);
+  const std::vector<Outcome> after = RunSeeds(FirstLoad(), Rule::Mix);
   BOOST_TEST(before[2].Percentile99() > 500);
   BOOST_TEST(after[0].Percentile99() <= 2000);
   BOOST_TEST(after[1].Percentile99() <= 800);
@@ -364,12 +406,41 @@
 // The rule follows urgency, not length: where long prompts are the most urgent, they are not placed
 // worse in favour of short ones.
 BOOST_AUTO_TEST_CASE(UrgentLongPromptsAreServedNoWorse) {
-  const std::vector<Outcome> before = RunSeeds(SecondLoad(), false);
-  const std::vector<Outcome> after = RunSeeds(SecondLoad(), true);
+  const std::vector<Outcome> before = RunSeeds(SecondLoad(), Rule::Before);
+  const std::vector<Outcome> after = RunSeeds(SecondLoad(), Rule::Mix);
   BOOST_TEST(after[0].Share() >= before[0].Share());
   BOOST_TEST(after[0].m_ended >= before[0].m_ended * 0.99);
   BOOST_TEST(after[1].Share() >= before[1].Share());
   BOOST_TEST(after[2].Share() >= before[2].Share());
 }
 
+// With the engines divided, all kinds meet their target although nothing is sent in the order of
+// slack, and no kind pays for another one.
+BOOST_AUTO_TEST_CASE(DividedEnginesServeAllKinds) {
+  const std::vector<Outcome> before = RunSeeds(FirstLoad(), Rule::Before);
+  const std::vector<Outcome> after = RunSeeds(FirstLoad(), Rule::Split);
+  BOOST_TEST(before[2].Percentile99() > 500);
+  BOOST_TEST(after[0].Percentile99() <= 2000);
+  BOOST_TEST(after[1].Percentile99() <= 800);
+  BOOST_TEST(after[2].Percentile99() <= 500);
+  for (size_t kind = 0; kind < 3; ++kind) {
+    BOOST_TEST(after[kind].Share() >= before[kind].Share());
+  }
+  BOOST_TEST(after[0].m_ended >= before[0].m_ended * 0.9);
+  BOOST_TEST(after[2].LongGapShare() < before[2].LongGapShare());
+}
+
+// Five seconds of 1.6 times the load: urgent short prompts are not served worse than less urgent
+// ones because of the division.
+BOOST_AUTO_TEST_CASE(DividedEnginesHoldUnderOverload) {
+  Load load = FirstLoad();
+  load.m_overload = 1.6;
+  const std::vector<Outcome> before = RunSeeds(load, Rule::Before);
+  const std::vector<Outcome> after = RunSeeds(load, Rule::Split);
+  for (size_t kind = 0; kind < 3; ++kind) {
+    BOOST_TEST(after[kind].Share() >= before[kind].Share());
+  }
+  BOOST_TEST(after[0].m_ended >= before[0].m_ended * 0.9);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
