placement: nodes of large fleets share which endpoints fail

Cause: 50 nodes before 140 engines each meet an engine once in 11 s, so every node ran into every crashed or silent engine by itself. Change: FailureReports; heartbeats of fleets of more than 16 nodes carry decayed counts of failed attempts, and an endpoint that fails at two nodes gets no calls for 2 s. At most half of the endpoints are taken out.

--- a/packages/adapters/peer/GossipCodec.cpp
+++ b/packages/adapters/peer/GossipCodec.cpp
@@ -72,6 +72,16 @@
   }
 }
 
+void WriteFailures(wire::NewsBeat::Builder aTo, const gossip::Heartbeat& aHeartbeat) {
+  auto failures = aTo.initFailures(static_cast<unsigned>(aHeartbeat.m_failures.size()));
+  unsigned index = 0;
+  for (const auto& [endpoint, counts] : aHeartbeat.m_failures) {
+    failures[index].setEndpoint(endpoint.Text());
+    failures[index].setAttempts(static_cast<float>(counts.m_attempts));
+    failures[index++].setFailures(static_cast<float>(counts.m_failures));
+  }
+}
+
 void WriteUsage(wire::NewsBeat::Builder aTo, const gossip::Heartbeat& aHeartbeat) {
   auto windows = aTo.initUsage(static_cast<unsigned>(aHeartbeat.m_usage.size()));
   unsigned index = 0;
@@ -183,6 +193,11 @@
       base::FiniteAmount(load.getUrgentTokens())
     };
   }
+  for (const auto counts : aFrom.getFailures()) {
+    heartbeat.m_failures[base::EndpointId(ToString(counts.getEndpoint()))] = {
+      base::FiniteAmount(counts.getAttempts()), base::FiniteAmount(counts.getFailures())
+    };
+  }
   ReadTotals(aFrom.getGranted(), heartbeat.m_quota.m_granted);
   ReadTotals(aFrom.getAsked(), heartbeat.m_quota.m_requested);
   ReadTotals(aFrom.getLevels(), heartbeat.m_quota.m_levels);
@@ -212,6 +227,7 @@
   aTo.setEngineCalls(aHeartbeat.m_engineCalls);
   aTo.setLateEngineCalls(aHeartbeat.m_lateEngineCalls);
   WriteLoads(aTo, aHeartbeat);
+  WriteFailures(aTo, aHeartbeat);
   WriteQuota(aTo, aHeartbeat.m_quota);
   WriteUsage(aTo, aHeartbeat);
   WriteRollouts(aTo, aHeartbeat);
--- a/packages/adapters/peer/news.capnp
+++ b/packages/adapters/peer/news.capnp
@@ -20,6 +20,13 @@
   urgentTokens @4 :Float32;
 }
 
+# Attempts at an endpoint that have ended, as counts that decay.
+struct NewsFailures {
+  endpoint @0 :Text;
+  attempts @1 :Float32;
+  failures @2 :Float32;
+}
+
 struct NewsTotal {
   team @0 :Text;
   units @1 :Float64;
@@ -89,6 +96,7 @@
   lateEngineCalls @16 :Float64;
   rolloutCounts @17 :List(NewsRolloutCounts);
   rolloutGrants @18 :List(NewsRolloutGrants);
+  failures @19 :List(NewsFailures);
 }
 
 struct NewsChange {
--- a/packages/adapters/peer/news.capnp.h
+++ b/packages/adapters/peer/news.capnp.h
@@ -18,6 +18,7 @@
 
 CAPNP_DECLARE_SCHEMA(e421c4aa216db8a4);
 CAPNP_DECLARE_SCHEMA(add45e242a0a5315);
+CAPNP_DECLARE_SCHEMA(f72f58021c191d9e);
 CAPNP_DECLARE_SCHEMA(afc62ae918c320c8);
 CAPNP_DECLARE_SCHEMA(d83284ed9adeed1b);
 CAPNP_DECLARE_SCHEMA(e36857530e0f6f2f);
@@ -68,6 +69,21 @@
   };
 };
 
+struct NewsFailures {
+  NewsFailures() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f72f58021c191d9e, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct NewsTotal {
   NewsTotal() = delete;
 
@@ -181,7 +197,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(962536a4c280ae89, 7, 10)
+    CAPNP_DECLARE_STRUCT_HEADER(962536a4c280ae89, 7, 11)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -436,6 +452,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class NewsFailures::Reader {
+public:
+  typedef NewsFailures Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEndpoint() const;
+  inline  ::capnp::Text::Reader getEndpoint() const;
+
+  inline float getAttempts() const;
+
+  inline float getFailures() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class NewsFailures::Builder {
+public:
+  typedef NewsFailures Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEndpoint();
+  inline  ::capnp::Text::Builder getEndpoint();
+  inline void setEndpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
+  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
+
+  inline float getAttempts();
+  inline void setAttempts(float value);
+
+  inline float getFailures();
+  inline void setFailures(float value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class NewsFailures::Pipeline {
+public:
+  typedef NewsFailures Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class NewsTotal::Reader {
 public:
   typedef NewsTotal Reads;
@@ -1176,6 +1283,9 @@
   inline bool hasRolloutGrants() const;
   inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsRolloutGrants,  ::capnp::Kind::STRUCT>::Reader getRolloutGrants() const;
 
+  inline bool hasFailures() const;
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsFailures,  ::capnp::Kind::STRUCT>::Reader getFailures() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1301,6 +1411,13 @@
   inline void adoptRolloutGrants(::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsRolloutGrants,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsRolloutGrants,  ::capnp::Kind::STRUCT>> disownRolloutGrants();
 
+  inline bool hasFailures();
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsFailures,  ::capnp::Kind::STRUCT>::Builder getFailures();
+  inline void setFailures( ::capnp::List< ::papayafield::adapters::peer::wire::NewsFailures,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsFailures,  ::capnp::Kind::STRUCT>::Builder initFailures(unsigned int size);
+  inline void adoptFailures(::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsFailures,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsFailures,  ::capnp::Kind::STRUCT>> disownFailures();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1812,6 +1929,68 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool NewsFailures::Reader::hasEndpoint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool NewsFailures::Builder::hasEndpoint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NewsFailures::Reader::getEndpoint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NewsFailures::Builder::getEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void NewsFailures::Builder::setEndpoint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NewsFailures::Builder::initEndpoint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void NewsFailures::Builder::adoptEndpoint(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NewsFailures::Builder::disownEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline float NewsFailures::Reader::getAttempts() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline float NewsFailures::Builder::getAttempts() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void NewsFailures::Builder::setAttempts(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline float NewsFailures::Reader::getFailures() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline float NewsFailures::Builder::getFailures() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void NewsFailures::Builder::setFailures(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool NewsTotal::Reader::hasTeam() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2853,6 +3032,40 @@
       ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 
+inline bool NewsBeat::Reader::hasFailures() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline bool NewsBeat::Builder::hasFailures() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsFailures,  ::capnp::Kind::STRUCT>::Reader NewsBeat::Reader::getFailures() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsFailures,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsFailures,  ::capnp::Kind::STRUCT>::Builder NewsBeat::Builder::getFailures() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsFailures,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline void NewsBeat::Builder::setFailures( ::capnp::List< ::papayafield::adapters::peer::wire::NewsFailures,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsFailures,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsFailures,  ::capnp::Kind::STRUCT>::Builder NewsBeat::Builder::initFailures(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsFailures,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), size);
+}
+inline void NewsBeat::Builder::adoptFailures(
+    ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsFailures,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsFailures,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsFailures,  ::capnp::Kind::STRUCT>> NewsBeat::Builder::disownFailures() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::papayafield::adapters::peer::wire::NewsFailures,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+
 inline bool NewsChange::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/adapters/peer/tests/GossipCodecTest.cpp
+++ b/packages/adapters/peer/tests/GossipCodecTest.cpp
@@ -18,6 +18,7 @@
   heartbeat.m_position = { 3, 77 };
   heartbeat.m_requestedWorkMs = 12.5;
   heartbeat.m_loads[base::EndpointId("e1")] = { 3, 4000, 1.5, 500 };
+  heartbeat.m_failures[base::EndpointId("e2")] = { 4, 1.5 };
   heartbeat.m_quota.m_granted[base::TeamId("t")] = 100;
   heartbeat.m_quota.m_requested[base::TeamId("t")] = 150;
   heartbeat.m_quota.m_levels[base::TeamId("t")] = -5;
@@ -66,6 +67,8 @@
   BOOST_TEST((heartbeat->m_position == store::Position{ 3, 77 }));
   BOOST_TEST(heartbeat->m_loads.at(base::EndpointId("e1")).m_pendingPromptTokens == 4000);
   BOOST_TEST(heartbeat->m_loads.at(base::EndpointId("e1")).m_urgency == 1.5);
+  BOOST_TEST(heartbeat->m_failures.at(base::EndpointId("e2")).m_attempts == 4);
+  BOOST_TEST(heartbeat->m_failures.at(base::EndpointId("e2")).m_failures == 1.5);
   BOOST_TEST(heartbeat->m_loads.at(base::EndpointId("e1")).m_urgentPromptTokens == 500);
   BOOST_TEST(heartbeat->m_quota.m_requested.at(base::TeamId("t")) == 150);
   BOOST_TEST(heartbeat->m_quota.m_levels.at(base::TeamId("t")) == -5);
--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -829,8 +829,7 @@
       Fail(aAttempt, AttemptFault::Lost, "stream_cut");
       return;
     }
-    m_node.m_placement.RecordOutcome(
-      aAttempt->m_endpoint.m_incarnation.m_endpoint, true, base::BootNow());
+    RecordSuccess(*aAttempt);
     if (aAttempt->m_events > 0 && aAttempt->m_events < CrashGuard::kFirstEvents) {
       m_node.m_crashGuard.OnAnswered(m_call, aAttempt->m_firstEventAt, base::BootNow());
     }
@@ -851,8 +850,7 @@
     Fail(aAttempt, AttemptFault::Failed, std::to_string(status));
     return;
   }
-  m_node.m_placement.RecordOutcome(
-    aAttempt->m_endpoint.m_incarnation.m_endpoint, true, base::BootNow());
+  RecordSuccess(*aAttempt);
   m_node.m_crashGuard.OnAnswered(m_call, base::BootNow(), base::BootNow());
   CountVersionAnswer(*aAttempt, m_route.m_name, ComparedTime(*aAttempt, base::BootNow()));
   if (status / 100 == 2 && !m_call.m_promptTokens) {
@@ -892,6 +890,12 @@
 }
 
 /// Takes a failed attempt into account and ends it.
+void Exchange::RecordSuccess(const ActiveAttempt& aAttempt) {
+  const base::EndpointId& endpoint = aAttempt.m_endpoint.m_incarnation.m_endpoint;
+  m_node.m_placement.RecordOutcome(endpoint, true, base::BootNow());
+  m_node.m_failures.Record(endpoint, true, base::BootNow());
+}
+
 void Exchange::RecordFailure(const std::shared_ptr<ActiveAttempt>& aAttempt, AttemptFault aFault) {
   const fleet::Endpoint endpoint = aAttempt->m_endpoint;
   const auto now = base::BootNow();
@@ -906,6 +910,9 @@
     m_node.m_pool.CloseIdle(endpoint.m_incarnation);
   }
   m_node.m_placement.RecordOutcome(endpoint.m_incarnation.m_endpoint, false, now);
+  if (aFault != AttemptFault::NotExecuted && aFault != AttemptFault::Unattributed) {
+    m_node.m_failures.Record(endpoint.m_incarnation.m_endpoint, false, now);
+  }
   if (aFault != AttemptFault::NotSent && aFault != AttemptFault::NotExecuted) {
     m_node.m_versions.CountFailure(endpoint,
                                    m_route.m_name,
--- a/packages/forwarding/Exchange.h
+++ b/packages/forwarding/Exchange.h
@@ -87,6 +87,7 @@
   void Fail(const std::shared_ptr<ActiveAttempt>& aAttempt,
             AttemptFault aFault,
             const std::string& aDetail);
+  void RecordSuccess(const ActiveAttempt& aAttempt);
   void RecordFailure(const std::shared_ptr<ActiveAttempt>& aAttempt, AttemptFault aFault);
   void LogFailure(const ActiveAttempt& aAttempt,
                   AttemptFault aFault,
--- a/packages/forwarding/NodeState.h
+++ b/packages/forwarding/NodeState.h
@@ -100,7 +100,8 @@
   base::BufferBudget m_buffers;
   fleet::EndpointDirectory m_directory;
   engines::EngineModel m_engines{ engines::EngineModelSettings{} };
-  placement::Placement m_placement{ placement::PlacementSettings{}, &m_engines };
+  placement::FailureReports m_failures{ placement::FailureReportSettings{} };
+  placement::Placement m_placement{ placement::PlacementSettings{}, &m_engines, &m_failures };
   scheduling::Admission m_admission{ scheduling::AdmissionSettings{} };
   duties::ScalingPolicy m_scaling{ duties::ScalingSettings{} };
   fleet::EndpointAvailability m_availability{ fleet::AvailabilitySettings{} };
--- a/packages/gossip/Heartbeat.h
+++ b/packages/gossip/Heartbeat.h
@@ -47,6 +47,8 @@
   double m_lateEngineCalls = 0;
   /// Calls of this node in flight, by endpoint.
   std::map<base::EndpointId, placement::Load> m_loads;
+  /// Endpoints at which attempts of this node failed lately.
+  placement::FailureReports::Counts m_failures;
   /// The node's view of the teams' quotas.
   quota::QuotaLedger::View m_quota;
   /// Usage counts of this node in the latest windows.
--- a/packages/placement/Placement.cpp
+++ b/packages/placement/Placement.cpp
@@ -11,6 +11,9 @@
 /// Consecutive failures after which an endpoint gets no new calls for kAvoidDuration.
 constexpr int kMaxConsecutiveFailures = 3;
 constexpr base::Millis kAvoidDuration{ 1000 };
+/// Fraction of the available endpoints that reports of failures must leave. If more of them fail,
+/// the cause is rather the network or a bad prompt, and the others would be overrun.
+constexpr double kMinSoundFraction = 0.5;
 /// Weight of one outcome in the smoothed failure rate: averages over about the last ten calls.
 constexpr double kOutcomeWeight = 0.1;
 /// Delay penalty in milliseconds for an endpoint that fails all its calls.
@@ -48,6 +51,25 @@
   return health != m_health.end() && health->second.m_avoidUntil > aNow;
 }
 
+/// Returns the endpoints of `aAvailable` that do not fail at several nodes, or all of them if these
+/// are too few to take over the calls.
+std::vector<size_t> Placement::WithoutFailing(std::vector<size_t> aAvailable,
+                                              const std::vector<fleet::Endpoint>& aEndpoints,
+                                              base::TimePoint aNow) const {
+  if (m_failures == nullptr) {
+    return aAvailable;
+  }
+  std::vector<size_t> sound;
+  sound.reserve(aAvailable.size());
+  for (const size_t i : aAvailable) {
+    if (!m_failures->IsFailing(aEndpoints[i].m_incarnation.m_endpoint, aNow)) {
+      sound.push_back(i);
+    }
+  }
+  const auto minimum = static_cast<double>(aAvailable.size()) * kMinSoundFraction;
+  return static_cast<double>(sound.size()) >= minimum ? sound : aAvailable;
+}
+
 std::vector<size_t> Placement::Candidates(const PlacementRequest& aRequest,
                                           const std::vector<fleet::Endpoint>& aEndpoints,
                                           base::TimePoint aNow) const {
@@ -62,7 +84,7 @@
     }
   }
   // If all endpoints are avoided, using any of them is better than rejecting the call.
-  return available.empty() ? matching : available;
+  return available.empty() ? matching : WithoutFailing(std::move(available), aEndpoints, aNow);
 }
 
 Load Placement::TotalLoad(const base::EndpointId& aEndpoint) const {
--- a/packages/placement/Placement.h
+++ b/packages/placement/Placement.h
@@ -3,6 +3,7 @@
 #include "base/Time.h"
 #include "engines/EngineModel.h"
 #include "fleet/EndpointDirectory.h"
+#include "placement/FailureReports.h"
 #include "scheduling/PromptMix.h"
 #include "scheduling/PromptSplit.h"
 
@@ -90,11 +91,15 @@
 /// rendezvous hashing, without communication. The load per subject may be uneven. Not thread safe.
 class Placement {
 public:
-  /// `aModel` tells the speed of the endpoints; it must outlive the object. Without one, the priors
-  /// of the model are used.
-  explicit Placement(PlacementSettings aSettings, const engines::EngineModel* aModel = nullptr)
+  /// `aModel` tells the speed of the endpoints; without one, the priors of the model are used.
+  /// `aFailures` tells which ones fail; without them, the outcomes of this node alone count. Both
+  /// must outlive the object.
+  explicit Placement(PlacementSettings aSettings,
+                     const engines::EngineModel* aModel = nullptr,
+                     const FailureReports* aFailures = nullptr)
     : m_settings(aSettings)
-    , m_model(aModel) {}
+    , m_model(aModel)
+    , m_failures(aFailures) {}
 
   /// Returns the index into `aEndpoints` of the best choice, or nullopt if none may be used.
   std::optional<size_t> Choose(const PlacementRequest& aRequest,
@@ -147,6 +152,9 @@
   double MixedDelayAt(scheduling::CallNeeds aNeeds, const fleet::Endpoint& aEndpoint) const;
   bool Matches(const PlacementRequest& aRequest, const fleet::Endpoint& aEndpoint) const;
   bool IsAvoided(const base::EndpointId& aEndpoint, base::TimePoint aNow) const;
+  std::vector<size_t> WithoutFailing(std::vector<size_t> aAvailable,
+                                     const std::vector<fleet::Endpoint>& aEndpoints,
+                                     base::TimePoint aNow) const;
   std::vector<size_t> Candidates(const PlacementRequest& aRequest,
                                  const std::vector<fleet::Endpoint>& aEndpoints,
                                  base::TimePoint aNow) const;
@@ -162,6 +170,7 @@
   PlacementSettings m_settings;
   scheduling::PromptMixSettings m_mixSettings;
   const engines::EngineModel* m_model = nullptr;
+  const FailureReports* m_failures = nullptr;
   engines::EngineModel m_priors{ engines::EngineModelSettings{} };
   std::map<base::EndpointId, Load> m_localLoad;
   std::map<std::string, std::map<base::EndpointId, Load>> m_peerLoads;
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -20,6 +20,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -505,6 +506,10 @@
         heartbeat.m_loads[endpoint] = load;
       }
     }
+    // In a small fleet, each node sees enough of every endpoint by itself.
+    if (IsLargeFleet()) {
+      heartbeat.m_failures = m_state.m_failures.LocalReport(base::BootNow());
+    }
     heartbeat.m_quota = m_state.m_quota.UpdateLocalView(base::BootNow());
     const auto& usage = m_state.m_usage.LocalCounts();
     const int64_t oldest = m_state.m_usage.WindowOf(base::WallMillis()) - kUsageWindowsPerHeartbeat;
@@ -526,6 +531,7 @@
     }
     const std::string incarnation = aHeartbeat.m_from.IncarnationKey();
     m_state.m_placement.SetPeerLoad(aHeartbeat.m_from.m_node.Text(), aHeartbeat.m_loads);
+    m_state.m_failures.SetPeerReport(aHeartbeat.m_from.m_node.Text(), aHeartbeat.m_failures, now);
     const bool isYoung = base::WallMillis() - aHeartbeat.m_from.m_startMs < kMaxYoungAge.count();
     m_state.m_quota.MergePeerView(
       aHeartbeat.m_from.m_node, aHeartbeat.m_from.m_startMs, isYoung, aHeartbeat.m_quota, now);
@@ -566,6 +572,23 @@
                                            base::BootNow());
   }
 
+  void LogFailingEndpoints(base::TimePoint aNow) {
+    const std::vector<base::EndpointId> failing = m_state.m_failures.Failing(aNow);
+    std::set<base::EndpointId> current(failing.begin(), failing.end());
+    for (const base::EndpointId& endpoint : current) {
+      if (!m_failingEndpoints.contains(endpoint)) {
+        m_log.Event("endpoint fails at several nodes", { { "endpoint", endpoint.Text() } });
+      }
+    }
+    for (const base::EndpointId& endpoint : m_failingEndpoints) {
+      if (!current.contains(endpoint)) {
+        m_log.Event("failing endpoint tried again", { { "endpoint", endpoint.Text() } });
+      }
+    }
+    m_failingEndpoints = std::move(current);
+    m_state.m_metrics.Set("endpoints_failing", static_cast<double>(m_failingEndpoints.size()));
+  }
+
   void Tick() {
     const auto now = base::BootNow();
     UpdateStoreAvailability();
@@ -575,11 +598,14 @@
     m_state.m_pool.CloseExpired(m_state.m_directory.All(), now);
     m_state.m_placement.RetainEndpoints(m_state.m_directory.All());
     m_state.m_engines.RetainEndpoints(m_state.m_directory.All());
+    m_state.m_failures.RetainEndpoints(m_state.m_directory.All());
+    LogFailingEndpoints(now);
     m_state.m_engines.Update(now);
     m_state.m_availability.RemoveObsolete(m_state.m_directory.All(), now);
     for (const base::NodeId& node : m_peerTable.RemoveStale(now)) {
       m_state.m_quota.RemovePeer(node);
       m_state.m_placement.SetPeerLoad(node.Text(), {});
+      m_state.m_failures.SetPeerReport(node.Text(), {}, now);
       m_log.Event("node removed", { { "node", node.Text() } });
     }
     const std::vector<std::string> workingSet = WorkingSet(now);
@@ -822,6 +848,8 @@
   bool m_loggedWorking = false;
   /// Whether the size of the fleet, on which quotas and budgets depend, has been determined.
   bool m_fleetSizeKnown = false;
+  /// Endpoints that failed at several nodes at the last tick, for the log.
+  std::set<base::EndpointId> m_failingEndpoints;
   bool m_stopping = false;
   /// Set while the node is stopping.
   std::optional<forwarding::DrainPlan> m_drainPlan;
