Connection: hold at most 20 KiB behind a request that is being answered

Cause: the read watermark let each connection buffer 256 KiB of unparsed input while its request was being answered. These bytes are not part of the buffer budget, so callers whose calls hang at their endpoints filled the memory of the node: by hand, 300 callers took 90 MiB and 1,000 callers 273 MiB on a node with memory_mb = 120.

Change: the watermark is 20,480 bytes. That exceeds the 16,384 bytes that are read at a time, so reading a body does not suspend the connection.

Measured: the new test FewBytesAreHeldBehindARequest fails on the code before (204,772 bytes held) and passes now; adapters_http1_tests passes.

--- a/packages/adapters/http1/Connection.cpp
+++ b/packages/adapters/http1/Connection.cpp
@@ -26,8 +26,10 @@
 /// loop.
 constexpr size_t kMaxParseStepBytes = 65536;
 /// Maximum number of buffered unparsed bytes while a message is being handled; TCP flow control
-/// then stops the peer.
-constexpr size_t kMaxPendingInputBytes = 262144;
+/// then stops the peer. They are not part of the budget, so the bound has to fit for each of some
+/// thousand connections. Larger than the 16,384 bytes that are read at a time, so that reading a
+/// body does not suspend the connection.
+constexpr size_t kMaxPendingInputBytes = 20480;
 /// Maximum number of empty lines before a request. A few are left by callers that end a body with
 /// one.
 constexpr size_t kMaxEmptyLines = 8;
--- a/packages/adapters/http1/tests/ConnectionTest.cpp
+++ b/packages/adapters/http1/tests/ConnectionTest.cpp
@@ -2,6 +2,7 @@
 #include "adapters/http1/JsonClient.h"
 #include "adapters/http1/SimpleServer.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <random>
@@ -243,6 +244,40 @@
   BOOST_TEST(fixture.m_heads[1].m_target == "/2");
 }
 
+// What callers send behind a request that is being answered was held without a bound on the memory
+// of all of them: 256 KiB each.
+BOOST_AUTO_TEST_CASE(FewBytesAreHeldBehindARequest) {
+  constexpr size_t kMaxHeldBytes = 32768;
+  constexpr size_t kBodyBytes = 1U << 20U;
+  constexpr base::Millis kReadTime{ 2 };
+  ConnectionFixture<RequestHead> fixture;
+  const std::string body(kBodyBytes, 'x');
+  const std::string bytes =
+    "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nPOST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+    std::to_string(kBodyBytes) + "\r\n\r\n" + body;
+  size_t sent = 0;
+  const auto sendMore = [&] {
+    const ssize_t count =
+      send(fixture.m_peer, bytes.data() + sent, bytes.size() - sent, MSG_DONTWAIT | MSG_NOSIGNAL);
+    sent += static_cast<size_t>(std::max<ssize_t>(count, 0));
+    const auto read = fixture.m_loop.After(kReadTime, [&] { fixture.m_loop.Stop(); });
+    fixture.Run();
+  };
+  constexpr int kReads = 50;
+  for (int i = 0; i < kReads; ++i) {
+    sendMore();
+  }
+  BOOST_TEST(fixture.m_completed == 1);
+  BOOST_TEST(fixture.m_connection->PendingInput() <= kMaxHeldBytes);
+  fixture.m_connection->Resume();
+  constexpr int kMaxReads = 5000;
+  for (int i = 0; i < kMaxReads && fixture.m_completed < 2; ++i) {
+    sendMore();
+  }
+  BOOST_TEST(fixture.m_completed == 2);
+  BOOST_TEST((fixture.m_body == body));
+}
+
 BOOST_AUTO_TEST_CASE(ChunkedBodyIsReadCompletely) {
   ConnectionFixture<RequestHead> fixture;
   fixture.Send(
