Gateway: callers and open calls share the descriptors of the host

Cause: only callers' connections were bounded, by three quarters of max_fds beyond 200. Each open call holds another connection to its endpoint, which nothing bounded. When endpoints do not answer, a crowd of complete calls therefore took up to one and a half times the descriptors of the host: 842 with max_fds = 700.

At that limit the longest idle connection to an endpoint is closed, then the longest idle caller; otherwise a new caller or call gets 503 (no_descriptors) before it has run and before its quota is taken. Without max_fds there is no limit, as before. New gauges: endpoint_connections, connections_limit.

--- a/packages/forwarding/EndpointPool.cpp
+++ b/packages/forwarding/EndpointPool.cpp
@@ -47,8 +47,17 @@
 
 PooledConnection EndpointPool::Connect(const fleet::Endpoint& aEndpoint) {
   ++m_connectCount;
-  return { ClientConnection::ConnectTo(m_loop, aEndpoint.m_address, kUnacknowledgedTimeout),
-           false };
+  ++*m_openCount;
+  auto connection =
+    ClientConnection::ConnectTo(m_loop, aEndpoint.m_address, kUnacknowledgedTimeout);
+  ClientConnection* const raw = connection.get();
+  // Weak references may keep the deleter for longer than the connection, so it releases it.
+  const auto release = [connection = std::move(connection),
+                        count = m_openCount](ClientConnection* /*aConnection*/) mutable {
+    --*count;
+    connection.reset();
+  };
+  return { std::shared_ptr<ClientConnection>(raw, release), false };
 }
 
 void EndpointPool::Return(const fleet::Incarnation& aEndpoint,
@@ -100,6 +109,23 @@
   }
 }
 
+bool EndpointPool::CloseLongestIdle() {
+  // The connections of each endpoint are in the order in which they became idle.
+  auto longest = m_idle.end();
+  for (auto at = m_idle.begin(); at != m_idle.end(); ++at) {
+    if (!at->second.empty() &&
+        (longest == m_idle.end() || at->second.front().m_since < longest->second.front().m_since)) {
+      longest = at;
+    }
+  }
+  if (longest == m_idle.end()) {
+    return false;
+  }
+  longest->second.front().m_connection->Close();
+  longest->second.pop_front();
+  return true;
+}
+
 void EndpointPool::CloseIdle(const fleet::Incarnation& aEndpoint) {
   for (const IdleConnection& idle : std::exchange(m_idle[aEndpoint], {})) {
     idle.m_connection->Close();
--- a/packages/forwarding/EndpointPool.h
+++ b/packages/forwarding/EndpointPool.h
@@ -55,6 +55,11 @@
                     base::TimePoint aNow);
   /// Closes all idle connections to an endpoint after one of them was found dead.
   void CloseIdle(const fleet::Incarnation& aEndpoint);
+  /// Closes the idle connection that has been idle for the longest time. Returns false if none is
+  /// idle.
+  bool CloseLongestIdle();
+  /// Returns the number of connections that are idle or in use.
+  size_t OpenCount() const { return *m_openCount; }
   /// Returns the number of new connections opened so far.
   uint64_t ConnectCount() const { return m_connectCount; }
 
@@ -69,6 +74,8 @@
   std::map<fleet::Incarnation, std::deque<IdleConnection>> m_idle;
   std::set<fleet::Incarnation> m_answersWithoutId;
   uint64_t m_connectCount = 0;
+  /// Shared with the connections, which may outlive the pool.
+  std::shared_ptr<size_t> m_openCount = std::make_shared<size_t>(0);
 };
 
 } // namespace papayafield::forwarding
--- a/packages/forwarding/Gateway.cpp
+++ b/packages/forwarding/Gateway.cpp
@@ -24,8 +24,9 @@
 
 } // namespace
 
-Gateway::Gateway(NodeState& aNode, const base::Address& aAddress, size_t aMaxConnections)
+Gateway::Gateway(NodeState& aNode, const base::Address& aAddress, ConnectionLimits aLimits)
   : m_node(aNode)
+  , m_maxTotalConnections(aLimits.m_total)
   , m_listener(aNode.m_loop, aAddress, kMaxHeadBytes, [this](auto aConnection) {
     auto caller = std::make_shared<CallerConnection>(
       m_node.m_loop,
@@ -49,15 +50,35 @@
       caller->Refuse();
     }
   }) {
-  m_settings.m_maxConnections = aMaxConnections;
+  m_settings.m_maxConnections = aLimits.m_callers;
 }
 
-/// Closes the connection that has been idle for the longest time if there are too many. Returns
-/// whether there is room for one more.
+/// Returns whether one more connection is possible. Each open call has one to its endpoint.
+bool Gateway::HasDescriptors() const {
+  return m_maxTotalConnections == 0 ||
+         m_connections.size() + m_node.m_pool.OpenCount() < m_maxTotalConnections;
+}
+
+/// Makes room for the connection of one more caller, by closing an idle one if necessary. Returns
+/// whether there is room.
 bool Gateway::MakeRoom() {
-  if (m_settings.m_maxConnections == 0 || m_connections.size() < m_settings.m_maxConnections) {
+  const bool isBelowLimit =
+    m_settings.m_maxConnections == 0 || m_connections.size() < m_settings.m_maxConnections;
+  if (isBelowLimit && (HasDescriptors() || m_node.m_pool.CloseLongestIdle())) {
     return true;
   }
+  return CloseLongestIdle();
+}
+
+/// Makes room for a connection to an endpoint, by closing an idle one if necessary. Returns whether
+/// there is room.
+bool Gateway::MakeRoomForCall() {
+  return HasDescriptors() || m_node.m_pool.CloseLongestIdle() || CloseLongestIdle();
+}
+
+/// Closes the caller's connection that has been idle for the longest time. Returns false if none is
+/// idle.
+bool Gateway::CloseLongestIdle() {
   std::shared_ptr<CallerConnection> longest;
   for (const auto& caller : m_connections) {
     const auto since = caller->IdleSince();
@@ -89,6 +110,8 @@
   Metrics& metrics = m_node.m_metrics;
   metrics.Set("caller_connections", static_cast<double>(m_connections.size()));
   metrics.Set("caller_connections_limit", static_cast<double>(m_settings.m_maxConnections));
+  metrics.Set("endpoint_connections", static_cast<double>(m_node.m_pool.OpenCount()));
+  metrics.Set("connections_limit", static_cast<double>(m_maxTotalConnections));
   metrics.Set("connections_refused", static_cast<double>(load.m_refused));
   metrics.Set("idle_connections_closed", static_cast<double>(load.m_idleClosed));
   metrics.Set("requests_discarding", static_cast<double>(load.m_discarding));
@@ -220,6 +243,10 @@
     Reject(aSink, call, 400, "no_request_id", 0);
     return nullptr;
   }
+  if (!MakeRoomForCall()) {
+    Reject(aSink, call, 503, "no_descriptors", kNotReadyRetrySeconds);
+    return nullptr;
+  }
   if (team != nullptr && !TryTakeQuota(*team, call, aArrival)) {
     const double deficit = -m_node.m_quota.Level(team->m_id, aArrival);
     m_node.m_log.Event("quota exceeded",
--- a/packages/forwarding/Gateway.h
+++ b/packages/forwarding/Gateway.h
@@ -11,12 +11,20 @@
 
 namespace papayafield::forwarding {
 
+/// Limits on the connections of a node, which share its descriptors; 0 is no limit.
+struct ConnectionLimits {
+  /// Maximum number of callers' connections.
+  size_t m_callers = 0;
+  /// Maximum number of callers' connections and of those to endpoints, together.
+  size_t m_total = 0;
+};
+
 /// The caller-facing side of the forwarding path: accepts connections, finds the route and team of
 /// each request, and admits or rejects it. Belongs to the event loop's thread.
 class Gateway {
 public:
-  /// Accepts callers on `aAddress`, at most `aMaxConnections` at a time; 0 is no limit.
-  Gateway(NodeState& aNode, const base::Address& aAddress, size_t aMaxConnections);
+  /// Accepts callers on `aAddress`.
+  Gateway(NodeState& aNode, const base::Address& aAddress, ConnectionLimits aLimits);
 
   /// Returns whether the address could be bound.
   bool Listening() const { return m_listener.Listening(); }
@@ -40,7 +48,10 @@
                                       RequestBodyPtr aBody,
                                       base::TimePoint aArrival,
                                       AnswerSink aSink);
+  bool HasDescriptors() const;
+  bool CloseLongestIdle();
   bool MakeRoom();
+  bool MakeRoomForCall();
   void Reject(const AnswerSink& aSink,
               const CallInfo& aCall,
               int aStatus,
@@ -51,6 +62,7 @@
 
   NodeState& m_node;
   CallerSettings m_settings;
+  const size_t m_maxTotalConnections;
   /// Set while the node is stopping.
   std::optional<DrainPlan> m_drainPlan;
   std::set<std::shared_ptr<CallerConnection>> m_connections;
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -104,7 +104,7 @@
         },
         m_configuration,
         [this](const std::string& aData) { ApplyConfiguration(aData, "peer"); })
-    , m_gateway(m_state, m_settings.m_callerAddress, m_settings.m_maxCallerConnections)
+    , m_gateway(m_state, m_settings.m_callerAddress, m_settings.m_connections)
     , m_leaderElection(aStore, m_replica, MakeElectionSettings())
     , m_reporter(
         aStore,
--- a/packages/serving/ServingSettings.h
+++ b/packages/serving/ServingSettings.h
@@ -2,7 +2,7 @@
 
 #include "base/Ids.h"
 #include "base/Time.h"
-#include "forwarding/NodeState.h"
+#include "forwarding/Gateway.h"
 #include "serving/EntryChoice.h"
 
 #include <optional>
@@ -33,8 +33,7 @@
   base::Millis m_leaderLease{ 3000 };
   /// Limit on what the node holds of requests and answers.
   base::BufferBudgetSettings m_buffers;
-  /// Maximum number of connections of callers; 0 if there is no limit.
-  size_t m_maxCallerConnections = 0;
+  forwarding::ConnectionLimits m_connections;
   WorkingSetSettings m_workingSet;
   forwarding::RetryLimits m_retries;
   quota::QuotaTolerance m_quotaTolerance;
--- a/tests/integration/UncontrolledCallersTest.cpp
+++ b/tests/integration/UncontrolledCallersTest.cpp
@@ -213,6 +213,41 @@
   }
 }
 
+// Each call that waits for its endpoint holds a second connection, which no limit counted.
+BOOST_AUTO_TEST_CASE(OpenCallsLeaveTheDescriptorsOfAHost) {
+  constexpr int kMaxFds = 700;
+  constexpr size_t kRunners = 2;
+  PlatformFleet fleet(1, kRunners, PlatformFleet::Proxies::None, { 0, kMaxFds });
+  ConfigurationOptions options;
+  options.m_timeout = kCallTimeout;
+  fleet.ApplyConfiguration(options);
+  BOOST_REQUIRE(PlatformFleet::WaitUntil(
+    [&] { return fleet.ReadMetric(0, "configuration") == fleet.Version(); }));
+  const auto setRunners = [&](const char* aMode) {
+    for (size_t i = 0; i < kRunners; ++i) {
+      fleet.PostControl("runner", { { "index", i }, { "mode", aMode } });
+    }
+  };
+  setRunners("hang");
+  const Load calls{ "calls without an answer", HeadStart("Content-Length: 0\r\n\r\n"), "", 0 };
+  Crowd crowd;
+  Connect(fleet.CallerAddress(0), calls, std::max(CallerCount(), kMaxFds), crowd);
+  SendAll(crowd, kMaxSendTime);
+  size_t descriptors = 0;
+  constexpr int kReadings = 20;
+  for (int i = 0; i < kReadings; ++i) {
+    descriptors = std::max(descriptors, CountDescriptors(fleet.NodeProcess(0).Pid()));
+    std::this_thread::sleep_for(base::Millis(100));
+  }
+  BOOST_TEST_MESSAGE(calls.m_name << ": " << descriptors << " descriptors");
+  BOOST_TEST(descriptors <= static_cast<size_t>(kMaxFds));
+  BOOST_TEST(fleet.NodeProcess(0).IsRunning());
+  setRunners("ok");
+  crowd.clear();
+  BOOST_TEST(
+    PlatformFleet::WaitUntil([&] { return fleet.Send(0, "POST", "/safe/a").m_status == 200; }));
+}
+
 // The limits must not cost the largest request that is allowed.
 BOOST_AUTO_TEST_CASE(LargestBodiesAreServed) {
   SmallHost host;
