CallerConnection: account for unsent answers above 16 KiB

Cause: up to 64 KiB of an answer that a caller does not take were left out of the buffer budget. With the 2,156 callers that max_fds = 3075 admits, that is more than the memory of a host of 120 MB.

Change: the threshold is 16 KiB.

--- a/packages/forwarding/CallerConnection.cpp
+++ b/packages/forwarding/CallerConnection.cpp
@@ -21,8 +21,9 @@
 /// Maximum number of unsent bytes for a caller that reads slowly; the connection is closed beyond
 /// this.
 constexpr size_t kMaxUnsentBytes = 8U << 20U;
-/// Number of unsent bytes up to which they are not accounted for, in bytes.
-constexpr size_t kMinAccountedBytes = 65536;
+/// Number of unsent bytes up to which they are not accounted for, in bytes. Each of some thousand
+/// callers may hold as much beside the budget.
+constexpr size_t kMinAccountedBytes = 16384;
 /// Size of a request in memory up to which it is not accounted for, in bytes. Smaller than what a
 /// connection takes anyway.
 constexpr size_t kMinClaimedRequestBytes = 4096;
--- a/packages/forwarding/tests/CallerConnectionTest.cpp
+++ b/packages/forwarding/tests/CallerConnectionTest.cpp
@@ -53,4 +53,41 @@
   close(sockets[1]);
 }
 
+// Callers that take no answers each held up to 64 KiB beside the budget, more than the memory of a
+// small host for a large crowd.
+BOOST_AUTO_TEST_CASE(AnswersThatAreNotTakenAreAccountedFor) {
+  constexpr size_t kAnswerBytes = 32768;
+  constexpr size_t kMaxUnaccountedBytes = 16384;
+  adapters::http::EventLoop loop;
+  int sockets[2] = { -1, -1 };
+  BOOST_REQUIRE(socketpair(AF_UNIX, SOCK_STREAM, 0, sockets) == 0);
+  // The kernel takes only a small part of the answer.
+  const int sendBufferBytes = 4096;
+  BOOST_REQUIRE(
+    setsockopt(sockets[0], SOL_SOCKET, SO_SNDBUF, &sendBufferBytes, sizeof(sendBufferBytes)) == 0);
+  const CallerSettings settings;
+  base::BufferBudget buffers{ base::BufferBudgetSettings{} };
+  const auto served = adapters::http1::ServerConnection::FromAcceptedSocket(loop, sockets[0], 4096);
+  const auto connection = std::make_shared<CallerConnection>(
+    loop,
+    buffers,
+    served,
+    settings,
+    [&](auto&&, auto&&, auto, const AnswerSink& aSink) {
+      aSink.m_onAnswer({}, std::string(kAnswerBytes, 'x'));
+      loop.Stop();
+      return nullptr;
+    },
+    [](const auto&) {});
+  connection->Start();
+  const std::string request = "GET / HTTP/1.1\r\nHost: h.example\r\n\r\n";
+  BOOST_REQUIRE(write(sockets[1], request.data(), request.size()) ==
+                static_cast<ssize_t>(request.size()));
+  loop.Run();
+  BOOST_TEST(served->PendingOutput() > kMaxUnaccountedBytes);
+  BOOST_TEST(buffers.UsedBytes() + kMaxUnaccountedBytes >= served->PendingOutput());
+  connection->Close();
+  close(sockets[1]);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
