Gateway: bound refused connections at the limit on all connections

Cause: refused connections stay open until their refusal has been sent. Their number was bounded only relative to the limit on callers, so at the lower limit on all connections hundreds could be open.

--- a/packages/forwarding/Gateway.cpp
+++ b/packages/forwarding/Gateway.cpp
@@ -39,7 +39,7 @@
       },
       [this](const std::shared_ptr<CallerConnection>& aClosed) { m_connections.erase(aClosed); });
     const bool hasRoom = MakeRoom();
-    if (!hasRoom && m_connections.size() >= m_settings.m_maxConnections + kMaxRefusing) {
+    if (!hasRoom && !MayRefuse()) {
       ++m_settings.m_load->m_refused;
       return;
     }
@@ -59,6 +59,15 @@
          m_connections.size() + m_node.m_pool.OpenCount() < m_maxTotalConnections;
 }
 
+/// Returns whether one more connection may stay open until its refusal has been sent. Many are
+/// accepted at a time, and all of them are open until then.
+bool Gateway::MayRefuse() const {
+  const size_t callers = m_connections.size();
+  return callers < m_settings.m_maxConnections + kMaxRefusing &&
+         (m_maxTotalConnections == 0 ||
+          callers + m_node.m_pool.OpenCount() < m_maxTotalConnections + kMaxRefusing);
+}
+
 /// Makes room for the connection of one more caller, by closing an idle one if necessary. Returns
 /// whether there is room.
 bool Gateway::MakeRoom() {
--- a/packages/forwarding/Gateway.h
+++ b/packages/forwarding/Gateway.h
@@ -49,6 +49,7 @@
                                       base::TimePoint aArrival,
                                       AnswerSink aSink);
   bool HasDescriptors() const;
+  bool MayRefuse() const;
   bool CloseLongestIdle();
   bool MakeRoom();
   bool MakeRoomForCall();
