forwarding: decisions on a call move from Exchange to CallPlanner

Cause: the choice of service, the placement request, admission control and the priority at the engine were part of Exchange, which also does the input and output of a call, so they could be neither tested nor queried alone.

Change: CallPlanner takes a call's facts and a const NodeState and returns a plan with its inputs. Exchange logs, draws random numbers and sends as before, in the same order. PromptQuarantine::Peek returns what Check returns without starting a trial.

--- a/packages/forwarding/CrashGuard.cpp
+++ b/packages/forwarding/CrashGuard.cpp
@@ -55,6 +55,11 @@
   return refusal->m_remaining;
 }
 
+std::optional<Millis> CrashGuard::PeekRefusalTime(const CallInfo& aCall, TimePoint aNow) const {
+  const auto refusal = m_quarantine.Peek(SharedParts(aCall), aNow);
+  return refusal ? std::optional(refusal->m_remaining) : std::nullopt;
+}
+
 void CrashGuard::OnConnectionLost(const CallInfo& aCall,
                                   const base::EndpointId& aEndpoint,
                                   size_t aEvents,
--- a/packages/forwarding/CrashGuard.h
+++ b/packages/forwarding/CrashGuard.h
@@ -26,6 +26,8 @@
   /// Returns how long a call must not be sent, or nullopt if it may be; then a trial may have
   /// begun.
   std::optional<base::Millis> RefusalTime(const CallInfo& aCall, base::TimePoint aNow);
+  /// Returns the same as `RefusalTime` without beginning a trial, logging or counting.
+  std::optional<base::Millis> PeekRefusalTime(const CallInfo& aCall, base::TimePoint aNow) const;
   /// Records that the connection of an attempt ended after `aEvents` events of its answer.
   void OnConnectionLost(const CallInfo& aCall,
                         const base::EndpointId& aEndpoint,
--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -26,10 +26,6 @@
 /// Maximum time for which a silent attempt is kept while another endpoint has the call. The two
 /// must not work on it side by side for longer.
 constexpr base::Millis kMaxOverlap{ 300 };
-/// Fraction of the shared prompt parts that an endpoint is expected to process again.
-constexpr double kSharedPrefillFraction = 0.2;
-/// Minimum remaining time for which an attempt is worthwhile.
-constexpr base::Millis kMinAttemptTime{ 20 };
 /// Maximum size of a buffered answer, in bytes.
 constexpr size_t kMaxAnswerBytes = 16U << 20U;
 /// Size of a request body up to which it is sent together with its head; larger ones are not
@@ -43,10 +39,6 @@
 constexpr double kStoppingRetrySeconds = 0.05;
 /// Callers honour a Retry-After of up to this fraction of their remaining time.
 constexpr double kMaxRetryAfterFraction = 0.33;
-/// Retry-After in seconds while all endpoints of a service leave: others may register soon.
-constexpr double kLeavingRetrySeconds = 1.0;
-/// Mean time in seconds over which callers return after the end of an endpoint's pause.
-constexpr double kReturnSpreadSeconds = 0.2;
 
 /// Time after the deadline of a call that must not be cancelled at which its attempt is abandoned.
 /// The endpoint was told the deadline and stops at it by itself.
@@ -65,11 +57,6 @@
 /// compared.
 constexpr double kMaxReadingMs = 2000;
 
-/// Returns the priority of a call: the team's, if it has one, otherwise the route's.
-int PriorityOf(const fleet::Team* aTeam, const fleet::Route& aRoute) {
-  return aTeam == nullptr ? aRoute.m_priority : aTeam->m_priority.value_or(aRoute.m_priority);
-}
-
 double Seconds(base::Millis aDuration) {
   return std::chrono::duration<double>(aDuration).count();
 }
@@ -130,17 +117,26 @@
   , m_catalog(std::move(aCatalog))
   , m_route(aRoute)
   , m_team(aTeam != nullptr ? aTeam->m_id : base::TeamId())
-  , m_priority(PriorityOf(aTeam, aRoute))
+  , m_priority(CallPlanner::PriorityOf(aTeam, aRoute))
   , m_call(std::move(aCall))
   , m_head(std::move(aHead))
   , m_body(std::move(aBody))
   , m_arrival(aArrival)
-  , m_sink(std::move(aSink)) {
-  base::Millis timeout = m_route.m_timeout;
-  if (m_call.m_callerTimeout) {
-    timeout = std::min(timeout, *m_call.m_callerTimeout);
-  }
-  m_deadline = m_arrival + timeout;
+  , m_deadline(CallPlanner::DeadlineOf(aRoute, m_call, aArrival))
+  , m_sink(std::move(aSink)) {}
+
+CallPlanner Exchange::Planner() const {
+  return { m_node,
+           { *m_catalog,
+             m_route,
+             m_call,
+             m_service,
+             m_priority,
+             m_arrival,
+             m_deadline,
+             m_tried,
+             m_attemptCount,
+             m_possibleRuns > 0 } };
 }
 
 base::Millis Exchange::TimeLeft() const {
@@ -152,138 +148,46 @@
   return m_call.m_callerTimeout ? *m_call.m_callerTimeout - elapsed : TimeLeft();
 }
 
-/// Returns the prompt tokens that no endpoint has cached.
-double Exchange::OwnTokens() const {
-  return m_call.m_promptParts.empty() ? m_call.m_promptTokens.value_or(0)
-                                      : m_call.m_promptParts.back().m_tokens;
-}
-
-double Exchange::SharedTokens() const {
-  return std::max(m_call.m_promptTokens.value_or(0) - OwnTokens(), 0.0);
-}
-
-double Exchange::UncachedTokens() const {
-  return m_call.m_promptTokens ? OwnTokens() + SharedTokens() * kSharedPrefillFraction : 0;
-}
-
-fleet::ServiceId Exchange::SelectService() {
-  double total = 0;
-  for (const fleet::Backend& backend : m_route.m_backends) {
-    total += backend.m_weight;
-  }
-  double draw = m_node.Random() * total;
-  for (const fleet::Backend& backend : m_route.m_backends) {
-    draw -= backend.m_weight;
-    if (draw < 0) {
-      return backend.m_service;
-    }
-  }
-  return m_route.m_backends.empty() ? fleet::ServiceId() : m_route.m_backends.back().m_service;
-}
-
-placement::PlacementRequest Exchange::MakePlacementRequest(const fleet::ServiceId& aService) const {
-  placement::PlacementRequest request;
-  request.m_service = aService;
-  request.m_subject = m_call.SharedPartId();
-  request.m_promptTokens = UncachedTokens();
-  request.m_zone = m_node.m_zone;
-  request.m_tried = m_tried;
-  request.m_unavailable = m_node.m_availability.Unavailable(base::BootNow());
-  const fleet::Service* service = m_catalog->FindService(aService);
-  if (MixedClasses() != nullptr && service != nullptr && service->m_engine) {
-    request.m_mix = scheduling::CallNeeds{ request.m_promptTokens,
-                                           MixedClasses()->Urgency(CallClass()),
-                                           static_cast<double>(service->m_engine->m_slots),
-                                           SharedTokens(),
-                                           static_cast<double>(m_route.m_latencyTarget.count()) };
-  }
-  m_node.m_versions.AddExcluded(aService,
-                                m_node.m_directory.Ready(),
-                                m_tried,
-                                m_attemptCount == 0 && m_call.m_lastEventId.empty(),
-                                base::BootNow(),
-                                request.m_unavailable);
-  return request;
-}
-
-/// Returns the classes of calls that share the engines with this one; null if the calls of the
-/// service do not differ.
-const scheduling::CallClasses* Exchange::MixedClasses() const {
-  return m_call.m_promptTokens ? m_node.MixedClasses(m_service) : nullptr;
-}
-
-scheduling::CallClass Exchange::CallClass() const {
-  return { m_priority, m_route.m_latencyTarget };
-}
-
-/// Returns what is expected for a call to a mixed service, endpoints that it was already sent to
-/// included.
-scheduling::Prospect Exchange::MakeProspect() const {
-  placement::PlacementRequest request = MakePlacementRequest(m_service);
-  request.m_tried.clear();
-  const placement::Outlook outlook =
-    m_node.m_placement.OutlookFor(request, m_node.m_directory.Ready(), base::BootNow());
-  return { outlook.m_shortestDelayMs +
-             m_node.m_engines.WorkMs(m_service, request.m_promptTokens, 0),
-           static_cast<double>(TimeLeft().count()),
-           outlook.m_calls,
-           outlook.m_waitingCalls,
-           outlook.m_slots };
-}
-
 /// Returns the Retry-After of a call to a mixed service.
 double Exchange::PredictedRetrySeconds(double aRoomInMs) {
-  const scheduling::CallClasses* classes = MixedClasses();
-  return m_node.m_admission.RetryAfterSeconds(
-    aRoomInMs,
-    static_cast<double>(TimeLeft().count()),
-    { classes->PriorityRank(m_priority), classes->PriorityCount() },
-    m_node.Random());
+  return Planner().RetryAfterSeconds(aRoomInMs, base::BootNow(), m_node.Random());
 }
 
-/// Refuses a call to a mixed service that no endpoint can answer in time. Returns whether it did.
-bool Exchange::RefuseLate() {
-  const scheduling::Prospect prospect = MakeProspect();
-  if (!m_node.m_admission.Refuses(prospect)) {
-    return false;
-  }
-  const double retryAfter = PredictedRetrySeconds(m_node.m_admission.RoomInMs(prospect));
+/// Refuses a call to a mixed service that no endpoint can answer in time.
+void Exchange::RefuseLate(const scheduling::Prospect& aProspect) {
+  const double retryAfter = PredictedRetrySeconds(m_node.m_admission.RoomInMs(aProspect));
   m_node.m_metrics.Count("refused_late");
   m_node.m_log.Event("call cannot be served in time",
                      { { "request", m_call.m_id },
                        { "route", m_route.m_name },
                        { "service", m_service.Text() },
                        { "priority", m_priority },
-                       { "expected_ms", prospect.m_expectedMs },
-                       { "left_ms", prospect.m_timeLeftMs },
-                       { "calls", prospect.m_calls },
-                       { "waiting", prospect.m_waitingCalls },
-                       { "slots", prospect.m_slots },
+                       { "expected_ms", aProspect.m_expectedMs },
+                       { "left_ms", aProspect.m_timeLeftMs },
+                       { "calls", aProspect.m_calls },
+                       { "waiting", aProspect.m_waitingCalls },
+                       { "slots", aProspect.m_slots },
                        { "retry_after_s", retryAfter } });
   RejectAfter(503, "overload", retryAfter);
-  return true;
 }
 
 /// Returns the priority of the next attempt at an engine.
 int Exchange::EnginePriority() {
-  const scheduling::CallClasses* classes = MixedClasses();
-  if (classes == nullptr || !m_node.m_ordersBySlack) {
-    return m_priority;
+  const PlannedPriority priority = Planner().EnginePriority(m_expectedDelayMs, base::BootNow());
+  if (priority.m_slackMs) {
+    m_slackMs = *priority.m_slackMs;
+    m_enginePriority = priority.m_level;
+    m_node.m_metrics.Count("engine_priority_" + std::to_string(priority.m_level));
   }
-  const auto elapsed = std::chrono::duration_cast<base::Millis>(base::BootNow() - m_arrival);
-  m_slackMs = static_cast<double>((m_route.m_latencyTarget - elapsed).count()) - m_expectedDelayMs -
-              m_node.m_engines.WorkMs(m_service, UncachedTokens(), 0);
-  m_enginePriority = classes->EnginePriority(CallClass(), m_slackMs);
-  m_node.m_metrics.Count("engine_priority_" + std::to_string(*m_enginePriority));
-  return *m_enginePriority;
+  return priority.m_level;
 }
 
 void Exchange::Start() {
-  m_service = SelectService();
+  m_service = CallPlanner::SelectService(m_route, m_node.Random());
   m_node.CreditRetryBudget(m_service);
   m_node.m_versions.CountRequest(m_service);
   if (m_call.m_promptTokens) {
-    m_node.AddRequestedWork(m_node.m_scaling.EstimateWorkMs(UncachedTokens(), 0));
+    m_node.AddRequestedWork(m_node.m_scaling.EstimateWorkMs(Planner().UncachedTokens(), 0));
   }
   m_splitter.Resume(m_call.m_lastEventId);
   m_deadlineTimer = m_node.m_loop.After(std::max(TimeLeft(), base::Millis(0)),
@@ -301,35 +205,26 @@
     RefuseQuarantined(*refusal);
     return;
   }
-  const auto& ready = m_node.m_directory.Ready();
-  const auto choice = m_node.m_placement.Choose(MakePlacementRequest(m_service), ready, now);
-  if (!choice) {
-    if (const auto answered = m_errorAttempt) {
-      Deliver(answered->m_head, answered->m_body);
-      return;
-    }
-    if (const auto outage = m_node.m_availability.FindOutage(m_service, ready, now)) {
-      EndForOutage(*outage);
-      return;
-    }
-    Reject(FinalStatus(m_possibleRuns > 0, false), "no_endpoint", 1.0);
+  const CallPlan plan = Planner().Decide(now);
+  if (plan.m_endpoint) {
+    m_expectedDelayMs = plan.m_expectedDelayMs;
+  } else if (const auto answered = m_errorAttempt) {
+    Deliver(answered->m_head, answered->m_body);
     return;
   }
-  m_expectedDelayMs =
-    m_node.m_placement.ExpectedLoadDelayMs(ready[*choice], m_call.m_promptTokens.has_value());
-  if (MixedClasses() != nullptr) {
-    if (m_attemptCount == 0 && RefuseLate()) {
-      return;
+  if (plan.m_kind == PlanKind::Late) {
+    RefuseLate(*plan.m_prospect);
+  } else if (plan.m_refusal) {
+    if (plan.m_outage) {
+      LogOutage(*plan.m_outage);
     }
-  } else if (m_attemptCount == 0 && m_expectedDelayMs > static_cast<double>(TimeLeft().count())) {
-    Reject(503, "overload", m_expectedDelayMs / 1000 / 2);
-    return;
+    Reject(*plan.m_refusal);
+  } else {
+    Send(m_node.m_directory.Ready()[*plan.m_endpoint]);
   }
-  Send(ready[*choice]);
 }
 
-/// Ends the call because every endpoint of its service leaves or has asked for a pause.
-void Exchange::EndForOutage(const fleet::ServiceOutage& aOutage) {
+void Exchange::LogOutage(const fleet::ServiceOutage& aOutage) const {
   m_node.m_log.Event("service out",
                      { { "request", m_call.m_id },
                        { "service", m_service.Text() },
@@ -338,11 +233,6 @@
                        { "waiting", aOutage.m_waiting },
                        { "first_end_ms", aOutage.m_firstEnd.count() },
                        { "possible_runs", m_possibleRuns } });
-  const bool waiting = aOutage.m_reason == fleet::Unavailability::Waiting;
-  Reject(FinalStatus(m_possibleRuns > 0, false),
-         std::string(base::NameOf(aOutage.m_reason)),
-         waiting ? kReturnSpreadSeconds : kLeavingRetrySeconds,
-         aOutage.m_firstEnd);
 }
 
 void Exchange::RefuseQuarantined(base::Millis aRemaining) {
@@ -350,7 +240,7 @@
     m_sink.m_onStreamBroken();
     Finish(0, "prompt_quarantined");
   } else {
-    Reject(FinalStatus(m_possibleRuns > 0, false), "prompt_quarantined", Seconds(aRemaining));
+    Reject(Planner().QuarantineRefusal(aRemaining));
   }
 }
 
@@ -381,8 +271,10 @@
   attempt->m_connection = std::move(pooled.m_connection);
   attempt->m_reused = pooled.m_reused;
   attempt->m_sentAt = now;
-  attempt->m_queuedTokens = UncachedTokens();
-  attempt->m_urgency = MixedClasses() != nullptr ? MixedClasses()->Urgency(CallClass()) : 0;
+  const CallPlanner planner = Planner();
+  const scheduling::CallClasses* classes = planner.MixedClasses();
+  attempt->m_queuedTokens = planner.UncachedTokens();
+  attempt->m_urgency = classes != nullptr ? classes->Urgency(planner.CallClass()) : 0;
   attempt->m_version = m_node.m_versions.CountSent(aEndpoint, now);
   m_attempt = attempt;
   ++m_attemptCount;
@@ -486,10 +378,11 @@
     m_route.m_kind,     m_route.Repeatable(),  AttemptFault::Stalled,
     m_possibleRuns + 1, m_route.m_maxAttempts, m_streamBegun && m_splitter.LastEventId().empty()
   };
+  const auto now = base::BootNow();
   return !m_callerDisconnected && MayRetry(state) && TimeLeft() > kMinAttemptTime &&
-         m_node.HasRetry(m_service) && !m_node.m_crashGuard.RefusalTime(m_call, base::BootNow()) &&
+         m_node.HasRetry(m_service) && !m_node.m_crashGuard.RefusalTime(m_call, now) &&
          m_node.m_placement
-           .Choose(MakePlacementRequest(m_service), m_node.m_directory.Ready(), base::BootNow())
+           .Choose(Planner().MakePlacementRequest(now), m_node.m_directory.Ready(), now)
            .has_value();
 }
 
@@ -741,7 +634,7 @@
     return elapsed;
   }
   const std::chrono::duration<double, std::milli> reading(
-    std::min(m_node.m_engines.WorkMs(m_service, SharedTokens(), 0), kMaxReadingMs));
+    std::min(m_node.m_engines.WorkMs(m_service, Planner().SharedTokens(), 0), kMaxReadingMs));
   return std::max(elapsed - std::chrono::duration_cast<base::TimePoint::duration>(reading),
                   base::TimePoint::duration(0));
 }
@@ -770,7 +663,7 @@
         aAttempt.m_endpoint,
         { aAttempt.m_sentAt,
           now,
-          OwnTokens(),
+          Planner().OwnTokens(),
           aAttempt.m_openCalls,
           load != loads.end() && load->second.m_pendingPromptTokens >= 1 });
     } else if (aAttempt.m_lastEvents == 1 && aCount == 1) {
@@ -977,10 +870,11 @@
   } else if (const auto answered = m_errorAttempt) {
     Deliver(answered->m_head, answered->m_body);
   } else if (aFault == AttemptFault::NotExecuted && m_possibleRuns == 0 &&
-             MixedClasses() != nullptr) {
+             Planner().MixedClasses() != nullptr) {
     // The call itself needs no room; what is pending at the best endpoint has to be worked off.
-    const double roomInMs =
-      MakeProspect().m_expectedMs - m_node.m_engines.WorkMs(m_service, UncachedTokens(), 0);
+    const CallPlanner planner = Planner();
+    const double roomInMs = planner.MakeProspect(base::BootNow()).m_expectedMs -
+                            m_node.m_engines.WorkMs(m_service, planner.UncachedTokens(), 0);
     RejectAfter(503, std::string(base::NameOf(aFault)), PredictedRetrySeconds(roomInMs));
   } else {
     Reject(FinalStatus(m_possibleRuns > 0, false), std::string(base::NameOf(aFault)), 0.3);
@@ -1116,6 +1010,11 @@
   RejectAfter(aStatus, aReason, delay);
 }
 
+void Exchange::Reject(const PlannedRefusal& aRefusal) {
+  Reject(
+    aRefusal.m_status, aRefusal.m_reason, aRefusal.m_retryAfterSeconds, aRefusal.m_minRetryAfter);
+}
+
 void Exchange::RejectAfter(int aStatus,
                            const std::string& aReason,
                            std::optional<double> aRetryAfterSeconds) {
--- a/packages/forwarding/Exchange.h
+++ b/packages/forwarding/Exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "forwarding/Call.h"
+#include "forwarding/CallPlanner.h"
 #include "forwarding/EventSplitter.h"
 #include "forwarding/NodeState.h"
 #include "forwarding/RequestBody.h"
@@ -108,30 +109,24 @@
               const std::string& aReason,
               double aRetryAfterSeconds,
               base::Millis aMinRetryAfter = base::Millis(0));
+  void Reject(const PlannedRefusal& aRefusal);
   void RejectAfter(int aStatus,
                    const std::string& aReason,
                    std::optional<double> aRetryAfterSeconds);
-  const scheduling::CallClasses* MixedClasses() const;
-  scheduling::CallClass CallClass() const;
-  scheduling::Prospect MakeProspect() const;
   double PredictedRetrySeconds(double aRoomInMs);
-  bool RefuseLate();
+  void RefuseLate(const scheduling::Prospect& aProspect);
   int EnginePriority();
-  void EndForOutage(const fleet::ServiceOutage& aOutage);
+  void LogOutage(const fleet::ServiceOutage& aOutage) const;
   void Deliver(const adapters::http1::ResponseHead& aHead, const std::string& aBody);
   void Conclude(const adapters::http1::ResponseHead& aHead,
                 std::string_view aBody,
                 const std::string& aReason);
   void Finish(int aStatus, const std::string& aReason);
   adapters::http1::ResponseHead CallerHead(const adapters::http1::ResponseHead& aHead) const;
-  placement::PlacementRequest MakePlacementRequest(const fleet::ServiceId& aService) const;
-  fleet::ServiceId SelectService();
+  CallPlanner Planner() const;
   base::Millis TimeLeft() const;
   base::Millis CallerTimeLeft() const;
   base::Millis AttemptTimeout() const;
-  double OwnTokens() const;
-  double SharedTokens() const;
-  double UncachedTokens() const;
 
   NodeState& m_node;
   const fleet::CatalogPtr m_catalog;
@@ -142,7 +137,7 @@
   const adapters::http1::RequestHead m_head;
   const RequestBodyPtr m_body;
   const base::TimePoint m_arrival;
-  base::TimePoint m_deadline;
+  const base::TimePoint m_deadline;
   AnswerSink m_sink;
 
   fleet::ServiceId m_service;
--- a/packages/quarantine/PromptQuarantine.cpp
+++ b/packages/quarantine/PromptQuarantine.cpp
@@ -129,23 +129,18 @@
   AddEvent(BanChange::Lifted, aPart, ban->second, {}, aNow);
 }
 
-std::optional<Refusal> PromptQuarantine::Check(const std::vector<std::string>& aParts,
-                                               TimePoint aNow) {
-  if (m_bans.empty()) {
-    return std::nullopt;
-  }
-  std::vector<Ban*> trials;
+std::optional<Refusal> PromptQuarantine::Peek(const std::vector<std::string>& aParts,
+                                              TimePoint aNow) const {
   for (const std::string& part : aParts) {
     const auto found = m_bans.find(part);
     if (found == m_bans.end()) {
       continue;
     }
-    Ban& ban = found->second;
+    const Ban& ban = found->second;
     TimePoint next = ban.m_until;
     if (IsOnProbation(ban, aNow)) {
       next = ban.m_lastTrial ? *ban.m_lastTrial + m_settings.m_trialInterval
                              : ban.m_until + m_trialDelay;
-      trials.push_back(&ban);
     } else if (!IsInForce(ban, aNow)) {
       continue;
     }
@@ -153,8 +148,19 @@
       return Refusal{ part, ban.m_level, Elapsed(ban.m_since, aNow), Elapsed(aNow, next) };
     }
   }
-  for (Ban* ban : trials) {
-    ban->m_lastTrial = aNow;
+  return std::nullopt;
+}
+
+std::optional<Refusal> PromptQuarantine::Check(const std::vector<std::string>& aParts,
+                                               TimePoint aNow) {
+  if (auto refusal = Peek(aParts, aNow)) {
+    return refusal;
+  }
+  for (const std::string& part : aParts) {
+    const auto found = m_bans.find(part);
+    if (found != m_bans.end() && IsOnProbation(found->second, aNow)) {
+      found->second.m_lastTrial = aNow;
+    }
   }
   return std::nullopt;
 }
--- a/packages/quarantine/PromptQuarantine.h
+++ b/packages/quarantine/PromptQuarantine.h
@@ -121,6 +121,8 @@
                      base::TimePoint aNow);
   /// Returns whether a call with `aParts` must not be sent, and starts a trial if one is due.
   std::optional<Refusal> Check(const std::vector<std::string>& aParts, base::TimePoint aNow);
+  /// Returns the same as `Check` without starting a trial.
+  std::optional<Refusal> Peek(const std::vector<std::string>& aParts, base::TimePoint aNow) const;
   /// Merges a peer's report. Returns whether it contained new evidence.
   bool Merge(const Report& aReport, base::TimePoint aNow);
   /// Returns what peers need to know.
