Metrics listener answers GET /explain

Cause: nobody could see where a call would go now, and why, without sending it.

Change: CallExplainer states the decision of CallPlanner with its inputs; ServingNode adds the age of the peers' loads. Placement::Describe returns the state of each candidate by the delay that Choose compares. QuotaLedger::Preview tells what TryTake would find and takes nothing. The refusal over quota is decided in CallPlanner, for Gateway as well.

--- a/packages/forwarding/CallPlanner.cpp
+++ b/packages/forwarding/CallPlanner.cpp
@@ -16,6 +16,8 @@
 constexpr double kNoEndpointRetrySeconds = 1.0;
 /// Mean time in seconds over which callers return after the end of an endpoint's pause.
 constexpr double kReturnSpreadSeconds = 0.2;
+/// Added to the time in seconds until a team's bucket is full enough.
+constexpr double kQuotaRetrySeconds = 0.1;
 constexpr double kMillisPerSecond = 1000;
 
 } // namespace
@@ -49,6 +51,10 @@
   return aArrival + timeout;
 }
 
+PlannedRefusal CallPlanner::QuotaRefusal(const fleet::Quota& aQuota, double aLevel) {
+  return { 429, "over_quota", -aLevel / aQuota.m_ratePerSecond + kQuotaRetrySeconds };
+}
+
 base::Millis CallPlanner::TimeLeft(base::TimePoint aNow) const {
   return std::chrono::duration_cast<base::Millis>(m_facts.m_deadline - aNow);
 }
--- a/packages/forwarding/CallPlanner.h
+++ b/packages/forwarding/CallPlanner.h
@@ -101,6 +101,9 @@
                                     const CallInfo& aCall,
                                     base::TimePoint aArrival);
 
+  /// Returns the refusal of a call of a team whose bucket is at `aLevel` and admits no call.
+  static PlannedRefusal QuotaRefusal(const fleet::Quota& aQuota, double aLevel);
+
   /// Decides on the next attempt of a call whose time is not over and whose prompt is not
   /// quarantined.
   CallPlan Decide(base::TimePoint aNow) const;
--- a/packages/forwarding/Gateway.cpp
+++ b/packages/forwarding/Gateway.cpp
@@ -221,15 +221,16 @@
     return nullptr;
   }
   if (team != nullptr && !TryTakeQuota(*team, call, aArrival)) {
-    const double deficit = -m_node.m_quota.Level(team->m_id, aArrival);
+    const double level = m_node.m_quota.Level(team->m_id, aArrival);
+    const PlannedRefusal refusal = CallPlanner::QuotaRefusal(team->m_quota, level);
     m_node.m_log.Event("quota exceeded",
                        { { "request", call.m_id },
                          { "team", team->m_id.Text() },
-                         { "level", -deficit },
+                         { "level", level },
                          { "rate", team->m_quota.m_ratePerSecond },
                          { "burst", team->m_quota.m_burst },
                          { "version", catalog->Version() } });
-    Reject(aSink, call, 429, "over_quota", deficit / team->m_quota.m_ratePerSecond + 0.1);
+    Reject(aSink, call, refusal.m_status, refusal.m_reason.c_str(), refusal.m_retryAfterSeconds);
     return nullptr;
   }
   return std::make_shared<Exchange>(m_node,
--- a/packages/placement/Placement.cpp
+++ b/packages/placement/Placement.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <functional>
 
 namespace papayafield::placement {
 
@@ -150,6 +151,14 @@
                   m_settings.m_maxAffinityDelayMs);
 }
 
+/// Returns the delay in milliseconds that endpoints are compared by.
+double Placement::ChoiceDelayMs(const PlacementRequest& aRequest,
+                                const fleet::Endpoint& aEndpoint) const {
+  const bool weighsMix = m_settings.m_weighsPromptMix && aRequest.m_mix;
+  return ExpectedStartMs(aRequest, aEndpoint) +
+         (weighsMix ? MixedDelayAt(*aRequest.m_mix, aEndpoint) : 0);
+}
+
 std::optional<size_t> Placement::Choose(const PlacementRequest& aRequest,
                                         const std::vector<fleet::Endpoint>& aEndpoints,
                                         base::TimePoint aNow) const {
@@ -158,8 +167,7 @@
   std::vector<double> delays;
   delays.reserve(candidates.size());
   for (const size_t i : candidates) {
-    delays.push_back(ExpectedStartMs(aRequest, aEndpoints[i]) +
-                     (weighsMix ? MixedDelayAt(*aRequest.m_mix, aEndpoints[i]) : 0));
+    delays.push_back(ChoiceDelayMs(aRequest, aEndpoints[i]));
   }
   const auto shortest = std::min_element(delays.begin(), delays.end());
   if (shortest == delays.end()) {
@@ -190,6 +198,39 @@
   return best;
 }
 
+std::vector<CandidateState> Placement::Describe(const PlacementRequest& aRequest,
+                                                const std::vector<fleet::Endpoint>& aEndpoints,
+                                                base::TimePoint aNow) const {
+  std::vector<CandidateState> candidates;
+  std::vector<uint64_t> ranks;
+  for (const fleet::Endpoint& endpoint : aEndpoints) {
+    if (endpoint.m_service != aRequest.m_service) {
+      continue;
+    }
+    const base::EndpointId& id = endpoint.m_incarnation.m_endpoint;
+    const auto health = m_health.find(id);
+    candidates.push_back({ endpoint,
+                           ChoiceDelayMs(aRequest, endpoint),
+                           TotalLoad(id),
+                           health == m_health.end() ? 0 : health->second.m_failureRate,
+                           IsAvoided(id, aNow),
+                           !Matches(aRequest, endpoint),
+                           0 });
+    ranks.push_back(RendezvousRank(aRequest.m_subject, id));
+  }
+  if (aRequest.m_subject.empty()) {
+    return candidates;
+  }
+  std::vector<uint64_t> sorted = ranks;
+  std::sort(sorted.begin(), sorted.end(), std::greater<>());
+  for (size_t i = 0; i < candidates.size(); ++i) {
+    const auto position =
+      std::lower_bound(sorted.begin(), sorted.end(), ranks[i], std::greater<>());
+    candidates[i].m_cacheRank = static_cast<size_t>(position - sorted.begin()) + 1;
+  }
+  return candidates;
+}
+
 void Placement::RecordCallStarted(const base::EndpointId& aEndpoint,
                                   double aPromptTokens,
                                   double aUrgency) {
--- a/packages/placement/Placement.h
+++ b/packages/placement/Placement.h
@@ -70,6 +70,21 @@
   double m_slots = 0;
 };
 
+/// What the choice among the endpoints of a service is made by, for one of them.
+struct CandidateState {
+  fleet::Endpoint m_endpoint;
+  /// Expected time to the first byte with the penalties, in milliseconds.
+  double m_expectedMs = 0;
+  Load m_load;
+  double m_failureRate = 0;
+  /// Whether it gets calls only if all others are avoided too, because of its recent failures.
+  bool m_isAvoided = false;
+  /// Whether it must not get the call.
+  bool m_isExcluded = false;
+  /// Position by rendezvous rank, from 1; 0 if the call has no shared prompt parts.
+  size_t m_cacheRank = 0;
+};
+
 struct PlacementSettings {
   /// Upper bound in milliseconds of the extra delay that is accepted to reuse the cached parts of a
   /// prompt. Below it, the delay is the time to read them again. Longer waits at one endpoint are
@@ -105,6 +120,10 @@
   Outlook OutlookFor(const PlacementRequest& aRequest,
                      const std::vector<fleet::Endpoint>& aEndpoints,
                      base::TimePoint aNow) const;
+  /// Returns the state of each endpoint of the service, in the order of `aEndpoints`.
+  std::vector<CandidateState> Describe(const PlacementRequest& aRequest,
+                                       const std::vector<fleet::Endpoint>& aEndpoints,
+                                       base::TimePoint aNow) const;
   /// Returns the expected delay in milliseconds without the penalty for failures.
   double ExpectedLoadDelayMs(const fleet::Endpoint& aEndpoint, bool aIsEngine) const;
 
@@ -151,6 +170,7 @@
   const engines::EngineModel& Model() const { return m_model != nullptr ? *m_model : m_priors; }
   double FailurePenaltyMs(const base::EndpointId& aEndpoint) const;
   double ExpectedStartMs(const PlacementRequest& aRequest, const fleet::Endpoint& aEndpoint) const;
+  double ChoiceDelayMs(const PlacementRequest& aRequest, const fleet::Endpoint& aEndpoint) const;
   double AffinityDelayMs(const PlacementRequest& aRequest,
                          const fleet::Endpoint& aAlternative) const;
 
--- a/packages/quota/QuotaLedger.cpp
+++ b/packages/quota/QuotaLedger.cpp
@@ -181,6 +181,28 @@
   aBucket.m_refilledAt = std::max(aBucket.m_refilledAt, aNow);
 }
 
+bool QuotaLedger::IsLow(const base::TeamId& aTeam, const Bucket& aBucket) const {
+  return aBucket.m_level <= std::max(PlannedCapacity(aBucket.m_quota) * kLowLevelFraction,
+                                     PeerGrantRate(aTeam) * m_gossipAgeSeconds);
+}
+
+/// Returns whether a refilled bucket admits a call.
+bool QuotaLedger::MayGrant(const base::TeamId& aTeam, const Bucket& aBucket) const {
+  return !IsLow(aTeam, aBucket) ||
+         (aBucket.m_localLevel > 0 &&
+          aBucket.m_level > -PlannedRate(aBucket.m_quota) * kMaxLowOverdraftSeconds);
+}
+
+QuotaLedger::Forecast QuotaLedger::Preview(const base::TeamId& aTeam, base::TimePoint aNow) const {
+  const auto found = m_buckets.find(aTeam);
+  if (found == m_buckets.end() || found->second.m_quota.m_ratePerSecond <= 0) {
+    return {};
+  }
+  Bucket bucket = found->second;
+  Refill(aTeam, bucket, aNow);
+  return { MayGrant(aTeam, bucket), bucket.m_level };
+}
+
 bool QuotaLedger::TryTake(const base::TeamId& aTeam, double aUnits, base::TimePoint aNow) {
   m_requested[aTeam] += aUnits;
   const auto found = m_buckets.find(aTeam);
@@ -190,13 +212,10 @@
   }
   Bucket& bucket = found->second;
   Refill(aTeam, bucket, aNow);
-  const double lowLevel = std::max(PlannedCapacity(bucket.m_quota) * kLowLevelFraction,
-                                   PeerGrantRate(aTeam) * m_gossipAgeSeconds);
-  if (bucket.m_level <= lowLevel) {
-    if (bucket.m_localLevel <= 0 ||
-        bucket.m_level <= -PlannedRate(bucket.m_quota) * kMaxLowOverdraftSeconds) {
-      return false;
-    }
+  if (!MayGrant(aTeam, bucket)) {
+    return false;
+  }
+  if (IsLow(aTeam, bucket)) {
     bucket.m_localLevel -= aUnits;
   }
   bucket.m_level -= aUnits;
--- a/packages/quota/QuotaLedger.h
+++ b/packages/quota/QuotaLedger.h
@@ -41,6 +41,13 @@
     Totals m_levels;
   };
 
+  /// What `TryTake` would find.
+  struct Forecast {
+    bool m_admits = true;
+    /// Units left in the bucket; negative if it is overdrawn.
+    double m_level = 0;
+  };
+
   explicit QuotaLedger(QuotaTolerance aTolerance)
     : m_tolerance(aTolerance) {}
 
@@ -55,6 +62,8 @@
   /// Takes `aUnits` from the team's bucket. Returns false if the team is over its quota. Always
   /// returns true for a team without a quota.
   bool TryTake(const base::TeamId& aTeam, double aUnits, base::TimePoint aNow);
+  /// Returns whether `TryTake` would succeed, without taking anything.
+  Forecast Preview(const base::TeamId& aTeam, base::TimePoint aNow) const;
   /// Updates this node's demand rates and returns its view, which is sent to the other nodes.
   View UpdateLocalView(base::TimePoint aNow);
   /// Merges the view of another node.
@@ -111,6 +120,8 @@
   double PlannedCapacity(const fleet::Quota& aQuota) const;
   double DemandShare(const base::TeamId& aTeam) const;
   double PeerGrantRate(const base::TeamId& aTeam) const;
+  bool IsLow(const base::TeamId& aTeam, const Bucket& aBucket) const;
+  bool MayGrant(const base::TeamId& aTeam, const Bucket& aBucket) const;
   void Refill(const base::TeamId& aTeam, Bucket& aBucket, base::TimePoint aNow) const;
   void AdoptLevels(const Totals& aLevels, base::TimePoint aNow);
   void SubtractPeerGrant(const base::TeamId& aTeam, double aUnits);
--- a/packages/quota/tests/QuotaLedgerTest.cpp
+++ b/packages/quota/tests/QuotaLedgerTest.cpp
@@ -320,4 +320,31 @@
   }
 }
 
+// A preview must tell what the next call gets, in full and low buckets, and must take nothing.
+BOOST_AUTO_TEST_CASE(PreviewForetellsTheNextCallAndTakesNothing) {
+  base::TimePoint now{ std::chrono::hours(1) };
+  QuotaLedger ledger({ 0, 0 });
+  ledger.Configure(OneTeam(), now);
+  ledger.SetFleetSize(1, 1, 1, 0.25, now);
+  std::mt19937_64 random(1);
+  int granted = 0;
+  int refused = 0;
+  for (int call = 0; call < 5000; ++call) {
+    now += base::Millis(random() % 20);
+    const auto forecast = ledger.Preview(kTeam, now);
+    BOOST_REQUIRE(ledger.Preview(kTeam, now).m_admits == forecast.m_admits);
+    BOOST_REQUIRE(ledger.Level(kTeam, now) == forecast.m_level);
+    const bool admitted = ledger.TryTake(kTeam, kUnitsPerCall, now);
+    BOOST_REQUIRE(admitted == forecast.m_admits);
+    granted += admitted ? 1 : 0;
+    refused += admitted ? 0 : 1;
+    if (call % 25 == 0) {
+      ledger.UpdateLocalView(now);
+    }
+  }
+  BOOST_TEST(granted > 0);
+  BOOST_TEST(refused > 0);
+  BOOST_TEST(ledger.Preview(base::TeamId("free"), now).m_admits);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -4,6 +4,7 @@
 #include "duties/DemandMeter.h"
 #include "duties/LeaderElection.h"
 #include "duties/UsageReporter.h"
+#include "forwarding/CallExplainer.h"
 #include "forwarding/Gateway.h"
 #include "gossip/PeerTable.h"
 #include "serving/EntryChoice.h"
@@ -195,6 +196,18 @@
     return m_state.m_metrics.Page();
   }
 
+  /// Answers `GET /explain` with the target `aTarget`. Does not change the state of the node.
+  forwarding::ExplainResponse Explain(const std::string& aTarget) const {
+    const auto now = base::BootNow();
+    std::vector<base::Millis> ages;
+    for (const auto& [node, peer] : m_peerTable.All()) {
+      if (peer.m_lastHeartbeat) {
+        ages.push_back(std::chrono::duration_cast<base::Millis>(now - *peer.m_lastHeartbeat));
+      }
+    }
+    return forwarding::CallExplainer(m_state, std::move(ages)).Explain(aTarget, now);
+  }
+
 private:
   static constexpr double kMillisPerSecond = 1000;
   /// Interval of heartbeats and other periodic work.
