papayafieldctl explain

Cause: GET /explain needs a command that operators can read.

Change: papayafieldctl explain asks the metrics listener of one node and prints text or JSON.

--- a/apps/papayafieldctl/Commands.cpp
+++ b/apps/papayafieldctl/Commands.cpp
@@ -1,6 +1,7 @@
 #include "papayafieldctl/Commands.h"
 
 #include "manifest/Manifest.h"
+#include "papayafieldctl/Explanation.h"
 
 #include <algorithm>
 #include <chrono>
@@ -18,6 +19,7 @@
 namespace {
 
 constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
 constexpr int kConflict = 409;
 constexpr int kUnprocessable = 422;
 constexpr base::Millis kStatusPollInterval{ 100 };
@@ -292,6 +294,30 @@
   return ExitCode::Done;
 }
 
+ExitCode Explain(const Options& aOptions, const NodeClient& aClient) {
+  if (aOptions.m_nodes.size() != 1 || aOptions.m_callHost.empty() || aOptions.m_callPath.empty()) {
+    std::fputs("papayafieldctl: explain requires exactly one --node, --host and --path\n", stderr);
+    return ExitCode::Usage;
+  }
+  const auto response = aClient.CallAnyNode("GET", ExplainTarget(aOptions), "");
+  if (!response) {
+    return ReportUnreachable();
+  }
+  if (response->m_status == kBadRequest) {
+    std::fprintf(stderr,
+                 "papayafieldctl: invalid --%s\n",
+                 base::ValueOr(response->m_body, "parameter", std::string()).c_str());
+    return ExitCode::Usage;
+  }
+  if (response->m_status != kOk || !response->m_body.is_object()) {
+    return ReportErrorStatus(*response);
+  }
+  const std::string text =
+    aOptions.m_json ? base::DumpJson(response->m_body) + "\n" : ExplanationText(response->m_body);
+  std::fputs(text.c_str(), stdout);
+  return ExitCode::Done;
+}
+
 ExitCode Drain(const Options& aOptions, const NodeClient& aClient) {
   if (aOptions.m_nodes.size() != 1) {
     std::fputs("papayafieldctl: drain requires exactly one --node\n", stderr);
--- a/apps/papayafieldctl/Commands.h
+++ b/apps/papayafieldctl/Commands.h
@@ -17,6 +17,8 @@
 ExitCode ShowManifest(const Options& aOptions, const NodeClient& aClient);
 /// Prints the merged timeline of all nodes.
 ExitCode Timeline(const Options& aOptions, const NodeClient& aClient);
+/// Prints where a node would send a call now, and why.
+ExitCode Explain(const Options& aOptions, const NodeClient& aClient);
 /// Asks one node to drain.
 ExitCode Drain(const Options& aOptions, const NodeClient& aClient);
 
--- a/apps/papayafieldctl/Options.cpp
+++ b/apps/papayafieldctl/Options.cpp
@@ -22,6 +22,7 @@
   "  manifest        print the active manifest\n"
   "  timeline        print the events of all nodes in causal order\n"
   "  drain           ask the node given by --node to drain and stop\n"
+  "  explain         show where a call would go now, and why, without sending it\n"
   "  version         print the version\n"
   "\n"
   "Options:\n"
@@ -36,8 +37,16 @@
   "  -t, --within N        drain: the host stops in N seconds; open requests are handed over\n"
   "  -r, --request ID      timeline: only the events of this request\n"
   "  -e, --subject NAME    timeline: only the events about this endpoint or generation\n"
+  "  -H, --host H          explain: the host name of the call\n"
+  "  -p, --path P          explain: the path of the call\n"
+  "  -m, --method M        explain: the method of the call\n"
+  "  -T, --team T          explain: the identifier of the team\n"
+  "  -P, --parts LIST      explain: the prompt parts, as NAME:TOKENS,NAME:TOKENS\n"
+  "  -o, --tokens IN,OUT   explain: the tokens of the prompt and of the output\n"
   "  -h, --help            print this help\n"
   "\n"
+  "explain takes the address of the node's metrics listener as --node.\n"
+  "\n"
   "Exit codes: 0 done, 1 failed, 2 wrong usage, 3 the manifest has findings, 4 conflict with\n"
   "another change, 5 unknown (retry with the same --apply-id), 6 no node could be reached.\n";
 
@@ -62,6 +71,12 @@
                                      { "within", required_argument, nullptr, 't' },
                                      { "request", required_argument, nullptr, 'r' },
                                      { "subject", required_argument, nullptr, 'e' },
+                                     { "host", required_argument, nullptr, 'H' },
+                                     { "path", required_argument, nullptr, 'p' },
+                                     { "method", required_argument, nullptr, 'm' },
+                                     { "team", required_argument, nullptr, 'T' },
+                                     { "parts", required_argument, nullptr, 'P' },
+                                     { "tokens", required_argument, nullptr, 'o' },
                                      { "help", no_argument, nullptr, 'h' },
                                      { nullptr, 0, nullptr, 0 } };
   const char* key = std::getenv("PAPAYAFIELD_KEY");
@@ -69,7 +84,8 @@
   const char* user = std::getenv("USER");
   aOptions.m_setBy = user == nullptr ? "operator" : user;
   for (int flag = 0;
-       (flag = getopt_long(aCount, aValues, "n:k:jws:b:i:u:t:r:e:h", kOptions, nullptr)) != -1;) {
+       (flag = getopt_long(
+          aCount, aValues, "n:k:jws:b:i:u:t:r:e:H:p:m:T:P:o:h", kOptions, nullptr)) != -1;) {
     switch (flag) {
       case 'n':
         aOptions.m_nodes.push_back(base::Address::Parse(optarg));
@@ -108,6 +124,24 @@
       case 'e':
         aOptions.m_subjectFilter = optarg;
         break;
+      case 'H':
+        aOptions.m_callHost = optarg;
+        break;
+      case 'p':
+        aOptions.m_callPath = optarg;
+        break;
+      case 'm':
+        aOptions.m_callMethod = optarg;
+        break;
+      case 'T':
+        aOptions.m_callTeam = optarg;
+        break;
+      case 'P':
+        aOptions.m_callParts = optarg;
+        break;
+      case 'o':
+        aOptions.m_callTokens = optarg;
+        break;
       case 'h':
         std::fputs(kHelp, stdout);
         return ExitCode::Done;
--- a/apps/papayafieldctl/Options.h
+++ b/apps/papayafieldctl/Options.h
@@ -21,7 +21,7 @@
 
 /// The parsed command line.
 struct Options {
-  /// validate, apply, status, manifest, timeline, drain or version.
+  /// validate, apply, status, manifest, timeline, drain, explain or version.
   std::string m_command;
   /// The file given after the command; empty if there is none.
   std::string m_file;
@@ -46,6 +46,13 @@
   /// Filters of the timeline; empty means no filter.
   std::string m_requestFilter;
   std::string m_subjectFilter;
+  /// The call to explain; empty members are left out of the query.
+  std::string m_callHost;
+  std::string m_callPath;
+  std::string m_callMethod;
+  std::string m_callTeam;
+  std::string m_callParts;
+  std::string m_callTokens;
 };
 
 /// Parses the command line. Returns an exit code if the program must exit immediately.
--- a/apps/papayafieldctl/main.cpp
+++ b/apps/papayafieldctl/main.cpp
@@ -30,6 +30,9 @@
   if (aOptions.m_command == "drain") {
     return Drain(aOptions, client);
   }
+  if (aOptions.m_command == "explain") {
+    return Explain(aOptions, client);
+  }
   if (aOptions.m_command == "version") {
     std::puts("papayafieldctl " PAPAYAFIELD_VERSION);
     return ExitCode::Done;
--- a/tests/harness/PlatformFleet.cpp
+++ b/tests/harness/PlatformFleet.cpp
@@ -284,9 +284,12 @@
   return ReadinessStatus(aIndex) == 200;
 }
 
+base::Address PlatformFleet::MetricsAddress(size_t aIndex) const {
+  return { HostOf(aIndex), static_cast<uint16_t>(m_port + MetricsPort) };
+}
+
 double PlatformFleet::ReadMetric(size_t aIndex, const std::string& aName) const {
-  const base::Address metrics{ HostOf(aIndex), static_cast<uint16_t>(m_port + MetricsPort) };
-  const std::string page = Call(metrics, "GET", "/metrics").m_body;
+  const std::string page = Call(MetricsAddress(aIndex), "GET", "/metrics").m_body;
   const std::string label = "papayafield_values{value=\"" + aName + "\"} ";
   const size_t at = page.find(label);
   return at == std::string::npos ? -1 : std::atof(page.c_str() + at + label.size());
--- a/tests/harness/PlatformFleet.h
+++ b/tests/harness/PlatformFleet.h
@@ -103,6 +103,8 @@
   std::vector<std::string> EntryAddresses(size_t aIndex) const;
   /// Whether the readiness check of node `aIndex` succeeds.
   bool IsReady(size_t aIndex) const;
+  /// Returns the address of the metrics listener of node `aIndex`.
+  base::Address MetricsAddress(size_t aIndex) const;
   /// Returns a value from the metrics page of node `aIndex`; -1 if it is missing.
   double ReadMetric(size_t aIndex, const std::string& aName) const;
   /// Returns the executions of the call `aId` that the runners recorded.
