--- a/packages/forwarding/NodeState.cpp
+++ b/packages/forwarding/NodeState.cpp
@@ -53,6 +53,13 @@
   return found == m_mixedServices.end() ? nullptr : &found->second;
 }
 
+std::optional<scheduling::EnginePreference> NodeState::PreferenceOf(
+  const fleet::ServiceId& aService,
+  const scheduling::CallClass& aClass) const {
+  const auto found = m_splits.find(aService);
+  return found == m_splits.end() ? std::nullopt : found->second.PreferenceOf(aClass);
+}
+
 scheduling::PromptSplit& NodeState::SplitOf(const fleet::ServiceId& aService) {
   return m_splits.try_emplace(aService, scheduling::PromptSplitSettings{}).first->second;
 }
--- a/packages/forwarding/NodeState.h
+++ b/packages/forwarding/NodeState.h
@@ -62,6 +62,11 @@
   /// Returns the classes of calls that share the engines of `aService`; null if its calls do not
   /// differ. Valid until the next configuration is applied.
   const scheduling::CallClasses* MixedClasses(const fleet::ServiceId& aService) const;
+  /// Returns the engines of the mixed service `aService` that calls of `aClass` prefer; nullopt if
+  /// they have no preference.
+  std::optional<scheduling::EnginePreference> PreferenceOf(
+    const fleet::ServiceId& aService,
+    const scheduling::CallClass& aClass) const;
   /// Returns the division of the engines of the mixed service `aService`.
   scheduling::PromptSplit& SplitOf(const fleet::ServiceId& aService);
   /// Sets the number of nodes that share the fleet's retry budgets; at least one is assumed.
