Placement: large fleets draw the endpoint of calls without shared prompt parts

Cause: nodes that know each other's loads a heartbeat late all choose the endpoint of shortest expected delay and overload it (docs/design/heavy-load-decisions.md, part D).

Change: with more than 16 nodes in the working set, a call without a subject goes to the better one of two endpoints that are drawn with weights by their speed and penalties. Calls with shared prompt parts and small fleets choose as before.

The test programs of placement, forwarding and serving pass; fleets of real processes were not run.

--- a/packages/placement/Placement.cpp
+++ b/packages/placement/Placement.cpp
@@ -23,6 +23,15 @@
   return XXH3_64bits(text.data(), text.size());
 }
 
+/// Expected delays below this have the same weight in a draw, in milliseconds.
+constexpr double kMinDrawDelayMs = 1;
+
+std::array<double, 2> NextDraws(std::mt19937_64& aRandom) {
+  std::uniform_real_distribution<double> uniform(0, 1);
+  const double first = uniform(aRandom);
+  return { first, uniform(aRandom) };
+}
+
 double SlotsOf(const scheduling::CallNeeds& aNeeds, const fleet::Endpoint& aEndpoint) {
   return aEndpoint.m_slots > 0 ? aEndpoint.m_slots : aNeeds.m_slots;
 }
@@ -37,6 +46,14 @@
   return *this;
 }
 
+Placement::Placement(PlacementSettings aSettings,
+                     const engines::EngineModel* aModel,
+                     uint64_t aSeed)
+  : m_settings(aSettings)
+  , m_model(aModel)
+  , m_random(aSeed)
+  , m_draws(NextDraws(m_random)) {}
+
 bool Placement::Matches(const PlacementRequest& aRequest, const fleet::Endpoint& aEndpoint) const {
   return aEndpoint.m_service == aRequest.m_service &&
          !aRequest.m_tried.contains(aEndpoint.m_incarnation.m_endpoint) &&
@@ -150,6 +167,30 @@
                   m_settings.m_maxAffinityDelayMs);
 }
 
+/// The weight of an endpoint is the inverse of its expected delay without load. It thus follows the
+/// endpoint's speed, whatever the peers' loads are, and is small where there are penalties.
+size_t Placement::DrawCandidate(const PlacementRequest& aRequest,
+                                const std::vector<fleet::Endpoint>& aEndpoints,
+                                const std::vector<size_t>& aCandidates,
+                                const std::vector<double>& aDelays) const {
+  std::vector<double> sums;
+  sums.reserve(aCandidates.size());
+  double sum = 0;
+  for (size_t index = 0; index < aCandidates.size(); ++index) {
+    const double loadDelay =
+      ExpectedLoadDelayMs(aEndpoints[aCandidates[index]], aRequest.m_promptTokens > 0);
+    sum += 1 / std::max(aDelays[index] - loadDelay, kMinDrawDelayMs);
+    sums.push_back(sum);
+  }
+  const auto indexOf = [&](double aDraw) {
+    const auto drawn = std::upper_bound(sums.begin(), sums.end(), aDraw * sum);
+    return std::min(static_cast<size_t>(drawn - sums.begin()), sums.size() - 1);
+  };
+  const size_t first = indexOf(m_draws[0]);
+  const size_t second = indexOf(m_draws[1]);
+  return aDelays[second] < aDelays[first] ? second : first;
+}
+
 std::optional<size_t> Placement::Choose(const PlacementRequest& aRequest,
                                         const std::vector<fleet::Endpoint>& aEndpoints,
                                         base::TimePoint aNow) const {
@@ -167,7 +208,9 @@
   }
   const size_t fastest = candidates[static_cast<size_t>(shortest - delays.begin())];
   if (aRequest.m_subject.empty()) {
-    return fastest;
+    return m_nodeCount > m_settings.m_maxNodesWithoutDraw
+             ? candidates[DrawCandidate(aRequest, aEndpoints, candidates, delays)]
+             : fastest;
   }
   // Choose the endpoint of highest rendezvous rank whose delay is close to the shortest delay. A
   // hot subject thus overflows to few endpoints, which then cache its shared prompt parts too.
@@ -193,6 +236,7 @@
 void Placement::RecordCallStarted(const base::EndpointId& aEndpoint,
                                   double aPromptTokens,
                                   double aUrgency) {
+  m_draws = NextDraws(m_random);
   m_localLoad[aEndpoint] += { 1, aPromptTokens, aUrgency, aPromptTokens * aUrgency };
 }
 
--- a/packages/placement/Placement.h
+++ b/packages/placement/Placement.h
@@ -1,13 +1,16 @@
 #pragma once
 
+#include "base/Digest.h"
 #include "base/Time.h"
 #include "engines/EngineModel.h"
 #include "fleet/EndpointDirectory.h"
 #include "scheduling/PromptMix.h"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -79,21 +82,32 @@
   /// from waiting for a few cached tokens. Off, because days of whole fleets were served worse with
   /// it: more prompts were read again (docs/POLICY.md).
   bool m_weighsPromptMix = false;
+  /// Up to this number of nodes that serve callers, all calls go to the endpoint of shortest
+  /// expected delay. With more nodes, calls that share no prompt parts are spread by draws: nodes
+  /// that know each other's loads a heartbeat late would all choose the same endpoint
+  /// (docs/design/herding.md).
+  size_t m_maxNodesWithoutDraw = 16;
 };
 
 /// Chooses an endpoint for each call by the expected time to its first byte, so that endpoints get
 /// work in proportion to their speed. Calls with the same subject go to the same
 /// endpoint as long as it is not much busier than the others; all nodes choose the same one by
-/// rendezvous hashing, without communication. The load per subject may be uneven. Not thread safe.
+/// rendezvous hashing, without communication. The load per subject may be uneven. In large fleets,
+/// a call without a subject goes to the better one of two endpoints that are drawn for it. Not
+/// thread safe.
 class Placement {
 public:
   /// `aModel` tells the speed of the endpoints; it must outlive the object. Without one, the priors
-  /// of the model are used.
-  explicit Placement(PlacementSettings aSettings, const engines::EngineModel* aModel = nullptr)
-    : m_settings(aSettings)
-    , m_model(aModel) {}
+  /// of the model are used. `aSeed` is the seed of the draws.
+  explicit Placement(PlacementSettings aSettings,
+                     const engines::EngineModel* aModel = nullptr,
+                     uint64_t aSeed = base::RandomSeed());
 
-  /// Returns the index into `aEndpoints` of the best choice, or nullopt if none may be used.
+  /// Sets the number of nodes that serve callers, including this one. 1 until it is called.
+  void SetNodeCount(size_t aCount) { m_nodeCount = aCount; }
+
+  /// Returns the index into `aEndpoints` of the best choice, or nullopt if none may be used. The
+  /// result stays the same until a call, an outcome or a load of peers is recorded.
   std::optional<size_t> Choose(const PlacementRequest& aRequest,
                                const std::vector<fleet::Endpoint>& aEndpoints,
                                base::TimePoint aNow) const;
@@ -149,6 +163,13 @@
                                  base::TimePoint aNow) const;
 
   const engines::EngineModel& Model() const { return m_model != nullptr ? *m_model : m_priors; }
+  /// Draws two of `aCandidates`, fast ones more often, and returns the index of the one of shorter
+  /// expected delay. `aDelays` are the expected delays with all penalties, in the order of
+  /// `aCandidates`, which is not empty.
+  size_t DrawCandidate(const PlacementRequest& aRequest,
+                       const std::vector<fleet::Endpoint>& aEndpoints,
+                       const std::vector<size_t>& aCandidates,
+                       const std::vector<double>& aDelays) const;
   double FailurePenaltyMs(const base::EndpointId& aEndpoint) const;
   double ExpectedStartMs(const PlacementRequest& aRequest, const fleet::Endpoint& aEndpoint) const;
   double AffinityDelayMs(const PlacementRequest& aRequest,
@@ -158,6 +179,11 @@
   scheduling::PromptMixSettings m_mixSettings;
   const engines::EngineModel* m_model = nullptr;
   engines::EngineModel m_priors{ engines::EngineModelSettings{} };
+  size_t m_nodeCount = 1;
+  std::mt19937_64 m_random;
+  /// Random numbers in [0, 1) for the next call, replaced when a call is sent. Choose thus changes
+  /// nothing, and a caller may ask for the choice before the call is sent.
+  std::array<double, 2> m_draws;
   std::map<base::EndpointId, Load> m_localLoad;
   std::map<std::string, std::map<base::EndpointId, Load>> m_peerLoads;
   std::map<base::EndpointId, Load> m_totalPeerLoad;
--- a/packages/placement/tests/PlacementTest.cpp
+++ b/packages/placement/tests/PlacementTest.cpp
@@ -300,4 +300,60 @@
   BOOST_TEST(longestMs < 250);
 }
 
+// Calls with shared prompt parts must not be spread in large fleets: their parts would be read
+// again at each endpoint.
+BOOST_AUTO_TEST_CASE(CallsWithASubjectAreNotDrawn) {
+  const auto endpoints = Engines(9);
+  const Placement small{ PlacementSettings{} };
+  Placement large{ PlacementSettings{}, nullptr, 1 };
+  large.SetNodeCount(300);
+  for (int subject = 0; subject < 100; ++subject) {
+    const PlacementRequest request = MakeRequest(std::to_string(subject));
+    large.RecordCallStarted(base::EndpointId("unrelated"), 0);
+    BOOST_TEST((large.Choose(request, endpoints, kNow) == small.Choose(request, endpoints, kNow)));
+  }
+}
+
+// Nodes that all choose the endpoint of shortest delay overload it. The choice is repeatable with a
+// seed, and asking for it twice does not change it.
+BOOST_AUTO_TEST_CASE(LargeFleetsDrawRepeatably) {
+  const auto endpoints = Engines(9);
+  const PlacementRequest request = MakeRequest("");
+  Placement first{ PlacementSettings{}, nullptr, 7 };
+  Placement second{ PlacementSettings{}, nullptr, 7 };
+  first.SetNodeCount(17);
+  second.SetNodeCount(17);
+  std::set<size_t> choices;
+  for (int call = 0; call < 200; ++call) {
+    const auto choice = first.Choose(request, endpoints, kNow);
+    BOOST_TEST((choice == first.Choose(request, endpoints, kNow)));
+    BOOST_TEST((choice == second.Choose(request, endpoints, kNow)));
+    choices.insert(*choice);
+    first.RecordCallStarted(base::EndpointId("unrelated"), 0);
+    second.RecordCallStarted(base::EndpointId("unrelated"), 0);
+  }
+  BOOST_TEST(choices.size() == endpoints.size());
+  first.SetNodeCount(16);
+  BOOST_TEST(*first.Choose(request, endpoints, kNow) == 0U);
+}
+
+// A draw must not send many calls to an endpoint that has just failed or is excluded.
+BOOST_AUTO_TEST_CASE(DrawsSpareFailingEndpoints) {
+  const auto endpoints = Engines(4);
+  PlacementRequest request = MakeRequest("");
+  request.m_tried.insert(base::EndpointId("e1"));
+  Placement placement{ PlacementSettings{}, nullptr, 3 };
+  placement.SetNodeCount(80);
+  placement.RecordOutcome(base::EndpointId("e0"), false, kNow);
+  placement.Avoid(base::EndpointId("e2"), kNow + base::Millis(1));
+  std::map<size_t, int> calls;
+  for (int call = 0; call < 1000; ++call) {
+    ++calls[*placement.Choose(request, endpoints, kNow)];
+    placement.RecordCallStarted(base::EndpointId("unrelated"), 0);
+  }
+  // Weights are 1 / 253 ms and 1 / 53 ms, and both draws have to hit the failed endpoint: 30 calls.
+  BOOST_TEST(calls[0] < 60);
+  BOOST_TEST(calls[0] + calls[3] == 1000);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -590,6 +590,7 @@
     const size_t sharing = isWorking && IsLargeFleet() ? workingSet.size() : 0;
     LogWorkingSet(isWorking, workingSet.size());
     m_state.SetNodeCount(sharing > 0 ? sharing : m_peerTable.KnownCount());
+    m_state.m_placement.SetNodeCount(workingSet.size());
     UpdateQuotaShares(sharing, now);
     m_fleetSizeKnown = true;
     m_peerTable.SetHeartbeatInterval(kTickInterval *
