--- a/packages/forwarding/CallExplainer.cpp
+++ b/packages/forwarding/CallExplainer.cpp
@@ -125,17 +125,12 @@
                               0,
                               false });
   const CallPlan plan = planner.Preview(aNow);
-  json body = { { "route", aRoute.m_name },
-                { "service", service.Text() },
-                { "backends", json::array() },
-                { "outcome", OutcomeOf(plan.m_kind) },
-                { "endpoint", nullptr },
-                { "refusal", nullptr },
-                { "admission", nullptr },
-                { "quota", nullptr },
-                { "peer_loads", DescribePeerLoads() },
-                { "engine_priority", nullptr },
-                { "slack_ms", nullptr } };
+  json body = { { "route", aRoute.m_name },     { "service", service.Text() },
+                { "backends", json::array() },  { "outcome", OutcomeOf(plan.m_kind) },
+                { "endpoint", nullptr },        { "queue_delay_ms", nullptr },
+                { "refusal", nullptr },         { "admission", nullptr },
+                { "quota", nullptr },           { "peer_loads", DescribePeerLoads() },
+                { "engine_priority", nullptr }, { "slack_ms", nullptr } };
   for (const fleet::Backend& backend : aRoute.m_backends) {
     body["backends"].push_back(
       { { "service", backend.m_service.Text() }, { "weight", backend.m_weight } });
@@ -176,6 +171,7 @@
         aTeam->m_quota, m_node.m_quota.Preview(aTeam->m_id, aNow).m_level);
       body["outcome"] = "quota";
       body["endpoint"] = nullptr;
+      body["queue_delay_ms"] = nullptr;
       body["refusal"] = DescribeRefusal(refusal, refusal.m_retryAfterSeconds);
     }
   }
--- a/tests/integration/ExplainTest.cpp
+++ b/tests/integration/ExplainTest.cpp
@@ -34,7 +34,7 @@
   const base::Address metrics = fleet.MetricsAddress(0);
   const std::string query = "/explain?host=h.example&path=/stream/a&method=POST&team=team-1"
                             "&parts=system:400,own:100&tokens=500,10";
-  const double answersBefore = fleet.ReadMetric(0, "attempts_open");
+  const double openBefore = fleet.ReadMetric(0, "attempts_open");
   json body;
   for (int i = 0; i < 20; ++i) {
     const CallerAnswer answer = Call(metrics, "GET", query);
@@ -47,7 +47,7 @@
   BOOST_TEST(body["quota"]["admits"] == true);
   BOOST_TEST(body["peer_loads"]["peers"] == 1);
   BOOST_TEST(body.dump().find("key-1") == std::string::npos);
-  BOOST_TEST(fleet.ReadMetric(0, "attempts_open") == answersBefore);
+  BOOST_TEST(fleet.ReadMetric(0, "attempts_open") == openBefore);
 
   adapters::http::Headers headers;
   for (const auto& field :
