papayafieldctl test: reserve the argument list

Cause: clang-tidy reported performance-inefficient-vector-operation.

Result: papayafieldctl_tests (4 cases) pass; clang-tidy reports nothing else for the changed sources.

--- a/apps/papayafieldctl/tests/ExplanationTest.cpp
+++ b/apps/papayafieldctl/tests/ExplanationTest.cpp
@@ -12,6 +12,7 @@
 std::optional<ExitCode> Parse(std::vector<std::string> aArguments, Options& aOptions) {
   aArguments.insert(aArguments.begin(), "papayafieldctl");
   std::vector<char*> values;
+  values.reserve(aArguments.size() + 1);
   for (std::string& argument : aArguments) {
     values.push_back(argument.data());
   }
