Rollout: end grants within the rollback time without a verdict

rollback_ms was read, but only the judge's verdict ended the grants of a bad version. RollbackTimer counts the target's bad answers over all nodes (failures, each broken call of a crash, answers much slower than those of the old version). A leader that takes over does not know the age of bad answers and takes the time as over.

Heartbeats carry the broken calls of a crash in a new field, since the verdict counts a crash as one failure.

--- a/packages/adapters/peer/GossipCodec.cpp
+++ b/packages/adapters/peer/GossipCodec.cpp
@@ -84,6 +84,7 @@
 void WriteAnswers(wire::NewsAnswers::Builder aTo, const rollout::AnswerCounts& aCounts) {
   aTo.setAnswers(aCounts.m_answers);
   aTo.setFailures(aCounts.m_failures);
+  aTo.setRepeatedLosses(aCounts.m_repeatedLosses);
   unsigned size = rollout::kTimeBuckets;
   while (size > 0 && aCounts.m_times[size - 1] == 0) {
     --size;
@@ -98,6 +99,7 @@
   rollout::AnswerCounts counts;
   counts.m_answers = aFrom.getAnswers();
   counts.m_failures = aFrom.getFailures();
+  counts.m_repeatedLosses = aFrom.getRepeatedLosses();
   const auto times = aFrom.getTimes();
   for (unsigned i = 0; i < times.size() && i < rollout::kTimeBuckets; ++i) {
     counts.m_times[i] = times[i];
--- a/packages/adapters/peer/news.capnp
+++ b/packages/adapters/peer/news.capnp
@@ -36,6 +36,8 @@
   answers @0 :UInt64;
   failures @1 :UInt64;
   times @2 :List(UInt32);
+  # Broken calls of a crash that is counted as one failure.
+  repeatedLosses @3 :UInt64;
 }
 
 struct NewsVersionRoute {
--- a/packages/adapters/peer/news.capnp.h
+++ b/packages/adapters/peer/news.capnp.h
@@ -106,7 +106,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e36857530e0f6f2f, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(e36857530e0f6f2f, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -632,6 +632,8 @@
   inline bool hasTimes() const;
   inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getTimes() const;
 
+  inline  ::uint64_t getRepeatedLosses() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -674,6 +676,9 @@
   inline void adoptTimes(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownTimes();
 
+  inline  ::uint64_t getRepeatedLosses();
+  inline void setRepeatedLosses( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1974,6 +1979,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t NewsAnswers::Reader::getRepeatedLosses() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NewsAnswers::Builder::getRepeatedLosses() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void NewsAnswers::Builder::setRepeatedLosses( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool NewsVersionRoute::Reader::hasRoute() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/adapters/peer/tests/GossipCodecTest.cpp
+++ b/packages/adapters/peer/tests/GossipCodecTest.cpp
@@ -128,6 +128,7 @@
   counts.m_routes["r"].m_old.m_times[rollout::kTimeBuckets - 1] = 80;
   counts.m_routes["r"].m_target.m_answers = 9;
   counts.m_routes["r"].m_target.m_failures = 4;
+  counts.m_routes["r"].m_target.m_repeatedLosses = 6;
   counts.m_routes["r"].m_target.m_times[2] = 5;
   sent.m_rolloutGrants[fleet::ServiceId("s")] = { { 2, 7 }, 12, { { "n2@5", 17 } } };
   const auto news = DecodeGossip(EncodeHeartbeat(sent));
@@ -140,6 +141,7 @@
   BOOST_TEST(readCounts.m_oldOpen == 3U);
   BOOST_TEST((readCounts.m_routes.at("r").m_old.m_times == counts.m_routes["r"].m_old.m_times));
   BOOST_TEST(readCounts.m_routes.at("r").m_target.m_failures == 4U);
+  BOOST_TEST(readCounts.m_routes.at("r").m_target.m_repeatedLosses == 6U);
   BOOST_TEST(
     (readCounts.m_routes.at("r").m_target.m_times == counts.m_routes["r"].m_target.m_times));
   const rollout::RolloutGrants& grants = read.m_rolloutGrants.at(fleet::ServiceId("s"));
--- a/packages/rollout/RolloutMachine.cpp
+++ b/packages/rollout/RolloutMachine.cpp
@@ -117,11 +117,16 @@
 void RolloutMachine::Progress(const RolloutInputs& aInputs, RolloutDecision& aDecision) const {
   const RolloutRecord& record = *aInputs.m_record;
   const int64_t now = aInputs.m_nowMs;
+  // Calls after `completed` need no grants, and could not be stopped in time.
+  const bool isClear = aInputs.m_rollback == RollbackState::Clear;
   if (aInputs.m_verdict == Verdict::Bad) {
     aDecision.m_write = Reverted(record);
     aDecision.m_reason = "bad version";
+  } else if (aInputs.m_rollback == RollbackState::Expired) {
+    aDecision.m_write = Reverted(record);
+    aDecision.m_reason = "rollback time";
   } else if (record.m_phase == Phase::Exposing) {
-    if (aInputs.m_verdict == Verdict::Good && aInputs.m_hasCapacity &&
+    if (aInputs.m_verdict == Verdict::Good && isClear && aInputs.m_hasCapacity &&
         now >= RampStartMs(record, aInputs)) {
       aDecision.m_write = record;
       aDecision.m_write->m_phase = Phase::Ramping;
@@ -138,13 +143,13 @@
                                       kRampBeforeCompletion),
                record.m_rampMs);
     const bool oldEnded = aInputs.m_oldOpen == 0 && now >= record.m_rampMs + kMinTimeRampingMs;
-    if (aInputs.m_hasCapacity && (oldEnded || now + kHalfDecisionIntervalMs >= latest)) {
+    if (aInputs.m_hasCapacity && isClear && (oldEnded || now + kHalfDecisionIntervalMs >= latest)) {
       aDecision.m_write = record;
       aDecision.m_write->m_phase = Phase::Completed;
       aDecision.m_reason = oldEnded ? "old calls ended" : "deadline";
-    } else if (!aInputs.m_hasCapacity && now > record.DeadlineMs() + kGraceMs) {
+    } else if ((!aInputs.m_hasCapacity || !isClear) && now > record.DeadlineMs() + kGraceMs) {
       aDecision.m_write = Reverted(record);
-      aDecision.m_reason = "too few endpoints";
+      aDecision.m_reason = isClear ? "too few endpoints" : "bad answers";
     }
   }
 }
@@ -192,7 +197,8 @@
   Reserve(aInputs, decision);
   decision.m_limit = std::min(record->m_reserved,
                               Allowance(record->m_phase, static_cast<double>(aInputs.m_requests)));
-  if (aInputs.m_verdict == Verdict::Bad) {
+  if (aInputs.m_verdict == Verdict::Bad || aInputs.m_rollback == RollbackState::Stopped ||
+      aInputs.m_rollback == RollbackState::Expired) {
     decision.m_limit = 0;
   }
   return decision;
--- a/packages/rollout/RolloutMachine.h
+++ b/packages/rollout/RolloutMachine.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "rollout/RollbackTimer.h"
 #include "rollout/RolloutTypes.h"
 #include "rollout/VersionJudge.h"
 
@@ -21,6 +22,7 @@
   int64_t m_orderSeenMs = 0;
   int64_t m_nowMs = 0;
   Verdict m_verdict = Verdict::Undecided;
+  RollbackState m_rollback = RollbackState::Clear;
   /// Requests of the service since the order, those per second of late, and calls that the target
   /// has got or may still get.
   uint64_t m_requests = 0;
--- a/packages/rollout/RolloutTypes.h
+++ b/packages/rollout/RolloutTypes.h
@@ -93,12 +93,16 @@
   /// Calls that have ended, with or without a usable answer.
   uint64_t m_answers = 0;
   uint64_t m_failures = 0;
+  /// Broken calls that are not among the failures, since they belong to a crash of an endpoint that
+  /// is counted as one failure.
+  uint64_t m_repeatedLosses = 0;
   /// Usable answers by their time.
   std::array<uint64_t, kTimeBuckets> m_times{};
 
   AnswerCounts& operator+=(const AnswerCounts& aOther) {
     m_answers += aOther.m_answers;
     m_failures += aOther.m_failures;
+    m_repeatedLosses += aOther.m_repeatedLosses;
     for (size_t i = 0; i < kTimeBuckets; ++i) {
       m_times[i] += aOther.m_times[i];
     }
@@ -106,6 +110,14 @@
   }
 };
 
+/// The target's bad answers.
+struct BadAnswers {
+  /// Failures, and answers much slower than those of the old version.
+  uint64_t m_bad = 0;
+  /// Those that exceed what the old version gave at the same moment; may decrease.
+  double m_unexcused = 0;
+};
+
 /// Running totals of one route, for the target and for all other versions.
 struct RouteCounts {
   AnswerCounts m_old;
--- a/packages/rollout/VersionGate.cpp
+++ b/packages/rollout/VersionGate.cpp
@@ -186,6 +186,10 @@
     const auto [loss, isFirst] =
       state->m_losses.try_emplace(aEndpoint.m_incarnation.m_endpoint, aNow);
     if (!isFirst && aNow - loss->second < kCrashSpan) {
+      AnswerCounts* crashed = CountsOf(*state, aRoute, aVersion);
+      if (crashed != nullptr) {
+        ++crashed->m_repeatedLosses;
+      }
       return;
     }
     loss->second = aNow;
--- a/packages/rollout/VersionJudge.cpp
+++ b/packages/rollout/VersionJudge.cpp
@@ -17,6 +17,7 @@
   AnswerCounts result;
   result.m_answers = Difference(aLater.m_answers, aEarlier.m_answers);
   result.m_failures = Difference(aLater.m_failures, aEarlier.m_failures);
+  result.m_repeatedLosses = Difference(aLater.m_repeatedLosses, aEarlier.m_repeatedLosses);
   for (size_t i = 0; i < kTimeBuckets; ++i) {
     result.m_times[i] = Difference(aLater.m_times[i], aEarlier.m_times[i]);
   }
@@ -51,6 +52,20 @@
   return std::min(rate + 3 * std::sqrt(rate * (1 - rate) / total) + 1 / total, 1.0);
 }
 
+/// Returns the bucket of the time that the share `aTail` of the answers reach or exceed.
+size_t TailBucket(const AnswerCounts& aCounts, double aTail) {
+  const auto total = static_cast<double>(CountFrom(aCounts, 0));
+  size_t bucket = 0;
+  while (bucket<kTimeBuckets&& static_cast<double>(CountFrom(aCounts, bucket))> aTail * total) {
+    ++bucket;
+  }
+  return bucket;
+}
+
+double Rate(uint64_t aCount, uint64_t aTotal) {
+  return aTotal == 0 ? 0 : static_cast<double>(aCount) / static_cast<double>(aTotal);
+}
+
 /// Returns the probability of at least `aBad` of `aTotal` cases that each have the probability
 /// `aRate`.
 double TailProbability(uint64_t aBad, double aTotal, double aRate) {
@@ -105,11 +120,7 @@
     return result;
   }
   for (size_t i = 0; i < kTails.size(); ++i) {
-    size_t bucket = 0;
-    while (bucket<kTimeBuckets&& static_cast<double>(CountFrom(old, bucket))> kTails[i] *
-           static_cast<double>(oldTimes)) {
-      ++bucket;
-    }
+    const size_t bucket = TailBucket(old, kTails[i]);
     const uint64_t slower = CountFrom(old, bucket);
     const double rate = std::min(UpperRate(slower, oldTimes) + m_settings.m_tolerance, 1.0);
     result.m_slow[i] = { static_cast<double>(targetTimes),
@@ -141,6 +152,11 @@
     m_hasStart = true;
     m_sliceStart = aNow;
   }
+  const CountsByRoute bin = Difference(aTotals, m_lastTotals);
+  for (const auto& [route, counts] : bin) {
+    CountBad(route, counts.m_old, counts.m_target);
+  }
+  m_binBefore = bin;
   m_lastTotals = aTotals;
   if (aNow - m_sliceStart < m_settings.m_slice) {
     return;
@@ -157,6 +173,51 @@
   m_sliceStart = aNow;
 }
 
+void VersionJudge::CountBad(const std::string& aRoute,
+                            const AnswerCounts& aOld,
+                            const AnswerCounts& aTarget) {
+  const AnswerCounts& before = m_binBefore[aRoute].m_old;
+  AnswerCounts both = aOld;
+  both += before;
+  // Each broken call is a bad answer, also those of one crash.
+  const auto failed = [](const AnswerCounts& aCounts) {
+    return aCounts.m_failures + aCounts.m_repeatedLosses;
+  };
+  const auto ended = [](const AnswerCounts& aCounts) {
+    return aCounts.m_answers + aCounts.m_repeatedLosses;
+  };
+  BadCount failures{ ended(aTarget), failed(aTarget), 0 };
+  failures.m_oldRate = std::max({ Rate(failed(aOld), ended(aOld)),
+                                  Rate(failed(before), ended(before)),
+                                  Rate(failed(both), ended(both)) });
+  AddBad(failures, ended(both));
+  const uint64_t oldTimes = CountFrom(both, 0);
+  if (oldTimes >= m_settings.m_minOldTimes) {
+    const size_t bucket =
+      std::min(TailBucket(both, kTails[kBadTail]) + m_settings.m_slowerBuckets, kTimeBuckets - 1);
+    BadCount slow{ CountFrom(aTarget, 0), CountFrom(aTarget, bucket), 0 };
+    slow.m_oldRate = std::max({ Rate(CountFrom(aOld, bucket), CountFrom(aOld, 0)),
+                                Rate(CountFrom(before, bucket), CountFrom(before, 0)),
+                                Rate(CountFrom(both, bucket), oldTimes) });
+    AddBad(slow, oldTimes);
+  }
+}
+
+void VersionJudge::AddBad(const BadCount& aCount, uint64_t aOldTotal) {
+  const double rate = std::min(aCount.m_oldRate, 1.0);
+  const auto bad = static_cast<double>(aCount.m_bad);
+  // A stream that breaks counts as an answer when it begins, which may be in an earlier interval.
+  const auto total = static_cast<double>(std::max(aCount.m_answers, aCount.m_bad));
+  m_bad += aCount.m_bad;
+  m_excess = std::max(m_excess + bad - rate * total, 0.0);
+  m_excessVariance +=
+    rate * (1 - rate) * total * (1 + total / static_cast<double>(std::max<uint64_t>(aOldTotal, 1)));
+}
+
+BadAnswers VersionJudge::Bad() const {
+  return { m_bad, std::max(m_excess - 3 * std::sqrt(m_excessVariance), 0.0) };
+}
+
 bool VersionJudge::SpeaksAgainst(const Comparison& aComparison) const {
   return aComparison.m_bad >= m_settings.m_minBad &&
          static_cast<double>(aComparison.m_bad) > aComparison.m_expected &&
--- a/packages/rollout/VersionJudge.h
+++ b/packages/rollout/VersionJudge.h
@@ -60,11 +60,17 @@
   void Record(const CountsByRoute& aTotals, base::TimePoint aNow);
   /// Returns what the records so far show.
   Judgement Judge() const;
+  /// Returns the target's bad answers so far, for the rollback time. No test of significance is
+  /// made of the count itself.
+  BadAnswers Bad() const;
 
 private:
   /// Levels of the old version's times above which answers are counted: the shares of its answers
   /// that are slower.
   static constexpr std::array<double, 4> kTails{ 0.01, 0.05, 0.2, 0.5 };
+  /// Level of the old version's times of which an answer much slower is bad: the time that 5 %
+  /// exceed.
+  static constexpr size_t kBadTail = 1;
   /// Number of the last slices that are also judged by themselves.
   static constexpr size_t kRecentSlices = 2;
 
@@ -91,6 +97,16 @@
   using Slice = std::map<std::string, RouteComparison>;
 
   Slice Compare(const CountsByRoute& aCounts) const;
+  /// The target's bad answers of one interval, and the rate of the old version in it or the one
+  /// before.
+  struct BadCount {
+    uint64_t m_answers = 0;
+    uint64_t m_bad = 0;
+    double m_oldRate = 0;
+  };
+
+  void CountBad(const std::string& aRoute, const AnswerCounts& aOld, const AnswerCounts& aTarget);
+  void AddBad(const BadCount& aCount, uint64_t aOldTotal);
   RouteComparison CompareRoute(const RouteCounts& aCounts, const AnswerCounts& aBefore) const;
   bool SpeaksAgainst(const Comparison& aComparison) const;
   bool Check(const Slice& aSlice, Judgement& aJudgement) const;
@@ -104,6 +120,14 @@
   /// Old answers of the slice before the open one.
   CountsByRoute m_before;
   Slice m_whole;
+  /// Counts of the interval between the last two records. Grants are spent within milliseconds, so
+  /// that in a slice of 1 s all calls to the target may fall into a shorter disturbance.
+  CountsByRoute m_binBefore;
+  uint64_t m_bad = 0;
+  /// Cumulative sum of the bad answers above the old version's rate, never below 0, so that a
+  /// disturbance of the old version excuses nothing later; and the variance of all its terms.
+  double m_excess = 0;
+  double m_excessVariance = 0;
   std::deque<Slice> m_recent;
 };
 
--- a/packages/rollout/tests/VersionGateTest.cpp
+++ b/packages/rollout/tests/VersionGateTest.cpp
@@ -126,6 +126,8 @@
   }
   gate.CountFailure(target, "r", version, false, false, kNow);
   BOOST_TEST(gate.Counts().at(kService).m_routes.at("r").m_target.m_failures == 2U);
+  // The rollback time counts each of them.
+  BOOST_TEST(gate.Counts().at(kService).m_routes.at("r").m_target.m_repeatedLosses == 4U);
 }
 
 // Answers of an endpoint that has just started count, but not their times.
--- a/packages/serving/RolloutTask.h
+++ b/packages/serving/RolloutTask.h
@@ -4,6 +4,7 @@
 #include "forwarding/NodeState.h"
 #include "gossip/Heartbeat.h"
 #include "rollout/ExposureLedger.h"
+#include "rollout/RollbackTimer.h"
 #include "rollout/RolloutMachine.h"
 #include "store/StorePort.h"
 #include "sync/StoreReplica.h"
@@ -176,6 +177,9 @@
     /// Set once the record belongs to the order.
     std::optional<rollout::ExposureLedger> m_ledger;
     rollout::VersionJudge m_judge{ rollout::JudgeSettings{} };
+    /// Set with the ledger.
+    std::optional<rollout::RollbackTimer> m_rollback;
+    rollout::RollbackState m_rollbackState = rollout::RollbackState::Clear;
     /// Whether this leader has written the first record of the order itself.
     bool m_hasBegun = false;
     rollout::RolloutGrants m_grants;
@@ -359,6 +363,7 @@
     if (BelongsToOrder(aRollout) && rollout::IsRunning(aRollout.m_record->m_phase)) {
       judgement = Observe(aRollout, lead, aNow);
       AddObservations(aService, aRollout, judgement, inputs);
+      UpdateRollback(aService, lead, aNow, inputs);
     }
     const rollout::RolloutDecision decision = m_machine.Decide(inputs);
     if (lead.m_ledger) {
@@ -377,6 +382,7 @@
       const rollout::RolloutRecord& record = *aRollout.m_record;
       aLead.m_ledger.emplace(
         aLead.m_hasBegun ? 0 : record.m_reserved, record.m_requests, !aLead.m_hasBegun, aNow);
+      aLead.m_rollback.emplace(m_bounds->m_rollback, !aLead.m_hasBegun, aNow);
       for (const auto& [incarnation, counts] : aRollout.m_counts) {
         aLead.m_ledger->Report(incarnation, counts.m_requests, counts.m_sent, aNow);
       }
@@ -403,6 +409,23 @@
     return aLead.m_judge.Judge();
   }
 
+  /// Checks the rollback time, and logs changes of its state.
+  void UpdateRollback(const fleet::ServiceId& aService,
+                      LeadState& aLead,
+                      base::TimePoint aNow,
+                      rollout::RolloutInputs& aInputs) {
+    const rollout::BadAnswers bad = aLead.m_judge.Bad();
+    aInputs.m_rollback = aLead.m_rollback->Update(bad, aNow);
+    if (aInputs.m_rollback != aLead.m_rollbackState) {
+      aLead.m_rollbackState = aInputs.m_rollback;
+      m_log.Event("roll-out rollback time",
+                  { { "service", aService.Text() },
+                    { "state", base::NameOf(aInputs.m_rollback) },
+                    { "bad", bad.m_bad },
+                    { "unexcused", bad.m_unexcused } });
+    }
+  }
+
   void AddObservations(const fleet::ServiceId& aService,
                        const Rollout& aRollout,
                        const rollout::Judgement& aJudgement,
