Rollout: stay below 0.95 of the exposure bound, complete late decisions in time

The calls of the ramp were granted only with the decision that completed it, so that nothing moved before `completed`; and the ramp began with the first decision after its planned time, up to 250 ms late. Its calls are now reserved 1.5 s ahead and granted with the decision, which is the last one before the planned time; the first interval gets only the calls that the plan leaves. A decision with less than 350 ms left completes without a ramp.

--- a/packages/rollout/RolloutMachine.cpp
+++ b/packages/rollout/RolloutMachine.cpp
@@ -1,6 +1,7 @@
 #include "rollout/RolloutMachine.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace papayafield::rollout {
 
@@ -12,12 +13,22 @@
 constexpr double kRampingFraction = 0.8;
 constexpr double kSlackFraction = 0.5;
 /// Part of the bound that ramping is planned with, up to the deadline.
-constexpr double kPlannedFraction = 0.95;
+constexpr double kPlannedFraction = 0.94;
+/// Standard deviations of the calls up to the deadline that the plan leaves free: at few calls per
+/// second, chance alone brings 20 % more.
+constexpr double kPlannedDeviations = 3;
 /// Ramping begins at least this time before the deadline: two heartbeats and two writes to the
 /// store. It ends after this part of the time left, or half an interval of decisions before.
 constexpr int64_t kMinRampMs = 600;
 constexpr double kRampBeforeCompletion = 0.35;
-constexpr int64_t kHalfDecisionIntervalMs = 125;
+constexpr int64_t kDecisionIntervalMs = 250;
+constexpr int64_t kHalfDecisionIntervalMs = kDecisionIntervalMs / 2;
+/// Without this time left, a delayed decision completes at once: another one and its write would
+/// miss the deadline.
+constexpr int64_t kMinLeftForRampMs = kDecisionIntervalMs + 100;
+/// Time before the ramp at which its calls are reserved in the store, so that they can be granted
+/// with the decision to ramp: time for a write that is repeated.
+constexpr int64_t kReserveAheadMs = 1500;
 /// An order is seen up to this time after it was written: the pause of the watch after changes.
 constexpr int64_t kOrderDelayMs = 150;
 /// Time for which new calls go to the target before the old endpoints may be stopped early.
@@ -106,14 +117,29 @@
     std::max(static_cast<double>(aRecord.DeadlineMs() + kOrderDelayMs - aInputs.m_nowMs), 0.0) /
     1000;
   const double total = static_cast<double>(aInputs.m_requests) + rate * left;
-  const double calls = kPlannedFraction * (m_bounds.m_share * total + m_bounds.m_slack) -
-                       static_cast<double>(aInputs.m_exposed);
+  const double free = std::max(kPlannedFraction * (m_bounds.m_share * total + m_bounds.m_slack) -
+                                 static_cast<double>(aInputs.m_exposed),
+                               0.0);
+  // The mean of calls whose number stays below `free` at so many deviations.
+  const double root =
+    (std::sqrt(kPlannedDeviations * kPlannedDeviations + 4 * free) - kPlannedDeviations) / 2;
+  const double calls = root * root;
   const auto longest = aRecord.m_duration.count() / 2;
-  const auto span = static_cast<int64_t>(std::max(calls, 0.0) / rate * 1000);
+  const auto span = static_cast<int64_t>(calls / rate * 1000);
   return aRecord.DeadlineMs() + kOrderDelayMs -
          std::clamp(span, kMinRampMs, std::max(longest, kMinRampMs));
 }
 
+/// Returns the calls that may be exposed until the next decision. The first interval of the ramp
+/// usually begins before the time of RampStartMs, and gets the calls of its later part only.
+uint64_t RolloutMachine::RampLimit(const RolloutRecord& aRecord,
+                                   const RolloutInputs& aInputs) const {
+  const int64_t ramped = aInputs.m_nowMs + kDecisionIntervalMs - RampStartMs(aRecord, aInputs);
+  const double calls =
+    std::max(static_cast<double>(ramped), 0.0) / 1000 * std::max(aInputs.m_requestsPerSecond, 1.0);
+  return aInputs.m_exposed + static_cast<uint64_t>(calls);
+}
+
 void RolloutMachine::Progress(const RolloutInputs& aInputs, RolloutDecision& aDecision) const {
   const RolloutRecord& record = *aInputs.m_record;
   const int64_t now = aInputs.m_nowMs;
@@ -127,11 +153,12 @@
     aDecision.m_reason = "rollback time";
   } else if (record.m_phase == Phase::Exposing) {
     if (aInputs.m_verdict == Verdict::Good && isClear && aInputs.m_hasCapacity &&
-        now >= RampStartMs(record, aInputs)) {
+        now + kDecisionIntervalMs > RampStartMs(record, aInputs)) {
+      const bool hasTimeToRamp = now + kMinLeftForRampMs <= record.DeadlineMs() + kOrderDelayMs;
       aDecision.m_write = record;
-      aDecision.m_write->m_phase = Phase::Ramping;
+      aDecision.m_write->m_phase = hasTimeToRamp ? Phase::Ramping : Phase::Completed;
       aDecision.m_write->m_rampMs = now;
-      aDecision.m_reason = "enough evidence";
+      aDecision.m_reason = hasTimeToRamp ? "enough evidence" : "no time for a ramp";
     } else if (now > record.DeadlineMs() + kGraceMs) {
       aDecision.m_write = Reverted(record);
       aDecision.m_reason = aInputs.m_hasCapacity ? "too little evidence" : "too few endpoints";
@@ -157,10 +184,14 @@
 /// Raises the reservation in the store ahead of what may be granted.
 void RolloutMachine::Reserve(const RolloutInputs& aInputs, RolloutDecision& aDecision) const {
   const RolloutRecord& stored = *aInputs.m_record;
-  const Phase phase = aDecision.m_write ? aDecision.m_write->m_phase : stored.m_phase;
+  Phase phase = aDecision.m_write ? aDecision.m_write->m_phase : stored.m_phase;
   if (!IsRunning(phase)) {
     return;
   }
+  if (aInputs.m_verdict == Verdict::Good &&
+      aInputs.m_nowMs + kReserveAheadMs > RampStartMs(stored, aInputs)) {
+    phase = Phase::Ramping;
+  }
   const auto requests = static_cast<double>(aInputs.m_requests);
   const double ahead = aInputs.m_requestsPerSecond * kReserveSeconds;
   if (aDecision.m_write || Allowance(phase, requests + ahead / 3) > stored.m_reserved) {
@@ -195,8 +226,12 @@
   }
   Progress(aInputs, decision);
   Reserve(aInputs, decision);
-  decision.m_limit = std::min(record->m_reserved,
-                              Allowance(record->m_phase, static_cast<double>(aInputs.m_requests)));
+  const Phase phase = decision.m_write ? decision.m_write->m_phase : record->m_phase;
+  decision.m_limit =
+    std::min(record->m_reserved, Allowance(phase, static_cast<double>(aInputs.m_requests)));
+  if (phase == Phase::Ramping) {
+    decision.m_limit = std::min(decision.m_limit, RampLimit(*record, aInputs));
+  }
   if (aInputs.m_verdict == Verdict::Bad || aInputs.m_rollback == RollbackState::Stopped ||
       aInputs.m_rollback == RollbackState::Expired) {
     decision.m_limit = 0;
--- a/packages/rollout/RolloutMachine.h
+++ b/packages/rollout/RolloutMachine.h
@@ -65,6 +65,7 @@
   RolloutRecord Begin(const RolloutInputs& aInputs) const;
   void Progress(const RolloutInputs& aInputs, RolloutDecision& aDecision) const;
   void Reserve(const RolloutInputs& aInputs, RolloutDecision& aDecision) const;
+  uint64_t RampLimit(const RolloutRecord& aRecord, const RolloutInputs& aInputs) const;
   uint64_t Allowance(Phase aPhase, double aRequests) const;
 
   ExposureBounds m_bounds;
--- a/packages/rollout/tests/ExposureLedgerTest.cpp
+++ b/packages/rollout/tests/ExposureLedgerTest.cpp
@@ -36,14 +36,16 @@
   const RolloutMachine machine(bounds);
   base::TimePoint now{ std::chrono::hours(1) };
   int64_t nowMs = 1000000;
-  const int64_t startMs = nowMs;
+  // Decisions fall at any time after the order.
+  const int64_t startMs = nowMs + static_cast<int64_t>(random() % kTick.count());
+  const int64_t deadlineMs = startMs + 12000;
   std::vector<SimulatedNode> nodes(aNodes);
   for (size_t i = 0; i < aNodes; ++i) {
     nodes[i].m_number = static_cast<int>(i);
   }
   RolloutInputs inputs;
   inputs.m_order = RolloutOrder{ "v2", base::Millis(12000), { 0, 7 } };
-  inputs.m_orderSeenMs = nowMs;
+  inputs.m_orderSeenMs = startMs;
   inputs.m_requestsPerSecond = aCallsPerTick * static_cast<double>(aNodes) * 4;
   inputs.m_verdict = Verdict::Good;
   inputs.m_hasCapacity = true;
@@ -53,9 +55,13 @@
   uint64_t sent = 0;
   uint64_t requests = 0;
   double largest = 0;
-  while (nowMs < startMs + 12000) {
+  while (nowMs < deadlineMs) {
     now += kTick;
     nowMs += kTick.count();
+    // The part of the interval that is after the order and before its deadline.
+    const int64_t span = std::min(nowMs, deadlineMs) - std::max(nowMs - kTick.count(), startMs);
+    const double callsInSpan =
+      aCallsPerTick * static_cast<double>(span) / static_cast<double>(kTick.count());
     if (chance(aFaults * 0.2)) {
       // The leader is lost, and another one follows after its lease has ended.
       ledger.reset();
@@ -67,7 +73,7 @@
         record ? record->m_reserved : 0, record ? record->m_requests : 0, record.has_value(), now);
     }
     for (SimulatedNode& node : nodes) {
-      std::poisson_distribution<uint64_t> calls(aCallsPerTick);
+      std::poisson_distribution<uint64_t> calls(callsInSpan);
       const uint64_t arrived = calls(random);
       requests += arrived;
       node.m_requests += arrived;
@@ -112,19 +118,19 @@
 
 BOOST_AUTO_TEST_SUITE(ExposureLedgerTest)
 
-// A version that is not found bad stays within the bound up to the deadline, also when it has been
-// completed just before it.
+// A version that is not found bad stays within 0.95 of the bound up to the deadline, also when it
+// has been completed just before it: requests can reach the service later than they are counted.
 BOOST_AUTO_TEST_CASE(ExposureStaysBelowTheBound) {
   for (const double faults : { 0.0, 0.1, 0.4 }) {
     for (const double calls : { 0.3, 2.5, 12.0 }) {
       for (const size_t nodes : { 3U, 10U, 40U }) {
         double largest = 0;
-        for (unsigned seed = 1; seed <= 60; ++seed) {
+        for (unsigned seed = 1; seed <= 300; ++seed) {
           largest = std::max(largest, LargestExposure(seed, nodes, calls, faults));
         }
         BOOST_TEST_MESSAGE("faults " << faults << ", nodes " << nodes << ", calls per tick "
                                      << calls << ": " << largest << " of the bound");
-        BOOST_TEST(largest <= 1.0);
+        BOOST_TEST(largest <= 0.95);
       }
     }
   }
--- a/packages/rollout/tests/RolloutMachineTest.cpp
+++ b/packages/rollout/tests/RolloutMachineTest.cpp
@@ -1,5 +1,6 @@
 #include "rollout/RolloutMachine.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <functional>
 #include <vector>
@@ -70,6 +71,84 @@
   }
 }
 
+// Guards against a completion that has no room for a delay: whenever the decisions fall, it is
+// written at least 300 ms before the deadline, and calls are granted for the ramp before it.
+BOOST_AUTO_TEST_CASE(CompletionHasTimeToSpare) {
+  constexpr int64_t kMinSpareMs = 300;
+  for (const double rate : { 30.0, 100.0, 300.0, 1000.0, 5000.0 }) {
+    int64_t least = 12000;
+    int64_t shortestRamp = 12000;
+    for (int64_t offset = 0; offset < 250; offset += 10) {
+      World world;
+      world.m_inputs.m_requestsPerSecond = rate;
+      world.m_inputs.m_verdict = Verdict::Good;
+      world.m_inputs.m_nowMs = kStartMs + offset;
+      int64_t rampedAt = 0;
+      uint64_t before = 0;
+      while (!world.m_inputs.m_record || world.CurrentPhase() != Phase::Completed) {
+        const uint64_t limit = world.Step().m_limit;
+        if (rampedAt == 0 && world.CurrentPhase() == Phase::Ramping) {
+          rampedAt = world.m_inputs.m_nowMs;
+          BOOST_TEST(limit >= before);
+        }
+        before = limit;
+        BOOST_REQUIRE(world.m_inputs.m_nowMs < kStartMs + 12000);
+      }
+      least = std::min(least, kStartMs + 12000 - world.m_inputs.m_nowMs);
+      shortestRamp = std::min(shortestRamp, world.m_inputs.m_nowMs - rampedAt);
+    }
+    BOOST_TEST_MESSAGE("| " << rate << " | " << shortestRamp << " | " << least << " |");
+    BOOST_TEST(least >= kMinSpareMs);
+    BOOST_TEST(shortestRamp >= 250);
+  }
+}
+
+// Guards against missing the deadline on a busy machine: a decision that is up to 500 ms late
+// completes in time, without a ramp if there is no time for one.
+BOOST_AUTO_TEST_CASE(DelayedDecisionMeetsTheDeadline) {
+  for (const double rate : { 30.0, 100.0, 300.0, 5000.0 }) {
+    for (int64_t offset = 0; offset < 250; offset += 10) {
+      World world;
+      world.m_inputs.m_requestsPerSecond = rate;
+      world.m_inputs.m_verdict = Verdict::Good;
+      world.m_inputs.m_nowMs = kStartMs + offset;
+      // The last decision before the ramp.
+      while (!world.m_inputs.m_record ||
+             world.m_machine.RampStartMs(*world.m_inputs.m_record, world.m_inputs) >=
+               world.m_inputs.m_nowMs + 500) {
+        world.Step();
+      }
+      world.Step(750);
+      if (world.CurrentPhase() != Phase::Completed) {
+        world.Step();
+      }
+      BOOST_TEST((world.CurrentPhase() == Phase::Completed));
+      BOOST_TEST(world.m_inputs.m_nowMs < kStartMs + 12000);
+    }
+  }
+}
+
+// The first interval of the ramp gets part of the calls, and those are granted with the decision.
+BOOST_AUTO_TEST_CASE(RampBeginsWithTheDecision) {
+  int withGrants = 0;
+  constexpr int kOffsets = 25;
+  for (int i = 0; i < kOffsets; ++i) {
+    World world;
+    world.m_inputs.m_verdict = Verdict::Good;
+    world.m_inputs.m_nowMs = kStartMs + 10 * i;
+    uint64_t limit = 0;
+    uint64_t before = 0;
+    while (!world.m_inputs.m_record || world.CurrentPhase() != Phase::Ramping) {
+      before = limit;
+      limit = world.Step().m_limit;
+    }
+    // Up to 75 calls arrive in an interval, of which exposing would grant 3.
+    withGrants += limit > before + 3 ? 1 : 0;
+    BOOST_TEST(limit <= before + 75);
+  }
+  BOOST_TEST(withGrants >= kOffsets * 3 / 4);
+}
+
 // The earliest ramp leaves room for all calls up to the deadline.
 BOOST_AUTO_TEST_CASE(RampKeepsWithinTheBound) {
   World world;
