--- a/packages/rollout/tests/RolloutMachineTest.cpp
+++ b/packages/rollout/tests/RolloutMachineTest.cpp
@@ -132,7 +132,7 @@
 BOOST_AUTO_TEST_CASE(RampBeginsWithTheDecision) {
   int withGrants = 0;
   constexpr int kOffsets = 25;
-  for (int i = 0; i < kOffsets; ++i) {
+  for (int64_t i = 0; i < kOffsets; ++i) {
     World world;
     world.m_inputs.m_verdict = Verdict::Good;
     world.m_inputs.m_nowMs = kStartMs + 10 * i;
