--- a/packages/rollout/RolloutMachine.h
+++ b/packages/rollout/RolloutMachine.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "rollout/RollbackTimer.h"
 #include "rollout/RolloutTypes.h"
 #include "rollout/VersionJudge.h"
 
@@ -21,6 +22,7 @@
   int64_t m_orderSeenMs = 0;
   int64_t m_nowMs = 0;
   Verdict m_verdict = Verdict::Undecided;
+  RollbackState m_rollback = RollbackState::Clear;
   /// Requests of the service since the order, those per second of late, and calls that the target
   /// has got or may still get.
   uint64_t m_requests = 0;
@@ -63,6 +65,7 @@
   RolloutRecord Begin(const RolloutInputs& aInputs) const;
   void Progress(const RolloutInputs& aInputs, RolloutDecision& aDecision) const;
   void Reserve(const RolloutInputs& aInputs, RolloutDecision& aDecision) const;
+  uint64_t RampLimit(const RolloutRecord& aRecord, const RolloutInputs& aInputs) const;
   uint64_t Allowance(Phase aPhase, double aRequests) const;
 
   ExposureBounds m_bounds;
