placement: bound the reports of failures in heartbeats

During a crash each node repeated all its failing endpoints in each heartbeat. Change: at most eight endpoints a report, and none that have got no calls for half a second.

--- a/packages/placement/FailureReports.cpp
+++ b/packages/placement/FailureReports.cpp
@@ -1,5 +1,6 @@
 #include "placement/FailureReports.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace papayafield::placement {
@@ -28,10 +29,15 @@
   Counts report;
   for (const auto& [endpoint, counts] : m_local) {
     const AttemptCounts decayed = Decayed(counts, aNow);
-    if (decayed.m_failures >= m_settings.m_minReportedFailures) {
+    if (decayed.m_failures >= m_settings.m_minReportedFailures && !IsKnownToPeers(endpoint, aNow)) {
       report[endpoint] = decayed;
     }
   }
+  while (report.size() > m_settings.m_maxReported) {
+    report.erase(std::min_element(report.begin(), report.end(), [](auto& aLeft, auto& aRight) {
+      return aLeft.second.m_failures < aRight.second.m_failures;
+    }));
+  }
   return report;
 }
 
@@ -54,6 +60,13 @@
   }
 }
 
+/// Returns whether the peers have had time to learn that the endpoint gets no calls.
+bool FailureReports::IsKnownToPeers(const base::EndpointId& aEndpoint, base::TimePoint aNow) const {
+  const auto until = m_excludedUntil.find(aEndpoint);
+  return until != m_excludedUntil.end() && aNow < until->second &&
+         until->second - aNow < m_settings.m_exclusion - m_settings.m_reportTime;
+}
+
 bool FailureReports::IsFailing(const base::EndpointId& aEndpoint, base::TimePoint aNow) const {
   const auto until = m_excludedUntil.find(aEndpoint);
   return until != m_excludedUntil.end() && aNow < until->second;
--- a/packages/placement/FailureReports.h
+++ b/packages/placement/FailureReports.h
@@ -24,6 +24,11 @@
   size_t m_minReporters = 2;
   /// Decayed failures from which a node reports an endpoint.
   double m_minReportedFailures = 0.5;
+  /// Time from which on an endpoint that gets no calls is no longer reported: two heartbeats.
+  base::Millis m_reportTime{ 500 };
+  /// Maximum number of endpoints in a report. Heartbeats take half of a link of 10 Mbit/s in a
+  /// fleet of 50 nodes that serve callers.
+  size_t m_maxReported = 8;
 };
 
 /// Decayed counts of the attempts at one endpoint that have ended.
@@ -47,7 +52,9 @@
   /// Records the end of an attempt of this node. Refusals that state that the call has not run are
   /// no failures and must not be recorded.
   void Record(const base::EndpointId& aEndpoint, bool aSucceeded, base::TimePoint aNow);
-  /// Returns the counts of the endpoints at which attempts of this node failed lately.
+  /// Returns the counts of the endpoints at which attempts of this node failed lately, those with
+  /// the most failures if there are too many. Endpoints that have got no calls for m_reportTime are
+  /// left out, since the other nodes have seen the same reports.
   Counts LocalReport(base::TimePoint aNow) const;
   /// Replaces the report of the peer `aPeer`; an empty one removes it.
   void SetPeerReport(const std::string& aPeer, const Counts& aCounts, base::TimePoint aNow);
@@ -65,6 +72,7 @@
     base::TimePoint m_at{};
   };
 
+  bool IsKnownToPeers(const base::EndpointId& aEndpoint, base::TimePoint aNow) const;
   bool HasFailed(const base::EndpointId& aEndpoint, base::TimePoint aNow) const;
   void ExcludeIfFailed(const base::EndpointId& aEndpoint, base::TimePoint aNow);
   AttemptCounts Decayed(const TimedCounts& aCounts, base::TimePoint aNow) const;
--- a/packages/placement/tests/FailureReportsTest.cpp
+++ b/packages/placement/tests/FailureReportsTest.cpp
@@ -131,6 +131,14 @@
   BOOST_TEST((reports.LocalReport(kNow).at(kEndpoint) == AttemptCounts{ 2, 1 }));
   BOOST_TEST(reports.LocalReport(kNow + base::Millis(3000)).empty());
   reports.SetPeerReport("n1", { { kEndpoint, { 9, 9 } } }, kNow);
+  BOOST_TEST(reports.LocalReport(kNow).contains(kEndpoint));
+  BOOST_TEST(reports.LocalReport(kNow + base::Millis(600)).empty());
+  for (size_t i = 1; i <= 20; ++i) {
+    reports.Record(base::EndpointId("e" + std::to_string(i)), false, kNow);
+  }
+  reports.Record(base::EndpointId("e7"), false, kNow);
+  BOOST_TEST(reports.LocalReport(kNow).size() == FailureReportSettings{}.m_maxReported);
+  BOOST_TEST(reports.LocalReport(kNow).contains(base::EndpointId("e7")));
   reports.RetainEndpoints({});
   BOOST_TEST(reports.LocalReport(kNow).empty());
   BOOST_TEST(reports.Failing(kNow).empty());
