--- a/packages/scheduling/PromptSplit.cpp
+++ b/packages/scheduling/PromptSplit.cpp
@@ -77,7 +77,7 @@
 }
 
 bool IsLongEngine(const base::EndpointId& aEndpoint, double aLongShare) {
-  const std::string text = aEndpoint.Text();
+  const std::string& text = aEndpoint.Text();
   const auto position = static_cast<double>(XXH3_64bits(text.data(), text.size())) /
                         static_cast<double>(std::numeric_limits<uint64_t>::max());
   return position < aLongShare;
