--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -8,4 +8,4 @@
 read -r -a packages <<< "$(pkg-config --cflags --libs libevent libevent_pthreads libxxhash openssl)"
 g++ -std=c++20 -O2 -I. -Ipackages standins/fleet/*.cpp -o target/review-2/standin_fleet \
   -Wl,--start-group "${libraries[@]}" -Wl,--end-group "${packages[@]}" -lhttp_parser -llog4cplus -lpthread
-g++ -std=c++20 -O2 review/common-2/callers.cpp -o target/review-2/callers
+g++ -std=c++20 -O2 review/common-2/callers.cc -o target/review-2/callers
