--- a/review/12/Case3.cpp
+++ b/review/12/main.cc
@@ -1,4 +1,4 @@
-#include "review/common-3/World.h"
+#include "review/common-3/World.hpp"
 
 #include <csignal>
 #include <cstdio>
--- a/review/common-3/World.cpp
+++ b/review/common-3/World.cc
@@ -1,4 +1,4 @@
-#include "review/common-3/World.h"
+#include "review/common-3/World.hpp"
 
 #include "adapters/http1/Connection.h"
 #include "base/Digest.h"
