--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -13,6 +13,6 @@
 compile review/common-3/World.cc world
 compile standins/fleet/Store.cpp store
 for name in "${cases[@]}"; do
-  compile "review/$name/main.cc" "case-$name"
+  compile "review/$name/scenario.cc" "case-$name"
   g++ "$out/case-$name.o" "$out/world.o" "$out/store.o" "${libraries[@]}" -o "$out/case-$name"
 done
