Log how current a node's view of versions is when a stream is resumed

Callers saw streams of two versions, and the logs could not tell why: a resumed stream was logged with the source of its version alone. The line now has the position of the store that the node knew, the time since it was confirmed, the number of versions remembered, and the time since the last pause of the node, which is logged and counted itself.

--- a/packages/fleet/VersionHistory.cpp
+++ b/packages/fleet/VersionHistory.cpp
@@ -40,6 +40,11 @@
   return only;
 }
 
+size_t VersionHistory::CountOf(const ServiceId& aService) const {
+  const auto found = m_lastSeen.find(aService);
+  return found == m_lastSeen.end() ? 0 : found->second.size();
+}
+
 VersionHistory::Versions VersionHistory::All() const {
   Versions all;
   for (const auto& [service, versions] : m_lastSeen) {
--- a/packages/fleet/VersionHistory.h
+++ b/packages/fleet/VersionHistory.h
@@ -32,6 +32,8 @@
   std::optional<std::string> OnlyVersion(const ServiceId& aService,
                                          base::Millis aSpan,
                                          base::TimePoint aNow) const;
+  /// Returns how many versions of `aService` are remembered.
+  size_t CountOf(const ServiceId& aService) const;
   /// Returns all remembered versions, as they are to be recorded.
   Versions All() const;
 
--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -245,16 +245,7 @@
     m_version =
       m_node.m_versionHistory.OnlyVersion(m_service, m_node.StreamLifetime(), base::BootNow());
   }
-  m_node.m_log.Event("stream resumed by caller",
-                     { { "request", m_call.m_id },
-                       { "resumes", m_call.m_resumedId },
-                       { "service", m_service.Text() },
-                       { "last_event", m_call.m_lastEventId },
-                       { "source",
-                         aVersion    ? "record"
-                         : m_version ? "only_version"
-                                     : "none" },
-                       { "version", m_version.value_or("") } });
+  LogResumption(aVersion ? "record" : m_version ? "only_version" : "none");
   if (m_version) {
     Dispatch();
   } else {
@@ -264,6 +255,32 @@
   }
 }
 
+/// Logs the version to which a resumed stream is bound, and how current the view was that it was
+/// decided by.
+void Exchange::LogResumption(std::string_view aSource) const {
+  const auto now = base::BootNow();
+  const auto msAgo = [&](base::TimePoint aTime) {
+    return aTime == base::TimePoint{}
+             ? int64_t{ -1 }
+             : std::chrono::duration_cast<base::Millis>(now - aTime).count();
+  };
+  const RegistryView& view = m_node.m_registryView;
+  m_node.m_log.Event("stream resumed by caller",
+                     { { "request", m_call.m_id },
+                       { "resumes", m_call.m_resumedId },
+                       { "service", m_service.Text() },
+                       { "last_event", m_call.m_lastEventId },
+                       { "source", aSource },
+                       { "version", m_version.value_or("") },
+                       { "age_ms", msAgo(m_arrival) },
+                       { "versions", m_node.m_versionHistory.CountOf(m_service) },
+                       { "era", view.m_position.m_era },
+                       { "revision", view.m_position.m_revision },
+                       { "confirmed_ms_ago", msAgo(view.m_confirmedAt) },
+                       { "tick_ms_ago", msAgo(view.m_lastTick) },
+                       { "pause_ms_ago", msAgo(view.m_pauseEnd.value_or(base::TimePoint{})) } });
+}
+
 /// Binds the stream to the version of the endpoint that has sent its first event, and records it
 /// for a caller that resumes the stream.
 void Exchange::BindVersion(const ActiveAttempt& aAttempt) {
--- a/packages/forwarding/Exchange.h
+++ b/packages/forwarding/Exchange.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace papayafield::forwarding {
 
@@ -64,6 +65,7 @@
   const std::string& StreamId() const;
   void FindVersion();
   void OnVersionFound(const std::optional<std::string>& aVersion);
+  void LogResumption(std::string_view aSource) const;
   void BindVersion(const ActiveAttempt& aAttempt);
   bool HasOnlyVersion() const;
   void Dispatch();
--- a/packages/forwarding/NodeState.h
+++ b/packages/forwarding/NodeState.h
@@ -15,6 +15,7 @@
 #include "forwarding/EndpointPool.h"
 #include "forwarding/EndpointSignals.h"
 #include "forwarding/Metrics.h"
+#include "forwarding/RegistryView.h"
 #include "forwarding/StreamOrigins.h"
 #include "placement/Placement.h"
 #include "quota/QuotaLedger.h"
@@ -117,6 +118,7 @@
   rollout::VersionGate m_versions;
   fleet::VersionHistory m_versionHistory;
   StreamOrigins m_streamOrigins;
+  RegistryView m_registryView;
   EndpointPool m_pool;
   CallDurations m_durations;
   EndpointSignals m_signals;
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -224,6 +224,8 @@
   static constexpr double kMillisPerSecond = 1000;
   /// Interval of heartbeats and other periodic work.
   static constexpr base::Millis kTickInterval{ 250 };
+  /// Time beyond the tick interval for which a node that does not run counts as paused.
+  static constexpr base::Millis kMinPause{ 500 };
   /// Delay of a quarantine report on new evidence.
   static constexpr base::Millis kQuarantineReportDelay{ 10 };
   /// Interval of the log lines on teams that use up their quota.
@@ -798,8 +800,25 @@
     m_state.m_metrics.Set("endpoints_failing", static_cast<double>(m_failingEndpoints.size()));
   }
 
+  /// Records how current the view of the registrations is, and logs that the node did not run for
+  /// a while.
+  void UpdateRegistryView(base::TimePoint aNow) {
+    forwarding::RegistryView& view = m_state.m_registryView;
+    const auto gap = std::chrono::duration_cast<base::Millis>(aNow - view.m_lastTick);
+    if (view.m_lastTick != base::TimePoint{} && gap > kTickInterval + kMinPause) {
+      view.m_pauseEnd = aNow;
+      m_state.m_metrics.Count("pauses");
+      m_log.Event("node paused", { { "pause_ms", gap.count() } });
+    }
+    view.m_lastTick = aNow;
+    view.m_position = m_replica.LastPosition();
+    view.m_confirmedAt = std::max(m_storeWatcher.LastAnswer(),
+                                  m_gossip.LastUpdateTime().value_or(base::TimePoint{}));
+  }
+
   void Tick() {
     const auto now = base::BootNow();
+    UpdateRegistryView(now);
     UpdateStoreAvailability();
     for (const base::EndpointId& endpoint : m_state.m_directory.RemoveExpired(now)) {
       m_log.Event("endpoint registration expired", { { "endpoint", endpoint.Text() } });
