Remember versions for as long as any open stream may be resumed

Cause: how long versions and origins are remembered followed from the newest configuration alone, though streams that began before it keep their own timeout. StreamLifetime keeps each earlier, longer lifetime until the last stream that can have it has ended, and the record of versions in the store states it, so that nodes that start later know it too. The new case of StreamVersionsTest fails on the code before.

--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -219,7 +219,8 @@
 
 /// Returns whether all streams of the service that can still be resumed began at one version.
 bool Exchange::HasOnlyVersion() const {
-  return m_node.m_versionHistory.OnlyVersion(m_service, m_node.StreamLifetime(), base::BootNow())
+  const auto now = base::BootNow();
+  return m_node.m_versionHistory.OnlyVersion(m_service, m_node.StreamLifetime(now), now)
     .has_value();
 }
 
@@ -242,8 +243,8 @@
   }
   m_version = aVersion;
   if (!m_version) {
-    m_version =
-      m_node.m_versionHistory.OnlyVersion(m_service, m_node.StreamLifetime(), base::BootNow());
+    const auto now = base::BootNow();
+    m_version = m_node.m_versionHistory.OnlyVersion(m_service, m_node.StreamLifetime(now), now);
   }
   LogResumption(aVersion ? "record" : m_version ? "only_version" : "none");
   if (m_version) {
--- a/packages/forwarding/NodeState.cpp
+++ b/packages/forwarding/NodeState.cpp
@@ -42,14 +42,16 @@
     return false;
   }
   m_catalog = std::move(aCatalog);
-  m_quota.Configure(*m_catalog, base::BootNow());
+  const auto now = base::BootNow();
+  m_quota.Configure(*m_catalog, now);
   m_durations.RetainRoutes(*m_catalog);
-  m_streamLifetime = base::Millis(0);
+  base::Millis lifetime{ 0 };
   for (const fleet::Route& route : m_catalog->Routes()) {
     if (route.m_kind == fleet::CallKind::Stream && route.m_resumable) {
-      m_streamLifetime = std::max(m_streamLifetime, route.m_timeout * kTimeoutsPerStream);
+      lifetime = std::max(lifetime, route.m_timeout * kTimeoutsPerStream);
     }
   }
+  m_streamLifetime.Set(lifetime, now);
   m_mixedServices = scheduling::MixedServices(*m_catalog);
   std::erase_if(m_splits,
                 [&](const auto& aEntry) { return !m_mixedServices.contains(aEntry.first); });
--- a/packages/forwarding/NodeState.h
+++ b/packages/forwarding/NodeState.h
@@ -8,6 +8,7 @@
 #include "duties/UsageLedger.h"
 #include "engines/EngineModel.h"
 #include "fleet/EndpointDirectory.h"
+#include "fleet/StreamLifetime.h"
 #include "fleet/VersionHistory.h"
 #include "forwarding/Call.h"
 #include "forwarding/CallDurations.h"
@@ -63,7 +64,12 @@
   /// Activates a configuration unless its version is below the active one. Returns whether it did.
   bool ApplyCatalog(fleet::CatalogPtr aCatalog);
   /// Returns for how long a broken stream may still be resumed, tries of its caller included.
-  base::Millis StreamLifetime() const { return m_streamLifetime; }
+  /// Streams that began under an earlier configuration are taken into account.
+  base::Millis StreamLifetime(base::TimePoint aNow) const { return m_streamLifetime.Longest(aNow); }
+  /// Records that streams with the lifetime `aLifetime` may have begun elsewhere until `aNow`.
+  void ExtendStreamLifetime(base::Millis aLifetime, base::TimePoint aNow) {
+    m_streamLifetime.Extend(aLifetime, aNow);
+  }
   /// Returns the classes of calls that share the engines of `aService`; null if its calls do not
   /// differ. Valid until the next configuration is applied.
   const scheduling::CallClasses* MixedClasses(const fleet::ServiceId& aService) const;
@@ -132,7 +138,7 @@
   requests::RetryBudget& RetryBudgetFor(const fleet::ServiceId& aService);
 
   fleet::CatalogPtr m_catalog;
-  base::Millis m_streamLifetime{ 0 };
+  fleet::StreamLifetime m_streamLifetime;
   std::map<fleet::ServiceId, scheduling::CallClasses> m_mixedServices;
   std::map<fleet::ServiceId, scheduling::PromptSplit> m_splits;
   RetryLimits m_retryLimits;
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -12,6 +12,7 @@
 #include "serving/RolloutTask.h"
 #include "serving/ServingSettings.h"
 #include "serving/StreamRecord.h"
+#include "serving/VersionRecord.h"
 #include "sync/StoreWatcher.h"
 
 #include <nlohmann/json.hpp>
@@ -316,7 +317,10 @@
       }
     } else if (aKey == VersionRecordKey()) {
       if (aItem) {
-        m_state.m_versionHistory.Merge(ParseVersionRecord(*aItem), base::BootNow());
+        const auto now = base::BootNow();
+        const VersionRecord record = DecodeVersionRecord(aItem->m_data);
+        m_state.m_versionHistory.Merge(record.m_versions, now);
+        m_state.ExtendStreamLifetime(record.m_streamLifetime, now);
         m_state.m_versionHistory.SetComplete();
       }
     } else if (aKey.starts_with(nodes)) {
@@ -415,21 +419,6 @@
     });
   }
 
-  static fleet::VersionHistory::Versions ParseVersionRecord(const store::Item& aItem) {
-    fleet::VersionHistory::Versions versions;
-    const nlohmann::json record = base::ParseJson(aItem.m_data);
-    if (record.is_object()) {
-      for (const auto& [service, names] : record.items()) {
-        for (const nlohmann::json& name : names) {
-          if (name.is_string()) {
-            versions[fleet::ServiceId(service)].insert(name.template get<std::string>());
-          }
-        }
-      }
-    }
-    return versions;
-  }
-
   /// Updates what is known of versions and streams, and keeps the record of versions in the store.
   void UpdateVersions(const std::vector<std::string>& aWorkingSet, base::TimePoint aNow) {
     std::set<fleet::ServiceId> mixed;
@@ -450,7 +439,7 @@
       SaveStreams(aNow);
     }
     if (m_state.Catalog() != nullptr) {
-      const base::Millis retention = m_state.StreamLifetime() + kVersionRetention;
+      const base::Millis retention = m_state.StreamLifetime(aNow) + kVersionRetention;
       m_state.m_versionHistory.Prune(retention, aNow);
       m_state.m_streamOrigins.RemoveExpired(retention, aNow);
       UpdateVersionRecord(aNow);
@@ -481,7 +470,8 @@
     if (origins.empty()) {
       return;
     }
-    const int64_t slots = (m_state.StreamLifetime() + kVersionRetention) / kStreamSaveInterval + 1;
+    const int64_t slots =
+      (m_state.StreamLifetime(aNow) + kVersionRetention) / kStreamSaveInterval + 1;
     const int64_t slot = base::WallMillis() / kStreamSaveInterval.count() % slots;
     store::Transaction transaction;
     transaction.m_writes.push_back(
@@ -503,14 +493,15 @@
       return;
     }
     const store::Item* item = m_replica.Find(VersionRecordKey());
-    const auto recorded =
-      item == nullptr ? fleet::VersionHistory::Versions() : ParseVersionRecord(*item);
-    fleet::VersionHistory::Versions wanted = m_state.m_versionHistory.All();
+    const VersionRecord recorded =
+      item == nullptr ? VersionRecord() : DecodeVersionRecord(item->m_data);
+    VersionRecord wanted{ m_state.m_versionHistory.All(), m_state.StreamLifetime(aNow) };
     const bool isLeader = m_leaderElection.IsLeader();
     if (!isLeader) {
-      for (const auto& [service, versions] : recorded) {
-        wanted[service].insert(versions.begin(), versions.end());
+      for (const auto& [service, versions] : recorded.m_versions) {
+        wanted.m_versions[service].insert(versions.begin(), versions.end());
       }
+      wanted.m_streamLifetime = std::max(wanted.m_streamLifetime, recorded.m_streamLifetime);
     }
     if (wanted == recorded) {
       m_nextVersionWrite.reset();
@@ -525,22 +516,19 @@
     }
   }
 
-  void WriteVersionRecord(const fleet::VersionHistory::Versions& aVersions, uint64_t aRevision) {
-    nlohmann::json record = nlohmann::json::object();
-    for (const auto& [service, versions] : aVersions) {
-      record[service.Text()] = versions;
-    }
+  void WriteVersionRecord(const VersionRecord& aRecord, uint64_t aRevision) {
+    const std::string data = EncodeVersionRecord(aRecord);
     store::Transaction transaction;
     transaction.m_expected[VersionRecordKey()] = aRevision;
-    transaction.m_writes.push_back({ VersionRecordKey(), base::DumpJson(record), 0 });
+    transaction.m_writes.push_back({ VersionRecordKey(), data, 0 });
     m_writingVersions = true;
-    m_store.Commit(transaction, [this, record](store::Result<store::Position> aResult) {
+    m_store.Commit(transaction, [this, data](store::Result<store::Position> aResult) {
       m_writingVersions = false;
       // Another node may have written, or the watch brings this write a moment later.
       m_nextVersionWrite = base::BootNow() + kVersionWriteInterval;
       m_log.Event(
         "version record written",
-        { { "versions", record },
+        { { "record", data },
           { "fault", aResult ? std::string() : std::string(base::NameOf(aResult.error())) } });
     });
   }
@@ -812,8 +800,8 @@
     }
     view.m_lastTick = aNow;
     view.m_position = m_replica.LastPosition();
-    view.m_confirmedAt = std::max(m_storeWatcher.LastAnswer(),
-                                  m_gossip.LastUpdateTime().value_or(base::TimePoint{}));
+    view.m_confirmedAt =
+      std::max(m_storeWatcher.LastAnswer(), m_gossip.LastUpdateTime().value_or(base::TimePoint{}));
   }
 
   void Tick() {
--- a/tests/integration/StreamVersionsTest.cpp
+++ b/tests/integration/StreamVersionsTest.cpp
@@ -18,6 +18,8 @@
 constexpr int kStreams = 20;
 /// Time after which the origins of streams have been saved in the store.
 constexpr base::Millis kSaveTime{ 2500 };
+/// Time after which nodes forget streams whose routes have a timeout of one second.
+constexpr base::Millis kShortRetention{ 9000 };
 
 std::string VersionOf(const std::string& aRunner) {
   return aRunner == "i-0" || aRunner == "i-2" ? "v1" : "v2";
@@ -196,6 +198,23 @@
   BOOST_TEST(Resume(1, "unknown", base::RandomHex(8)).m_status == 503);
 }
 
+// Nodes forgot versions and origins of streams that had begun with a longer timeout.
+BOOST_AUTO_TEST_CASE(ShorterTimeoutForgetsNoVersionOfAnOpenStream) {
+  const std::vector<std::string> ids = BeginStreams(0);
+  for (const int runner : { 0, 2 }) {
+    m_fleet.PostControl("runner", { { "index", runner }, { "state", "gone" } });
+  }
+  ConfigurationOptions options;
+  options.m_timeout = base::Millis(1000);
+  m_fleet.ApplyConfiguration(options);
+  std::this_thread::sleep_for(kShortRetention);
+  ResumeAll(1, ids);
+  // A runner of the version that most of them began at is back.
+  m_fleet.PostControl("runner", { { "index", 2 }, { "state", "ready" } });
+  std::this_thread::sleep_for(base::Millis(500));
+  BOOST_TEST(ResumeAll(1, ids) * 2 >= kStreams);
+}
+
 BOOST_AUTO_TEST_CASE(StreamOfUnknownOriginIsRefusedWhileTwoVersionsServe) {
   const std::string id = base::RandomHex(8);
   BOOST_TEST(Resume(0, "unknown", id).m_status == 503);
