Confirm the view of the registrations before a version counts as the only one

Cause: a node took the only version that it had seen for the only one that served, and asked no peer then, however old its view was. VersionFinder now asks the peers in any case, and takes the only version only if ReplicaBarrier has confirmed it: the store is read after the caller has come, and the replica has reached the position that the read states. A version whose endpoints served the beginning of the stream had registered before that.

--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -50,8 +50,9 @@
 /// Reason in the log of a call that ended because its time was over.
 constexpr const char* kTimeoutReason = "timeout";
 
-/// Longest search for the version that began a stream.
-constexpr base::Millis kMaxVersionSearch{ 250 };
+/// Longest search for the version that began a stream, also as a divisor of the caller's time.
+constexpr base::Millis kMaxVersionSearch{ 1000 };
+constexpr int kVersionSearchDivisor = 3;
 
 /// Appended to a route's name where the gaps between the events of its streams are counted.
 constexpr const char* kGapSuffix = "/gap";
@@ -217,36 +218,25 @@
                                                                     : m_call.m_resumedId;
 }
 
-/// Returns whether all streams of the service that can still be resumed began at one version.
-bool Exchange::HasOnlyVersion() const {
-  const auto now = base::BootNow();
-  return m_node.m_versionHistory.OnlyVersion(m_service, m_node.StreamLifetime(now), now)
-    .has_value();
-}
-
 /// Finds the version that began the stream that the caller resumes, and then starts the first
 /// attempt.
 void Exchange::FindVersion() {
-  m_node.m_streamOrigins.Find(
-    StreamId(),
-    HasOnlyVersion() ? base::Millis(0) : kMaxVersionSearch,
-    [weak = weak_from_this()](const std::optional<std::string>& aVersion) {
+  m_node.m_versionFinder.Find(
+    { StreamId(), m_service, m_node.StreamLifetime(base::BootNow()) },
+    std::min(TimeLeft() / kVersionSearchDivisor, kMaxVersionSearch),
+    [weak = weak_from_this()](const std::optional<std::string>& aVersion, VersionSource aSource) {
       if (const auto self = weak.lock()) {
-        self->OnVersionFound(aVersion);
+        self->OnVersionFound(aVersion, aSource);
       }
     });
 }
 
-void Exchange::OnVersionFound(const std::optional<std::string>& aVersion) {
+void Exchange::OnVersionFound(const std::optional<std::string>& aVersion, VersionSource aSource) {
   if (m_finished) {
     return;
   }
   m_version = aVersion;
-  if (!m_version) {
-    const auto now = base::BootNow();
-    m_version = m_node.m_versionHistory.OnlyVersion(m_service, m_node.StreamLifetime(now), now);
-  }
-  LogResumption(aVersion ? "record" : m_version ? "only_version" : "none");
+  LogResumption(aSource);
   if (m_version) {
     Dispatch();
   } else {
@@ -258,7 +248,7 @@
 
 /// Logs the version to which a resumed stream is bound, and how current the view was that it was
 /// decided by.
-void Exchange::LogResumption(std::string_view aSource) const {
+void Exchange::LogResumption(VersionSource aSource) const {
   const auto now = base::BootNow();
   const auto msAgo = [&](base::TimePoint aTime) {
     return aTime == base::TimePoint{}
@@ -271,7 +261,7 @@
                        { "resumes", m_call.m_resumedId },
                        { "service", m_service.Text() },
                        { "last_event", m_call.m_lastEventId },
-                       { "source", aSource },
+                       { "source", base::NameOf(aSource) },
                        { "version", m_version.value_or("") },
                        { "age_ms", msAgo(m_arrival) },
                        { "versions", m_node.m_versionHistory.CountOf(m_service) },
@@ -289,7 +279,10 @@
     m_version = aAttempt.m_endpoint.m_version;
   }
   if (m_route.m_resumable) {
-    m_node.m_streamOrigins.Record(StreamId(), *m_version, !HasOnlyVersion());
+    const auto now = base::BootNow();
+    const bool isMixed =
+      !m_node.m_versionHistory.OnlyVersion(m_service, m_node.StreamLifetime(now), now);
+    m_node.m_streamOrigins.Record(StreamId(), *m_version, isMixed);
   }
 }
 
--- a/packages/forwarding/Exchange.h
+++ b/packages/forwarding/Exchange.h
@@ -64,10 +64,9 @@
 
   const std::string& StreamId() const;
   void FindVersion();
-  void OnVersionFound(const std::optional<std::string>& aVersion);
-  void LogResumption(std::string_view aSource) const;
+  void OnVersionFound(const std::optional<std::string>& aVersion, VersionSource aSource);
+  void LogResumption(VersionSource aSource) const;
   void BindVersion(const ActiveAttempt& aAttempt);
-  bool HasOnlyVersion() const;
   void Dispatch();
   void Send(const fleet::Endpoint& aEndpoint);
   void AttachHandlers(const std::shared_ptr<ActiveAttempt>& aAttempt);
--- a/packages/forwarding/NodeState.h
+++ b/packages/forwarding/NodeState.h
@@ -18,6 +18,7 @@
 #include "forwarding/Metrics.h"
 #include "forwarding/RegistryView.h"
 #include "forwarding/StreamOrigins.h"
+#include "forwarding/VersionFinder.h"
 #include "placement/Placement.h"
 #include "quota/QuotaLedger.h"
 #include "requests/RetryBudget.h"
@@ -124,6 +125,7 @@
   rollout::VersionGate m_versions;
   fleet::VersionHistory m_versionHistory;
   StreamOrigins m_streamOrigins;
+  VersionFinder m_versionFinder{ m_streamOrigins, m_versionHistory };
   RegistryView m_registryView;
   EndpointPool m_pool;
   CallDurations m_durations;
--- /dev/null
+++ b/packages/forwarding/VersionFinder.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "base/EnumNames.h"
+#include "base/Time.h"
+#include "fleet/VersionHistory.h"
+#include "forwarding/StreamOrigins.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace papayafield::forwarding {
+
+/// What told the version that began a stream.
+enum class VersionSource {
+  /// This node's own record of streams.
+  Record,
+  /// The record of a peer.
+  Peer,
+  /// Only one version served in the lifetime of the stream, by a view that was confirmed after the
+  /// stream was resumed.
+  OnlyVersion,
+  /// The version is unknown.
+  None,
+};
+
+/// A stream that a caller resumes.
+struct ResumedStream {
+  /// Call that brought the first event of the stream.
+  std::string m_callId;
+  fleet::ServiceId m_service;
+  /// Time for which streams may be resumed.
+  base::Millis m_lifetime{ 0 };
+};
+
+/// Finds the software version that began a stream. Belongs to the event loop's thread.
+class VersionFinder {
+public:
+  /// Called with the version; nullopt and VersionSource::None if it is unknown.
+  using OnFound =
+    std::function<void(const std::optional<std::string>& aVersion, VersionSource aSource)>;
+  /// Confirms within the given time that the view of the registered endpoints contains all that the
+  /// store had acknowledged when it was called, and calls back with whether it does.
+  using ConfirmView =
+    std::function<void(base::Millis aMaxWait, std::function<void(bool aCurrent)> aOnDone)>;
+
+  /// `aOrigins` and `aHistory` must outlive the object.
+  VersionFinder(StreamOrigins& aOrigins, const fleet::VersionHistory& aHistory)
+    : m_origins(aOrigins)
+    , m_history(aHistory) {}
+
+  /// Sets what confirms the view. Before that, a version is never taken for the only one.
+  void SetConfirmView(ConfirmView aConfirmView) { m_confirmView = std::move(aConfirmView); }
+
+  /// Calls `aOnFound` once: at once if this node knows the stream, otherwise as soon as a peer or a
+  /// confirmed view tells the version, or when both are known not to, at the latest after
+  /// `aMaxWait`.
+  void Find(const ResumedStream& aStream, base::Millis aMaxWait, OnFound aOnFound);
+
+private:
+  struct Search;
+
+  void OnViewChecked(const std::shared_ptr<Search>& aSearch, bool aCurrent);
+  std::optional<std::string> OnlyVersion(const ResumedStream& aStream) const;
+
+  StreamOrigins& m_origins;
+  const fleet::VersionHistory& m_history;
+  ConfirmView m_confirmView;
+};
+
+} // namespace papayafield::forwarding
+
+namespace papayafield::base {
+
+template<>
+inline constexpr auto kEnumNames<forwarding::VersionSource> =
+  std::to_array<EnumName<forwarding::VersionSource>>({
+    { forwarding::VersionSource::Record, "record" },
+    { forwarding::VersionSource::Peer, "peer" },
+    { forwarding::VersionSource::OnlyVersion, "only_version" },
+    { forwarding::VersionSource::None, "none" },
+  });
+
+} // namespace papayafield::base
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -13,6 +13,7 @@
 #include "serving/ServingSettings.h"
 #include "serving/StreamRecord.h"
 #include "serving/VersionRecord.h"
+#include "sync/ReplicaBarrier.h"
 #include "sync/StoreWatcher.h"
 
 #include <nlohmann/json.hpp>
@@ -89,6 +90,7 @@
             m_gossip.SendUpdate(aAfter, aChanges);
           }
         })
+    , m_replicaBarrier(aLoop, aStore, m_replica, VersionRecordKey())
     , m_peerTable(m_self)
     , m_gossip(
         aLoop,
@@ -144,6 +146,9 @@
     m_state.m_streamOrigins.SetSenders(
       [this](const auto& aOrigins) { SendOrigins(aOrigins); },
       [this](const auto& aStreams) { m_gossip.SendOriginQuery(aStreams); });
+    m_state.m_versionFinder.SetConfirmView([this](base::Millis aMaxWait, auto aOnDone) {
+      m_replicaBarrier.Await(aMaxWait, std::move(aOnDone));
+    });
     m_tickTimer = m_loop.Every(kTickInterval, [this] { Tick(); });
   }
 
@@ -1039,6 +1044,7 @@
   GossipExchange::ActiveConfiguration m_configuration;
   sync::StoreReplica m_replica;
   sync::StoreWatcher<Store> m_storeWatcher;
+  sync::ReplicaBarrier<Store> m_replicaBarrier;
   gossip::PeerTable m_peerTable;
   GossipExchange m_gossip;
   forwarding::Gateway m_gateway;
--- a/tests/integration/StreamVersionsTest.cpp
+++ b/tests/integration/StreamVersionsTest.cpp
@@ -3,6 +3,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <csignal>
+#include <future>
 #include <set>
 #include <thread>
 
@@ -21,21 +23,24 @@
 /// Time after which nodes forget streams whose routes have a timeout of one second.
 constexpr base::Millis kShortRetention{ 9000 };
 
-std::string VersionOf(const std::string& aRunner) {
-  return aRunner == "i-0" || aRunner == "i-2" ? "v1" : "v2";
-}
+/// Time after which all nodes have read what runners have registered.
+constexpr base::Millis kReadTime{ 500 };
 
-/// Two runners of each of two versions.
-struct TwoVersionsFixture {
-  explicit TwoVersionsFixture(size_t aNodes = 2)
+/// Two runners of the version v1, and two that have not joined yet.
+struct OneVersionFixture {
+  explicit OneVersionFixture(size_t aNodes)
     : m_nodes(aNodes)
     , m_fleet(aNodes, 4) {
+    SetNewRunners("gone");
+  }
+
+  /// Sets the state of the runners of the version v2.
+  void SetNewRunners(const char* aState) const {
     for (const int runner : { 1, 3 }) {
       m_fleet.PostControl("runner",
-                          { { "index", runner }, { "version", "v2" }, { "state", "ready" } });
+                          { { "index", runner }, { "version", "v2" }, { "state", aState } });
     }
-    // Until the nodes have read the registrations, they take all runners for one version.
-    std::this_thread::sleep_for(base::Millis(500));
+    std::this_thread::sleep_for(kReadTime);
   }
 
   /// Returns the versions that ran calls for the stream that began with the try `aId`.
@@ -43,7 +48,7 @@
     std::set<std::string> versions;
     for (const std::string& id : aIds) {
       for (const auto& run : m_fleet.RecordedRuns(id)) {
-        versions.insert(VersionOf(run.at("runner")));
+        versions.insert(run.at("version").get<std::string>());
       }
     }
     return versions;
@@ -65,20 +70,27 @@
   /// Begins streams at the node `aNode`, and breaks them off after their first events. One runner
   /// of each version, among them the one that gets the first calls, takes no calls afterwards.
   std::vector<std::string> BeginStreams(size_t aNode) const {
+    SetMode({ 0, 3 }, "ok");
+    const std::vector<std::string> ids = BeginAndBreakOff(aNode);
+    SetMode({ 0, 3 }, "shed");
+    return ids;
+  }
+
+  std::vector<std::string> BeginAndBreakOff(size_t aNode) const {
     std::vector<std::string> ids;
-    for (const int runner : { 0, 3 }) {
-      m_fleet.PostControl("runner", { { "index", runner }, { "mode", "ok" } });
-    }
     for (int i = 0; i < kStreams; ++i) {
       ids.push_back(base::RandomHex(8));
       BOOST_REQUIRE(m_fleet.SendAndDisconnect(aNode, "/stream/a", ids.back()));
     }
-    for (const int runner : { 0, 3 }) {
-      m_fleet.PostControl("runner", { { "index", runner }, { "mode", "shed" } });
-    }
     return ids;
   }
 
+  void SetMode(const std::vector<int>& aRunners, const char* aMode) const {
+    for (const int runner : aRunners) {
+      m_fleet.PostControl("runner", { { "index", runner }, { "mode", aMode } });
+    }
+  }
+
   /// Resumes the streams at node `aNode` and returns how many went on. None may go on at another
   /// version; those that do not must be refused as not run.
   int ResumeAll(size_t aNode, const std::vector<std::string>& aIds) const {
@@ -114,6 +126,20 @@
   PlatformFleet m_fleet;
 };
 
+/// Two runners of each of two versions.
+struct TwoVersionsFixture : OneVersionFixture {
+  explicit TwoVersionsFixture(size_t aNodes = 2)
+    : OneVersionFixture(aNodes) {
+    SetNewRunners("ready");
+  }
+};
+
+/// Three nodes, and one version until the test lets the other one join.
+struct JoiningVersionFixture : OneVersionFixture {
+  JoiningVersionFixture()
+    : OneVersionFixture(3) {}
+};
+
 /// A fleet in which few nodes watch the store.
 struct LargeFleetFixture : TwoVersionsFixture {
   LargeFleetFixture()
@@ -211,7 +237,7 @@
   ResumeAll(1, ids);
   // A runner of the version that most of them began at is back.
   m_fleet.PostControl("runner", { { "index", 2 }, { "state", "ready" } });
-  std::this_thread::sleep_for(base::Millis(500));
+  std::this_thread::sleep_for(kReadTime);
   BOOST_TEST(ResumeAll(1, ids) * 2 >= kStreams);
 }
 
@@ -236,6 +262,44 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(JoiningVersionTest, JoiningVersionFixture)
+
+// A node that had not run for a while took the only version that it had seen for the only one.
+BOOST_AUTO_TEST_CASE(NodeThatWakesJoinsNoStreamsFromTwoVersions) {
+  const size_t proxy = m_fleet.AddPlatformProxy(1);
+  BOOST_REQUIRE(PlatformFleet::WaitUntil([&] { return m_fleet.IsReady(1); }));
+  m_fleet.NodeProcess(1).Signal(SIGSTOP);
+  m_fleet.SetProxyFaults(proxy, { { "refuse", true }, { "cut", true } });
+  SetNewRunners("ready");
+  SetMode({ 0, 2 }, "shed");
+  const std::vector<std::string> ids = BeginAndBreakOff(0);
+  SetMode({ 0, 2 }, "ok");
+  std::vector<std::string> retries;
+  std::vector<std::future<CallerAnswer>> answers;
+  for (const std::string& id : ids) {
+    retries.push_back(base::RandomHex(8));
+    answers.push_back(std::async(std::launch::async,
+                                 [&, retry = retries.back(), id] { return Resume(1, id, retry); }));
+  }
+  std::this_thread::sleep_for(kReadTime);
+  m_fleet.NodeProcess(1).Signal(SIGCONT);
+  for (size_t i = 0; i < ids.size(); ++i) {
+    answers[i].get();
+    BOOST_TEST(VersionsOf({ ids[i], retries[i] }).size() == 1, ids[i]);
+  }
+}
+
+// Only the node that had begun a stream knew its version while one version served.
+BOOST_AUTO_TEST_CASE(StreamsOfAStoppedNodeGoOnWhileAVersionJoins) {
+  const std::vector<std::string> ids = BeginStreams(0);
+  std::this_thread::sleep_for(kReadTime);
+  m_fleet.NodeProcess(0).Signal(SIGSTOP);
+  SetNewRunners("ready");
+  BOOST_TEST(ResumeAll(1, ids) * 2 >= kStreams);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(StreamVersionsOfLargeFleetsTest, LargeFleetFixture)
 
 // The node that saves the streams did not do so unless it watched the store.
