Send the origins of all streams to peers, whatever the number of versions

Cause: while one version served, only the node that had begun a stream knew its version, and passed it on when a second one appeared, which a stopped node can't do. A node now sends the origin of each stream to three peers within 150 ms. While one version serves, these are the nodes that follow it in the working set, so that the work is spread. A peer that is asked and does not know a stream says so, and a search ends once all have, so that callers of unknown streams don't wait for nothing. The latest streams are saved in the store first: those have the longest time left.

--- a/packages/adapters/peer/GossipCodec.cpp
+++ b/packages/adapters/peer/GossipCodec.cpp
@@ -276,6 +276,10 @@
   for (const auto origin : aFrom.getOrigins()) {
     notice.m_origins.push_back({ origin.getStream(), ToString(origin.getVersion()) });
   }
+  notice.m_host = ToString(aFrom.getHost());
+  for (const uint64_t stream : aFrom.getUnknown()) {
+    notice.m_unknown.push_back(stream);
+  }
   return notice;
 }
 
@@ -352,12 +356,17 @@
 
 std::string EncodeOriginNotice(const gossip::OriginNotice& aNotice) {
   capnp::MallocMessageBuilder message;
-  auto origins = message.initRoot<wire::NewsDatagram>().initOrigins().initOrigins(
-    static_cast<unsigned>(aNotice.m_origins.size()));
+  auto root = message.initRoot<wire::NewsDatagram>().initOrigins();
+  auto origins = root.initOrigins(static_cast<unsigned>(aNotice.m_origins.size()));
   for (unsigned i = 0; i < origins.size(); ++i) {
     origins[i].setStream(aNotice.m_origins[i].m_stream);
     origins[i].setVersion(aNotice.m_origins[i].m_version);
   }
+  root.setHost(aNotice.m_host);
+  auto unknown = root.initUnknown(static_cast<unsigned>(aNotice.m_unknown.size()));
+  for (unsigned i = 0; i < unknown.size(); ++i) {
+    unknown.set(i, aNotice.m_unknown[i]);
+  }
   return Pack(message);
 }
 
--- a/packages/adapters/peer/news.capnp
+++ b/packages/adapters/peer/news.capnp
@@ -125,9 +125,12 @@
 
 struct NewsOrigins {
   origins @0 :List(NewsOrigin);
+  # In a reply, the host of the node that replies and the streams that it does not know.
+  host @1 :Text;
+  unknown @2 :List(UInt64);
 }
 
-# Asks for the origins of streams; those that are known are sent to the host.
+# Asks for the origins of streams. The reply to the host also lists those that are not known.
 struct NewsOriginQuery {
   host @0 :Text;
   streams @1 :List(UInt64);
--- a/packages/adapters/peer/news.capnp.h
+++ b/packages/adapters/peer/news.capnp.h
@@ -260,7 +260,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e2b20a8df664258d, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(e2b20a8df664258d, 0, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1819,6 +1819,12 @@
   inline bool hasOrigins() const;
   inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsOrigin,  ::capnp::Kind::STRUCT>::Reader getOrigins() const;
 
+  inline bool hasHost() const;
+  inline  ::capnp::Text::Reader getHost() const;
+
+  inline bool hasUnknown() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getUnknown() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1854,6 +1860,21 @@
   inline void adoptOrigins(::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsOrigin,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsOrigin,  ::capnp::Kind::STRUCT>> disownOrigins();
 
+  inline bool hasHost();
+  inline  ::capnp::Text::Builder getHost();
+  inline void setHost( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHost(unsigned int size);
+  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHost();
+
+  inline bool hasUnknown();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getUnknown();
+  inline void setUnknown( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setUnknown(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initUnknown(unsigned int size);
+  inline void adoptUnknown(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownUnknown();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3725,6 +3746,78 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool NewsOrigins::Reader::hasHost() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool NewsOrigins::Builder::hasHost() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NewsOrigins::Reader::getHost() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NewsOrigins::Builder::getHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void NewsOrigins::Builder::setHost( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NewsOrigins::Builder::initHost(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void NewsOrigins::Builder::adoptHost(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NewsOrigins::Builder::disownHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool NewsOrigins::Reader::hasUnknown() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool NewsOrigins::Builder::hasUnknown() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader NewsOrigins::Reader::getUnknown() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder NewsOrigins::Builder::getUnknown() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void NewsOrigins::Builder::setUnknown( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void NewsOrigins::Builder::setUnknown(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder NewsOrigins::Builder::initUnknown(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void NewsOrigins::Builder::adoptUnknown(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> NewsOrigins::Builder::disownUnknown() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool NewsOriginQuery::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/adapters/peer/tests/GossipCodecTest.cpp
+++ b/packages/adapters/peer/tests/GossipCodecTest.cpp
@@ -113,12 +113,15 @@
 }
 
 BOOST_AUTO_TEST_CASE(StreamOriginsRoundTrip) {
-  const auto notice = DecodeGossip(EncodeOriginNotice({ { { 7, "v1" }, { UINT64_MAX, "" } } }));
+  const auto notice = DecodeGossip(
+    EncodeOriginNotice({ { { 7, "v1" }, { UINT64_MAX, "" } }, "10.1.0.15", { 9, UINT64_MAX } }));
   BOOST_REQUIRE(notice.has_value());
   const auto& origins = std::get<gossip::OriginNotice>(*notice).m_origins;
   BOOST_REQUIRE(origins.size() == 2);
   BOOST_TEST(origins[0].m_version == "v1");
   BOOST_TEST(origins[1].m_stream == UINT64_MAX);
+  BOOST_TEST(std::get<gossip::OriginNotice>(*notice).m_host == "10.1.0.15");
+  BOOST_TEST(std::get<gossip::OriginNotice>(*notice).m_unknown.at(1) == UINT64_MAX);
   const auto query = DecodeGossip(EncodeOriginQuery({ "10.1.0.14", { 7, 8 } }));
   BOOST_REQUIRE(query.has_value());
   BOOST_TEST(std::get<gossip::OriginQuery>(*query).m_host == "10.1.0.14");
@@ -126,7 +129,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(MutatedBytesAreHandledSafely) {
-  DecodeMutatedBytes(EncodeOriginNotice({ { { 7, "v1" }, { 9, "v2" } } }));
+  DecodeMutatedBytes(EncodeOriginNotice({ { { 7, "v1" }, { 9, "v2" } }, "10.1.0.15", { 8 } }));
   DecodeMutatedBytes(EncodeOriginQuery({ "10.1.0.14", { 7, 8 } }));
   DecodeMutatedBytes(EncodeLeavingNotice(MakeLeavingNotice()));
   DecodeMutatedBytes(EncodeHeartbeat(MakeFullHeartbeat()));
--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -279,10 +279,7 @@
     m_version = aAttempt.m_endpoint.m_version;
   }
   if (m_route.m_resumable) {
-    const auto now = base::BootNow();
-    const bool isMixed =
-      !m_node.m_versionHistory.OnlyVersion(m_service, m_node.StreamLifetime(now), now);
-    m_node.m_streamOrigins.Record(StreamId(), *m_version, isMixed);
+    m_node.m_streamOrigins.Record(StreamId(), *m_version);
   }
 }
 
--- a/packages/forwarding/StreamOrigins.cpp
+++ b/packages/forwarding/StreamOrigins.cpp
@@ -10,7 +10,7 @@
 /// Maximum number of streams that are remembered.
 constexpr size_t kMaxStreams = 32768;
 /// Time in which origins are collected, so that one datagram carries many.
-constexpr base::Millis kTellDelay{ 150 };
+constexpr base::Millis kSendDelay{ 150 };
 /// The same for questions, whose callers wait.
 constexpr base::Millis kAskDelay{ 4 };
 /// Interval after which unanswered questions are asked again, since datagrams get lost.
@@ -18,9 +18,9 @@
 
 } // namespace
 
-void StreamOrigins::SetSenders(std::function<void(const Origins&)> aTellKeepers,
-                               std::function<void(const Keys&)> aAskAll) {
-  m_tellKeepers = std::move(aTellKeepers);
+void StreamOrigins::SetSenders(std::function<void(const Origins&)> aSendToKeepers,
+                               std::function<size_t(const Keys&)> aAskAll) {
+  m_sendToKeepers = std::move(aSendToKeepers);
   m_askAll = std::move(aAskAll);
 }
 
@@ -41,15 +41,13 @@
   m_unsaved.erase(aKey);
 }
 
-void StreamOrigins::Record(const std::string& aCallId, const std::string& aVersion, bool aTell) {
+void StreamOrigins::Record(const std::string& aCallId, const std::string& aVersion) {
   const fleet::StreamKey key = fleet::StreamKeyOf(aCallId);
   Insert(key, aVersion);
   m_incomplete.insert(key);
-  if (aTell) {
-    m_unsaved.insert(key);
-    m_untold.push_back({ key, aVersion });
-    Tell();
-  }
+  m_unsaved.insert(key);
+  m_unsent.push_back({ key, m_versions.at(key) });
+  SendLater();
 }
 
 void StreamOrigins::OnComplete(const std::string& aCallId) {
@@ -58,12 +56,12 @@
   m_unsaved.erase(key);
 }
 
-void StreamOrigins::TellIncomplete() {
+void StreamOrigins::SendIncomplete() {
   for (const fleet::StreamKey key : m_incomplete) {
     m_unsaved.insert(key);
-    m_untold.push_back({ key, m_versions.at(key) });
+    m_unsent.push_back({ key, m_versions.at(key) });
   }
-  Tell();
+  SendLater();
 }
 
 void StreamOrigins::Merge(const Origins& aOrigins) {
@@ -74,6 +72,19 @@
   }
 }
 
+void StreamOrigins::OnUnknown(const std::string& aHost, const Keys& aKeys) {
+  for (const fleet::StreamKey key : aKeys) {
+    const auto search = m_searches.find(key);
+    if (search == m_searches.end()) {
+      continue;
+    }
+    search->second.m_unknownAt.insert(aHost);
+    if (search->second.m_asked > 0 && search->second.m_unknownAt.size() >= search->second.m_asked) {
+      EndSearch(key, std::nullopt);
+    }
+  }
+}
+
 void StreamOrigins::MergeSaved(const Origins& aOrigins) {
   Merge(aOrigins);
   for (const fleet::StreamOrigin& origin : aOrigins) {
@@ -83,10 +94,13 @@
 
 StreamOrigins::Origins StreamOrigins::TakeUnsaved(size_t aMaxCount) {
   Origins taken;
-  while (!m_unsaved.empty() && taken.size() < aMaxCount) {
-    const fleet::StreamKey key = *m_unsaved.begin();
-    m_unsaved.erase(m_unsaved.begin());
-    taken.push_back({ key, m_versions.at(key) });
+  for (auto recorded = m_recorded.rbegin();
+       recorded != m_recorded.rend() && !m_unsaved.empty() && taken.size() < aMaxCount;
+       ++recorded) {
+    const fleet::StreamKey key = recorded->second;
+    if (m_unsaved.erase(key) != 0) {
+      taken.push_back({ key, m_versions.at(key) });
+    }
   }
   return taken;
 }
@@ -132,11 +146,11 @@
   }
 }
 
-void StreamOrigins::Tell() {
-  if (m_tellTimer == nullptr && m_tellKeepers && !m_untold.empty()) {
-    m_tellTimer = m_loop.After(kTellDelay, [this] {
-      m_tellTimer.reset();
-      m_tellKeepers(std::exchange(m_untold, {}));
+void StreamOrigins::SendLater() {
+  if (m_sendTimer == nullptr && m_sendToKeepers && !m_unsent.empty()) {
+    m_sendTimer = m_loop.After(kSendDelay, [this] {
+      m_sendTimer.reset();
+      m_sendToKeepers(std::exchange(m_unsent, {}));
     });
   }
 }
@@ -144,10 +158,18 @@
 void StreamOrigins::Ask() {
   m_askTimer.reset();
   const Keys keys = std::exchange(m_unasked, {});
-  if (!keys.empty()) {
-    m_askAll(keys);
-    m_repeatTimer = m_loop.After(kAskInterval, [this] { AskAgain(); });
+  if (keys.empty()) {
+    return;
+  }
+  const size_t asked = m_askAll(keys);
+  for (const fleet::StreamKey key : keys) {
+    if (asked == 0) {
+      EndSearch(key, std::nullopt);
+    } else if (const auto search = m_searches.find(key); search != m_searches.end()) {
+      search->second.m_asked = asked;
+    }
   }
+  m_repeatTimer = m_loop.After(kAskInterval, [this] { AskAgain(); });
 }
 
 void StreamOrigins::AskAgain() {
--- a/packages/forwarding/tests/VersionFinderTest.cpp
+++ b/packages/forwarding/tests/VersionFinderTest.cpp
@@ -23,7 +23,10 @@
 struct FinderFixture {
   FinderFixture() {
     m_origins.SetSenders([](const auto&) {},
-                         [this](const auto& aKeys) { m_queries += aKeys.size(); });
+                         [this](const auto& aKeys) {
+                           m_queries += aKeys.size();
+                           return size_t{ 1 };
+                         });
     m_finder.SetConfirmView(
       [this](Millis, std::function<void(bool)> aOnDone) { m_onViewChecked = std::move(aOnDone); });
     m_history.SetComplete();
--- a/packages/gossip/StreamOrigins.h
+++ b/packages/gossip/StreamOrigins.h
@@ -11,6 +11,9 @@
 /// reply to a query.
 struct OriginNotice {
   std::vector<fleet::StreamOrigin> m_origins;
+  /// In a reply, the host of the node that replies and the streams that it does not know.
+  std::string m_host;
+  std::vector<fleet::StreamKey> m_unknown;
 };
 
 /// Asks another node which versions began streams.
--- a/packages/serving/EntryChoice.cpp
+++ b/packages/serving/EntryChoice.cpp
@@ -38,6 +38,21 @@
   return hosts;
 }
 
+std::vector<std::string> SelectOriginKeepers(const std::vector<std::string>& aHosts,
+                                             const std::string& aSelf,
+                                             bool aShared,
+                                             size_t aMaxCount) {
+  std::vector<std::string> hosts = aHosts;
+  const auto self = std::find(hosts.begin(), hosts.end(), aSelf);
+  if (!aShared && self != hosts.end()) {
+    std::rotate(hosts.begin(), self, hosts.end());
+    hosts.erase(hosts.begin());
+  }
+  hosts.resize(std::min(hosts.size(), aMaxCount));
+  std::erase(hosts, aSelf);
+  return hosts;
+}
+
 std::vector<std::string> SampleEntryHosts(std::vector<std::string> aHosts,
                                           size_t aMaxCount,
                                           std::mt19937_64& aRandom) {
--- a/packages/serving/EntryChoice.h
+++ b/packages/serving/EntryChoice.h
@@ -29,6 +29,15 @@
                                           double aCallsPerSecond,
                                           const WorkingSetSettings& aSettings);
 
+/// Returns the hosts among `aHosts`, a working set in its order, that keep the origins of the
+/// streams of `aSelf` in case that node is lost: at most `aMaxCount`, never `aSelf`. If `aShared`
+/// is set, they are the same for all nodes; otherwise those that follow `aSelf`, which spreads the
+/// work. Thread safe.
+std::vector<std::string> SelectOriginKeepers(const std::vector<std::string>& aHosts,
+                                             const std::string& aSelf,
+                                             bool aShared,
+                                             size_t aMaxCount);
+
 /// Returns at most `aMaxCount` of `aHosts`, drawn at random and in random order. Callers that use
 /// only some of the addresses therefore spread over all nodes of a large fleet. Thread safe if no
 /// other thread uses `aRandom`.
--- a/packages/serving/GossipExchange.cpp
+++ b/packages/serving/GossipExchange.cpp
@@ -182,25 +182,39 @@
   for (size_t first = 0; first < aOrigins.size(); first += kStreamsPerDatagram) {
     const size_t end = std::min(first + kStreamsPerDatagram, aOrigins.size());
     const gossip::OriginNotice notice{ { aOrigins.begin() + static_cast<std::ptrdiff_t>(first),
-                                         aOrigins.begin() + static_cast<std::ptrdiff_t>(end) } };
+                                         aOrigins.begin() + static_cast<std::ptrdiff_t>(end) },
+                                       {},
+                                       {} };
     m_socket.Send({ aHost, m_settings.m_gossipPort }, adapters::peer::EncodeOriginNotice(notice));
   }
 }
 
-void GossipExchange::SendOriginQuery(const std::vector<fleet::StreamKey>& aStreams) {
+size_t GossipExchange::SendOriginQuery(const std::vector<fleet::StreamKey>& aStreams) {
   const auto now = base::BootNow();
+  std::vector<std::string> hosts;
+  for (const auto& [node, peer] : m_peerTable.All()) {
+    if (m_peerTable.IsAlive(peer, now) && peer.m_contact.m_host != m_settings.m_host) {
+      hosts.push_back(peer.m_contact.m_host);
+    }
+  }
   for (size_t first = 0; first < aStreams.size(); first += kStreamsPerDatagram) {
     const size_t end = std::min(first + kStreamsPerDatagram, aStreams.size());
     const std::string bytes = adapters::peer::EncodeOriginQuery(
       { m_settings.m_host,
         { aStreams.begin() + static_cast<std::ptrdiff_t>(first),
           aStreams.begin() + static_cast<std::ptrdiff_t>(end) } });
-    for (const auto& [node, peer] : m_peerTable.All()) {
-      if (m_peerTable.IsAlive(peer, now)) {
-        m_socket.Send({ peer.m_contact.m_host, m_settings.m_gossipPort }, bytes);
-      }
+    for (const std::string& host : hosts) {
+      m_socket.Send({ host, m_settings.m_gossipPort }, bytes);
     }
   }
+  return hosts.size();
+}
+
+void GossipExchange::HandleOriginQuery(const gossip::OriginQuery& aQuery) {
+  gossip::OriginNotice reply = m_onOriginQuery(aQuery);
+  reply.m_host = m_settings.m_host;
+  m_socket.Send({ aQuery.m_host, m_settings.m_gossipPort },
+                adapters::peer::EncodeOriginNotice(reply));
 }
 
 void GossipExchange::Receive() {
@@ -220,7 +234,7 @@
     } else if (const auto* origins = std::get_if<gossip::OriginNotice>(&*message)) {
       m_onOriginNotice(*origins);
     } else if (const auto* query = std::get_if<gossip::OriginQuery>(&*message)) {
-      SendOrigins(query->m_host, m_onOriginQuery(*query).m_origins);
+      HandleOriginQuery(*query);
     } else {
       m_onHeartbeat(std::get<gossip::Heartbeat>(*message));
     }
--- a/packages/serving/GossipExchange.h
+++ b/packages/serving/GossipExchange.h
@@ -64,8 +64,8 @@
                             const std::vector<std::string>& aAlways);
   /// Sends the origins of streams to the host `aHost`.
   void SendOrigins(const std::string& aHost, const std::vector<fleet::StreamOrigin>& aOrigins);
-  /// Asks all live nodes for the origins of streams.
-  void SendOriginQuery(const std::vector<fleet::StreamKey>& aStreams);
+  /// Asks all other live nodes for the origins of streams. Returns how many there are.
+  size_t SendOriginQuery(const std::vector<fleet::StreamKey>& aStreams);
   /// Returns the number of rounds after which each node has been sent a heartbeat.
   size_t RoundsPerFleet() const;
   /// Sends changes to the other nodes of this zone at once: all changes after `aAfter`, in order.
@@ -92,6 +92,7 @@
   void Receive();
   void ReceiveQuarantineReport(const std::string& aBytes);
   void HandleUpdate(const gossip::Update& aUpdate);
+  void HandleOriginQuery(const gossip::OriginQuery& aQuery);
   void Fetch(const std::string& aHost);
   /// Fetches a complete replica of a later era after a random delay: from a random node that is
   /// known to have one, or else from `aHost`.
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -111,10 +111,9 @@
         },
         [this](const gossip::OriginNotice& aNotice) {
           m_state.m_streamOrigins.Merge(aNotice.m_origins);
+          m_state.m_streamOrigins.OnUnknown(aNotice.m_host, aNotice.m_unknown);
         },
-        [this](const gossip::OriginQuery& aQuery) {
-          return gossip::OriginNotice{ m_state.m_streamOrigins.Known(aQuery.m_streams) };
-        },
+        [this](const gossip::OriginQuery& aQuery) { return MakeOriginReply(aQuery); },
         m_configuration,
         [this](const std::string& aData) { ApplyConfiguration(aData, "peer"); })
     , m_gateway(m_state, m_settings.m_callerAddress, m_settings.m_connections)
@@ -145,7 +144,7 @@
     m_state.m_crashGuard.SetUrgentHandler([this] { ScheduleQuarantineReport(); });
     m_state.m_streamOrigins.SetSenders(
       [this](const auto& aOrigins) { SendOrigins(aOrigins); },
-      [this](const auto& aStreams) { m_gossip.SendOriginQuery(aStreams); });
+      [this](const auto& aStreams) { return m_gossip.SendOriginQuery(aStreams); });
     m_state.m_versionFinder.SetConfirmView([this](base::Millis aMaxWait, auto aOnDone) {
       m_replicaBarrier.Await(aMaxWait, std::move(aOnDone));
     });
@@ -437,10 +436,11 @@
     }
     if (!std::includes(
           m_mixedVersions.begin(), m_mixedVersions.end(), mixed.begin(), mixed.end())) {
-      m_state.m_streamOrigins.TellIncomplete();
+      m_state.m_streamOrigins.SendIncomplete();
     }
     m_mixedVersions = std::move(mixed);
-    if (!aWorkingSet.empty() && aWorkingSet.front() == m_settings.m_host) {
+    if (!m_mixedVersions.empty() && !aWorkingSet.empty() &&
+        aWorkingSet.front() == m_settings.m_host) {
       SaveStreams(aNow);
     }
     if (m_state.Catalog() != nullptr) {
@@ -451,16 +451,30 @@
     }
   }
 
-  /// Sends the origins of streams to the first nodes of the working set, which are in different
-  /// availability zones and known to all nodes. The first of them saves the origins in the store.
+  /// Sends the origins of streams to some nodes of the working set, which are in different
+  /// availability zones. While several versions serve, these are the first ones for all nodes, and
+  /// the very first of them saves the origins in the store.
   void SendOrigins(const forwarding::StreamOrigins::Origins& aOrigins) {
-    std::vector<std::string> keepers = WorkingSet(base::BootNow());
-    keepers.resize(std::min(keepers.size(), kOriginKeepers));
-    for (const std::string& host : keepers) {
-      if (host != m_settings.m_host) {
-        m_gossip.SendOrigins(host, aOrigins);
+    for (const std::string& host : SelectOriginKeepers(WorkingSet(base::BootNow()),
+                                                       m_settings.m_host,
+                                                       !m_mixedVersions.empty(),
+                                                       kOriginKeepers)) {
+      m_gossip.SendOrigins(host, aOrigins);
+    }
+  }
+
+  /// Returns what this node knows of the streams of `aQuery`.
+  gossip::OriginNotice MakeOriginReply(const gossip::OriginQuery& aQuery) const {
+    gossip::OriginNotice reply;
+    for (const fleet::StreamKey key : aQuery.m_streams) {
+      auto known = m_state.m_streamOrigins.Known({ key });
+      if (known.empty()) {
+        reply.m_unknown.push_back(key);
+      } else {
+        reply.m_origins.push_back(std::move(known.front()));
       }
     }
+    return reply;
   }
 
   /// Saves the origins of streams that began since the last time, for a restart of all nodes. Each
--- a/packages/serving/tests/EntryChoiceTest.cpp
+++ b/packages/serving/tests/EntryChoiceTest.cpp
@@ -45,6 +45,20 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(OriginsAreKeptByTheNextNodesOfOtherZones) {
+  const std::vector<std::string> hosts{ "a", "b", "c", "d", "e" };
+  using Hosts = std::vector<std::string>;
+  const auto follows = [&](const char* aSelf) {
+    return SelectOriginKeepers(hosts, aSelf, false, 3);
+  };
+  BOOST_TEST(follows("a") == (Hosts{ "b", "c", "d" }), boost::test_tools::per_element());
+  BOOST_TEST(follows("d") == (Hosts{ "e", "a", "b" }), boost::test_tools::per_element());
+  BOOST_TEST(follows("other") == (Hosts{ "a", "b", "c" }), boost::test_tools::per_element());
+  BOOST_TEST(SelectOriginKeepers(hosts, "b", true, 3) == (Hosts{ "a", "c" }),
+             boost::test_tools::per_element());
+  BOOST_TEST(SelectOriginKeepers({ "a" }, "a", false, 3).empty());
+}
+
 BOOST_AUTO_TEST_CASE(SmallFleetIsReturnedWhole) {
   std::mt19937_64 random(1);
   auto sampled = SampleEntryHosts({ "a", "b", "c" }, 64, random);
