--- a/tests/integration/StreamVersionsTest.cpp
+++ b/tests/integration/StreamVersionsTest.cpp
@@ -71,7 +71,7 @@
   /// of each version, among them the one that gets the first calls, takes no calls afterwards.
   std::vector<std::string> BeginStreams(size_t aNode) const {
     SetMode({ 0, 3 }, "ok");
-    const std::vector<std::string> ids = BeginAndBreakOff(aNode);
+    std::vector<std::string> ids = BeginAndBreakOff(aNode);
     SetMode({ 0, 3 }, "shed");
     return ids;
   }
