Stand-in runners with limited slots, a queue and a limit of rejections

Tests could not show what an endpoint does that has no room: the runners of the fleet stand-in ran any number of calls at a time.

The report lists the rejections. Without these settings it behaves as before.

--- a/standins/fleet/Runner.cpp
+++ b/standins/fleet/Runner.cpp
@@ -12,8 +12,10 @@
 namespace {
 
 constexpr size_t kMaxHeadBytes = 65536;
-/// Processing time of one call.
-constexpr base::Millis kProcessingTime{ 10 };
+/// Time after which a call is rejected for want of room.
+constexpr base::Millis kRejectionTime{ 1 };
+/// Time in which rejections are counted.
+constexpr base::Millis kRejectionWindow{ 1000 };
 /// Delay between two events of a stream.
 constexpr base::Millis kEventInterval{ 15 };
 /// Delay between two events of a stream in the mode SlowStreams.
@@ -60,6 +62,8 @@
   std::shared_ptr<ServerConnection> m_connection;
   RequestHead m_head;
   adapters::http::EventHandlePtr m_timer;
+  /// Whether the call occupies a slot.
+  bool m_isRunning = false;
   /// True from a complete request until its response is complete.
   bool m_inProgress = false;
   /// Attempt id of the previous call on this connection; empty if there was none.
@@ -133,8 +137,12 @@
 void Runner::Crash(const std::string& aAttemptId) {
   m_callLog.m_crashes.push_back({ m_id, aAttemptId, base::WallMillis() });
   m_listener.reset();
+  m_running = 0;
+  m_waiting.clear();
+  m_rejections.clear();
   for (const auto& callerConnection : std::exchange(m_callerConnections, {})) {
     callerConnection->m_timer.reset();
+    callerConnection->m_isRunning = false;
     callerConnection->m_connection->Close();
   }
   m_restartTimer = m_loop.After(m_deadlyPart.m_downtime, [this] {
@@ -160,14 +168,8 @@
       locked->m_inProgress = true;
       m_callLog.m_arrivals.push_back(
         { HeaderValue(locked->m_head, "Papayafield-Attempt-Id"), m_id, m_born, base::BootNow() });
-      const base::Millis processingTime =
-        m_mode == RunnerMode::RespondLate ? kLateProcessingTime : kProcessingTime;
       RecordDeadlyCall(locked->m_head);
-      locked->m_timer = m_loop.After(processingTime, [this, weak] {
-        if (const auto active = weak.lock()) {
-          Respond(active);
-        }
-      });
+      OnCall(locked);
     }
   };
   events.m_onFlushed = [weak] {
@@ -182,16 +184,84 @@
         m_callLog.m_interruptedCalls.push_back(
           HeaderValue(locked->m_head, "Papayafield-Attempt-Id"));
       }
+      EndProcessing(*locked);
       m_callerConnections.erase(locked);
     }
   };
   callerConnection->m_connection->SetEvents(std::move(events));
 }
 
+void Runner::OnCall(const std::shared_ptr<CallerConnection>& aCallerConnection) {
+  if (m_capacity.m_slots == 0 || m_running < m_capacity.m_slots) {
+    StartProcessing(aCallerConnection);
+    return;
+  }
+  std::erase_if(m_waiting, [](const auto& aWaiting) { return aWaiting.expired(); });
+  if (m_waiting.size() < m_capacity.m_queue) {
+    m_waiting.push_back(aCallerConnection);
+    return;
+  }
+  aCallerConnection->m_timer =
+    m_loop.After(kRejectionTime, [this, weak = std::weak_ptr(aCallerConnection)] {
+      if (const auto active = weak.lock()) {
+        RejectForRoom(active);
+      }
+    });
+}
+
+void Runner::StartProcessing(const std::shared_ptr<CallerConnection>& aCallerConnection) {
+  aCallerConnection->m_isRunning = true;
+  ++m_running;
+  const base::Millis processingTime =
+    m_mode == RunnerMode::RespondLate ? kLateProcessingTime : m_capacity.m_processingTime;
+  aCallerConnection->m_timer =
+    m_loop.After(processingTime, [this, weak = std::weak_ptr(aCallerConnection)] {
+      if (const auto active = weak.lock()) {
+        Respond(active);
+        if (!active->m_inProgress) {
+          EndProcessing(*active);
+        }
+      }
+    });
+}
+
+void Runner::EndProcessing(CallerConnection& aCallerConnection) {
+  if (!std::exchange(aCallerConnection.m_isRunning, false)) {
+    return;
+  }
+  --m_running;
+  while (!m_waiting.empty() && m_running < m_capacity.m_slots) {
+    const auto next = m_waiting.front().lock();
+    m_waiting.pop_front();
+    if (next != nullptr) {
+      StartProcessing(next);
+    }
+  }
+}
+
+void Runner::RejectForRoom(const std::shared_ptr<CallerConnection>& aCallerConnection) {
+  const std::string attemptId = HeaderValue(aCallerConnection->m_head, "Papayafield-Attempt-Id");
+  const auto now = base::BootNow();
+  m_callLog.m_rejections.push_back({ attemptId, m_id, m_born, now });
+  m_rejections.push_back(now);
+  while (now - m_rejections.front() >= kRejectionWindow) {
+    m_rejections.pop_front();
+  }
+  ResponseHead head = aCallerConnection->MakeRejectionHead(503, attemptId);
+  AddSignals(head);
+  aCallerConnection->SendResponse(head, "");
+  if (m_capacity.m_maxRejections && m_rejections.size() > *m_capacity.m_maxRejections) {
+    Crash(attemptId);
+  }
+}
+
 void Runner::AddSignals(ResponseHead& aHead) const {
   if (m_signals.m_leaving) {
     aHead.m_fields.Add("Server-Leaving", "1");
   }
+  if (!m_signals.m_brittle.empty()) {
+    aHead.m_fields.Add("Server-Brittle", m_signals.m_brittle);
+  }
   if (aHead.m_status == 503) {
     for (const std::string& value : m_signals.m_retryAfter) {
       aHead.m_fields.Add("Retry-After", value);
@@ -339,6 +409,7 @@
     aCallerConnection->m_inProgress = false;
     aCallerConnection->m_connection->Write("0\r\n\r\n");
     aCallerConnection->m_connection->Resume();
+    EndProcessing(*aCallerConnection);
     return;
   }
   const std::string event = EventText(aEvent, m_mode != RunnerMode::TruncateUnnumberedStreams);
--- a/standins/fleet/Runner.h
+++ b/standins/fleet/Runner.h
@@ -3,9 +3,11 @@
 #include "adapters/http1/Listener.h"
 #include "base/EnumNames.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -86,6 +88,19 @@
   bool m_leaving = false;
   /// Values of the Retry-After fields of its 503 answers.
   std::vector<std::string> m_retryAfter;
+  /// Value of the Server-Brittle field of all its answers; empty if they have none.
+  std::string m_brittle;
+};
+
+/// What a runner can process.
+struct RunnerCapacity {
+  /// Calls that it runs at a time, the others wait; 0 means any number.
+  size_t m_slots = 0;
+  /// Calls that may wait; more are rejected with 503.
+  size_t m_queue = 0;
+  base::Millis m_processingTime{ 10 };
+  /// Rejections per second above which it crashes; nullopt if it never does.
+  std::optional<size_t> m_maxRejections;
 };
 
 /// An answer in which a runner stated something about itself.
@@ -132,7 +147,9 @@
   std::vector<ExecutedCall> m_executedCalls;
   /// Attempt ids of calls whose connection was closed before the response was complete.
   std::vector<std::string> m_interruptedCalls;
-  /// Calls with the deadly part, and the crashes that they caused.
+  /// Calls that were rejected for want of room.
+  std::vector<Arrival> m_rejections;
+  /// Calls with the deadly part, and all crashes.
   std::vector<DeadlyEvent> m_deadlyCalls;
   std::vector<DeadlyEvent> m_crashes;
 };
@@ -162,6 +179,9 @@
   /// Sets what the mode SendRaw sends.
   void SetRawResponse(RawResponse aResponse) { m_rawResponse = std::move(aResponse); }
   void SetSignals(RunnerSignals aSignals) { m_signals = std::move(aSignals); }
+  /// Sets what the runner can process from the next call on.
+  void SetCapacity(RunnerCapacity aCapacity) { m_capacity = aCapacity; }
+  const RunnerCapacity& Capacity() const { return m_capacity; }
   /// Start time that the runner registers; another one makes it a new incarnation.
   int64_t Born() const { return m_born; }
   /// Version of its software that the runner registers.
@@ -177,6 +197,11 @@
   void RecordDeadlyCall(const adapters::http1::RequestHead& aHead);
   void Crash(const std::string& aAttemptId);
   void AcceptConnection(std::shared_ptr<adapters::http1::ServerConnection> aConnection);
+  void OnCall(const std::shared_ptr<CallerConnection>& aCallerConnection);
+  void StartProcessing(const std::shared_ptr<CallerConnection>& aCallerConnection);
+  /// Frees the slot of a call, if it has one, for the one that has waited longest.
+  void EndProcessing(CallerConnection& aCallerConnection);
+  void RejectForRoom(const std::shared_ptr<CallerConnection>& aCallerConnection);
   void Respond(const std::shared_ptr<CallerConnection>& aCallerConnection);
   void AddSignals(adapters::http1::ResponseHead& aHead) const;
   void RespondTruncated(const std::shared_ptr<CallerConnection>& aCallerConnection);
@@ -197,6 +222,11 @@
   /// Number of calls that got a response in the mode SendRaw.
   int m_rawCalls = 0;
   RunnerSignals m_signals;
+  RunnerCapacity m_capacity;
+  size_t m_running = 0;
+  std::deque<std::weak_ptr<CallerConnection>> m_waiting;
+  /// Times of the latest rejections for want of room.
+  std::deque<base::TimePoint> m_rejections;
   int64_t m_born = 1;
   std::string m_version = "v1";
   std::set<std::shared_ptr<CallerConnection>> m_callerConnections;
--- a/standins/fleet/main.cpp
+++ b/standins/fleet/main.cpp
@@ -19,6 +19,8 @@
 using nlohmann::json;
 
 constexpr size_t kMaxHeadBytes = 65536;
+/// Slots that runners of any capacity register.
+constexpr size_t kRegisteredSlots = 64;
 
 /// Returns a point in time as milliseconds of the boot-time clock, which all processes share.
 double ToBootMillis(base::TimePoint aTime) {
@@ -66,9 +68,11 @@
     if (m_proxyPort != 0) {
       address.m_port = static_cast<uint16_t>(m_proxyPort + std::stoi(aRunner.Id().substr(2)));
     }
+    const size_t slots =
+      aRunner.Capacity().m_slots > 0 ? aRunner.Capacity().m_slots : kRegisteredSlots;
     const json entry = { { "service", m_service },  { "address", address.ToText() },
                          { "zone", "a" },           { "version", aRunner.Version() },
-                         { "slots", 64 },           { "state", aState },
+                         { "slots", slots },        { "state", aState },
                          { "cold_left_ms", 0 },     { "sequence", 1 },
                          { "born", aRunner.Born() } };
     m_store.Put("servers/" + aRunner.Id(), base::DumpJson(entry));
@@ -230,8 +234,18 @@
                             aBody.value("repeated", ""),
                             aBody.value("target_prefix", "/"),
                             std::max(aBody.value("one_in", 1), 1) });
-    runner.SetSignals(
-      { aBody.value("leaving", false), aBody.value("retry_after", std::vector<std::string>()) });
+    runner.SetSignals({ aBody.value("leaving", false),
+                        aBody.value("retry_after", std::vector<std::string>()),
+                        aBody.value("brittle", "") });
+    RunnerCapacity capacity;
+    capacity.m_slots = aBody.value("slots", capacity.m_slots);
+    capacity.m_queue = aBody.value("queue", capacity.m_queue);
+    capacity.m_processingTime =
+      base::Millis(aBody.value("work_ms", capacity.m_processingTime.count()));
+    if (aBody.contains("max_rejections")) {
+      capacity.m_maxRejections = aBody.at("max_rejections").get<size_t>();
+    }
+    runner.SetCapacity(capacity);
     runner.SetBorn(aBody.value("born", runner.Born()));
     runner.SetVersion(aBody.value("version", runner.Version()));
     const std::string state = aBody.value("state", "");
@@ -254,13 +268,16 @@
                        { "reused", run.m_isReusedConnection },
                        { "version", run.m_version } });
     }
-    json arrivals = json::array();
-    for (const Arrival& arrival : m_callLog.m_arrivals) {
-      arrivals.push_back({ { "call", arrival.m_attemptId },
-                           { "runner", arrival.m_runner },
-                           { "born", arrival.m_born },
-                           { "at_ms", ToBootMillis(arrival.m_time) } });
-    }
+    const auto listArrivals = [](const std::vector<Arrival>& aArrivals) {
+      json list = json::array();
+      for (const Arrival& arrival : aArrivals) {
+        list.push_back({ { "call", arrival.m_attemptId },
+                         { "runner", arrival.m_runner },
+                         { "born", arrival.m_born },
+                         { "at_ms", ToBootMillis(arrival.m_time) } });
+      }
+      return list;
+    };
     json signals = json::array();
     for (const SignalledAnswer& answer : m_callLog.m_signalledAnswers) {
       signals.push_back({ { "runner", answer.m_runner },
@@ -279,7 +296,8 @@
       return list;
     };
     return { { "runs", runs },
-             { "arrivals", arrivals },
+             { "arrivals", listArrivals(m_callLog.m_arrivals) },
+             { "rejections", listArrivals(m_callLog.m_rejections) },
              { "signals", signals },
              { "deadly_calls", listEvents(m_callLog.m_deadlyCalls) },
              { "crashes", listEvents(m_callLog.m_crashes) },
