--- a/packages/forwarding/Call.h
+++ b/packages/forwarding/Call.h
@@ -87,6 +87,11 @@
   std::optional<base::Millis> m_retryAfter;
   /// Whether the answer contains such a time in a form that cannot be used.
   bool m_hasInvalidRetryAfter = false;
+  /// Number of calls that the endpoint can reject per second for want of room without failing, if
+  /// it states that.
+  std::optional<int> m_rejectionTolerance;
+  /// Whether the answer contains such a number in a form that cannot be used.
+  bool m_hasInvalidTolerance = false;
 };
 
 /// Encoding of calls, attempts and answers on the wire.
