Limit the rejections of endpoints that tolerate few

Callers saw every call refused: endpoints that state a tolerance N and then let fewer calls wait were made to reject more than N calls in a second, fell, came back, and fell again.

The nodes sent to an endpoint by its expected delay alone, also when all its slots were taken, and every refused caller came back. Nothing limited what all nodes together made it reject.

RejectionLimit gives each node an equal share of half the tolerance. A call beyond the slots of the endpoint (or, near that, beyond the node's share of them) counts as a rejection when it is sent, so that a node cannot exceed its share with such calls whatever the endpoint does; a rejection halves the calls that the node may have open there. CallPlanner excludes the endpoints that admit no further call, for first tries and retries alike, and refuses a call for which none is left with 503, `overload` and a Retry-After. Without a statement of the service nothing changes.

--- a/packages/forwarding/CallExplainer.cpp
+++ b/packages/forwarding/CallExplainer.cpp
@@ -47,6 +47,7 @@
     case PlanKind::TimedOut:
     case PlanKind::Late:
     case PlanKind::Overloaded:
+    case PlanKind::RejectionLimit:
       break;
   }
   return "refused";
--- a/packages/forwarding/CallPlanner.cpp
+++ b/packages/forwarding/CallPlanner.cpp
@@ -14,6 +14,8 @@
 constexpr double kLeavingRetrySeconds = 1.0;
 /// Retry-After in seconds of a service without endpoints.
 constexpr double kNoEndpointRetrySeconds = 1.0;
+/// Mean Retry-After in seconds while no endpoint of a service has room that is safe to use.
+constexpr double kNoRoomRetrySeconds = 0.5;
 /// Mean time in seconds over which callers return after the end of an endpoint's pause.
 constexpr double kReturnSpreadSeconds = 0.2;
 /// Added to the time in seconds until a team's bucket is full enough.
@@ -109,6 +111,7 @@
                                 m_facts.m_attempts == 0 && m_facts.m_call.m_lastEventId.empty(),
                                 aNow,
                                 request.m_unavailable);
+  request.m_unavailable.merge(WithoutRoom(aNow));
   if (m_facts.m_version) {
     for (const fleet::Endpoint& endpoint : m_node.m_directory.Ready()) {
       if (endpoint.m_service == serviceId && endpoint.m_version != *m_facts.m_version) {
@@ -171,6 +174,24 @@
          });
 }
 
+/// Returns the endpoints of the service that might reject another call for want of room, and do not
+/// tolerate that.
+std::set<fleet::Incarnation> CallPlanner::WithoutRoom(base::TimePoint aNow) const {
+  std::set<fleet::Incarnation> endpoints;
+  if (!m_node.m_rejectionLimit.Holds(m_facts.m_service, aNow)) {
+    return endpoints;
+  }
+  for (const fleet::Endpoint& endpoint : m_node.m_directory.Ready()) {
+    const fleet::Incarnation& incarnation = endpoint.m_incarnation;
+    if (endpoint.m_service == m_facts.m_service &&
+        !m_node.m_rejectionLimit.Admits(
+          endpoint, m_node.OpenCallsAt(incarnation.m_endpoint), aNow)) {
+      endpoints.insert(incarnation);
+    }
+  }
+  return endpoints;
+}
+
 /// Returns the refusal of a call that no endpoint may get.
 CallPlan CallPlanner::PlanWithoutEndpoint(base::TimePoint aNow) const {
   CallPlan plan;
@@ -181,6 +202,11 @@
   }
   plan.m_outage =
     m_node.m_availability.FindOutage(m_facts.m_service, m_node.m_directory.Ready(), aNow);
+  if (!plan.m_outage && !WithoutRoom(aNow).empty()) {
+    plan.m_kind = PlanKind::RejectionLimit;
+    plan.m_refusal = PlannedRefusal{ status, "overload", kNoRoomRetrySeconds };
+    return plan;
+  }
   if (!plan.m_outage) {
     plan.m_refusal = PlannedRefusal{ status, "no_endpoint", kNoEndpointRetrySeconds };
     return plan;
--- a/packages/forwarding/CallPlanner.h
+++ b/packages/forwarding/CallPlanner.h
@@ -43,6 +43,8 @@
   Quarantined,
   /// All endpoints of the service leave or have asked for a pause.
   Outage,
+  /// Another call could exceed the rejections that the endpoints of the service tolerate.
+  RejectionLimit,
   /// There is no endpoint.
   NoEndpoint,
   /// No endpoint of a mixed service can answer it in time.
@@ -141,6 +143,7 @@
 
 private:
   bool IsVersionGone() const;
+  std::set<fleet::Incarnation> WithoutRoom(base::TimePoint aNow) const;
   CallPlan PlanWithoutEndpoint(base::TimePoint aNow) const;
 
   const NodeState& m_node;
@@ -158,6 +161,7 @@
     { forwarding::PlanKind::TimedOut, "timed_out" },
     { forwarding::PlanKind::Quarantined, "quarantined" },
     { forwarding::PlanKind::Outage, "outage" },
+    { forwarding::PlanKind::RejectionLimit, "rejection_limit" },
     { forwarding::PlanKind::NoEndpoint, "no_endpoint" },
     { forwarding::PlanKind::Late, "late" },
     { forwarding::PlanKind::Overloaded, "overloaded" },
--- a/packages/forwarding/EndpointSignals.cpp
+++ b/packages/forwarding/EndpointSignals.cpp
@@ -1,17 +1,23 @@
 #include "forwarding/EndpointSignals.h"
 
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace papayafield::forwarding {
 
-void EndpointSignals::OnAnswer(const fleet::Incarnation& aEndpoint,
+void EndpointSignals::OnAnswer(const fleet::Endpoint& aEndpoint,
                                const AnswerInfo& aInfo,
                                const std::string& aCallId) {
-  const std::string& id = aEndpoint.m_endpoint.Text();
+  const fleet::Incarnation& incarnation = aEndpoint.m_incarnation;
+  const std::string& id = incarnation.m_endpoint.Text();
   if (aInfo.m_hasInvalidRetryAfter) {
     m_log.Event("invalid retry time ignored", { { "endpoint", id }, { "request", aCallId } });
   }
-  if (!aInfo.m_leaving && !aInfo.m_retryAfter) {
+  if (aInfo.m_hasInvalidTolerance) {
+    m_log.Event("invalid rejection tolerance ignored",
+                { { "endpoint", id }, { "request", aCallId } });
+  }
+  if (!aInfo.m_leaving && !aInfo.m_retryAfter && !aInfo.m_rejectionTolerance) {
     return;
   }
   if (!aInfo.m_instance.empty() && aInfo.m_instance != id) {
@@ -22,23 +28,45 @@
     return;
   }
   const auto now = base::BootNow();
-  if (aInfo.m_leaving && m_availability.MarkLeaving(aEndpoint, now)) {
+  if (aInfo.m_leaving && m_availability.MarkLeaving(incarnation, now)) {
     m_log.Event("endpoint leaves",
                 { { "endpoint", id },
-                  { "born", aEndpoint.m_startMs },
+                  { "born", incarnation.m_startMs },
                   { "source", "answer" },
                   { "request", aCallId } });
-    OnLeaving(aEndpoint);
+    OnLeaving(incarnation);
   }
   if (aInfo.m_retryAfter) {
-    const base::Millis pause = m_availability.Pause(aEndpoint, *aInfo.m_retryAfter, now);
+    const base::Millis pause = m_availability.Pause(incarnation, *aInfo.m_retryAfter, now);
     m_log.Event("endpoint pauses",
                 { { "endpoint", id },
-                  { "born", aEndpoint.m_startMs },
+                  { "born", incarnation.m_startMs },
                   { "asked_ms", aInfo.m_retryAfter->count() },
                   { "pause_ms", pause.count() },
                   { "request", aCallId } });
   }
+  if (aInfo.m_rejectionTolerance &&
+      m_rejectionLimit.SetTolerance(aEndpoint, *aInfo.m_rejectionTolerance, now)) {
+    m_log.Event("endpoint tolerates few rejections",
+                { { "endpoint", id },
+                  { "service", aEndpoint.m_service.Text() },
+                  { "per_second", *aInfo.m_rejectionTolerance },
+                  { "request", aCallId } });
+  }
+}
+
+void EndpointSignals::OnRejected(const fleet::Endpoint& aEndpoint,
+                                 double aOwnCalls,
+                                 const std::string& aCallId) {
+  const auto now = base::BootNow();
+  const double limit = m_rejectionLimit.RecordRejection(aEndpoint, aOwnCalls, now);
+  if (std::isfinite(limit)) {
+    m_log.Event("open calls limited",
+                { { "endpoint", aEndpoint.m_incarnation.m_endpoint.Text() },
+                  { "open", aOwnCalls },
+                  { "limit", limit },
+                  { "request", aCallId } });
+  }
 }
 
 void EndpointSignals::OnPeerReport(const std::vector<fleet::LeavingMark>& aMarks) {
--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -295,6 +295,9 @@
   if (plan.m_kind == PlanKind::Late) {
     RefuseLate(*plan.m_prospect);
   } else if (plan.m_refusal) {
+    if (plan.m_kind == PlanKind::RejectionLimit) {
+      m_node.m_metrics.Count("refused_by_rejection_limit");
+    }
     if (plan.m_outage) {
       LogOutage(*plan.m_outage);
     }
@@ -359,6 +362,8 @@
   m_attempt = attempt;
   ++m_attemptCount;
   m_tried.insert(aEndpoint.m_incarnation.m_endpoint);
+  m_node.m_rejectionLimit.RecordSent(
+    aEndpoint, m_node.OpenCallsAt(aEndpoint.m_incarnation.m_endpoint), now);
   m_node.m_placement.RecordCallStarted(
     aEndpoint.m_incarnation.m_endpoint, attempt->m_queuedTokens, attempt->m_urgency);
   attempt->m_openCalls = m_node.m_placement.TotalLoad(aEndpoint.m_incarnation.m_endpoint).m_calls;
@@ -526,7 +531,7 @@
 void Exchange::OnHead(const std::shared_ptr<ActiveAttempt>& aAttempt, ResponseHead&& aHead) {
   aAttempt->m_answerInfo = m_node.m_wire.m_decodeAnswer(aHead);
   const AnswerInfo& info = aAttempt->m_answerInfo;
-  m_node.m_signals.OnAnswer(aAttempt->m_endpoint.m_incarnation, info, m_call.m_id);
+  m_node.m_signals.OnAnswer(aAttempt->m_endpoint, info, m_call.m_id);
   const AnswerOrigin origin =
     OriginOf(info.m_id, m_call.m_id, aAttempt->m_reused || aAttempt->m_sawMisdirected);
   aAttempt->m_isMisdirected = origin == AnswerOrigin::OtherCall;
@@ -873,6 +878,11 @@
   if (aFault == AttemptFault::Lost && aAttempt->m_reused) {
     m_node.m_pool.CloseIdle(endpoint.m_incarnation);
   }
+  if (aFault == AttemptFault::Unattributed ||
+      (aFault == AttemptFault::NotExecuted && aAttempt->m_head.m_status == 503)) {
+    m_node.m_signals.OnRejected(
+      endpoint, m_node.OpenCallsAt(endpoint.m_incarnation.m_endpoint).m_own, m_call.m_id);
+  }
   m_node.m_placement.RecordOutcome(endpoint.m_incarnation.m_endpoint, false, now);
   if (aFault != AttemptFault::NotExecuted && aFault != AttemptFault::Unattributed) {
     m_node.m_failures.Record(endpoint.m_incarnation.m_endpoint, false, now);
--- a/packages/forwarding/NodeState.cpp
+++ b/packages/forwarding/NodeState.cpp
@@ -32,10 +32,12 @@
   , m_directory(aExpiryGrace)
   , m_streamOrigins(aLoop)
   , m_pool(aLoop)
-  , m_signals(m_availability, m_pool, std::move(aOnEndpointLeaving))
+  , m_signals(m_availability, m_rejectionLimit, m_pool, std::move(aOnEndpointLeaving))
   , m_quota(aQuotaTolerance, base::RandomSeed())
   , m_usage(aWindowMs)
-  , m_retryLimits(aRetryLimits) {}
+  , m_retryLimits(aRetryLimits) {
+  m_rejectionLimit.SetNodeCount(m_nodeCount);
+}
 
 bool NodeState::ApplyCatalog(fleet::CatalogPtr aCatalog) {
   if (m_catalog != nullptr && aCatalog->Version() < m_catalog->Version()) {
@@ -78,11 +80,18 @@
     return;
   }
   m_nodeCount = std::max<size_t>(aCount, 1);
+  m_rejectionLimit.SetNodeCount(m_nodeCount);
   for (auto& [service, budget] : m_budgets) {
     budget.Configure(MakeRetryBudgetSettings());
   }
 }
 
+OpenCalls NodeState::OpenCallsAt(const base::EndpointId& aEndpoint) const {
+  const auto& loads = m_placement.LocalLoad();
+  const auto own = loads.find(aEndpoint);
+  return { own != loads.end() ? own->second.m_calls : 0, m_placement.TotalLoad(aEndpoint).m_calls };
+}
+
 void NodeState::SetSpeedGauges() {
   if (m_catalog == nullptr) {
     return;
--- a/packages/forwarding/NodeState.h
+++ b/packages/forwarding/NodeState.h
@@ -15,6 +15,7 @@
 #include "forwarding/EndpointPool.h"
 #include "forwarding/EndpointSignals.h"
 #include "forwarding/Metrics.h"
+#include "forwarding/RejectionLimit.h"
 #include "forwarding/StreamOrigins.h"
 #include "placement/Placement.h"
 #include "quota/QuotaLedger.h"
@@ -73,7 +74,8 @@
     const scheduling::CallClass& aClass) const;
   /// Returns the division of the engines of the mixed service `aService`.
   scheduling::PromptSplit& SplitOf(const fleet::ServiceId& aService);
-  /// Sets the number of nodes that share the fleet's retry budgets; at least one is assumed.
+  /// Sets the number of nodes that share the fleet's retry budgets and the rejections that
+  /// endpoints tolerate; at least one is assumed.
   void SetNodeCount(size_t aCount);
   /// Adds to the retry budget of `aService` for a new call.
   void CreditRetryBudget(const fleet::ServiceId& aService);
@@ -94,6 +96,8 @@
   /// Returns the number of calls counted by CountEngineCall, and of the late ones among them.
   double EngineCalls() const { return m_engineCalls; }
   double LateEngineCalls() const { return m_lateEngineCalls; }
+  /// Returns the open calls at `aEndpoint`.
+  OpenCalls OpenCallsAt(const base::EndpointId& aEndpoint) const;
   /// Sets the gauges of the learned speed of each service.
   void SetSpeedGauges();
   /// Returns a random number in [0, 1).
@@ -114,6 +118,7 @@
   scheduling::Admission m_admission{ scheduling::AdmissionSettings{} };
   duties::ScalingPolicy m_scaling{ duties::ScalingSettings{} };
   fleet::EndpointAvailability m_availability{ fleet::AvailabilitySettings{} };
+  RejectionLimit m_rejectionLimit{ RejectionLimitSettings{} };
   rollout::VersionGate m_versions;
   fleet::VersionHistory m_versionHistory;
   StreamOrigins m_streamOrigins;
--- a/packages/forwarding/tests/AnswerSignalsTest.cpp
+++ b/packages/forwarding/tests/AnswerSignalsTest.cpp
@@ -39,14 +39,17 @@
     adapters::http::EventLoop loop;
     EndpointPool pool(loop);
     fleet::EndpointAvailability availability{ fleet::AvailabilitySettings{} };
+    RejectionLimit limit{ RejectionLimitSettings{} };
     int marks = 0;
-    EndpointSignals signals(availability, pool, [&] { ++marks; });
+    EndpointSignals signals(availability, limit, pool, [&] { ++marks; });
+    fleet::Endpoint endpoint;
+    endpoint.m_incarnation = kEndpoint;
     AnswerInfo info;
     info.m_leaving = row.m_leaving;
     info.m_retryAfter = row.m_retryAfter;
     info.m_instance = row.m_instance;
-    signals.OnAnswer(kEndpoint, info, "call");
-    signals.OnAnswer(kEndpoint, info, "call");
+    signals.OnAnswer(endpoint, info, "call");
+    signals.OnAnswer(endpoint, info, "call");
     BOOST_TEST_CONTEXT("row " << &row - kRows) {
       BOOST_TEST((availability.Check(kEndpoint, base::BootNow()) == row.m_result));
       BOOST_TEST(marks == (row.m_result == Unavailability::Leaving ? 1 : 0));
@@ -54,13 +57,40 @@
   }
 }
 
+// An answer of another endpoint at the address says nothing about the tolerance of this one.
+BOOST_AUTO_TEST_CASE(ToleranceOfTheEndpointLimitsItsCalls) {
+  for (const char* instance : { "", "i-1", "i-2" }) {
+    adapters::http::EventLoop loop;
+    EndpointPool pool(loop);
+    fleet::EndpointAvailability availability{ fleet::AvailabilitySettings{} };
+    RejectionLimit limit{ RejectionLimitSettings{} };
+    EndpointSignals signals(availability, limit, pool, [] {});
+    fleet::Endpoint endpoint;
+    endpoint.m_incarnation = kEndpoint;
+    endpoint.m_slots = 4;
+    AnswerInfo info;
+    info.m_rejectionTolerance = 0;
+    info.m_instance = instance;
+    BOOST_TEST(limit.Admits(endpoint, { 4, 4 }, base::BootNow()));
+    signals.OnAnswer(endpoint, info, "call");
+    BOOST_TEST_CONTEXT(instance) {
+      const bool applies = info.m_instance != "i-2";
+      BOOST_TEST(limit.Admits(endpoint, { 4, 4 }, base::BootNow()) == !applies);
+      BOOST_TEST(limit.Admits(endpoint, { 3, 3 }, base::BootNow()));
+      signals.OnRejected(endpoint, 4, "call");
+      BOOST_TEST(limit.Admits(endpoint, { 0, 0 }, base::BootNow()) == !applies);
+    }
+  }
+}
+
 // A report is announced again only by nodes that did not know of it.
 BOOST_AUTO_TEST_CASE(KnownReportIsNotAnnouncedAgain) {
   adapters::http::EventLoop loop;
   EndpointPool pool(loop);
   fleet::EndpointAvailability availability{ fleet::AvailabilitySettings{} };
+  RejectionLimit limit{ RejectionLimitSettings{} };
   int marks = 0;
-  EndpointSignals signals(availability, pool, [&] { ++marks; });
+  EndpointSignals signals(availability, limit, pool, [&] { ++marks; });
   signals.OnPeerReport({ { kEndpoint, base::Millis(100) } });
   signals.OnPeerReport({ { kEndpoint, base::Millis(200) } });
   BOOST_TEST((availability.Check(kEndpoint, base::BootNow()) == Unavailability::Leaving));
--- a/packages/forwarding/tests/CallPlannerTest.cpp
+++ b/packages/forwarding/tests/CallPlannerTest.cpp
@@ -143,6 +143,29 @@
   BOOST_TEST(m_node.m_crashGuard.RefusalTime(m_call, onProbation).has_value());
 }
 
+// First tries and retries count alike.
+BOOST_AUTO_TEST_CASE(CallsGoWhereNoRejectionIsExpected) {
+  AddEndpoint("e-1", kPlain);
+  AddEndpoint("e-2", kPlain);
+  const auto& ready = m_node.m_directory.Ready();
+  m_node.m_rejectionLimit.SetTolerance(ready[0], 0, m_now);
+  m_node.m_rejectionLimit.RecordRejection(ready[0], 1, m_now);
+  for (m_attempts = 0; m_attempts < 2; ++m_attempts) {
+    BOOST_TEST(ChosenEndpoint(Preview("plain")) == "e-2");
+  }
+  m_node.m_rejectionLimit.RecordRejection(ready[1], 1, m_now);
+  for (m_attempts = 0; m_attempts < 2; ++m_attempts) {
+    const CallPlan plan = Preview("plain");
+    BOOST_TEST((plan.m_kind == PlanKind::RejectionLimit));
+    BOOST_REQUIRE(plan.m_refusal.has_value());
+    BOOST_TEST(plan.m_refusal->m_status == 503);
+    BOOST_TEST(plan.m_refusal->m_reason == "overload");
+    BOOST_TEST(plan.m_refusal->m_retryAfterSeconds > 0);
+  }
+  m_mayHaveRun = true;
+  BOOST_TEST(Preview("plain").m_refusal->m_status == 502);
+}
+
 BOOST_AUTO_TEST_CASE(ServiceFollowsTheWeights) {
   fleet::Route route;
   BOOST_TEST(CallPlanner::SelectService(route, 0.5).Text().empty());
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -811,6 +811,7 @@
     LogFailingEndpoints(now);
     m_state.m_engines.Update(now);
     m_state.m_availability.RemoveObsolete(m_state.m_directory.All(), now);
+    m_state.m_rejectionLimit.RemoveObsolete(now);
     for (const base::NodeId& node : m_peerTable.RemoveStale(now)) {
       m_state.m_quota.RemovePeer(node);
       m_state.m_placement.SetPeerLoad(node.Text(), {});
