Stand-in runners stop and start again; events that state their version

A runner of the fleet stand-in can exit and return with another id and version, a stream can have another length and pace (events, every_ms), and its events then state the runner and version that sent them, so that a caller sees which versions a stream holds. A configuration can have another timeout for streams alone.

Missing because the soak changed versions in place, before its calls began. Streams without the new query parameters are unchanged.

--- a/standins/fleet/Runner.cpp
+++ b/standins/fleet/Runner.cpp
@@ -130,16 +130,27 @@
   }
 }
 
-void Runner::Crash(const std::string& aAttemptId) {
-  m_callLog.m_crashes.push_back({ m_id, aAttemptId, base::WallMillis() });
+void Runner::Stop() {
   m_listener.reset();
+  m_restartTimer.reset();
   for (const auto& callerConnection : std::exchange(m_callerConnections, {})) {
     callerConnection->m_timer.reset();
     callerConnection->m_connection->Close();
   }
-  m_restartTimer = m_loop.After(m_deadlyPart.m_downtime, [this] {
+}
+
+void Runner::Start() {
+  if (m_listener == nullptr) {
     m_born = base::WallMillis();
     Listen();
+  }
+}
+
+void Runner::Crash(const std::string& aAttemptId) {
+  m_callLog.m_crashes.push_back({ m_id, aAttemptId, base::WallMillis() });
+  Stop();
+  m_restartTimer = m_loop.After(m_deadlyPart.m_downtime, [this] {
+    Start();
     m_onRestart();
   });
 }
@@ -335,13 +346,15 @@
 }
 
 void Runner::SendNextEvent(const std::shared_ptr<CallerConnection>& aCallerConnection, int aEvent) {
-  if (aEvent > kEventsPerStream) {
+  const std::string& target = aCallerConnection->m_head.m_target;
+  const std::string events = QueryParameter(target, "events");
+  if (aEvent > (events.empty() ? kEventsPerStream : std::atoi(events.c_str()))) {
     aCallerConnection->m_inProgress = false;
     aCallerConnection->m_connection->Write("0\r\n\r\n");
     aCallerConnection->m_connection->Resume();
     return;
   }
-  const std::string event = EventText(aEvent, m_mode != RunnerMode::TruncateUnnumberedStreams);
+  const std::string event = MakeEvent(target, aEvent);
   const bool truncates =
     m_mode == RunnerMode::TruncateStreams || m_mode == RunnerMode::TruncateUnnumberedStreams;
   if (truncates && aEvent == kEventsPerStream / 2) {
@@ -354,14 +367,24 @@
     return;
   }
   aCallerConnection->m_connection->Write(EncodeChunk(event));
+  const std::string interval = QueryParameter(target, "every_ms");
+  const base::Millis delay =
+    interval.empty() ? DelayAfterEvent(aEvent) : base::Millis(std::atoi(interval.c_str()));
   aCallerConnection->m_timer =
-    m_loop.After(DelayAfterEvent(aEvent), [this, weak = std::weak_ptr(aCallerConnection), aEvent] {
+    m_loop.After(delay, [this, weak = std::weak_ptr(aCallerConnection), aEvent] {
       if (const auto callerConnection = weak.lock()) {
         SendNextEvent(callerConnection, aEvent + 1);
       }
     });
 }
 
+std::string Runner::MakeEvent(const std::string& aTarget, int aEvent) const {
+  if (QueryParameter(aTarget, "events").empty()) {
+    return EventText(aEvent, m_mode != RunnerMode::TruncateUnnumberedStreams);
+  }
+  return "id: " + std::to_string(aEvent) + "\ndata: " + m_id + " " + m_version + "\n\n";
+}
+
 base::Millis Runner::DelayAfterEvent(int aEvent) const {
   const bool atPause = aEvent == kEventsPerStream / 2 || aEvent == kEventsPerStream * 3 / 4;
   if (m_mode == RunnerMode::PauseStreams && atPause) {
--- a/standins/fleet/Runner.h
+++ b/standins/fleet/Runner.h
@@ -140,7 +140,9 @@
 /// Simulates an endpoint that sends plain responses, and event streams for paths below /stream/.
 /// The query of a request can ask for a truncated response: `cut` is the number of bytes after
 /// which the connection ends unless the response is complete, `framing` is `length`, `chunks` or
-/// `none`, and `end` is `fin` or `reset`. Must be used only on the thread of the event loop.
+/// `none`, and `end` is `fin` or `reset`. For a stream it can ask for another number of events
+/// (`events`) and another delay between them (`every_ms`); these events state the runner and the
+/// version that sent them. Must be used only on the thread of the event loop.
 class Runner {
 public:
   /// Number of events of a stream.
@@ -168,6 +170,12 @@
   const std::string& Version() const { return m_version; }
   void SetVersion(std::string aVersion) { m_version = std::move(aVersion); }
   void SetBorn(int64_t aBorn) { m_born = aBorn; }
+  /// Sets the id; must be called only while the runner is stopped.
+  void SetId(std::string aId) { m_id = std::move(aId); }
+  /// Ends all connections and stops listening, as the exit of a process does.
+  void Stop();
+  /// Listens again after Stop, as a new incarnation. Does nothing if it already listens.
+  void Start();
 
 private:
   struct CallerConnection;
@@ -185,6 +193,8 @@
   void SendNextEvent(const std::shared_ptr<CallerConnection>& aCallerConnection, int aEvent);
   /// Returns the delay between event `aEvent` of a stream and the next one.
   base::Millis DelayAfterEvent(int aEvent) const;
+  /// Returns event `aEvent` of the stream that `aTarget` asks for.
+  std::string MakeEvent(const std::string& aTarget, int aEvent) const;
 
   adapters::http::EventLoop& m_loop;
   base::Address m_address;
--- a/standins/fleet/main.cpp
+++ b/standins/fleet/main.cpp
@@ -234,6 +234,12 @@
       { aBody.value("leaving", false), aBody.value("retry_after", std::vector<std::string>()) });
     runner.SetBorn(aBody.value("born", runner.Born()));
     runner.SetVersion(aBody.value("version", runner.Version()));
+    if (const std::string process = aBody.value("process", ""); process == "stopped") {
+      runner.Stop();
+    } else if (process == "running") {
+      runner.SetId(aBody.value("id", runner.Id()));
+      runner.Start();
+    }
     const std::string state = aBody.value("state", "");
     if (state == "gone") {
       m_store.Remove("servers/" + runner.Id());
--- a/tests/harness/PlatformFleet.cpp
+++ b/tests/harness/PlatformFleet.cpp
@@ -231,6 +231,9 @@
     if (aOptions.m_timeout) {
       route["timeout_ms"] = aOptions.m_timeout->count();
     }
+    if (aOptions.m_streamTimeout && route.at("route_type") == "streaming") {
+      route["timeout_ms"] = aOptions.m_streamTimeout->count();
+    }
   }
   json limits = json::object();
   if (aOptions.m_idleTimeout) {
--- a/tests/harness/PlatformFleet.h
+++ b/tests/harness/PlatformFleet.h
@@ -26,6 +26,8 @@
   std::string m_service = "engines";
   /// Timeout of all routes, if it differs from the default one of their kind.
   std::optional<base::Millis> m_timeout;
+  /// Timeout of the routes of streams, if it differs from that of all routes.
+  std::optional<base::Millis> m_streamTimeout;
   /// Limits for callers, if they differ from the default.
   std::optional<base::Millis> m_idleTimeout;
   std::optional<base::Millis> m_headTimeout;
