Soak: planned work can change the timeout of streams

Checks: later configurations of the planned work keep the timeout and the idle timeout that were set before.

--- a/soak/PlannedWork.cpp
+++ b/soak/PlannedWork.cpp
@@ -80,8 +80,21 @@
 }
 
 void PlannedWork::Configure() {
-  m_fleet.ApplyConfiguration(HostOf(++m_configurationCount),
-                             kIdleTimeouts[RandomIndex(kIdleTimeouts.size())]);
+  m_idleTimeout = kIdleTimeouts[RandomIndex(kIdleTimeouts.size())];
+  WriteConfiguration();
+}
+
+void PlannedWork::ChangeStreamTimeout(base::Millis aTimeout) {
+  m_streamTimeout = aTimeout;
+  WriteConfiguration();
+}
+
+void PlannedWork::WriteConfiguration() {
+  tests::ConfigurationOptions options;
+  options.m_hosts = { "h.example", HostOf(++m_configurationCount) };
+  options.m_idleTimeout = m_idleTimeout;
+  options.m_streamTimeout = m_streamTimeout;
+  m_fleet.ApplyConfiguration(options);
 }
 
 void PlannedWork::EnsureRunning(size_t aNode) {
--- a/soak/PlannedWork.h
+++ b/soak/PlannedWork.h
@@ -50,6 +50,8 @@
   void Reload(size_t aNode);
   /// Writes a new configuration with another idle timeout for callers.
   void Configure();
+  /// Writes a new configuration with another timeout for streams, which later ones keep.
+  void ChangeStreamTimeout(base::Millis aTimeout);
   /// Starts `aNode` if it does not run.
   void EnsureRunning(size_t aNode);
   /// Whether a stop is in progress.
@@ -68,6 +70,7 @@
 
 private:
   const PlannedStop* CurrentStop(size_t aNode) const;
+  void WriteConfiguration();
   void StartItem(size_t aItem, size_t aNode);
   void CheckStops();
   void Launch(size_t aNode);
@@ -84,6 +87,8 @@
   std::vector<adapters::http::EventHandlePtr> m_timers;
   adapters::http::EventHandlePtr m_checkTimer;
   int m_configurationCount = 0;
+  std::optional<base::Millis> m_idleTimeout;
+  std::optional<base::Millis> m_streamTimeout;
 };
 
 } // namespace papayafield::soak
