Soak: the waits for recovery in a file of their own

AllNodesRecover, OneNodeLeads and the two functions that run the loop move from main.cpp without a change, for another kind of rounds that needs them too.

--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -1,6 +1,7 @@
 #include "base/Log.h"
 #include "soak/Checks.h"
 #include "soak/FaultInjector.h"
+#include "soak/Recovery.h"
 #include "standins/common/Arguments.h"
 #include "tests/harness/HostMemory.h"
 
@@ -16,7 +17,11 @@
 namespace {
 
 using namespace papayafield;
+using soak::AllNodesRecover;
 using soak::Caller;
+using soak::OneNodeLeads;
+using soak::RunFor;
+using soak::RunUntil;
 
 /// Time between two fault steps.
 constexpr base::Millis kRoundDuration{ 1500 };
@@ -25,7 +30,6 @@
 /// A node answers a call at its deadline at the latest; callers see that after this time.
 constexpr base::Millis kExtraWait{ 1000 };
 constexpr base::Millis kLongPause{ 7000 };
-constexpr base::Millis kCheckInterval{ 50 };
 /// Duration of a usage window; matches usage_window_s in the settings of PlatformFleet.
 constexpr base::Millis kUsageWindow{ 1000 };
 /// Memory of a host that runs a node, in bytes.
@@ -33,23 +37,6 @@
 /// Time for all planned stops to end.
 constexpr base::Millis kSettleDuration = soak::PlannedWork::kGracePeriod + base::Millis(500);
 
-void RunFor(adapters::http::EventLoop& aLoop, base::Millis aDuration) {
-  const auto timer = aLoop.After(aDuration, [&] { aLoop.Stop(); });
-  aLoop.Run();
-}
-
-/// Runs until `aCondition` holds, at most for `aMaxDuration`.
-void RunUntil(adapters::http::EventLoop& aLoop,
-              base::Millis aMaxDuration,
-              const std::function<bool()>& aCondition) {
-  const auto timer = aLoop.Every(kCheckInterval, [&] {
-    if (aCondition()) {
-      aLoop.Stop();
-    }
-  });
-  RunFor(aLoop, aMaxDuration);
-}
-
 /// Returns the behaviour of caller `aIndex` beside planned work: some send only streams, some leave
 /// their connection idle for long.
 soak::CallerSettings PlannedWorkCaller(size_t aIndex) {
@@ -93,20 +80,6 @@
   }
 }
 
-/// Waits until all nodes are ready again and each serves a call. Returns false if a node does not
-/// recover.
-bool AllNodesRecover(tests::PlatformFleet& aFleet, size_t aNodes) {
-  for (size_t node = 0; node < aNodes; ++node) {
-    const bool nodeRecovered = tests::PlatformFleet::WaitUntil([&] {
-      return aFleet.IsReady(node) && aFleet.Send(node, "GET", "/safe/end").m_status == 200;
-    });
-    if (!nodeRecovered) {
-      return false;
-    }
-  }
-  return true;
-}
-
 /// Waits until all nodes have applied the newest configuration. Returns false if a node does not.
 bool AllNodesFollow(tests::PlatformFleet& aFleet, size_t aNodes, const std::string& aHost) {
   for (size_t node = 0; node < aNodes; ++node) {
@@ -119,17 +92,6 @@
   return true;
 }
 
-/// Waits until exactly one node is the leader. Returns false if that does not happen.
-bool OneNodeLeads(tests::PlatformFleet& aFleet, size_t aNodes) {
-  return tests::PlatformFleet::WaitUntil([&] {
-    double leaders = 0;
-    for (size_t node = 0; node < aNodes; ++node) {
-      leaders += aFleet.ReadMetric(node, "holds_duties");
-    }
-    return leaders == 1;
-  });
-}
-
 /// Sends calls until a usage window that began after the start of this function is reported.
 /// Returns false if none is.
 bool UsageIsReported(tests::PlatformFleet& aFleet) {
