Soak: releases beside disruptions of single nodes, with ORDER and LOST

Callers resume broken streams at other nodes, also at those that have just woken. No stream may hold events of two versions or repeat or lack an event; of 12 or more streams that are resumed at nodes in touch while two endpoints of their version serve, at least half as large a share must go on as of new ones.

Missing: versions of the endpoints never changed during a run, nodes were disrupted for whole rounds of all kinds of faults at once, and nobody compared the streams that go on with those that begin.

--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -2,6 +2,7 @@
 #include "soak/Checks.h"
 #include "soak/FaultInjector.h"
 #include "soak/Recovery.h"
+#include "soak/ReleaseSoak.h"
 #include "standins/common/Arguments.h"
 #include "tests/harness/HostMemory.h"
 
@@ -126,12 +127,23 @@
                                         { "nodes", "3" },
                                         { "runners", "3" },
                                         { "callers", "8" },
-                                        { "plan", "0" } });
+                                        { "plan", "0" },
+                                        { "releases", "0" },
+                                        { "streams", "90" } });
   const auto seed = static_cast<uint64_t>(arguments.Number("seed"));
   const auto nodes = static_cast<size_t>(arguments.Number("nodes"));
   const auto runners = static_cast<size_t>(arguments.Number("runners"));
   const bool onlyPlannedWork = arguments.Number("plan") != 0;
   std::signal(SIGPIPE, SIG_IGN);
+  if (arguments.Number("releases") != 0) {
+    soak::ReleaseSoakSettings settings;
+    settings.m_seed = seed;
+    settings.m_rounds = static_cast<int>(arguments.Number("rounds"));
+    settings.m_nodes = nodes;
+    settings.m_callers = static_cast<size_t>(arguments.Number("callers"));
+    settings.m_streamCallers = static_cast<size_t>(arguments.Number("streams"));
+    return soak::RunReleaseSoak(settings) ? 0 : 1;
+  }
   using Proxies = tests::PlatformFleet::Proxies;
   tests::PlatformFleet fleet(nodes, runners, onlyPlannedWork ? Proxies::None : Proxies::All);
   SplitVersions(fleet, nodes, runners);
