--- a/soak/ReleaseSoak.cpp
+++ b/soak/ReleaseSoak.cpp
@@ -84,6 +84,15 @@
     return base::Millis(m_random() % static_cast<uint64_t>(aMax.count()));
   }
 
+  /// Chooses another timeout for streams.
+  base::Millis NextStreamTimeout() {
+    const base::Millis previous = m_streamTimeout;
+    while (m_streamTimeout == previous) {
+      m_streamTimeout = kStreamTimeouts[m_random() % kStreamTimeouts.size()];
+    }
+    return m_streamTimeout;
+  }
+
   std::string ScheduleRound() {
     const base::Millis releaseAt = RandomTime(kMaxReleaseDelay);
     std::string summary = m_releases.Schedule(releaseAt);
@@ -93,8 +102,8 @@
       summary += m_disruptions.Schedule(kRoundDuration);
     }
     if (m_random() % 3 != 0) {
-      const base::Millis timeout = kStreamTimeouts[m_random() % kStreamTimeouts.size()];
-      const base::Millis delay = RandomTime(kRoundDuration);
+      const base::Millis timeout = NextStreamTimeout();
+      const base::Millis delay = releaseAt + RandomTime(kRoundDuration);
       summary +=
         " timeout_" + std::to_string(timeout.count()) + "@" + std::to_string(delay.count());
       m_timers.push_back(
@@ -234,6 +243,7 @@
   std::vector<std::unique_ptr<Caller>> m_callers;
   std::vector<std::unique_ptr<StreamCaller>> m_streamCallers;
   std::vector<adapters::http::EventHandlePtr> m_timers;
+  base::Millis m_streamTimeout = kInitialStreamTimeout;
 };
 
 } // namespace
