--- a/packages/adapters/http1/Connection.cpp
+++ b/packages/adapters/http1/Connection.cpp
@@ -1,5 +1,6 @@
 #include "adapters/http1/Connection.h"
 
+#include "adapters/http1/SocketOptions.h"
 #include "adapters/http1/StatusLineCheck.h"
 
 #include <arpa/inet.h>
@@ -10,7 +11,6 @@
 #include <http_parser.h>
 #include <linux/sockios.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -22,6 +22,10 @@
 
 namespace papayafield::adapters::http1 {
 
+void BufferDeleter::operator()(evbuffer* aBuffer) const {
+  evbuffer_free(aBuffer);
+}
+
 namespace {
 
 /// Maximum number of bytes parsed in one step, which limits how long one connection occupies the
@@ -41,26 +45,8 @@
 constexpr size_t kInlineStringBytes = 15;
 /// Shortest framing of a field beside its name and value: a colon and a line feed.
 constexpr size_t kMinFieldFramingBytes = 2;
-/// Idle time before TCP keep-alive probes start and interval between them, in seconds. A lost peer
-/// is detected after about 4 s.
-constexpr int kKeepAliveProbeSeconds = 1;
-constexpr int kKeepAliveProbeCount = 3;
-
-template<class Value>
-void SetOption(int aFd, int aLevel, int aName, const Value& aValue) {
-  // A failure is ignored: a socket without the option works, but detects a dead peer more slowly.
-  [[maybe_unused]] const int result =
-    setsockopt(aFd, aLevel, aName, &aValue, static_cast<socklen_t>(sizeof(aValue)));
-}
-
-void SetSocketOptions(int aFd, base::Millis aUnacknowledgedTimeout) {
-  SetOption(aFd, IPPROTO_TCP, TCP_NODELAY, 1);
-  SetOption(aFd, SOL_SOCKET, SO_KEEPALIVE, 1);
-  SetOption(aFd, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveProbeSeconds);
-  SetOption(aFd, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveProbeSeconds);
-  SetOption(aFd, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbeCount);
-  SetOption(aFd, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(aUnacknowledgedTimeout.count()));
-}
+/// Maximum size of the response of a relay, in bytes.
+constexpr size_t kMaxRelayHeadBytes = 1024;
 
 constexpr base::Millis kCallerUnacknowledgedTimeout{ 6000 };
 /// Interval at which bytes on their way to a peer that has ended its side are checked.
@@ -403,11 +389,66 @@
                                                   reinterpret_cast<sockaddr*>(&to),
                                                   static_cast<int>(sizeof(to))) == 0;
   if (!started) {
-    aLoop.Defer([connection] { connection->End(EndKind::NotConnected); });
+    aLoop.Defer([connection] {
+      connection->End(connection->m_heldOutput == nullptr ? EndKind::NotConnected
+                                                          : EndKind::RelayFailed);
+    });
   }
   return connection;
 }
 
+template<class Head>
+std::shared_ptr<Connection<Head>> Connection<Head>::ConnectThrough(
+  http::EventLoop& aLoop,
+  const base::Address& aRelay,
+  const std::string& aTarget,
+  base::Millis aUnacknowledgedTimeout) {
+  auto connection = ConnectTo(aLoop, aRelay, aUnacknowledgedTimeout);
+  connection->Write("CONNECT " + aTarget + " HTTP/1.1\r\n\r\n");
+  connection->m_heldOutput.reset(evbuffer_new());
+  return connection;
+}
+
+template<class Head>
+void Connection<Head>::OnRelayResponse() {
+  evbuffer* const input = bufferevent_get_input(m_buffer);
+  constexpr std::string_view kHeadEnd = "\r\n\r\n";
+  const evbuffer_ptr end = evbuffer_search(input, kHeadEnd.data(), kHeadEnd.size(), nullptr);
+  if (end.pos < 0) {
+    if (PendingInput() > kMaxRelayHeadBytes) {
+      End(EndKind::RelayFailed);
+    }
+    return;
+  }
+  std::string head(static_cast<size_t>(end.pos) + kHeadEnd.size(), '\0');
+  evbuffer_remove(input, head.data(), head.size());
+  constexpr std::string_view kStatusPrefix = "HTTP/1.1 ";
+  const std::string_view status = head.starts_with(kStatusPrefix)
+                                    ? std::string_view(head).substr(kStatusPrefix.size(), 3)
+                                    : std::string_view();
+  if (status != "200") {
+    End(status == "502" ? EndKind::NotConnected : EndKind::RelayFailed);
+    return;
+  }
+  const auto held = std::move(m_heldOutput);
+  bufferevent_write_buffer(m_buffer, held.get());
+  OnEstablished();
+}
+
+template<class Head>
+void Connection<Head>::OnEstablished() {
+  m_established = true;
+  if (m_events.m_onEstablished) {
+    const auto onEstablished = m_events.m_onEstablished;
+    onEstablished();
+  }
+}
+
+template<class Head>
+evbuffer* Connection<Head>::Output() const {
+  return m_heldOutput != nullptr ? m_heldOutput.get() : bufferevent_get_output(m_buffer);
+}
+
 template<class Head>
 void Connection<Head>::SetEvents(Events aEvents) {
   // An old callback may be running and may own its object, so the old ones are destroyed later, by
@@ -421,7 +462,7 @@
 template<class Head>
 void Connection<Head>::Write(std::string_view aBytes) {
   if (m_buffer != nullptr && !aBytes.empty()) {
-    bufferevent_write(m_buffer, aBytes.data(), aBytes.size());
+    evbuffer_add(Output(), aBytes.data(), aBytes.size());
   }
 }
 
@@ -435,9 +476,7 @@
     const std::unique_ptr<std::shared_ptr<const void>> last(
       static_cast<std::shared_ptr<const void>*>(aSharedOwner));
   };
-  if (evbuffer_add_reference(
-        bufferevent_get_output(m_buffer), aBytes.data(), aBytes.size(), release, owner.get()) ==
-      0) {
+  if (evbuffer_add_reference(Output(), aBytes.data(), aBytes.size(), release, owner.get()) == 0) {
     // The buffer owns it from here on.
     static_cast<void>(owner.release());
   }
@@ -468,8 +507,7 @@
 template<class Head>
 void Connection<Head>::Reset() {
   if (m_buffer != nullptr) {
-    const linger discard{ 1, 0 };
-    SetOption(bufferevent_getfd(m_buffer), SOL_SOCKET, SO_LINGER, discard);
+    ResetOnClose(bufferevent_getfd(m_buffer));
     Close();
   }
 }
@@ -538,7 +576,7 @@
 
 template<class Head>
 size_t Connection<Head>::PendingOutput() const {
-  return m_buffer == nullptr ? 0 : evbuffer_get_length(bufferevent_get_output(m_buffer));
+  return m_buffer == nullptr ? 0 : evbuffer_get_length(Output());
 }
 
 template<class Head>
@@ -610,6 +648,12 @@
     evbuffer_drain(bufferevent_get_input(m_buffer), PendingInput());
     return;
   }
+  if (m_heldOutput != nullptr) {
+    OnRelayResponse();
+    if (m_buffer == nullptr || m_heldOutput != nullptr) {
+      return;
+    }
+  }
   if (m_isPaused) {
     if (m_events.m_onUnexpectedData && PendingInput() > 0) {
       m_events.m_onUnexpectedData();
@@ -648,15 +692,13 @@
 void Connection<Head>::OnBufferEvent(short aWhat) {
   const auto self = this->shared_from_this();
   if ((aWhat & BEV_EVENT_CONNECTED) != 0) {
-    m_established = true;
-    if (m_events.m_onEstablished) {
-      const auto onEstablished = m_events.m_onEstablished;
-      onEstablished();
+    if (m_heldOutput == nullptr) {
+      OnEstablished();
     }
     return;
   }
   if (!m_established) {
-    End(EndKind::NotConnected);
+    End(m_heldOutput == nullptr ? EndKind::NotConnected : EndKind::RelayFailed);
     return;
   }
   if ((aWhat & BEV_EVENT_EOF) == 0) {
--- a/packages/adapters/http1/Connection.h
+++ b/packages/adapters/http1/Connection.h
@@ -11,6 +11,7 @@
 #include <string_view>
 
 struct bufferevent;
+struct evbuffer;
 
 namespace papayafield::adapters::http1 {
 
@@ -22,12 +23,19 @@
   Reset,
   /// The connection could not be established.
   NotConnected,
+  /// The relay could not be reached, or refused to connect to the target.
+  RelayFailed,
   /// The peer sent bytes that are not a valid HTTP message.
   Malformed,
   /// The head of a message exceeds the size limit.
   HeadTooLarge,
 };
 
+/// Frees a libevent buffer.
+struct BufferDeleter {
+  void operator()(evbuffer* aBuffer) const;
+};
+
 /// Callbacks of a connection. Events without a callback are ignored.
 template<class Head>
 struct ConnectionEvents {
@@ -73,6 +81,13 @@
   static std::shared_ptr<Connection> ConnectTo(http::EventLoop& aLoop,
                                                const base::Address& aTo,
                                                base::Millis aUnacknowledgedTimeout);
+  /// Starts connecting to `aTarget`, which is a name that the relay at `aRelay` knows. Nothing but
+  /// the name is sent before the relay has connected to the target, and until then the connection
+  /// does not count as established.
+  static std::shared_ptr<Connection> ConnectThrough(http::EventLoop& aLoop,
+                                                    const base::Address& aRelay,
+                                                    const std::string& aTarget,
+                                                    base::Millis aUnacknowledgedTimeout);
   ~Connection();
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
@@ -108,7 +123,7 @@
 
   /// Whether the connection is open or being established.
   bool IsOpen() const { return m_buffer != nullptr; }
-  /// Whether the TCP connection has been established.
+  /// Whether the TCP connection has been established, by the relay too if there is one.
   bool IsEstablished() const { return m_established; }
   /// Whether the connection can be reused after the last complete message.
   bool ShouldKeepAlive() const { return m_keepAlive; }
@@ -127,6 +142,9 @@
   Connection(http::EventLoop& aLoop, size_t aMaxHeadBytes);
   void AttachBuffer(bufferevent* aBuffer);
   void OnReadable();
+  void OnRelayResponse();
+  void OnEstablished();
+  evbuffer* Output() const;
   void OnBufferEvent(short aWhat);
   void OnWritable();
   void EndSending();
@@ -142,6 +160,8 @@
   http::EventLoop& m_loop;
   std::unique_ptr<Parser> m_parser;
   bufferevent* m_buffer = nullptr;
+  /// Bytes to send once the relay has connected to the target; null in all other cases.
+  std::unique_ptr<evbuffer, BufferDeleter> m_heldOutput;
   Events m_events;
   size_t m_maxHeadBytes;
   bool m_established = false;
@@ -184,6 +204,7 @@
     { adapters::http1::EndKind::Finished, "finished" },
     { adapters::http1::EndKind::Reset, "reset" },
     { adapters::http1::EndKind::NotConnected, "not_connected" },
+    { adapters::http1::EndKind::RelayFailed, "relay_failed" },
     { adapters::http1::EndKind::Malformed, "malformed" },
     { adapters::http1::EndKind::HeadTooLarge, "head_too_large" },
   });
--- a/packages/adapters/http1/Listener.cpp
+++ b/packages/adapters/http1/Listener.cpp
@@ -33,28 +33,32 @@
 
 } // namespace
 
-Listener::Listener(http::EventLoop& aLoop,
-                   const base::Address& aAddress,
-                   size_t aMaxHeadBytes,
-                   OnAccept aOnAccept)
-  : m_loop(aLoop)
-  , m_maxHeadBytes(aMaxHeadBytes)
-  , m_onAccept(std::move(aOnAccept))
+SocketListener::SocketListener(http::EventLoop& aLoop,
+                               const base::Address& aAddress,
+                               OnAccept aOnAccept)
+  : m_onAccept(std::move(aOnAccept))
   , m_listener(Listen(aLoop, aAddress, &Accept, this)) {}
 
-Listener::~Listener() {
+SocketListener::~SocketListener() {
   if (m_listener != nullptr) {
     evconnlistener_free(m_listener);
   }
 }
 
-void Listener::Accept(evconnlistener* /*aListener*/,
-                      int aFd,
-                      sockaddr* /*aFrom*/,
-                      int /*aLength*/,
-                      void* aSelf) {
-  auto& self = *static_cast<Listener*>(aSelf);
-  self.m_onAccept(ServerConnection::FromAcceptedSocket(self.m_loop, aFd, self.m_maxHeadBytes));
+void SocketListener::Accept(evconnlistener* /*aListener*/,
+                            int aFd,
+                            sockaddr* /*aFrom*/,
+                            int /*aLength*/,
+                            void* aSelf) {
+  static_cast<SocketListener*>(aSelf)->m_onAccept(aFd);
 }
 
+Listener::Listener(http::EventLoop& aLoop,
+                   const base::Address& aAddress,
+                   size_t aMaxHeadBytes,
+                   OnAccept aOnAccept)
+  : m_sockets(aLoop, aAddress, [&aLoop, aMaxHeadBytes, onAccept = std::move(aOnAccept)](int aFd) {
+    onAccept(ServerConnection::FromAcceptedSocket(aLoop, aFd, aMaxHeadBytes));
+  }) {}
+
 } // namespace papayafield::adapters::http1
--- a/packages/adapters/http1/Listener.h
+++ b/packages/adapters/http1/Listener.h
@@ -10,6 +10,30 @@
 
 namespace papayafield::adapters::http1 {
 
+/// Accepts TCP connections on one address. Must be used only on the thread of its loop.
+class SocketListener {
+public:
+  /// Called with the socket of each new connection, which the callee must close.
+  using OnAccept = std::function<void(int aFd)>;
+
+  /// Starts listening on `aAddress`.
+  SocketListener(http::EventLoop& aLoop, const base::Address& aAddress, OnAccept aOnAccept);
+  ~SocketListener();
+  SocketListener(const SocketListener&) = delete;
+  SocketListener& operator=(const SocketListener&) = delete;
+  SocketListener(SocketListener&&) = delete;
+  SocketListener& operator=(SocketListener&&) = delete;
+
+  /// Whether the socket listens; false if the address could not be bound.
+  bool Listening() const { return m_listener != nullptr; }
+
+private:
+  static void Accept(evconnlistener* aListener, int aFd, sockaddr* aFrom, int aLength, void* aSelf);
+
+  OnAccept m_onAccept;
+  evconnlistener* m_listener;
+};
+
 /// Accepts HTTP connections on one address. Must be used only on the thread of its loop.
 class Listener {
 public:
@@ -22,22 +46,12 @@
            const base::Address& aAddress,
            size_t aMaxHeadBytes,
            OnAccept aOnAccept);
-  ~Listener();
-  Listener(const Listener&) = delete;
-  Listener& operator=(const Listener&) = delete;
-  Listener(Listener&&) = delete;
-  Listener& operator=(Listener&&) = delete;
 
   /// Whether the socket listens; false if the address could not be bound.
-  bool Listening() const { return m_listener != nullptr; }
+  bool Listening() const { return m_sockets.Listening(); }
 
 private:
-  static void Accept(evconnlistener* aListener, int aFd, sockaddr* aFrom, int aLength, void* aSelf);
-
-  http::EventLoop& m_loop;
-  size_t m_maxHeadBytes;
-  OnAccept m_onAccept;
-  evconnlistener* m_listener;
+  SocketListener m_sockets;
 };
 
 } // namespace papayafield::adapters::http1
--- /dev/null
+++ b/packages/adapters/http1/Tunnel.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "adapters/http/EventLoop.h"
+#include "base/Ids.h"
+#include "base/Time.h"
+
+#include <tl/expected.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+struct bufferevent;
+
+namespace papayafield::adapters::http1 {
+
+/// Callbacks of a tunnel. All but m_onRequest may be empty.
+struct TunnelEvents {
+  /// Called with the name of the target that the client asks for. Returns its address, or the
+  /// reason of a refusal.
+  std::function<tl::expected<base::Address, std::string>(std::string_view aTarget)> m_onRequest;
+  /// Called when the target was connected, or could not be connected in time.
+  std::function<void(bool aIsConnected)> m_onConnected;
+  /// Called with bytes that the target sent, before they are passed on, until it returns false.
+  std::function<bool(std::string_view aBytes)> m_onBytes;
+  /// Called when the tunnel has ended; no other callback follows. It may be destroyed then.
+  std::function<void()> m_onEnd;
+};
+
+/// Joins an accepted connection of a client, which asks for a target by `CONNECT`, to a connection
+/// to that target, and copies bytes in both directions until both have ended. A side that reads
+/// slowly stops the other one; ends and resets are passed on. A client that is refused has been
+/// sent the status 503, and one whose target could not be connected 502; in neither case has
+/// anything reached the target. Must be used only on the thread of its loop.
+class Tunnel {
+public:
+  /// Takes over the accepted socket `aFd`. `aUnacknowledgedTimeout` is the maximum time that sent
+  /// bytes may stay unacknowledged.
+  Tunnel(http::EventLoop& aLoop,
+         int aFd,
+         base::Millis aUnacknowledgedTimeout,
+         TunnelEvents aEvents);
+  ~Tunnel();
+  Tunnel(const Tunnel&) = delete;
+  Tunnel& operator=(const Tunnel&) = delete;
+  Tunnel(Tunnel&&) = delete;
+  Tunnel& operator=(Tunnel&&) = delete;
+
+private:
+  /// One of the two connections.
+  struct Side {
+    bufferevent* m_buffer = nullptr;
+    /// Whether the remote end sends nothing more.
+    bool m_hasEnded = false;
+    /// Whether the remote end has been told that nothing more is sent to it.
+    bool m_isShutDown = false;
+  };
+
+  Side& Other(const Side& aSide) { return &aSide == &m_client ? m_target : m_client; }
+  Side& SideOf(const bufferevent* aBuffer) {
+    return aBuffer == m_client.m_buffer ? m_client : m_target;
+  }
+  void Attach(Side& aSide, int aFd);
+  void OnReadable(Side& aFrom);
+  void OnWritable(Side& aTo);
+  void OnEvent(Side& aSide, short aWhat);
+  void OnRequestBytes();
+  void Connect(const base::Address& aTo);
+  void OnConnectEnded(bool aIsConnected);
+  void Respond(std::string_view aStatusLine);
+  void Move(Side& aFrom);
+  void ShutDownIfFlushed(Side& aTo);
+  void End(bool aReset);
+  static void ReadCallback(bufferevent* aBuffer, void* aSelf);
+  static void WriteCallback(bufferevent* aBuffer, void* aSelf);
+  static void EventCallback(bufferevent* aBuffer, short aWhat, void* aSelf);
+
+  http::EventLoop& m_loop;
+  const base::Millis m_unacknowledgedTimeout;
+  TunnelEvents m_events;
+  Side m_client;
+  Side m_target;
+  bool m_isOpen = false;
+  bool m_isRefused = false;
+  /// Limits the time until the tunnel is open, and the time that one side may outlast the other.
+  http::EventHandlePtr m_timer;
+};
+
+} // namespace papayafield::adapters::http1
--- a/packages/adapters/peer/GossipCodec.cpp
+++ b/packages/adapters/peer/GossipCodec.cpp
@@ -182,6 +182,7 @@
   heartbeat.m_ready = aFrom.getReady();
   heartbeat.m_stopping = aFrom.getStopping();
   heartbeat.m_storeReachable = aFrom.getStoreAnswers();
+  heartbeat.m_relays = aFrom.getRelays();
   heartbeat.m_configuration = aFrom.getConfiguration();
   heartbeat.m_position = { aFrom.getEra(), aFrom.getRevision() };
   heartbeat.m_requestedWorkMs = base::FiniteAmount(aFrom.getWorkAsked());
@@ -222,6 +223,7 @@
   aTo.setReady(aHeartbeat.m_ready);
   aTo.setStopping(aHeartbeat.m_stopping);
   aTo.setStoreAnswers(aHeartbeat.m_storeReachable);
+  aTo.setRelays(aHeartbeat.m_relays);
   aTo.setConfiguration(aHeartbeat.m_configuration);
   aTo.setEra(aHeartbeat.m_position.m_era);
   aTo.setRevision(aHeartbeat.m_position.m_revision);
--- a/packages/adapters/peer/news.capnp
+++ b/packages/adapters/peer/news.capnp
@@ -99,6 +99,7 @@
   rolloutCounts @17 :List(NewsRolloutCounts);
   rolloutGrants @18 :List(NewsRolloutGrants);
   failures @19 :List(NewsFailures);
+  relays @20 :Bool;
 }
 
 struct NewsChange {
--- a/packages/adapters/peer/news.capnp.h
+++ b/packages/adapters/peer/news.capnp.h
@@ -1341,6 +1341,8 @@
   inline bool hasFailures() const;
   inline  ::capnp::List< ::papayafield::adapters::peer::wire::NewsFailures,  ::capnp::Kind::STRUCT>::Reader getFailures() const;
 
+  inline bool getRelays() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1473,6 +1475,9 @@
   inline void adoptFailures(::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsFailures,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::papayafield::adapters::peer::wire::NewsFailures,  ::capnp::Kind::STRUCT>> disownFailures();
 
+  inline bool getRelays();
+  inline void setRelays(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3418,6 +3423,20 @@
       ::capnp::bounded<10>() * ::capnp::POINTERS));
 }
 
+inline bool NewsBeat::Reader::getRelays() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline bool NewsBeat::Builder::getRelays() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void NewsBeat::Builder::setRelays(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool NewsChange::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/forwarding/EndpointPool.cpp
+++ b/packages/forwarding/EndpointPool.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/EndpointPool.h"
 
+#include "forwarding/RelayTarget.h"
+
 #include <algorithm>
 
 namespace papayafield::forwarding {
@@ -16,9 +18,18 @@
 constexpr base::Millis kUnacknowledgedTimeout{ 900 };
 /// Maximum number of idle connections to one endpoint.
 constexpr size_t kMaxIdlePerEndpoint = 64;
+/// Time for which a relay is not asked after it did not lead a connection through.
+constexpr base::Millis kRelayAvoidance{ 500 };
 
 } // namespace
 
+EndpointPool::EndpointPool(adapters::http::EventLoop& aLoop,
+                           const EndpointReach& aReach,
+                           RelayList aRelays)
+  : m_loop(aLoop)
+  , m_reach(aReach)
+  , m_relays(std::move(aRelays)) {}
+
 EndpointPool::~EndpointPool() {
   for (auto& [endpoint, idleList] : m_idle) {
     for (const IdleConnection& idle : idleList) {
@@ -33,31 +44,103 @@
   auto& idleList = m_idle[aEndpoint.m_incarnation];
   // The most recently used connection is the most likely to be alive; the others age and are
   // closed.
-  if (!idleList.empty() &&
+  if (!idleList.empty() && MayReuse(idleList.back(), aNow) &&
       std::chrono::duration<double>(aNow - idleList.back().m_since) <=
         std::chrono::duration<double>(idleList.back().m_keepAlive) * aMaxIdleFraction) {
     const auto connection = idleList.back().m_connection;
     idleList.pop_back();
     connection->SetEvents({});
     connection->Resume();
-    return { connection, true };
+    return { connection, true, {} };
   }
-  return Connect(aEndpoint);
+  return Connect(aEndpoint, aNow);
+}
+
+/// Returns whether an idle connection may work. One that was idle when the node was cut off may
+/// have been lost without a sign.
+bool EndpointPool::MayReuse(const IdleConnection& aIdle, base::TimePoint aNow) const {
+  const auto since = m_reach.IsolatedSince();
+  return !since || aIdle.m_since >= *since || !SelectRelay(aNow);
 }
 
-PooledConnection EndpointPool::Connect(const fleet::Endpoint& aEndpoint) {
+/// Returns the relay with the fewest connections of this node; nullopt if none can be asked.
+std::optional<base::Address> EndpointPool::SelectRelay(base::TimePoint aNow) const {
+  std::vector<base::Address> best;
+  size_t fewest = SIZE_MAX;
+  for (const base::Address& relay : m_relays()) {
+    const auto avoided = m_avoidedRelays.find(relay.m_host);
+    if (avoided != m_avoidedRelays.end() && aNow < avoided->second) {
+      continue;
+    }
+    const auto count = m_relayedCounts.find(relay.m_host);
+    const size_t open = count == m_relayedCounts.end() ? 0 : *count->second;
+    if (open < fewest) {
+      fewest = open;
+      best.clear();
+    }
+    if (open == fewest) {
+      best.push_back(relay);
+    }
+  }
+  return best.empty() ? std::nullopt : std::optional(best[m_random() % best.size()]);
+}
+
+bool EndpointPool::HasRoute(base::TimePoint aNow) const {
+  return !m_reach.IsIsolated() || m_reach.ReceivesBytes(aNow) || SelectRelay(aNow).has_value();
+}
+
+void EndpointPool::AvoidRelay(const std::string& aHost, base::TimePoint aNow) {
+  m_avoidedRelays[aHost] = aNow + kRelayAvoidance;
+}
+
+size_t EndpointPool::RelayedCount() const {
+  size_t sum = 0;
+  for (const auto& [host, count] : m_relayedCounts) {
+    sum += *count;
+  }
+  return sum;
+}
+
+/// Counts a connection in m_openCount and in `aCount`, if that is set, until it is released.
+std::shared_ptr<ClientConnection> EndpointPool::Counted(
+  std::shared_ptr<ClientConnection> aConnection,
+  Count aCount) {
   ++m_connectCount;
   ++*m_openCount;
-  auto connection =
-    ClientConnection::ConnectTo(m_loop, aEndpoint.m_address, kUnacknowledgedTimeout);
-  ClientConnection* const raw = connection.get();
+  if (aCount != nullptr) {
+    ++*aCount;
+  }
+  ClientConnection* const raw = aConnection.get();
   // Weak references may keep the deleter for longer than the connection, so it releases it.
-  const auto release = [connection = std::move(connection),
-                        count = m_openCount](ClientConnection* /*aConnection*/) mutable {
-    --*count;
+  const auto release = [connection = std::move(aConnection),
+                        open = m_openCount,
+                        count = std::move(aCount)](ClientConnection* /*aConnection*/) mutable {
+    --*open;
+    if (count != nullptr) {
+      --*count;
+    }
     connection.reset();
   };
-  return { std::shared_ptr<ClientConnection>(raw, release), false };
+  return { raw, release };
+}
+
+std::shared_ptr<ClientConnection> EndpointPool::ConnectDirectly(const fleet::Endpoint& aEndpoint) {
+  return Counted(ClientConnection::ConnectTo(m_loop, aEndpoint.m_address, kUnacknowledgedTimeout),
+                 nullptr);
+}
+
+PooledConnection EndpointPool::Connect(const fleet::Endpoint& aEndpoint, base::TimePoint aNow) {
+  const auto relay = m_reach.IsIsolated() ? SelectRelay(aNow) : std::nullopt;
+  if (!relay) {
+    return { ConnectDirectly(aEndpoint), false, {} };
+  }
+  Count& count = m_relayedCounts[relay->m_host];
+  if (count == nullptr) {
+    count = std::make_shared<size_t>(0);
+  }
+  auto connection = ClientConnection::ConnectThrough(
+    m_loop, *relay, RelayTarget(aEndpoint.m_incarnation), kUnacknowledgedTimeout);
+  return { Counted(std::move(connection), count), false, relay->m_host };
 }
 
 void EndpointPool::Return(const fleet::Incarnation& aEndpoint,
--- a/packages/forwarding/EndpointPool.h
+++ b/packages/forwarding/EndpointPool.h
@@ -1,12 +1,18 @@
 #pragma once
 
 #include "adapters/http1/Connection.h"
+#include "base/Digest.h"
 #include "fleet/EndpointDirectory.h"
+#include "forwarding/EndpointReach.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
+#include <string>
+#include <vector>
 
 namespace papayafield::forwarding {
 
@@ -14,14 +20,20 @@
 struct PooledConnection {
   std::shared_ptr<adapters::http1::ClientConnection> m_connection;
   bool m_reused = false;
+  /// Host of the node that the connection leads through; empty if it is direct.
+  std::string m_relay;
 };
 
-/// Pools connections to endpoints, separately for each incarnation of an endpoint. Belongs to the
-/// event loop's thread.
+/// Pools connections to endpoints, separately for each incarnation of an endpoint. While the node
+/// is cut off from the endpoints, connections lead through other nodes; these are not pooled.
+/// Belongs to the event loop's thread.
 class EndpointPool {
 public:
-  explicit EndpointPool(adapters::http::EventLoop& aLoop)
-    : m_loop(aLoop) {}
+  /// Returns the addresses of the relays of other nodes that reach the endpoints.
+  using RelayList = std::function<std::vector<base::Address>()>;
+
+  /// `aReach` must outlive the object.
+  EndpointPool(adapters::http::EventLoop& aLoop, const EndpointReach& aReach, RelayList aRelays);
   ~EndpointPool();
   EndpointPool(const EndpointPool&) = delete;
   EndpointPool& operator=(const EndpointPool&) = delete;
@@ -34,7 +46,16 @@
                            double aMaxIdleFraction,
                            base::TimePoint aNow);
   /// Returns a new connection.
-  PooledConnection Connect(const fleet::Endpoint& aEndpoint);
+  PooledConnection Connect(const fleet::Endpoint& aEndpoint, base::TimePoint aNow);
+  /// Returns a new connection that does not lead through another node.
+  std::shared_ptr<adapters::http1::ClientConnection> ConnectDirectly(
+    const fleet::Endpoint& aEndpoint);
+  /// Returns whether there is a way to the endpoints. False if the node is cut off from them and
+  /// there is no other node to lead connections through.
+  bool HasRoute(base::TimePoint aNow) const;
+  /// Records that the node on the host `aHost` did not lead a connection through. It is not asked
+  /// for a moment.
+  void AvoidRelay(const std::string& aHost, base::TimePoint aNow);
   /// Records that `aEndpoint` has sent an answer that does not name its call.
   void RecordAnswerWithoutId(const fleet::Incarnation& aEndpoint) {
     m_answersWithoutId.insert(aEndpoint);
@@ -62,20 +83,36 @@
   size_t OpenCount() const { return *m_openCount; }
   /// Returns the number of new connections opened so far.
   uint64_t ConnectCount() const { return m_connectCount; }
+  /// Returns the number of open connections that lead through other nodes.
+  size_t RelayedCount() const;
 
 private:
+  using Count = std::shared_ptr<size_t>;
+
   struct IdleConnection {
     std::shared_ptr<adapters::http1::ClientConnection> m_connection;
     base::TimePoint m_since;
     base::Millis m_keepAlive;
   };
 
+  std::shared_ptr<adapters::http1::ClientConnection> Counted(
+    std::shared_ptr<adapters::http1::ClientConnection> aConnection,
+    Count aCount);
+  std::optional<base::Address> SelectRelay(base::TimePoint aNow) const;
+  bool MayReuse(const IdleConnection& aIdle, base::TimePoint aNow) const;
+
   adapters::http::EventLoop& m_loop;
+  const EndpointReach& m_reach;
+  RelayList m_relays;
   std::map<fleet::Incarnation, std::deque<IdleConnection>> m_idle;
   std::set<fleet::Incarnation> m_answersWithoutId;
   uint64_t m_connectCount = 0;
   /// Shared with the connections, which may outlive the pool.
-  std::shared_ptr<size_t> m_openCount = std::make_shared<size_t>(0);
+  Count m_openCount = std::make_shared<size_t>(0);
+  /// Number of open connections through other nodes, by host.
+  std::map<std::string, Count> m_relayedCounts;
+  std::map<std::string, base::TimePoint> m_avoidedRelays;
+  mutable std::mt19937_64 m_random{ base::RandomSeed() };
 };
 
 } // namespace papayafield::forwarding
--- /dev/null
+++ b/packages/forwarding/EndpointReach.cpp
@@ -0,0 +1,99 @@
+#include "forwarding/EndpointReach.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace papayafield::forwarding {
+
+/// Returns the number of endpoints that have to agree.
+size_t EndpointReach::RequiredEndpoints() const {
+  return std::min(m_settings.m_minEndpoints, std::max<size_t>(m_endpointCount, 1));
+}
+
+void EndpointReach::SetState(ReachState aState, base::TimePoint aNow) {
+  if (aState == m_state) {
+    return;
+  }
+  m_state = aState;
+  m_changed = true;
+  m_confirmed.clear();
+  m_connected.clear();
+  m_isolatedSince = aState == ReachState::Isolated ? std::optional(aNow) : std::nullopt;
+}
+
+void EndpointReach::RecordConnected(const base::EndpointId& aEndpoint, base::TimePoint aNow) {
+  m_lastConnected = aNow;
+  m_failed.clear();
+  if (m_state == ReachState::Suspected) {
+    SetState(ReachState::Reaching, aNow);
+  } else if (m_state == ReachState::Isolated) {
+    m_connected.insert(aEndpoint);
+    if (m_connected.size() >= RequiredEndpoints()) {
+      SetState(ReachState::Reaching, aNow);
+    }
+  }
+}
+
+void EndpointReach::RecordConnectFailed(const base::EndpointId& aEndpoint, base::TimePoint aNow) {
+  m_failed[aEndpoint] = aNow;
+  if (m_state == ReachState::Suspected) {
+    m_confirmed.insert(aEndpoint);
+    if (m_confirmed.size() >= RequiredEndpoints()) {
+      SetState(ReachState::Isolated, aNow);
+    }
+  }
+}
+
+void EndpointReach::RecordWaiting(uint64_t aCall,
+                                  const base::EndpointId& aEndpoint,
+                                  base::TimePoint aNow) {
+  m_waiting[aCall] = { aEndpoint, aNow };
+}
+
+void EndpointReach::RecordBytes(uint64_t aCall, base::TimePoint aNow) {
+  m_lastBytes = aNow;
+  if (const auto waiting = m_waiting.find(aCall); waiting != m_waiting.end()) {
+    waiting->second.m_since = aNow;
+  }
+}
+
+size_t EndpointReach::SilentCount(base::TimePoint aNow) const {
+  std::set<base::EndpointId> silent;
+  for (const auto& [call, waiting] : m_waiting) {
+    if (aNow - waiting.m_since >= m_settings.m_silence) {
+      silent.insert(waiting.m_endpoint);
+    }
+  }
+  return silent.size();
+}
+
+ReachEvidence EndpointReach::FindEvidence(base::TimePoint aNow) const {
+  if (m_failed.size() >= RequiredEndpoints()) {
+    return ReachEvidence::FailedConnects;
+  }
+  const bool isRefuted =
+    m_lastConnected && aNow - *m_lastConnected < m_settings.m_silenceRefutation;
+  if (!isRefuted && !ReceivesBytes(aNow) && SilentCount(aNow) >= RequiredEndpoints()) {
+    return ReachEvidence::Silence;
+  }
+  return ReachEvidence::None;
+}
+
+bool EndpointReach::Update(base::TimePoint aNow) {
+  std::erase_if(m_failed, [&](const auto& aEntry) {
+    return aNow - aEntry.second > m_settings.m_failureLifetime;
+  });
+  if (m_endpointCount == 0) {
+    SetState(ReachState::Reaching, aNow);
+  } else if (m_state == ReachState::Reaching) {
+    if (const ReachEvidence evidence = FindEvidence(aNow); evidence != ReachEvidence::None) {
+      m_evidence = evidence;
+      SetState(ReachState::Suspected, aNow);
+    }
+  } else if (m_state == ReachState::Suspected && FindEvidence(aNow) == ReachEvidence::None) {
+    SetState(ReachState::Reaching, aNow);
+  }
+  return std::exchange(m_changed, false);
+}
+
+} // namespace papayafield::forwarding
--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -37,6 +37,9 @@
 constexpr base::Millis kOversizedAvoidance{ 5000 };
 /// Retry-After of a node that is stopping, in seconds: other nodes can take the call at once.
 constexpr double kStoppingRetrySeconds = 0.05;
+/// Retry-After while neither this node nor, as far as it knows, any other one reaches the
+/// endpoints, in seconds.
+constexpr double kIsolatedRetrySeconds = 0.5;
 /// Callers honour a Retry-After of up to this fraction of their remaining time.
 constexpr double kMaxRetryAfterFraction = 0.33;
 
@@ -71,6 +74,10 @@
   fleet::Endpoint m_endpoint;
   std::shared_ptr<ClientConnection> m_connection;
   bool m_reused = false;
+  /// Host of the node that the connection leads through; empty if it is direct.
+  std::string m_relay;
+  /// Key of the attempt at the monitor; 0 if the connection is not direct.
+  uint64_t m_watch = 0;
   base::TimePoint m_sentAt;
   /// Open calls at the endpoint over all nodes when this one had been sent.
   double m_openCalls = 0;
@@ -285,6 +292,10 @@
     RefuseQuarantined(*refusal);
     return;
   }
+  if (!m_node.m_pool.HasRoute(now)) {
+    RejectIsolated();
+    return;
+  }
   const CallPlan plan = Planner().Decide(now);
   if (plan.m_endpoint) {
     m_expectedDelayMs = plan.m_expectedDelayMs;
@@ -304,6 +315,16 @@
   }
 }
 
+/// Refuses a call because the node is cut off from the endpoints and no other node leads
+/// connections through.
+void Exchange::RejectIsolated() {
+  if (const auto answered = m_errorAttempt) {
+    Deliver(answered->m_head, answered->m_body);
+  } else {
+    Reject(FinalStatus(m_possibleRuns > 0, false), "endpoints_unreachable", kIsolatedRetrySeconds);
+  }
+}
+
 void Exchange::LogOutage(const fleet::ServiceOutage& aOutage) const {
   m_node.m_log.Event("service out",
                      { { "request", m_call.m_id },
@@ -343,13 +364,14 @@
     mustNotRepeat && m_node.m_pool.AnswersWithoutId(aEndpoint.m_incarnation);
   PooledConnection pooled =
     needsNewConnection
-      ? m_node.m_pool.Connect(aEndpoint)
+      ? m_node.m_pool.Connect(aEndpoint, now)
       : m_node.m_pool.Acquire(
           aEndpoint, mustNotRepeat ? kMaxIdleFractionUnsafe : kMaxIdleFraction, now);
   auto attempt = std::make_shared<ActiveAttempt>();
   attempt->m_endpoint = aEndpoint;
   attempt->m_connection = std::move(pooled.m_connection);
   attempt->m_reused = pooled.m_reused;
+  attempt->m_relay = std::move(pooled.m_relay);
   attempt->m_sentAt = now;
   const CallPlanner planner = Planner();
   const scheduling::CallClasses* classes = planner.MixedClasses();
@@ -394,17 +416,30 @@
   events.m_onBody = [self, aAttempt](std::string_view aBytes) { self->OnBody(aAttempt, aBytes); };
   events.m_onComplete = [self, aAttempt] { self->OnComplete(aAttempt); };
   events.m_onEnd = [self, aAttempt](EndKind aKind, bool /*aInMessage*/) {
-    aAttempt->m_connectionLost = aKind == EndKind::Finished || aKind == EndKind::Reset;
-    self->Fail(aAttempt,
-               aKind == EndKind::NotConnected ? AttemptFault::NotSent : AttemptFault::Lost,
-               std::string(base::NameOf(aKind)));
+    self->OnConnectionEnd(aAttempt, aKind);
   };
+  events.m_onEstablished = [self, aAttempt] { self->OnEstablished(aAttempt); };
   aAttempt->m_connection->SetEvents(std::move(events));
   const std::weak_ptr<ActiveAttempt> weak = aAttempt;
+  if (aAttempt->m_relay.empty()) {
+    aAttempt->m_watch = m_node.m_reachMonitor.OnSent([self, weak] {
+      if (const auto attempt = weak.lock()) {
+        self->OnIsolated(attempt);
+      }
+    });
+  }
+  if (aAttempt->m_connection->IsEstablished()) {
+    OnEstablished(aAttempt);
+  }
   if (!aAttempt->m_connection->IsEstablished()) {
     aAttempt->m_connectTimer = m_node.m_loop.After(kConnectTimeout, [self, weak] {
       const auto attempt = weak.lock();
       if (attempt && !attempt->m_connection->IsEstablished()) {
+        if (attempt->m_relay.empty()) {
+          self->m_node.m_reachMonitor.OnConnectFailed(attempt->m_endpoint.m_incarnation.m_endpoint);
+        } else {
+          self->m_node.m_pool.AvoidRelay(attempt->m_relay, base::BootNow());
+        }
         self->Fail(attempt, AttemptFault::NotSent, "connect_timeout");
       }
     });
@@ -414,6 +449,59 @@
   }
 }
 
+void Exchange::OnEstablished(const std::shared_ptr<ActiveAttempt>& aAttempt) {
+  if (aAttempt->m_watch == 0) {
+    return;
+  }
+  const base::EndpointId& endpoint = aAttempt->m_endpoint.m_incarnation.m_endpoint;
+  m_node.m_reachMonitor.OnWaiting(aAttempt->m_watch, endpoint);
+  if (!aAttempt->m_reused) {
+    m_node.m_reachMonitor.OnConnected(endpoint);
+  }
+}
+
+/// Handles an attempt on a direct connection while the node is cut off from the endpoints.
+void Exchange::OnIsolated(const std::shared_ptr<ActiveAttempt>& aAttempt) {
+  if (aAttempt->m_ended || m_finished) {
+    return;
+  }
+  if (!aAttempt->m_connection->IsEstablished()) {
+    Fail(aAttempt, AttemptFault::NotSent, "isolated");
+    return;
+  }
+  // Established connections may go on working.
+  if (aAttempt == m_attempt && m_node.m_reachMonitor.IsSilent() && m_route.Repeatable() &&
+      m_silentAttempt == nullptr && (!aAttempt->m_hasHead || m_streamBegun) &&
+      MayContinueElsewhere()) {
+    TryElsewhere(aAttempt);
+  }
+}
+
+void Exchange::OnConnectionEnd(const std::shared_ptr<ActiveAttempt>& aAttempt, EndKind aKind) {
+  aAttempt->m_connectionLost =
+    aAttempt->m_relay.empty() && (aKind == EndKind::Finished || aKind == EndKind::Reset);
+  const bool notSent = aKind == EndKind::NotConnected || aKind == EndKind::RelayFailed;
+  if (aKind == EndKind::NotConnected && aAttempt->m_relay.empty()) {
+    m_node.m_reachMonitor.OnConnectFailed(aAttempt->m_endpoint.m_incarnation.m_endpoint);
+  } else if (aKind == EndKind::RelayFailed) {
+    m_node.m_pool.AvoidRelay(aAttempt->m_relay, base::BootNow());
+    // The endpoint itself was not tried.
+    m_tried.erase(aAttempt->m_endpoint.m_incarnation.m_endpoint);
+  }
+  Fail(aAttempt,
+       notSent ? AttemptFault::NotSent : AttemptFault::Lost,
+       std::string(base::NameOf(aKind)));
+}
+
+/// Returns whether the failure of an attempt may be the endpoint's and not that of the way to it.
+bool Exchange::IsWitness(const ActiveAttempt& aAttempt, AttemptFault aFault) const {
+  if (aFault == AttemptFault::Failed || aFault == AttemptFault::NotExecuted ||
+      aFault == AttemptFault::Unattributed) {
+    return true;
+  }
+  return aAttempt.m_relay.empty() && !m_node.m_reach.IsIsolated();
+}
+
 /// Limits the time to the next sign of the endpoint: an engine may stop sending in the middle of a
 /// stream without closing the connection.
 void Exchange::StartSilenceTimer(const std::shared_ptr<ActiveAttempt>& aAttempt,
@@ -460,7 +548,8 @@
   };
   const auto now = base::BootNow();
   return !m_callerDisconnected && MayRetry(state) && TimeLeft() > kMinAttemptTime &&
-         m_node.HasRetry(m_service) && !m_node.m_crashGuard.RefusalTime(m_call, now) &&
+         m_node.HasRetry(m_service) && m_node.m_pool.HasRoute(now) &&
+         !m_node.m_crashGuard.RefusalTime(m_call, now) &&
          m_node.m_placement
            .Choose(Planner().MakePlacementRequest(now), m_node.m_directory.Ready(), now)
            .has_value();
@@ -524,6 +613,7 @@
 }
 
 void Exchange::OnHead(const std::shared_ptr<ActiveAttempt>& aAttempt, ResponseHead&& aHead) {
+  m_node.m_reachMonitor.OnBytes(aAttempt->m_watch);
   aAttempt->m_answerInfo = m_node.m_wire.m_decodeAnswer(aHead);
   const AnswerInfo& info = aAttempt->m_answerInfo;
   m_node.m_signals.OnAnswer(aAttempt->m_endpoint.m_incarnation, info, m_call.m_id);
@@ -568,6 +658,7 @@
   if (aAttempt->m_ended) {
     return;
   }
+  m_node.m_reachMonitor.OnBytes(aAttempt->m_watch);
   // A call that must not be repeated runs on after its caller has got another answer.
   if (aAttempt->m_isMisdirected || m_finished) {
     DiscardBody(aAttempt, aBytes.size());
@@ -835,6 +926,7 @@
   aAttempt->m_ended = true;
   aAttempt->m_connectTimer.reset();
   aAttempt->m_silenceTimer.reset();
+  m_node.m_reachMonitor.OnEnded(aAttempt->m_watch);
   const fleet::Incarnation& incarnation = aAttempt->m_endpoint.m_incarnation;
   m_node.m_placement.RecordCallEnded(
     incarnation.m_endpoint, aAttempt->m_queuedTokens, aAttempt->m_urgency);
@@ -842,7 +934,7 @@
   const bool leaving =
     m_node.m_availability.Check(incarnation, base::BootNow()) == fleet::Unavailability::Leaving;
   if (aReuse && aAttempt->m_connection->ShouldKeepAlive() && !aAttempt->m_sawMisdirected &&
-      !leaving) {
+      !leaving && aAttempt->m_relay.empty()) {
     m_node.m_pool.Return(
       incarnation, aAttempt->m_connection, aAttempt->m_answerInfo.m_keepAlive, base::BootNow());
   } else {
@@ -873,11 +965,14 @@
   if (aFault == AttemptFault::Lost && aAttempt->m_reused) {
     m_node.m_pool.CloseIdle(endpoint.m_incarnation);
   }
-  m_node.m_placement.RecordOutcome(endpoint.m_incarnation.m_endpoint, false, now);
-  if (aFault != AttemptFault::NotExecuted && aFault != AttemptFault::Unattributed) {
+  const bool isWitness = IsWitness(*aAttempt, aFault);
+  if (isWitness) {
+    m_node.m_placement.RecordOutcome(endpoint.m_incarnation.m_endpoint, false, now);
+  }
+  if (isWitness && aFault != AttemptFault::NotExecuted && aFault != AttemptFault::Unattributed) {
     m_node.m_failures.Record(endpoint.m_incarnation.m_endpoint, false, now);
   }
-  if (aFault != AttemptFault::NotSent && aFault != AttemptFault::NotExecuted) {
+  if (isWitness && aFault != AttemptFault::NotSent && aFault != AttemptFault::NotExecuted) {
     m_node.m_versions.CountFailure(endpoint,
                                    m_route.m_name,
                                    aAttempt->m_version,
@@ -885,7 +980,7 @@
                                    aFault == AttemptFault::Lost && aAttempt->m_connectionLost,
                                    now);
   }
-  if (aFault == AttemptFault::Lost && aAttempt->m_connectionLost) {
+  if (isWitness && aFault == AttemptFault::Lost && aAttempt->m_connectionLost) {
     m_node.m_crashGuard.OnConnectionLost(
       m_call, endpoint.m_incarnation.m_endpoint, aAttempt->m_events, now);
   }
@@ -905,6 +1000,7 @@
                        { "fault", base::NameOf(aFault) },
                        { "why", aDetail },
                        { "reused", aAttempt.m_reused },
+                       { "relay", aAttempt.m_relay },
                        { "age_ms", age.count() },
                        { "last_event", m_splitter.LastEventId() },
                        { "again", aWillRetry } });
@@ -976,7 +1072,8 @@
     return;
   }
   const bool sent = MayHaveBeenSent();
-  if (m_attempt != nullptr && m_attempt->m_connection->IsEstablished()) {
+  if (m_attempt != nullptr && m_attempt->m_connection->IsEstablished() &&
+      IsWitness(*m_attempt, AttemptFault::Stalled)) {
     m_node.m_versions.CountFailure(m_attempt->m_endpoint,
                                    m_route.m_name,
                                    m_attempt->m_version,
@@ -1008,8 +1105,10 @@
                        { "endpoint", attempt->m_endpoint.m_incarnation.m_endpoint.Text() },
                        { "route", m_route.m_name } });
   m_node.m_metrics.Count("attempts_abandoned");
-  m_node.m_placement.RecordOutcome(
-    attempt->m_endpoint.m_incarnation.m_endpoint, false, base::BootNow());
+  if (IsWitness(*attempt, AttemptFault::Stalled)) {
+    m_node.m_placement.RecordOutcome(
+      attempt->m_endpoint.m_incarnation.m_endpoint, false, base::BootNow());
+  }
   Release(attempt, false);
 }
 
--- a/packages/forwarding/Exchange.h
+++ b/packages/forwarding/Exchange.h
@@ -68,6 +68,11 @@
   bool HasOnlyVersion() const;
   void Dispatch();
   void Send(const fleet::Endpoint& aEndpoint);
+  void OnEstablished(const std::shared_ptr<ActiveAttempt>& aAttempt);
+  void OnIsolated(const std::shared_ptr<ActiveAttempt>& aAttempt);
+  void OnConnectionEnd(const std::shared_ptr<ActiveAttempt>& aAttempt,
+                       adapters::http1::EndKind aKind);
+  bool IsWitness(const ActiveAttempt& aAttempt, AttemptFault aFault) const;
   void AttachHandlers(const std::shared_ptr<ActiveAttempt>& aAttempt);
   void OnHead(const std::shared_ptr<ActiveAttempt>& aAttempt,
               adapters::http1::ResponseHead&& aHead);
@@ -122,6 +127,7 @@
   double PredictedRetrySeconds(double aRoomInMs);
   void RefuseLate(const scheduling::Prospect& aProspect);
   int EnginePriority();
+  void RejectIsolated();
   void LogOutage(const fleet::ServiceOutage& aOutage) const;
   void Deliver(const adapters::http1::ResponseHead& aHead, const std::string& aBody);
   void Conclude(const adapters::http1::ResponseHead& aHead,
--- a/packages/forwarding/NodeState.cpp
+++ b/packages/forwarding/NodeState.cpp
@@ -23,7 +23,8 @@
                      int64_t aWindowMs,
                      base::BufferBudgetSettings aBufferSettings,
                      bool aOrdersBySlack,
-                     std::function<void()> aOnEndpointLeaving)
+                     std::function<void()> aOnEndpointLeaving,
+                     EndpointPool::RelayList aRelays)
   : m_loop(aLoop)
   , m_wire(std::move(aWire))
   , m_zone(std::move(aZone))
@@ -31,10 +32,11 @@
   , m_buffers(aBufferSettings)
   , m_directory(aExpiryGrace)
   , m_streamOrigins(aLoop)
-  , m_pool(aLoop)
+  , m_pool(aLoop, m_reach, std::move(aRelays))
   , m_signals(m_availability, m_pool, std::move(aOnEndpointLeaving))
   , m_quota(aQuotaTolerance, base::RandomSeed())
   , m_usage(aWindowMs)
+  , m_reachMonitor(aLoop, m_directory, m_reach, m_pool, m_metrics)
   , m_retryLimits(aRetryLimits) {}
 
 bool NodeState::ApplyCatalog(fleet::CatalogPtr aCatalog) {
@@ -83,6 +85,11 @@
   }
 }
 
+void NodeState::ForgetOutcomes() {
+  m_placement.ForgetOutcomes();
+  m_failures.ForgetLocal();
+}
+
 void NodeState::SetSpeedGauges() {
   if (m_catalog == nullptr) {
     return;
--- a/packages/forwarding/NodeState.h
+++ b/packages/forwarding/NodeState.h
@@ -15,6 +15,7 @@
 #include "forwarding/EndpointPool.h"
 #include "forwarding/EndpointSignals.h"
 #include "forwarding/Metrics.h"
+#include "forwarding/ReachMonitor.h"
 #include "forwarding/StreamOrigins.h"
 #include "placement/Placement.h"
 #include "quota/QuotaLedger.h"
@@ -45,7 +46,8 @@
   /// `aWindowMs` is the length of a usage window. `aOrdersBySlack` tells whether engines
   /// serve calls of one priority in the order of their slack.
   /// `aBufferSettings` limits what the node holds of requests and answers. `aOnEndpointLeaving` is
-  /// called when this node learns that an endpoint leaves.
+  /// called when this node learns that an endpoint leaves. `aRelays` returns the relays of other
+  /// nodes.
   NodeState(adapters::http::EventLoop& aLoop,
             WireFormat aWire,
             base::ZoneId aZone,
@@ -55,7 +57,8 @@
             int64_t aWindowMs,
             base::BufferBudgetSettings aBufferSettings,
             bool aOrdersBySlack,
-            std::function<void()> aOnEndpointLeaving);
+            std::function<void()> aOnEndpointLeaving,
+            EndpointPool::RelayList aRelays);
 
   /// Returns the active configuration; null before the first one.
   const fleet::CatalogPtr& Catalog() const { return m_catalog; }
@@ -94,6 +97,9 @@
   /// Returns the number of calls counted by CountEngineCall, and of the late ones among them.
   double EngineCalls() const { return m_engineCalls; }
   double LateEngineCalls() const { return m_lateEngineCalls; }
+  /// Forgets the outcomes of attempts of this node, which say nothing about the endpoints if the
+  /// node was cut off from them.
+  void ForgetOutcomes();
   /// Sets the gauges of the learned speed of each service.
   void SetSpeedGauges();
   /// Returns a random number in [0, 1).
@@ -117,12 +123,14 @@
   rollout::VersionGate m_versions;
   fleet::VersionHistory m_versionHistory;
   StreamOrigins m_streamOrigins;
+  EndpointReach m_reach{ EndpointReachSettings{} };
   EndpointPool m_pool;
   CallDurations m_durations;
   EndpointSignals m_signals;
   quota::QuotaLedger m_quota;
   duties::UsageLedger m_usage;
   Metrics m_metrics;
+  ReachMonitor m_reachMonitor;
   CrashGuard m_crashGuard{ m_metrics };
 
 private:
--- a/packages/forwarding/tests/CallExplainerTest.cpp
+++ b/packages/forwarding/tests/CallExplainerTest.cpp
@@ -35,7 +35,17 @@
 BOOST_FIXTURE_TEST_SUITE(CallExplainerTest, ExplainerFixture)
 
 BOOST_AUTO_TEST_CASE(NodeWithoutConfigurationSaysSo) {
-  NodeState node{ m_loop, {}, {}, {}, {}, Millis(0), 1000, {}, true, [] {} };
+  NodeState node{ m_loop,
+                  {},
+                  {},
+                  {},
+                  {},
+                  Millis(0),
+                  1000,
+                  {},
+                  true,
+                  [] {},
+                  [] { return std::vector<base::Address>(); } };
   const ExplainResponse response = CallExplainer(node, {}).Explain(kQuery + "/plain/a", m_now);
   BOOST_TEST(response.m_status == 503);
   BOOST_TEST(response.m_body["reason"] == "no_configuration");
--- a/packages/forwarding/tests/EndpointPoolTest.cpp
+++ b/packages/forwarding/tests/EndpointPoolTest.cpp
@@ -22,12 +22,13 @@
 // calls in calm or exceed its descriptors.
 BOOST_AUTO_TEST_CASE(ConnectionsCountUntilTheyEnd) {
   adapters::http::EventLoop loop;
-  EndpointPool pool(loop);
+  const EndpointReach reach{ EndpointReachSettings{} };
+  EndpointPool pool(loop, reach, [] { return std::vector<base::Address>(); });
   const fleet::Endpoint one = MakeEndpoint("i-1");
   const fleet::Endpoint other = MakeEndpoint("i-2");
   const auto now = base::BootNow();
-  auto first = pool.Connect(one).m_connection;
-  auto second = pool.Connect(other).m_connection;
+  auto first = pool.Connect(one, now).m_connection;
+  auto second = pool.Connect(other, now).m_connection;
   BOOST_TEST(pool.OpenCount() == 2U);
   BOOST_TEST(!pool.CloseLongestIdle());
   pool.Return(one.m_incarnation, first, std::nullopt, now);
--- a/packages/forwarding/tests/PlannerFixture.h
+++ b/packages/forwarding/tests/PlannerFixture.h
@@ -100,7 +100,17 @@
   }
 
   adapters::http::EventLoop m_loop;
-  NodeState m_node{ m_loop, {}, {}, {}, {}, base::Millis(0), 1000, {}, true, [] {} };
+  NodeState m_node{ m_loop,
+                    {},
+                    {},
+                    {},
+                    {},
+                    base::Millis(0),
+                    1000,
+                    {},
+                    true,
+                    [] {},
+                    [] { return std::vector<base::Address>(); } };
   const fleet::CatalogPtr m_catalog = MakeCatalog();
   uint64_t m_revision = 0;
   CallInfo m_call;
--- a/packages/gossip/Heartbeat.h
+++ b/packages/gossip/Heartbeat.h
@@ -37,6 +37,8 @@
   bool m_stopping = false;
   /// Whether the node can reach the store.
   bool m_storeReachable = false;
+  /// Whether the node leads connections of other nodes to the endpoints, which it reaches.
+  bool m_relays = false;
   int64_t m_configuration = 0;
   /// Position of the store up to which the node has applied all changes.
   store::Position m_position;
--- a/packages/gossip/PeerTable.cpp
+++ b/packages/gossip/PeerTable.cpp
@@ -39,6 +39,7 @@
            aHeartbeat.m_ready,
            aHeartbeat.m_stopping || stopping,
            aHeartbeat.m_storeReachable,
+           aHeartbeat.m_relays,
            aHeartbeat.m_configuration,
            aHeartbeat.m_position,
            aHeartbeat.m_requestedWorkMs,
@@ -120,6 +121,16 @@
   return hosts;
 }
 
+std::vector<std::string> PeerTable::RelayHosts(base::TimePoint aNow) const {
+  std::vector<std::string> hosts;
+  for (const auto& [node, peer] : m_peers) {
+    if (HeardRecently(peer, aNow) && peer.m_relays && !peer.m_stopping) {
+      hosts.push_back(peer.m_contact.m_host);
+    }
+  }
+  return hosts;
+}
+
 size_t PeerTable::AliveCount(base::TimePoint aNow) const {
   return 1 +
          static_cast<size_t>(std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& aEntry) {
--- a/packages/gossip/PeerTable.h
+++ b/packages/gossip/PeerTable.h
@@ -18,6 +18,8 @@
   bool m_ready = false;
   bool m_stopping = false;
   bool m_storeReachable = false;
+  /// Whether it leads connections of other nodes to the endpoints.
+  bool m_relays = false;
   int64_t m_configuration = 0;
   store::Position m_position;
   double m_requestedWorkMs = 0;
@@ -67,6 +69,8 @@
   std::vector<std::string> LiveHostsInZone(const base::ZoneId& aZone, base::TimePoint aNow) const;
   /// Returns the other nodes to which clients may be directed.
   std::vector<ReadyNode> ReadyNodes(base::TimePoint aNow) const;
+  /// Returns the hosts of the live nodes that lead connections of other nodes to the endpoints.
+  std::vector<std::string> RelayHosts(base::TimePoint aNow) const;
   /// Returns the number of live nodes, including this one.
   size_t AliveCount(base::TimePoint aNow) const;
   /// Returns the number of known nodes, including this one. A silent node among them may still be
--- a/packages/placement/FailureReports.cpp
+++ b/packages/placement/FailureReports.cpp
@@ -25,6 +25,11 @@
   }
 }
 
+void FailureReports::ForgetLocal() {
+  m_local.clear();
+  m_excludedUntil.clear();
+}
+
 FailureReports::Counts FailureReports::LocalReport(base::TimePoint aNow) const {
   Counts report;
   for (const auto& [endpoint, counts] : m_local) {
--- a/packages/placement/FailureReports.h
+++ b/packages/placement/FailureReports.h
@@ -56,6 +56,9 @@
   /// the most failures if there are too many. Endpoints that have got no calls for m_reportTime are
   /// left out, since the other nodes have seen the same reports.
   Counts LocalReport(base::TimePoint aNow) const;
+  /// Forgets the attempts of this node, and which endpoints get no calls. Endpoints that still fail
+  /// at other nodes get none again from the next report on.
+  void ForgetLocal();
   /// Replaces the report of the peer `aPeer`; an empty one removes it.
   void SetPeerReport(const std::string& aPeer, const Counts& aCounts, base::TimePoint aNow);
   /// Returns whether the endpoint gets no calls for now, because attempts of several nodes have
--- a/packages/placement/Placement.h
+++ b/packages/placement/Placement.h
@@ -166,6 +166,8 @@
   void RecordOutcome(const base::EndpointId& aEndpoint, bool aSucceeded, base::TimePoint aNow);
   /// Stops sending new calls to an endpoint until `aUntil`.
   void Avoid(const base::EndpointId& aEndpoint, base::TimePoint aUntil);
+  /// Forgets all outcomes, and which endpoints get no new calls because of them.
+  void ForgetOutcomes() { m_health.clear(); }
 
   /// Returns the load of an endpoint, over all nodes.
   Load TotalLoad(const base::EndpointId& aEndpoint) const;
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -5,6 +5,7 @@
 #include "duties/LeaderElection.h"
 #include "duties/UsageReporter.h"
 #include "forwarding/CallExplainer.h"
+#include "forwarding/EndpointRelay.h"
 #include "forwarding/Gateway.h"
 #include "gossip/PeerTable.h"
 #include "serving/EntryChoice.h"
@@ -57,16 +58,18 @@
     , m_codec(std::move(aCodec))
     , m_store(aStore)
     , m_self{ m_settings.m_node, base::WallMillis(), m_settings.m_host }
-    , m_state(aLoop,
-              std::move(aWire),
-              m_settings.m_zone,
-              m_settings.m_retries,
-              m_settings.m_quotaTolerance,
-              kExpiryGrace,
-              m_settings.m_usageWindowMs,
-              m_settings.m_buffers,
-              m_settings.m_ordersBySlack,
-              [this] { m_gossip.AnnounceLeaving(); })
+    , m_state(
+        aLoop,
+        std::move(aWire),
+        m_settings.m_zone,
+        m_settings.m_retries,
+        m_settings.m_quotaTolerance,
+        kExpiryGrace,
+        m_settings.m_usageWindowMs,
+        m_settings.m_buffers,
+        m_settings.m_ordersBySlack,
+        [this] { m_gossip.AnnounceLeaving(); },
+        [this] { return RelayAddresses(); })
     , m_replica(
         [this](const std::string& aKey,
                const std::optional<store::Item>& aItem,
@@ -115,6 +118,11 @@
         m_configuration,
         [this](const std::string& aData) { ApplyConfiguration(aData, "peer"); })
     , m_gateway(m_state, m_settings.m_callerAddress, m_settings.m_connections)
+    , m_relay(m_state,
+              m_settings.m_relayPort == 0
+                ? base::Address{}
+                : base::Address{ m_settings.m_host, m_settings.m_relayPort },
+              m_settings.m_relay)
     , m_leaderElection(aStore, m_replica, MakeElectionSettings())
     , m_reporter(
         aStore,
@@ -134,11 +142,15 @@
                 m_self.IncarnationKey()) {}
 
   /// Returns whether all ports could be bound.
-  bool Bound() const { return m_gossip.Bound() && m_gateway.Listening(); }
+  bool Bound() const {
+    return m_gossip.Bound() && m_gateway.Listening() &&
+           (m_settings.m_relayPort == 0 || m_relay.Listening());
+  }
 
   /// Starts watching the store and serving callers. Call once.
   void Start() {
     m_storeWatcher.Start();
+    m_state.m_reachMonitor.SetHandler([this](bool aIsIsolated) { OnReachChanged(aIsIsolated); });
     m_state.m_crashGuard.SetUrgentHandler([this] { ScheduleQuarantineReport(); });
     m_state.m_streamOrigins.SetSenders(
       [this](const auto& aOrigins) { SendOrigins(aOrigins); },
@@ -161,6 +173,7 @@
       now);
     m_log.Event("draining", { { "busy", m_gateway.BusyCount() } });
     m_gateway.BeginDrain(*m_drainPlan);
+    m_relay.BeginDrain();
     m_drainEndTimer = m_loop.After(
       std::chrono::duration_cast<base::Millis>(m_drainPlan->End() - now), [this] { EndDrain(); });
     m_leaderElection.Resign();
@@ -197,6 +210,9 @@
                           static_cast<double>(m_peerTable.AliveCount(base::BootNow())));
     m_state.m_metrics.Set("configuration", static_cast<double>(ConfigurationVersion()));
     m_state.m_metrics.Set("endpoint_connects", static_cast<double>(m_state.m_pool.ConnectCount()));
+    m_state.m_metrics.Set("connections_relayed", static_cast<double>(m_relay.Count()));
+    m_state.m_metrics.Set("connections_through_relays",
+                          static_cast<double>(m_state.m_pool.RelayedCount()));
     m_state.m_metrics.Set("calls_open", static_cast<double>(m_gateway.BusyCount()));
     double openAttempts = 0;
     for (const auto& [endpoint, load] : m_state.m_placement.LocalLoad()) {
@@ -705,6 +721,7 @@
     heartbeat.m_ready = Ready();
     heartbeat.m_stopping = m_stopping;
     heartbeat.m_storeReachable = m_storeWatcher.IsStoreReachable();
+    heartbeat.m_relays = m_relay.IsAvailable();
     heartbeat.m_configuration = ConfigurationVersion();
     heartbeat.m_position = m_replica.LastPosition();
     heartbeat.m_requestedWorkMs = m_state.RequestedWork();
@@ -716,7 +733,7 @@
       }
     }
     // In a small fleet, each node sees enough of every endpoint by itself.
-    if (IsLargeFleet()) {
+    if (IsLargeFleet() && !m_state.m_reach.IsIsolated()) {
       heartbeat.m_failures = m_state.m_failures.LocalReport(base::BootNow());
     }
     heartbeat.m_quota = m_state.m_quota.UpdateLocalView(base::BootNow());
@@ -756,6 +773,24 @@
     }
   }
 
+  /// Returns the relays of the nodes that reach the endpoints.
+  std::vector<base::Address> RelayAddresses() const {
+    std::vector<base::Address> relays;
+    if (m_settings.m_relayPort != 0) {
+      for (std::string& host : m_peerTable.RelayHosts(base::BootNow())) {
+        relays.push_back({ std::move(host), m_settings.m_relayPort });
+      }
+    }
+    return relays;
+  }
+
+  /// Informs the other nodes at once when this one is cut off from the endpoints, or no longer is.
+  /// What it took for failures of endpoints before is forgotten.
+  void OnReachChanged(bool /*aIsIsolated*/) {
+    m_state.ForgetOutcomes();
+    m_gossip.SendHeartbeats();
+  }
+
   /// Sends a quarantine report soon, without waiting for the next tick. Crashes at the same moment
   /// share one.
   void ScheduleQuarantineReport() {
@@ -1035,6 +1070,7 @@
   gossip::PeerTable m_peerTable;
   GossipExchange m_gossip;
   forwarding::Gateway m_gateway;
+  forwarding::EndpointRelay m_relay;
   duties::LeaderElection<Store> m_leaderElection;
   duties::UsageReporter<Store, Duties> m_reporter;
   duties::Autoscaler<Duties> m_autoscaler;
--- a/packages/serving/ServingSettings.h
+++ b/packages/serving/ServingSettings.h
@@ -2,6 +2,7 @@
 
 #include "base/Ids.h"
 #include "base/Time.h"
+#include "forwarding/EndpointRelay.h"
 #include "forwarding/Gateway.h"
 #include "serving/EntryChoice.h"
 
@@ -23,6 +24,10 @@
   uint16_t m_gossipPort = 0;
   /// Port at which nodes serve their store replica to one another; the same on all hosts.
   uint16_t m_replicaPort = 0;
+  /// Port at which nodes lead connections to endpoints through for one another; the same on all
+  /// hosts. 0 if they do not.
+  uint16_t m_relayPort = 0;
+  forwarding::EndpointRelaySettings m_relay;
   /// Hosts of some nodes, used to discover the others.
   std::vector<std::string> m_seeds;
   /// Time that the platform leaves a process between SIGTERM and SIGKILL.
--- a/tests/harness/PlatformFleet.cpp
+++ b/tests/harness/PlatformFleet.cpp
@@ -20,9 +20,10 @@
   CheckPort = 1,
   DirectoryPort = 2,
   GossipPort = 3,
-  MetricsPort = 4,
+  RelayPort = 4,
+  MetricsPort = 5,
   /// Port of the node's own proxy to the platform.
-  PlatformProxyPort = 5
+  PlatformProxyPort = 6
 };
 
 /// Offset of the runners' proxy ports from the port of the platform; the ports of the runners lie
@@ -135,7 +136,7 @@
   std::string path = m_folder + "/" + host + ".toml";
   std::ofstream file(path);
   file << "node_name = \"node-" << aIndex << "\"\nip = \"" << host << "\"\nzone = \"a\"\n"
-       << "internal_ports = [" << port(GossipPort) << ", " << port(GossipPort) << "]\n"
+       << "internal_ports = [" << port(GossipPort) << ", " << port(RelayPort) << "]\n"
        << "seeds = [\"" << HostOf(0) << ":1\"]\n[listen]\nfront = \"" << host << ":"
        << port(PortOffset::CallerPort) << "\"\nready = \"" << host << ":" << port(CheckPort)
        << "\"\ndirectory = \"" << host << ":" << port(DirectoryPort)
