--- a/packages/adapters/http1/Tunnel.cpp
+++ b/packages/adapters/http1/Tunnel.cpp
@@ -116,6 +116,7 @@
 
 void Tunnel::OnConnectEnded(bool aIsConnected) {
   m_timer.reset();
+  const std::optional<std::string> refusal = m_events.m_onConnected(aIsConnected);
   if (aIsConnected) {
     m_isOpen = true;
     Respond("200 Connected");
@@ -126,10 +127,7 @@
     if (m_target.m_buffer != nullptr) {
       bufferevent_free(std::exchange(m_target.m_buffer, nullptr));
     }
-    Respond("502 Not Connected");
-  }
-  if (m_events.m_onConnected) {
-    m_events.m_onConnected(aIsConnected);
+    Respond(refusal ? "503 " + *refusal : "502 Not Connected");
   }
 }
 
--- a/packages/adapters/http1/Tunnel.h
+++ b/packages/adapters/http1/Tunnel.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -15,13 +16,14 @@
 
 namespace papayafield::adapters::http1 {
 
-/// Callbacks of a tunnel. All but m_onRequest may be empty.
+/// Callbacks of a tunnel. m_onBytes and m_onEnd may be empty.
 struct TunnelEvents {
   /// Called with the name of the target that the client asks for. Returns its address, or the
   /// reason of a refusal.
   std::function<tl::expected<base::Address, std::string>(std::string_view aTarget)> m_onRequest;
-  /// Called when the target was connected, or could not be connected in time.
-  std::function<void(bool aIsConnected)> m_onConnected;
+  /// Called when the target was connected, or could not be connected in time. May return the reason
+  /// of a refusal for a target that was not connected.
+  std::function<std::optional<std::string>(bool aIsConnected)> m_onConnected;
   /// Called with bytes that the target sent, before they are passed on, until it returns false.
   std::function<bool(std::string_view aBytes)> m_onBytes;
   /// Called when the tunnel has ended; no other callback follows. It may be destroyed then.
--- a/packages/forwarding/EndpointReach.h
+++ b/packages/forwarding/EndpointReach.h
@@ -44,7 +44,7 @@
 
 /// Decides whether this node is cut off from the endpoints, as opposed to endpoints that have
 /// failed. Failed connections or silence only raise a suspicion: it takes connections that fail
-/// after that at several endpoints to confirm it, and one that is established to end it.
+/// after that at several endpoints to confirm it, and one that works to end it.
 /// Connections through other nodes must not be recorded. Not thread safe.
 class EndpointReach {
 public:
@@ -54,9 +54,10 @@
   /// Sets the number of endpoints that accept work. 0 until it is called; the node is not cut off
   /// without endpoints.
   void SetEndpointCount(size_t aCount) { m_endpointCount = aCount; }
-  /// Records that a connection to an endpoint was established.
+  /// Records that a new connection to an endpoint works.
   void RecordConnected(const base::EndpointId& aEndpoint, base::TimePoint aNow);
-  /// Records that a connection to an endpoint could not be established in time.
+  /// Records that a new connection to an endpoint could not be established in time, or ended before
+  /// the endpoint sent anything.
   void RecordConnectFailed(const base::EndpointId& aEndpoint, base::TimePoint aNow);
   /// Records that a call waits for bytes of an endpoint on an established connection. `aCall` must
   /// not be in use.
--- a/packages/forwarding/EndpointRelay.cpp
+++ b/packages/forwarding/EndpointRelay.cpp
@@ -6,6 +6,8 @@
 #include <nlohmann/json.hpp>
 #include <unistd.h>
 
+#include <utility>
+
 namespace papayafield::forwarding {
 
 namespace {
@@ -20,6 +22,8 @@
 struct EndpointRelay::Connection {
   fleet::Incarnation m_endpoint;
   AnswerHeadReader m_answer;
+  /// Whether the endpoint has sent anything.
+  bool m_hasBytes = false;
   std::unique_ptr<adapters::http1::Tunnel> m_tunnel;
 };
 
@@ -33,7 +37,7 @@
 EndpointRelay::~EndpointRelay() = default;
 
 bool EndpointRelay::IsAvailable() const {
-  return Listening() && !m_isStopping && !m_node.m_reach.IsIsolated();
+  return Listening() && !m_isStopping && m_node.m_reach.State() == ReachState::Reaching;
 }
 
 void EndpointRelay::Accept(int aFd) {
@@ -48,7 +52,7 @@
     return OnRequest(connection, aTarget);
   };
   events.m_onConnected = [this, &connection](bool aIsConnected) {
-    OnConnected(connection, aIsConnected);
+    return OnConnected(connection, aIsConnected);
   };
   events.m_onBytes = [this, &connection](std::string_view aBytes) {
     return OnBytes(connection, aBytes);
@@ -60,7 +64,7 @@
 
 std::optional<RelayRefusal> EndpointRelay::FindRefusal(
   const fleet::Incarnation& aIncarnation) const {
-  if (m_node.m_reach.IsIsolated()) {
+  if (m_node.m_reach.State() != ReachState::Reaching) {
     return RelayRefusal::Isolated;
   }
   if (m_isStopping) {
@@ -97,21 +101,28 @@
   return m_node.m_directory.All().at(aConnection.m_endpoint.m_endpoint).m_address;
 }
 
-void EndpointRelay::OnConnected(const Connection& aConnection, bool aIsConnected) {
+/// Returns the reason of a refusal if it is rather this node that does not reach the endpoint.
+std::optional<std::string> EndpointRelay::OnConnected(const Connection& aConnection,
+                                                      bool aIsConnected) {
   const base::EndpointId& endpoint = aConnection.m_endpoint.m_endpoint;
   m_log.Event(aIsConnected ? "relayed connection opened" : "relayed connection failed",
               { { "endpoint", endpoint.Text() }, { "open", m_connections.size() } });
   if (aIsConnected) {
-    m_node.m_reachMonitor.OnConnected(endpoint);
-  } else {
-    m_node.m_metrics.Count("relay_connect_failed");
-    m_node.m_reachMonitor.OnConnectFailed(endpoint);
+    return std::nullopt;
   }
+  m_node.m_metrics.Count("relay_connect_failed");
+  m_node.m_reachMonitor.OnConnectFailed(endpoint);
+  return m_node.m_reach.State() == ReachState::Reaching
+           ? std::nullopt
+           : std::optional(std::string(base::NameOf(RelayRefusal::Isolated)));
 }
 
 /// Applies what the endpoint states about itself. Returns whether the head of the answer is still
 /// to come.
 bool EndpointRelay::OnBytes(Connection& aConnection, std::string_view aBytes) {
+  if (!std::exchange(aConnection.m_hasBytes, true)) {
+    m_node.m_reachMonitor.OnConnected(aConnection.m_endpoint.m_endpoint);
+  }
   if (const auto head = aConnection.m_answer.Feed(aBytes)) {
     m_node.m_signals.OnAnswer(
       aConnection.m_endpoint, m_node.m_wire.m_decodeAnswer(*head), "relayed");
--- a/packages/forwarding/EndpointRelay.h
+++ b/packages/forwarding/EndpointRelay.h
@@ -7,12 +7,14 @@
 
 #include <map>
 #include <memory>
+#include <optional>
+#include <string>
 
 namespace papayafield::forwarding {
 
 /// Why a relay refuses a connection.
 enum class RelayRefusal {
-  /// The node is cut off from the endpoints itself.
+  /// The node is cut off from the endpoints itself, or may be.
   Isolated,
   /// The node is stopping.
   Stopping,
@@ -60,7 +62,7 @@
   tl::expected<base::Address, std::string> OnRequest(Connection& aConnection,
                                                      std::string_view aTarget);
   std::optional<RelayRefusal> FindRefusal(const fleet::Incarnation& aIncarnation) const;
-  void OnConnected(const Connection& aConnection, bool aIsConnected);
+  std::optional<std::string> OnConnected(const Connection& aConnection, bool aIsConnected);
   bool OnBytes(Connection& aConnection, std::string_view aBytes);
 
   NodeState& m_node;
--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -78,6 +78,8 @@
   std::string m_relay;
   /// Key of the attempt at the monitor; 0 if the connection is not direct.
   uint64_t m_watch = 0;
+  /// Whether the endpoint has sent the head of any answer.
+  bool m_hasBytes = false;
   base::TimePoint m_sentAt;
   /// Open calls at the endpoint over all nodes when this one had been sent.
   double m_openCalls = 0;
@@ -453,11 +455,7 @@
   if (aAttempt->m_watch == 0) {
     return;
   }
-  const base::EndpointId& endpoint = aAttempt->m_endpoint.m_incarnation.m_endpoint;
-  m_node.m_reachMonitor.OnWaiting(aAttempt->m_watch, endpoint);
-  if (!aAttempt->m_reused) {
-    m_node.m_reachMonitor.OnConnected(endpoint);
-  }
+  m_node.m_reachMonitor.OnWaiting(aAttempt->m_watch, aAttempt->m_endpoint.m_incarnation.m_endpoint);
 }
 
 /// Handles an attempt on a direct connection while the node is cut off from the endpoints.
@@ -481,7 +479,8 @@
   aAttempt->m_connectionLost =
     aAttempt->m_relay.empty() && (aKind == EndKind::Finished || aKind == EndKind::Reset);
   const bool notSent = aKind == EndKind::NotConnected || aKind == EndKind::RelayFailed;
-  if (aKind == EndKind::NotConnected && aAttempt->m_relay.empty()) {
+  const bool endedUnused = !aAttempt->m_reused && !aAttempt->m_hasBytes;
+  if (aAttempt->m_relay.empty() && endedUnused) {
     m_node.m_reachMonitor.OnConnectFailed(aAttempt->m_endpoint.m_incarnation.m_endpoint);
   } else if (aKind == EndKind::RelayFailed) {
     m_node.m_pool.AvoidRelay(aAttempt->m_relay, base::BootNow());
@@ -548,8 +547,14 @@
   };
   const auto now = base::BootNow();
   return !m_callerDisconnected && MayRetry(state) && TimeLeft() > kMinAttemptTime &&
-         m_node.HasRetry(m_service) && m_node.m_pool.HasRoute(now) &&
-         !m_node.m_crashGuard.RefusalTime(m_call, now) &&
+         m_node.HasRetry(m_service) && !m_node.m_crashGuard.RefusalTime(m_call, now) &&
+         HasEndpoint();
+}
+
+/// Returns whether there is an endpoint for the call, and a way to it.
+bool Exchange::HasEndpoint() const {
+  const auto now = base::BootNow();
+  return m_node.m_pool.HasRoute(now) &&
          m_node.m_placement
            .Choose(Planner().MakePlacementRequest(now), m_node.m_directory.Ready(), now)
            .has_value();
@@ -613,7 +618,13 @@
 }
 
 void Exchange::OnHead(const std::shared_ptr<ActiveAttempt>& aAttempt, ResponseHead&& aHead) {
-  m_node.m_reachMonitor.OnBytes(aAttempt->m_watch);
+  if (aAttempt->m_watch != 0) {
+    m_node.m_reachMonitor.OnBytes(aAttempt->m_watch);
+  }
+  if (!std::exchange(aAttempt->m_hasBytes, true) && !aAttempt->m_reused &&
+      aAttempt->m_relay.empty()) {
+    m_node.m_reachMonitor.OnConnected(aAttempt->m_endpoint.m_incarnation.m_endpoint);
+  }
   aAttempt->m_answerInfo = m_node.m_wire.m_decodeAnswer(aHead);
   const AnswerInfo& info = aAttempt->m_answerInfo;
   m_node.m_signals.OnAnswer(aAttempt->m_endpoint.m_incarnation, info, m_call.m_id);
@@ -658,7 +669,9 @@
   if (aAttempt->m_ended) {
     return;
   }
-  m_node.m_reachMonitor.OnBytes(aAttempt->m_watch);
+  if (aAttempt->m_watch != 0) {
+    m_node.m_reachMonitor.OnBytes(aAttempt->m_watch);
+  }
   // A call that must not be repeated runs on after its caller has got another answer.
   if (aAttempt->m_isMisdirected || m_finished) {
     DiscardBody(aAttempt, aBytes.size());
@@ -1023,6 +1036,13 @@
     LogFailure(*aAttempt, aFault, aDetail, true);
     return;
   }
+  if (m_silentAttempt != nullptr && aFault == AttemptFault::NotSent &&
+      m_node.m_reach.IsIsolated() && HasEndpoint()) {
+    // Another node may still lead the call through.
+    LogFailure(*aAttempt, aFault, aDetail, true);
+    Dispatch();
+    return;
+  }
   if (m_silentAttempt != nullptr) {
     LogFailure(*aAttempt, aFault, aDetail, false);
     if (aFault == AttemptFault::Failed) {
--- a/packages/forwarding/Exchange.h
+++ b/packages/forwarding/Exchange.h
@@ -90,6 +90,7 @@
   void StartSilenceTimer(const std::shared_ptr<ActiveAttempt>& aAttempt, base::Millis aLimit);
   void OnSilence(const std::shared_ptr<ActiveAttempt>& aAttempt, base::Millis aLimit);
   bool MayContinueElsewhere() const;
+  bool HasEndpoint() const;
   base::Millis EventTimeout() const;
   void LearnFromEvents(ActiveAttempt& aAttempt, size_t aCount);
   void CountEvents(const std::shared_ptr<ActiveAttempt>& aAttempt, size_t aCount);
--- a/packages/forwarding/ReachMonitor.cpp
+++ b/packages/forwarding/ReachMonitor.cpp
@@ -18,6 +18,9 @@
 constexpr size_t kProbesPerRound = 3;
 /// Maximum time for a probe to connect: a few round trips.
 constexpr base::Millis kProbeTimeout{ 200 };
+/// Time for which the connection of a probe has to stay open: something on the way may accept
+/// connections and then close them.
+constexpr base::Millis kProbeHoldTime{ 100 };
 
 } // namespace
 
@@ -151,7 +154,9 @@
   const auto probe =
     m_probes.insert(m_probes.end(), { aEndpoint, m_pool.ConnectDirectly(aEndpoint), nullptr });
   ClientConnection::Events events;
-  events.m_onEstablished = [this, probe] { EndProbe(probe, true); };
+  events.m_onEstablished = [this, probe] {
+    probe->m_timer = m_loop.After(kProbeHoldTime, [this, probe] { EndProbe(probe, true); });
+  };
   events.m_onEnd = [this, probe](EndKind /*aKind*/, bool /*aInMessage*/) {
     EndProbe(probe, false);
   };
--- a/packages/forwarding/ReachMonitor.h
+++ b/packages/forwarding/ReachMonitor.h
@@ -31,9 +31,10 @@
   void SetHandler(std::function<void(bool aIsIsolated)> aHandler) {
     m_handler = std::move(aHandler);
   }
-  /// Records that a direct connection to an endpoint was established.
+  /// Records that an endpoint has sent bytes on a new direct connection.
   void OnConnected(const base::EndpointId& aEndpoint);
-  /// Records that a direct connection to an endpoint could not be established in time.
+  /// Records that a direct connection to an endpoint could not be established in time, or ended
+  /// before the endpoint sent anything.
   void OnConnectFailed(const base::EndpointId& aEndpoint);
   /// Records a call on a direct connection, and returns a key for it. While the node is cut off,
   /// `aOnIsolated` is called by the event loop several times a second until OnEnded is called.
--- a/packages/forwarding/tests/AnswerSignalsTest.cpp
+++ b/packages/forwarding/tests/AnswerSignalsTest.cpp
@@ -37,7 +37,8 @@
 BOOST_AUTO_TEST_CASE(StatementsApplyToTheEndpointThatMakesThem) {
   for (const Row& row : kRows) {
     adapters::http::EventLoop loop;
-    EndpointPool pool(loop);
+    const EndpointReach reach{ EndpointReachSettings{} };
+    EndpointPool pool(loop, reach, [] { return std::vector<base::Address>(); });
     fleet::EndpointAvailability availability{ fleet::AvailabilitySettings{} };
     int marks = 0;
     EndpointSignals signals(availability, pool, [&] { ++marks; });
@@ -57,7 +58,8 @@
 // A report is announced again only by nodes that did not know of it.
 BOOST_AUTO_TEST_CASE(KnownReportIsNotAnnouncedAgain) {
   adapters::http::EventLoop loop;
-  EndpointPool pool(loop);
+  const EndpointReach reach{ EndpointReachSettings{} };
+  EndpointPool pool(loop, reach, [] { return std::vector<base::Address>(); });
   fleet::EndpointAvailability availability{ fleet::AvailabilitySettings{} };
   int marks = 0;
   EndpointSignals signals(availability, pool, [&] { ++marks; });
--- a/soak/Caller.cpp
+++ b/soak/Caller.cpp
@@ -23,6 +23,7 @@
 CallEnd CallEndOf(EndKind aKind) {
   switch (aKind) {
     case EndKind::NotConnected:
+    case EndKind::RelayFailed:
       return CallEnd::NotConnected;
     case EndKind::Malformed:
     case EndKind::HeadTooLarge:
--- a/standins/fleet/Store.cpp
+++ b/standins/fleet/Store.cpp
@@ -28,6 +28,17 @@
   return aText.empty() ? 0 : std::strtoull(aText.c_str(), nullptr, 10);
 }
 
+/// Returns whether a key belongs to the operator or to an endpoint, and not to a node.
+bool IsExternalKey(const std::string& aKey) {
+  return aKey.starts_with("op/") || aKey.starts_with("servers/");
+}
+
+std::string PathOf(const RequestHead& aHead) {
+  return aHead.m_target.substr(0, aHead.m_target.find('?'));
+}
+
+} // namespace
+
 std::string EncodeBase64(const std::string& aBytes) {
   std::string text((aBytes.size() + 2) / 3 * 4, '\0');
   EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
@@ -48,17 +59,6 @@
   return bytes;
 }
 
-/// Returns whether a key belongs to the operator or to an endpoint, and not to a node.
-bool IsExternalKey(const std::string& aKey) {
-  return aKey.starts_with("op/") || aKey.starts_with("servers/");
-}
-
-std::string PathOf(const RequestHead& aHead) {
-  return aHead.m_target.substr(0, aHead.m_target.find('?'));
-}
-
-} // namespace
-
 Store::Store(adapters::http::EventLoop& aLoop)
   : m_loop(aLoop)
   , m_expiryTimer(aLoop.Every(kExpiryInterval, [this] { RemoveExpired(); }))
--- a/standins/fleet/Store.h
+++ b/standins/fleet/Store.h
@@ -15,6 +15,11 @@
 
 namespace papayafield::standins {
 
+/// Encodes the data of an item as callers of the store receive it. Thread safe.
+std::string EncodeBase64(const std::string& aBytes);
+/// Decodes the data of an item; returns an empty string if it is malformed. Thread safe.
+std::string DecodeBase64(const std::string& aText);
+
 /// Simulates the platform's key-value store. Implements the part of its published protocol that is
 /// used: range reads, watches, conditional transactions and leases. Can be restored from a copy of
 /// its recent past. Must be used only on the thread of the event loop.
--- a/standins/fleet/main.cpp
+++ b/standins/fleet/main.cpp
@@ -19,6 +19,8 @@
 using nlohmann::json;
 
 constexpr size_t kMaxHeadBytes = 65536;
+/// Prefix of the keys of the runners' entries.
+constexpr std::string_view kRunnerPrefix = "servers/";
 
 /// Returns a point in time as milliseconds of the boot-time clock, which all processes share.
 double ToBootMillis(base::TimePoint aTime) {
@@ -31,14 +33,23 @@
                const base::Address& aListen,
                int aRunners,
                const std::string& aService,
-               uint16_t aProxyPort)
+               uint16_t aProxyPort,
+               uint16_t aViewPort,
+               uint16_t aViewProxyPort)
     : m_loop(aLoop)
     , m_service(aService)
     , m_proxyPort(aProxyPort)
+    , m_viewProxyPort(aViewProxyPort)
     , m_store(aLoop)
     , m_listener(aLoop, aListen, kMaxHeadBytes, [this](auto aConnection) {
-      AcceptConnection(aConnection);
+      AcceptConnection(aConnection, false);
     }) {
+    if (aViewPort != 0) {
+      m_viewListener = std::make_unique<Listener>(
+        aLoop, base::Address{ aListen.m_host, aViewPort }, kMaxHeadBytes, [this](auto aConnection) {
+          AcceptConnection(aConnection, true);
+        });
+    }
     for (int i = 0; i < aRunners; ++i) {
       m_runners.push_back(std::make_unique<Runner>(
         aLoop,
@@ -52,7 +63,8 @@
   }
 
   bool Listening() const {
-    bool allListening = m_listener.Listening();
+    bool allListening =
+      m_listener.Listening() && (m_viewListener == nullptr || m_viewListener->Listening());
     for (const auto& runner : m_runners) {
       allListening = allListening && runner->Listening();
     }
@@ -60,21 +72,45 @@
   }
 
 private:
+  /// Returns the port of the proxy of the runner `aId`, where `aFirst` is that of the first one.
+  static uint16_t ProxyPort(uint16_t aFirst, const std::string& aId) {
+    return static_cast<uint16_t>(aFirst + std::stoi(aId.substr(2)));
+  }
+
+  /// Replaces the addresses of runners in a reply of the store by those of their proxies.
+  void ReplaceAddresses(json& aReply) const {
+    if (aReply.is_object() && aReply.contains("data") && aReply.contains("key")) {
+      const auto key = aReply["key"].get<std::string>();
+      json entry = base::ParseJson(DecodeBase64(aReply["data"].get<std::string>()));
+      if (key.starts_with(kRunnerPrefix) && entry.is_object() && entry.contains("address")) {
+        base::Address address = base::Address::Parse(entry["address"].get<std::string>());
+        address.m_port = ProxyPort(m_viewProxyPort, key.substr(kRunnerPrefix.size()));
+        entry["address"] = address.ToText();
+        aReply["data"] = EncodeBase64(base::DumpJson(entry));
+      }
+    } else if (aReply.is_structured()) {
+      for (json& member : aReply) {
+        ReplaceAddresses(member);
+      }
+    }
+  }
+
   void Register(const Runner& aRunner, const std::string& aState) {
     // If proxies are used, each runner is registered with the address of its proxy.
     base::Address address = aRunner.ListenAddress();
     if (m_proxyPort != 0) {
-      address.m_port = static_cast<uint16_t>(m_proxyPort + std::stoi(aRunner.Id().substr(2)));
+      address.m_port = ProxyPort(m_proxyPort, aRunner.Id());
     }
     const json entry = { { "service", m_service },  { "address", address.ToText() },
                          { "zone", "a" },           { "version", aRunner.Version() },
                          { "slots", 64 },           { "state", aState },
                          { "cold_left_ms", 0 },     { "sequence", 1 },
                          { "born", aRunner.Born() } };
-    m_store.Put("servers/" + aRunner.Id(), base::DumpJson(entry));
+    m_store.Put(std::string(kRunnerPrefix) + aRunner.Id(), base::DumpJson(entry));
   }
 
-  void AcceptConnection(const std::shared_ptr<ServerConnection>& aConnection) {
+  /// `aIsView`: the connection gets the addresses of the runners' proxies.
+  void AcceptConnection(const std::shared_ptr<ServerConnection>& aConnection, bool aIsView) {
     m_connections.insert(aConnection);
     auto head = std::make_shared<RequestHead>();
     auto body = std::make_shared<std::string>();
@@ -85,9 +121,9 @@
       body->clear();
     };
     events.m_onBody = [body](std::string_view aBytes) { *body += aBytes; };
-    events.m_onComplete = [this, weak, head, body] {
+    events.m_onComplete = [this, weak, head, body, aIsView] {
       if (const auto connection = weak.lock()) {
-        Handle(connection, *head, *body);
+        Handle(connection, *head, *body, aIsView);
       }
     };
     events.m_onEnd = [this, weak](EndKind /*aKind*/, bool /*aInMessage*/) {
@@ -110,8 +146,8 @@
     aConnection.Resume();
   }
 
-  Store::Reply MakeStoreReply(const std::shared_ptr<ServerConnection>& aConnection) {
-    return [this, weak = std::weak_ptr(aConnection)](int aStatus, const json& aAnswer) {
+  Store::Reply MakeStoreReply(const std::shared_ptr<ServerConnection>& aConnection, bool aIsView) {
+    return [this, weak = std::weak_ptr(aConnection), aIsView](int aStatus, const json& aAnswer) {
       const auto connection = weak.lock();
       if (connection == nullptr) {
         return;
@@ -123,16 +159,21 @@
       }
       ResponseHead head;
       head.m_fields.Add("Store-Era", std::to_string(m_store.Era()));
-      Respond(*connection, aStatus, std::move(head), aAnswer);
+      json answer = aAnswer;
+      if (aIsView) {
+        ReplaceAddresses(answer);
+      }
+      Respond(*connection, aStatus, std::move(head), answer);
     };
   }
 
   void Handle(const std::shared_ptr<ServerConnection>& aConnection,
               const RequestHead& aHead,
-              const std::string& aBody) {
+              const std::string& aBody,
+              bool aIsView) {
     const std::string path = aHead.m_target.substr(0, aHead.m_target.find('?'));
     if (path.starts_with("/-/kv-")) {
-      m_store.Handle(aHead, aBody, MakeStoreReply(aConnection));
+      m_store.Handle(aHead, aBody, MakeStoreReply(aConnection, aIsView));
       return;
     }
     const auto reply = [&](int aStatus, const json& aAnswer) {
@@ -293,6 +334,7 @@
   adapters::http::EventLoop& m_loop;
   std::string m_service;
   uint16_t m_proxyPort;
+  uint16_t m_viewProxyPort;
   Store m_store;
   CallLog m_callLog;
   DeadlyPart m_deadlyPart;
@@ -303,6 +345,8 @@
   int m_staleLeaderCalls = 0;
   std::set<std::shared_ptr<ServerConnection>> m_connections;
   Listener m_listener;
+  /// Listener of the store for nodes that reach the runners through proxies; null if there is none.
+  std::unique_ptr<Listener> m_viewListener;
 };
 
 } // namespace
@@ -313,14 +357,18 @@
                             { { "listen", "127.0.0.1:9000" },
                               { "runners", "3" },
                               { "service", "engines" },
-                              { "proxy-port", "0" } });
+                              { "proxy-port", "0" },
+                              { "view-port", "0" },
+                              { "view-proxy-port", "0" } });
   std::signal(SIGPIPE, SIG_IGN);
   adapters::http::EventLoop loop;
   FleetStandin standin(loop,
                        arguments.Address("listen"),
                        static_cast<int>(arguments.Number("runners")),
                        arguments.Text("service"),
-                       static_cast<uint16_t>(arguments.Number("proxy-port")));
+                       static_cast<uint16_t>(arguments.Number("proxy-port")),
+                       static_cast<uint16_t>(arguments.Number("view-port")),
+                       static_cast<uint16_t>(arguments.Number("view-proxy-port")));
   if (!standin.Listening()) {
     std::fprintf(stderr, "cannot listen on %s\n", arguments.Text("listen").c_str());
     return 1;
--- a/standins/proxy/main.cpp
+++ b/standins/proxy/main.cpp
@@ -5,14 +5,17 @@
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
 
 #include <cstring>
 #include <list>
 #include <memory>
+#include <utility>
 
 /// \file
 /// TCP proxy that injects faults between two processes: it can refuse, delay, close or permanently
-/// silence connections, or drop only the responses. Faults are set over HTTP on the address
+/// silence connections, leave new ones hanging, or drop only the responses. Faults are set over
+/// HTTP on the address
 /// --control.
 
 namespace {
@@ -20,6 +23,9 @@
 using namespace papayafield;
 using adapters::http::ExchangePtr;
 
+/// Number of connections that may wait to be accepted.
+constexpr int kBacklog = 128;
+
 /// Faults that are currently injected.
 struct ProxyFaults {
   /// New connections are closed immediately.
@@ -94,6 +100,28 @@
   adapters::http::EventLoop& Loop() { return m_loop; }
   ProxyFaults& Faults() { return m_faults; }
   const sockaddr_in& TargetAddress() const { return m_target; }
+  /// Sets whether new connections hang: the kernel drops their packets because its queue of
+  /// connections that wait to be accepted is full.
+  void SetHanging(bool aHanging) {
+    if (aHanging == (m_filler >= 0)) {
+      return;
+    }
+    const int listener = evconnlistener_get_fd(m_listener);
+    if (aHanging) {
+      evconnlistener_disable(m_listener);
+      listen(listener, 0);
+      sockaddr_in address{};
+      socklen_t length = sizeof(address);
+      getsockname(listener, reinterpret_cast<sockaddr*>(&address), &length);
+      m_filler = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+      static_cast<void>(
+        connect(m_filler, reinterpret_cast<const sockaddr*>(&address), sizeof(address)));
+    } else {
+      evutil_closesocket(std::exchange(m_filler, -1));
+      listen(listener, kBacklog);
+      evconnlistener_enable(m_listener);
+    }
+  }
   void CloseLinks() { m_links.clear(); }
   void Silence() {
     for (const auto& link : m_links) {
@@ -130,6 +158,8 @@
   sockaddr_in m_target;
   evconnlistener* m_listener = nullptr;
   ProxyFaults m_faults;
+  /// Socket that fills the queue of the listener while new connections hang; -1 otherwise.
+  int m_filler = -1;
   std::list<std::unique_ptr<Link>> m_links;
 };
 
@@ -211,6 +241,9 @@
       faults.m_delay =
         base::Millis(base::ValueOr(body, "delay_ms", static_cast<int64_t>(faults.m_delay.count())));
       faults.m_dropResponses = base::ValueOr(body, "lose_answers", faults.m_dropResponses);
+      if (body.contains("hang")) {
+        proxy.SetHanging(base::ValueOr(body, "hang", false));
+      }
       if (base::ValueOr(body, "cut", false)) {
         proxy.CloseLinks();
       }
--- a/tests/harness/PlatformFleet.cpp
+++ b/tests/harness/PlatformFleet.cpp
@@ -85,19 +85,30 @@
   , m_port(FreePort())
   , m_platform{ "127.0.0.1", FreePort() }
   , m_platformFronts(aNodes, m_platform) {
-  const auto proxyPort =
-    static_cast<uint16_t>(aProxies == Proxies::All ? m_platform.m_port + kProxyPortOffset : 0);
-  const std::vector<std::string> options{ "--listen",     m_platform.ToText(),
-                                          "--runners",    std::to_string(aRunners),
-                                          "--proxy-port", std::to_string(proxyPort) };
+  const auto firstProxyPort = static_cast<uint16_t>(m_platform.m_port + kProxyPortOffset);
+  const auto proxyPort = static_cast<uint16_t>(aProxies == Proxies::All ? firstProxyPort : 0);
+  std::vector<std::string> options{ "--listen",     m_platform.ToText(),
+                                    "--runners",    std::to_string(aRunners),
+                                    "--proxy-port", std::to_string(proxyPort) };
+  if (aProxies == Proxies::RunnersOfFirstNode) {
+    options.insert(options.end(),
+                   { "--view-port",
+                     std::to_string(firstProxyPort - 1),
+                     "--view-proxy-port",
+                     std::to_string(firstProxyPort) });
+  }
   m_standin = std::make_unique<Process>("standins/standin_fleet", options);
   WaitUntil([&] { return Call(m_platform, "GET", "/control/report").m_status == 200; });
   if (aProxies == Proxies::All) {
     const base::Address front{ "127.0.0.1", static_cast<uint16_t>(proxyPort - 1) };
     StartProxy(front, m_platform);
     m_platformFronts.assign(aNodes, front);
+  } else if (aProxies == Proxies::RunnersOfFirstNode) {
+    m_platformFronts[0].m_port = static_cast<uint16_t>(firstProxyPort - 1);
+  }
+  if (aProxies != Proxies::None) {
     for (size_t i = 0; i < aRunners; ++i) {
-      StartProxy({ "127.0.0.1", static_cast<uint16_t>(proxyPort + i) },
+      StartProxy({ "127.0.0.1", static_cast<uint16_t>(firstProxyPort + i) },
                  { "127.0.0.1", static_cast<uint16_t>(m_platform.m_port + 1 + i) });
     }
   }
--- a/tests/harness/PlatformFleet.h
+++ b/tests/harness/PlatformFleet.h
@@ -44,8 +44,14 @@
 /// platform. Each node has its own loopback address. Not thread safe.
 class PlatformFleet {
 public:
-  /// Whether the platform and each runner are reached through a fault proxy.
-  enum class Proxies { None, All };
+  /// Which connections lead through fault proxies.
+  enum class Proxies {
+    None,
+    /// Those to the platform and to each runner.
+    All,
+    /// Those of node 0 to each runner; the other nodes reach the runners directly.
+    RunnersOfFirstNode,
+  };
 
   /// Starts `aNodes` nodes and `aRunners` runners, and waits until all nodes are ready.
   /// `aBounds`: further lines of the section [bounds] of the nodes' settings.
@@ -71,7 +77,8 @@
   void LaunchNode(size_t aIndex);
   /// Posts `aBody` to /control/`aWhat` of the platform and returns its JSON reply.
   nlohmann::json PostControl(const std::string& aWhat, const nlohmann::json& aBody = {}) const;
-  /// Injects faults into a proxy: 0 is the platform's, 1 and above are those of the runners.
+  /// Injects faults into a proxy. With Proxies::All, 0 is the platform's, and 1 and above are those
+  /// of the runners; with Proxies::RunnersOfFirstNode, 0 and above are those of the runners.
   void SetProxyFaults(size_t aProxy, const nlohmann::json& aFaults) const;
   size_t ProxyCount() const { return m_proxies.size(); }
   /// Starts a proxy between node `aIndex` and the platform, restarts the node, and returns the
