--- a/packages/adapters/peer/tests/GossipCodecTest.cpp
+++ b/packages/adapters/peer/tests/GossipCodecTest.cpp
@@ -14,6 +14,7 @@
   heartbeat.m_zone = base::ZoneId("a");
   heartbeat.m_ready = true;
   heartbeat.m_storeReachable = true;
+  heartbeat.m_relays = true;
   heartbeat.m_configuration = 42;
   heartbeat.m_position = { 3, 77 };
   heartbeat.m_requestedWorkMs = 12.5;
@@ -62,6 +63,7 @@
   BOOST_REQUIRE(heartbeat != nullptr);
   BOOST_TEST(heartbeat->m_from.IncarnationKey() == "n1@1234567890123");
   BOOST_TEST(heartbeat->m_ready);
+  BOOST_TEST(heartbeat->m_relays);
   BOOST_TEST(!heartbeat->m_stopping);
   BOOST_TEST(heartbeat->m_configuration == 42);
   BOOST_TEST((heartbeat->m_position == store::Position{ 3, 77 }));
--- a/packages/forwarding/tests/EndpointPoolTest.cpp
+++ b/packages/forwarding/tests/EndpointPoolTest.cpp
@@ -46,4 +46,37 @@
   BOOST_TEST(!pool.CloseLongestIdle());
 }
 
+// A connection that was idle when the node was cut off may hang.
+BOOST_AUTO_TEST_CASE(IsolatedNodeConnectsThroughOtherNodes) {
+  adapters::http::EventLoop loop;
+  EndpointReach reach{ EndpointReachSettings{} };
+  std::vector<base::Address> relays;
+  EndpointPool pool(loop, reach, [&] { return relays; });
+  const fleet::Endpoint endpoint = MakeEndpoint("i-1");
+  const auto now = base::BootNow();
+  pool.Return(
+    endpoint.m_incarnation, pool.ConnectDirectly(endpoint), std::nullopt, now - base::Millis(10));
+  reach.SetEndpointCount(1);
+  for (int i = 0; i < 2; ++i) {
+    reach.RecordConnectFailed(endpoint.m_incarnation.m_endpoint, now);
+    reach.Update(now);
+  }
+  BOOST_REQUIRE(reach.IsIsolated());
+  BOOST_TEST(!pool.HasRoute(now));
+  relays = { { "127.0.0.2", 1 }, { "127.0.0.3", 1 } };
+  BOOST_TEST(pool.HasRoute(now));
+  const PooledConnection first = pool.Acquire(endpoint, 1, now);
+  const PooledConnection second = pool.Acquire(endpoint, 1, now);
+  BOOST_TEST(!first.m_reused);
+  BOOST_TEST(!first.m_relay.empty());
+  BOOST_TEST(!second.m_relay.empty());
+  BOOST_TEST(first.m_relay != second.m_relay);
+  BOOST_TEST(pool.RelayedCount() == 2U);
+  pool.AvoidRelay(first.m_relay, now);
+  BOOST_TEST(pool.Connect(endpoint, now).m_relay == second.m_relay);
+  pool.AvoidRelay(second.m_relay, now);
+  BOOST_TEST(!pool.HasRoute(now));
+  BOOST_TEST(pool.HasRoute(now + base::Millis(1000)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/packages/forwarding/tests/EndpointRelayTest.cpp
@@ -0,0 +1,288 @@
+#include "forwarding/EndpointRelay.h"
+
+#include "forwarding/AnswerHeadReader.h"
+#include "forwarding/RelayTarget.h"
+
+#include <boost/test/unit_test.hpp>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <set>
+
+using namespace papayafield;
+using namespace papayafield::forwarding;
+using adapters::http1::ClientConnection;
+using adapters::http1::EndKind;
+using adapters::http1::ResponseHead;
+using adapters::http1::ServerConnection;
+using base::Millis;
+
+namespace {
+
+constexpr Millis kTimeout{ 5000 };
+
+/// Returns a loopback address that was free a moment ago.
+base::Address FreeAddress() {
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t length = sizeof(address);
+  BOOST_REQUIRE(bind(fd, reinterpret_cast<sockaddr*>(&address), length) == 0);
+  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length);
+  close(fd);
+  return { "127.0.0.1", ntohs(address.sin_port) };
+}
+
+WireFormat MakeWireFormat() {
+  WireFormat wire;
+  wire.m_decodeAnswer = [](const ResponseHead& aHead) {
+    AnswerInfo info;
+    info.m_leaving = aHead.m_fields.Find("Server-Leaving").has_value();
+    if (aHead.m_fields.Find("Retry-After")) {
+      info.m_retryAfter = Millis(2000);
+    }
+    return info;
+  };
+  return wire;
+}
+
+/// An endpoint, and a node that relays connections to it.
+struct RelayFixture {
+  explicit RelayFixture(EndpointRelaySettings aSettings = {})
+    : m_relayAddress(FreeAddress())
+    , m_endpointAddress(FreeAddress())
+    , m_relay(m_node, m_relayAddress, aSettings)
+    , m_listener(m_loop, m_endpointAddress, 65536, [this](auto aConnection) {
+      Serve(aConnection);
+    }) {
+    fleet::Endpoint endpoint;
+    endpoint.m_incarnation = kEndpoint;
+    endpoint.m_service = fleet::ServiceId("engines");
+    endpoint.m_address = m_endpointAddress;
+    endpoint.m_position = { 0, 1 };
+    m_node.m_directory.Put({ kEndpoint.m_endpoint, { 0, 1 }, endpoint });
+    BOOST_REQUIRE(m_relay.Listening());
+    BOOST_REQUIRE(m_listener.Listening());
+  }
+
+  void Serve(const std::shared_ptr<ServerConnection>& aConnection) {
+    ++m_accepted;
+    m_served.insert(aConnection);
+    ServerConnection::Events events;
+    const std::weak_ptr<ServerConnection> weak = aConnection;
+    events.m_onBody = [this](std::string_view aBytes) { m_received += aBytes.size(); };
+    events.m_onComplete = [this, weak] {
+      if (const auto connection = weak.lock()) {
+        connection->Write(m_answer);
+        connection->Resume();
+      }
+    };
+    events.m_onEnd = [this](EndKind /*aKind*/, bool /*aInMessage*/) {
+      ++m_ended;
+      m_loop.Stop();
+    };
+    aConnection->SetEvents(std::move(events));
+  }
+
+  /// Sends a request to `aEndpoint` through the relay, and returns how that ended. A complete
+  /// answer counts as `Finished`.
+  EndKind Call(const fleet::Incarnation& aEndpoint, const std::string& aBody = "{}") {
+    const auto connection =
+      ClientConnection::ConnectThrough(m_loop, m_relayAddress, RelayTarget(aEndpoint), kTimeout);
+    EndKind result = EndKind::Malformed;
+    m_body.clear();
+    ClientConnection::Events events;
+    events.m_onBody = [this](std::string_view aBytes) { m_body += aBytes; };
+    events.m_onComplete = [&] {
+      result = EndKind::Finished;
+      m_loop.Stop();
+    };
+    events.m_onEnd = [&](EndKind aKind, bool /*aInMessage*/) {
+      result = aKind;
+      m_loop.Stop();
+    };
+    connection->SetEvents(std::move(events));
+    connection->Write(adapters::http1::Serialize({ "POST", "/a", {} }, aBody));
+    Run();
+    connection->Close();
+    return result;
+  }
+
+  void Run() {
+    const auto limit = m_loop.After(kTimeout, [this] { m_loop.Stop(); });
+    m_loop.Run();
+  }
+
+  static inline const fleet::Incarnation kEndpoint{ base::EndpointId("i 1/x"), 7 };
+
+  adapters::http::EventLoop m_loop;
+  NodeState m_node{ m_loop,
+                    MakeWireFormat(),
+                    {},
+                    {},
+                    {},
+                    Millis(0),
+                    1000,
+                    {},
+                    true,
+                    [] {},
+                    [] { return std::vector<base::Address>(); } };
+  const base::Address m_relayAddress;
+  const base::Address m_endpointAddress;
+  EndpointRelay m_relay;
+  adapters::http1::Listener m_listener;
+  std::set<std::shared_ptr<ServerConnection>> m_served;
+  std::string m_answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  int m_accepted = 0;
+  int m_ended = 0;
+  size_t m_received = 0;
+  std::string m_body;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(EndpointRelayTest)
+
+BOOST_AUTO_TEST_CASE(TargetsKeepTheirCharacters) {
+  const fleet::Incarnation incarnation{ base::EndpointId("i@1 ?&=/x"), -5 };
+  BOOST_TEST((ParseRelayTarget(RelayTarget(incarnation)) == incarnation));
+  for (const char* target : { "", "i-1", "@1", "i-1@", "i-1@x", "i-1@1x" }) {
+    BOOST_TEST(!ParseRelayTarget(target).has_value());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AnswersArePassedOn) {
+  RelayFixture fixture;
+  BOOST_TEST((fixture.Call(RelayFixture::kEndpoint) == EndKind::Finished));
+  BOOST_TEST(fixture.m_body == "ok");
+  BOOST_TEST(fixture.m_accepted == 1);
+}
+
+// More than the buffers of both sides hold.
+BOOST_AUTO_TEST_CASE(LargeBodiesPassInBothDirections) {
+  constexpr size_t kBytes = 8U << 20U;
+  RelayFixture fixture;
+  fixture.m_answer = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kBytes) + "\r\n\r\n" +
+                     std::string(kBytes, 'x');
+  BOOST_TEST(
+    (fixture.Call(RelayFixture::kEndpoint, std::string(kBytes, 'y')) == EndKind::Finished));
+  BOOST_TEST(fixture.m_received == kBytes);
+  BOOST_TEST(fixture.m_body.size() == kBytes);
+}
+
+BOOST_AUTO_TEST_CASE(EndOfAnEndpointIsPassedOn) {
+  RelayFixture fixture;
+  fixture.m_answer = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\nConnection: close\r\n\r\nok";
+  const auto poll = fixture.m_loop.Every(Millis(5), [&] {
+    for (const auto& connection : std::exchange(fixture.m_served, {})) {
+      connection->CloseWhenFlushed();
+    }
+  });
+  const EndKind end = fixture.Call(RelayFixture::kEndpoint);
+  BOOST_TEST((end == EndKind::Finished || end == EndKind::Reset));
+  BOOST_TEST(fixture.m_body.size() <= 2U);
+}
+
+// The endpoint drops a call whose caller has gone.
+BOOST_AUTO_TEST_CASE(EndOfTheClientIsPassedOn) {
+  RelayFixture fixture;
+  fixture.m_answer.clear();
+  const auto connection = ClientConnection::ConnectThrough(
+    fixture.m_loop, fixture.m_relayAddress, RelayTarget(RelayFixture::kEndpoint), kTimeout);
+  connection->Write(adapters::http1::Serialize({ "POST", "/a", {} }, "{}"));
+  const auto close = fixture.m_loop.After(Millis(100), [&] { connection->Close(); });
+  fixture.Run();
+  BOOST_TEST(fixture.m_ended == 1);
+  BOOST_TEST(fixture.m_received == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(RefusedConnectionsReachNoEndpoint) {
+  const auto expectRefusal = [](RelayFixture& aFixture, const fleet::Incarnation& aEndpoint) {
+    BOOST_TEST((aFixture.Call(aEndpoint) == EndKind::RelayFailed));
+    BOOST_TEST(aFixture.m_accepted == 0);
+  };
+  const fleet::Incarnation endpoint = RelayFixture::kEndpoint;
+  {
+    RelayFixture fixture;
+    expectRefusal(fixture, { base::EndpointId("i-2"), 7 });
+    expectRefusal(fixture, { endpoint.m_endpoint, 8 });
+  }
+  {
+    RelayFixture fixture;
+    fixture.m_node.m_availability.MarkLeaving(endpoint, base::BootNow());
+    expectRefusal(fixture, endpoint);
+  }
+  {
+    RelayFixture fixture;
+    fixture.m_node.m_availability.Pause(endpoint, Millis(1000), base::BootNow());
+    expectRefusal(fixture, endpoint);
+  }
+  {
+    RelayFixture fixture;
+    fixture.m_relay.BeginDrain();
+    BOOST_TEST(!fixture.m_relay.IsAvailable());
+    expectRefusal(fixture, endpoint);
+  }
+  {
+    RelayFixture fixture;
+    fixture.m_node.m_reach.SetEndpointCount(1);
+    fixture.m_node.m_reach.RecordConnectFailed(endpoint.m_endpoint, base::BootNow());
+    fixture.m_node.m_reach.Update(base::BootNow());
+    BOOST_TEST(!fixture.m_relay.IsAvailable());
+    expectRefusal(fixture, endpoint);
+  }
+  {
+    RelayFixture fixture(EndpointRelaySettings{ 0 });
+    expectRefusal(fixture, endpoint);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(UnreachableEndpointIsNotConnected) {
+  RelayFixture fixture;
+  fleet::Endpoint endpoint;
+  endpoint.m_incarnation = { base::EndpointId("i-2"), 1 };
+  endpoint.m_address = FreeAddress();
+  endpoint.m_position = { 0, 2 };
+  fixture.m_node.m_directory.Put({ endpoint.m_incarnation.m_endpoint, { 0, 2 }, endpoint });
+  BOOST_TEST((fixture.Call(endpoint.m_incarnation) == EndKind::NotConnected));
+}
+
+// The endpoint has stated it to the host of the relay.
+BOOST_AUTO_TEST_CASE(StatementsOfEndpointsApplyAtTheRelay) {
+  RelayFixture leaving;
+  leaving.m_answer = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nServer-Leaving: 1\r\n"
+                     "Content-Length: 2\r\n\r\nok";
+  BOOST_TEST((leaving.Call(RelayFixture::kEndpoint) == EndKind::Finished));
+  BOOST_TEST((leaving.m_node.m_availability.Check(RelayFixture::kEndpoint, base::BootNow()) ==
+              fleet::Unavailability::Leaving));
+  RelayFixture waiting;
+  waiting.m_answer = "HTTP/1.1 503 Busy\r\nRetry-After: 2\r\nContent-Length: 0\r\n\r\n";
+  BOOST_TEST((waiting.Call(RelayFixture::kEndpoint) == EndKind::Finished));
+  BOOST_TEST((waiting.m_node.m_availability.Check(RelayFixture::kEndpoint, base::BootNow()) ==
+              fleet::Unavailability::Waiting));
+}
+
+BOOST_AUTO_TEST_CASE(HeadIsReadFromPieces) {
+  const std::string bytes = "HTTP/1.1 503 Busy\r\nRetry-After:  2 \r\nX: y\r\n\r\nbody";
+  AnswerHeadReader reader;
+  std::optional<ResponseHead> head;
+  for (const char byte : bytes) {
+    if (auto read = reader.Feed({ &byte, 1 })) {
+      head = std::move(read);
+    }
+  }
+  BOOST_REQUIRE(head.has_value());
+  BOOST_TEST(head->m_status == 503);
+  BOOST_TEST(head->m_fields.Find("retry-after").value_or("") == "2");
+  BOOST_TEST(reader.IsDone());
+  AnswerHeadReader malformed;
+  BOOST_TEST(!malformed.Feed("no answer\r\n\r\n").has_value());
+  BOOST_TEST(malformed.IsDone());
+  AnswerHeadReader endless;
+  BOOST_TEST(!endless.Feed(std::string(100000, 'x')).has_value());
+  BOOST_TEST(endless.IsDone());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/packages/gossip/tests/PeerTableTest.cpp
+++ b/packages/gossip/tests/PeerTableTest.cpp
@@ -139,6 +139,20 @@
   BOOST_TEST(peers.OlderWatcherCount(base::ZoneId("b"), kNow) == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(RelaysAreLiveNodesThatReachTheEndpoints) {
+  PeerTable peers(ContactOf("1"));
+  Heartbeat relay = HeartbeatOf("2");
+  relay.m_relays = true;
+  relay.m_from.m_host = "10.0.0.2";
+  peers.MergeHeartbeat(relay, kNow);
+  peers.MergeHeartbeat(HeartbeatOf("3"), kNow);
+  BOOST_TEST((peers.RelayHosts(kNow) == std::vector<std::string>{ "10.0.0.2" }));
+  BOOST_TEST(peers.RelayHosts(kNow + base::Millis(10000)).empty());
+  relay.m_stopping = true;
+  peers.MergeHeartbeat(relay, kNow);
+  BOOST_TEST(peers.RelayHosts(kNow).empty());
+}
+
 BOOST_AUTO_TEST_CASE(LongerHeartbeatIntervalExtendsLiveness) {
   PeerTable peers(ContactOf("1"));
   peers.SetHeartbeatInterval(base::Millis(1000));
--- a/packages/placement/tests/FailureReportsTest.cpp
+++ b/packages/placement/tests/FailureReportsTest.cpp
@@ -183,4 +183,22 @@
   BOOST_TEST(failuresSharing * 2 < failuresAlone);
 }
 
+// What a node took for failures of endpoints while it was cut off from all of them.
+BOOST_AUTO_TEST_CASE(OwnFailuresCanBeForgotten) {
+  FailureReports reports = Make();
+  for (int i = 0; i < 5; ++i) {
+    reports.Record(kEndpoint, false, kNow);
+  }
+  reports.SetPeerReport("n1", { { kEndpoint, { 5, 5 } } }, kNow);
+  BOOST_TEST(reports.IsFailing(kEndpoint, kNow));
+  reports.ForgetLocal();
+  BOOST_TEST(!reports.IsFailing(kEndpoint, kNow));
+  BOOST_TEST(reports.LocalReport(kNow).empty());
+  // One peer alone is no proof, two are.
+  reports.SetPeerReport("n1", { { kEndpoint, { 5, 5 } } }, kNow);
+  BOOST_TEST(!reports.IsFailing(kEndpoint, kNow));
+  reports.SetPeerReport("n2", { { kEndpoint, { 5, 5 } } }, kNow);
+  BOOST_TEST(reports.IsFailing(kEndpoint, kNow));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
