--- a/packages/forwarding/EndpointPool.cpp
+++ b/packages/forwarding/EndpointPool.cpp
@@ -19,7 +19,7 @@
 /// Maximum number of idle connections to one endpoint.
 constexpr size_t kMaxIdlePerEndpoint = 64;
 /// Time for which a relay is not asked after it did not lead a connection through.
-constexpr base::Millis kRelayAvoidance{ 500 };
+constexpr base::Millis kRelayAvoidance{ 250 };
 
 } // namespace
 
--- a/packages/forwarding/EndpointReach.h
+++ b/packages/forwarding/EndpointReach.h
@@ -72,6 +72,11 @@
 
   ReachState State() const { return m_state; }
   bool IsIsolated() const { return m_state == ReachState::Isolated; }
+  /// Returns whether the node is cut off, or new connections fail so that it may be.
+  bool MayBeIsolated() const {
+    return IsIsolated() ||
+           (m_state == ReachState::Suspected && m_evidence == ReachEvidence::FailedConnects);
+  }
   /// Returns since when the node has been cut off; nullopt if it is not.
   std::optional<base::TimePoint> IsolatedSince() const { return m_isolatedSince; }
   /// Returns what the last suspicion was based on.
--- a/packages/forwarding/EndpointRelay.cpp
+++ b/packages/forwarding/EndpointRelay.cpp
@@ -37,7 +37,7 @@
 EndpointRelay::~EndpointRelay() = default;
 
 bool EndpointRelay::IsAvailable() const {
-  return Listening() && !m_isStopping && m_node.m_reach.State() == ReachState::Reaching;
+  return Listening() && !m_isStopping && !m_node.m_reach.MayBeIsolated();
 }
 
 void EndpointRelay::Accept(int aFd) {
@@ -64,7 +64,7 @@
 
 std::optional<RelayRefusal> EndpointRelay::FindRefusal(
   const fleet::Incarnation& aIncarnation) const {
-  if (m_node.m_reach.State() != ReachState::Reaching) {
+  if (m_node.m_reach.MayBeIsolated()) {
     return RelayRefusal::Isolated;
   }
   if (m_isStopping) {
@@ -112,9 +112,9 @@
   }
   m_node.m_metrics.Count("relay_connect_failed");
   m_node.m_reachMonitor.OnConnectFailed(endpoint);
-  return m_node.m_reach.State() == ReachState::Reaching
-           ? std::nullopt
-           : std::optional(std::string(base::NameOf(RelayRefusal::Isolated)));
+  return m_node.m_reach.MayBeIsolated()
+           ? std::optional(std::string(base::NameOf(RelayRefusal::Isolated)))
+           : std::nullopt;
 }
 
 /// Applies what the endpoint states about itself. Returns whether the head of the answer is still
--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -479,8 +479,10 @@
   aAttempt->m_connectionLost =
     aAttempt->m_relay.empty() && (aKind == EndKind::Finished || aKind == EndKind::Reset);
   const bool notSent = aKind == EndKind::NotConnected || aKind == EndKind::RelayFailed;
-  const bool endedUnused = !aAttempt->m_reused && !aAttempt->m_hasBytes;
-  if (aAttempt->m_relay.empty() && endedUnused) {
+  const bool isUnused = !aAttempt->m_reused && !aAttempt->m_hasBytes;
+  const bool hasFailed =
+    aKind == EndKind::NotConnected || aKind == EndKind::Finished || aKind == EndKind::Reset;
+  if (aAttempt->m_relay.empty() && isUnused && hasFailed) {
     m_node.m_reachMonitor.OnConnectFailed(aAttempt->m_endpoint.m_incarnation.m_endpoint);
   } else if (aKind == EndKind::RelayFailed) {
     m_node.m_pool.AvoidRelay(aAttempt->m_relay, base::BootNow());
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -1031,7 +1031,8 @@
   }
 
   void CheckDrain(base::TimePoint aNow) {
-    if (aNow > m_drainPlan->EntriesExpireAt() + kTickInterval * 2 && m_gateway.BusyCount() == 0) {
+    if (aNow > m_drainPlan->EntriesExpireAt() + kTickInterval * 2 && m_gateway.BusyCount() == 0 &&
+        m_relay.Count() == 0) {
       EndDrain();
     }
   }
