Keep connections to endpoints that are silent for a second

Callers saw 502 for calls that must not be repeated, at endpoints that were sound but silent for a second. TCP_USER_TIMEOUT was 900 ms: it ends a connection whose bytes stay unacknowledged for that long, and it also decides when keep-alive probes give up, at the second check already, whatever their number.

What the short timeout was for is covered otherwise: repeatable calls have their silence timers, and a node that is cut off notices it within a second.

--- a/packages/forwarding/EndpointPool.cpp
+++ b/packages/forwarding/EndpointPool.cpp
@@ -13,9 +13,6 @@
 
 /// Keep-alive time assumed if an endpoint does not state one.
 constexpr base::Millis kDefaultKeepAlive{ 4000 };
-/// A connection is closed if sent bytes stay unacknowledged for this long: a few round trips and
-/// one retransmission.
-constexpr base::Millis kUnacknowledgedTimeout{ 900 };
 /// Maximum number of idle connections to one endpoint.
 constexpr size_t kMaxIdlePerEndpoint = 64;
 /// Time for which a relay is not asked after it did not lead a connection through.
--- a/packages/forwarding/EndpointPool.h
+++ b/packages/forwarding/EndpointPool.h
@@ -16,6 +16,11 @@
 
 namespace papayafield::forwarding {
 
+/// A connection to an endpoint is closed if sent bytes stay unacknowledged, or keep-alive probes
+/// unanswered, for this long. A sound endpoint may be silent for a second or so; a node that is cut
+/// off, or an endpoint at which other calls fail, is noticed before.
+inline constexpr base::Millis kUnacknowledgedTimeout{ 2500 };
+
 /// A connection to an endpoint, and whether an earlier call has used it.
 struct PooledConnection {
   std::shared_ptr<adapters::http1::ClientConnection> m_connection;
--- a/packages/forwarding/EndpointRelay.cpp
+++ b/packages/forwarding/EndpointRelay.cpp
@@ -14,8 +14,6 @@
 
 /// Connections that are only there to be refused, above the maximum.
 constexpr size_t kMaxRefusing = 32;
-/// A connection is closed if sent bytes stay unacknowledged for this long.
-constexpr base::Millis kUnacknowledgedTimeout{ 900 };
 
 } // namespace
 
