--- a/packages/forwarding/Exchange.h
+++ b/packages/forwarding/Exchange.h
@@ -71,6 +71,11 @@
   void BindVersion(const ActiveAttempt& aAttempt);
   void Dispatch();
   void Send(const fleet::Endpoint& aEndpoint);
+  void OnEstablished(const std::shared_ptr<ActiveAttempt>& aAttempt);
+  void OnIsolated(const std::shared_ptr<ActiveAttempt>& aAttempt);
+  void OnConnectionEnd(const std::shared_ptr<ActiveAttempt>& aAttempt,
+                       adapters::http1::EndKind aKind);
+  bool IsWitness(const ActiveAttempt& aAttempt, AttemptFault aFault) const;
   void AttachHandlers(const std::shared_ptr<ActiveAttempt>& aAttempt);
   void OnHead(const std::shared_ptr<ActiveAttempt>& aAttempt,
               adapters::http1::ResponseHead&& aHead);
@@ -88,6 +93,7 @@
   void StartSilenceTimer(const std::shared_ptr<ActiveAttempt>& aAttempt, base::Millis aLimit);
   void OnSilence(const std::shared_ptr<ActiveAttempt>& aAttempt, base::Millis aLimit);
   bool MayContinueElsewhere() const;
+  bool HasEndpoint() const;
   base::Millis EventTimeout() const;
   void LearnFromEvents(ActiveAttempt& aAttempt, size_t aCount);
   void CountEvents(const std::shared_ptr<ActiveAttempt>& aAttempt, size_t aCount);
@@ -125,6 +131,7 @@
   double PredictedRetrySeconds(double aRoomInMs);
   void RefuseLate(const scheduling::Prospect& aProspect);
   int EnginePriority();
+  void RejectIsolated();
   void LogOutage(const fleet::ServiceOutage& aOutage) const;
   void Deliver(const adapters::http1::ResponseHead& aHead, const std::string& aBody);
   void Conclude(const adapters::http1::ResponseHead& aHead,
--- a/packages/forwarding/NodeState.h
+++ b/packages/forwarding/NodeState.h
@@ -16,6 +16,7 @@
 #include "forwarding/EndpointPool.h"
 #include "forwarding/EndpointSignals.h"
 #include "forwarding/Metrics.h"
+#include "forwarding/ReachMonitor.h"
 #include "forwarding/RegistryView.h"
 #include "forwarding/RejectionLimit.h"
 #include "forwarding/StreamOrigins.h"
@@ -49,7 +50,8 @@
   /// `aWindowMs` is the length of a usage window. `aOrdersBySlack` tells whether engines
   /// serve calls of one priority in the order of their slack.
   /// `aBufferSettings` limits what the node holds of requests and answers. `aOnEndpointLeaving` is
-  /// called when this node learns that an endpoint leaves.
+  /// called when this node learns that an endpoint leaves. `aRelays` returns the relays of other
+  /// nodes.
   NodeState(adapters::http::EventLoop& aLoop,
             WireFormat aWire,
             base::ZoneId aZone,
@@ -59,7 +61,8 @@
             int64_t aWindowMs,
             base::BufferBudgetSettings aBufferSettings,
             bool aOrdersBySlack,
-            std::function<void()> aOnEndpointLeaving);
+            std::function<void()> aOnEndpointLeaving,
+            EndpointPool::RelayList aRelays);
 
   /// Returns the active configuration; null before the first one.
   const fleet::CatalogPtr& Catalog() const { return m_catalog; }
@@ -106,6 +109,9 @@
   double LateEngineCalls() const { return m_lateEngineCalls; }
   /// Returns the open calls at `aEndpoint`.
   OpenCalls OpenCallsAt(const base::EndpointId& aEndpoint) const;
+  /// Forgets the outcomes of attempts of this node, which say nothing about the endpoints if the
+  /// node was cut off from them.
+  void ForgetOutcomes();
   /// Sets the gauges of the learned speed of each service.
   void SetSpeedGauges();
   /// Returns a random number in [0, 1).
@@ -132,12 +138,14 @@
   StreamOrigins m_streamOrigins;
   VersionFinder m_versionFinder{ m_streamOrigins, m_versionHistory };
   RegistryView m_registryView;
+  EndpointReach m_reach{ EndpointReachSettings{} };
   EndpointPool m_pool;
   CallDurations m_durations;
   EndpointSignals m_signals;
   quota::QuotaLedger m_quota;
   duties::UsageLedger m_usage;
   Metrics m_metrics;
+  ReachMonitor m_reachMonitor;
   CrashGuard m_crashGuard{ m_metrics };
 
 private:
