Adapt relayed answers and a test to both changes of the endpoint signals

The signals of an endpoint apply to its registration; the pool asks where the node's endpoints are reached.

--- a/packages/forwarding/EndpointRelay.cpp
+++ b/packages/forwarding/EndpointRelay.cpp
@@ -122,8 +122,11 @@
     m_node.m_reachMonitor.OnConnected(aConnection.m_endpoint.m_endpoint);
   }
   if (const auto head = aConnection.m_answer.Feed(aBytes)) {
-    m_node.m_signals.OnAnswer(
-      aConnection.m_endpoint, m_node.m_wire.m_decodeAnswer(*head), "relayed");
+    const auto& known = m_node.m_directory.All();
+    const auto found = known.find(aConnection.m_endpoint.m_endpoint);
+    if (found != known.end() && found->second.m_incarnation == aConnection.m_endpoint) {
+      m_node.m_signals.OnAnswer(found->second, m_node.m_wire.m_decodeAnswer(*head), "relayed");
+    }
   }
   return !aConnection.m_answer.IsDone();
 }
--- a/packages/forwarding/tests/AnswerSignalsTest.cpp
+++ b/packages/forwarding/tests/AnswerSignalsTest.cpp
@@ -62,7 +62,8 @@
 BOOST_AUTO_TEST_CASE(ToleranceOfTheEndpointLimitsItsCalls) {
   for (const char* instance : { "", "i-1", "i-2" }) {
     adapters::http::EventLoop loop;
-    EndpointPool pool(loop);
+    const EndpointReach reach{ EndpointReachSettings{} };
+    EndpointPool pool(loop, reach, [] { return std::vector<base::Address>(); });
     fleet::EndpointAvailability availability{ fleet::AvailabilitySettings{} };
     RejectionLimit limit{ RejectionLimitSettings{} };
     EndpointSignals signals(availability, limit, pool, [] {});
