--- a/tests/integration/NodesCutOffFromEndpointsTest.cpp
+++ b/tests/integration/NodesCutOffFromEndpointsTest.cpp
@@ -42,6 +42,13 @@
   { "new connections hanging", { { "hang", true } }, { { "hang", false } } },
 };
 
+struct Kind {
+  const char* m_method;
+  const char* m_target;
+};
+
+constexpr Kind kKinds[] = { { "GET", "/safe/a" }, { "POST", "/once/a" }, { "POST", "/stream/a" } };
+
 struct Outcomes {
   int m_served = 0;
   int m_failed = 0;
@@ -54,10 +61,8 @@
   Callers(const PlatformFleet& aFleet, size_t aNode)
     : m_fleet(aFleet)
     , m_node(aNode) {
-    for (const auto& [method, target] : { std::pair("GET", "/safe/a"),
-                                          std::pair("POST", "/once/a"),
-                                          std::pair("POST", "/stream/a") }) {
-      m_threads.emplace_back([this, method, target] { Run(method, target); });
+    for (const Kind& kind : kKinds) {
+      m_threads.emplace_back([this, &kind] { Run(kind); });
     }
   }
   ~Callers() {
@@ -79,10 +84,10 @@
   }
 
 private:
-  void Run(const char* aMethod, const char* aTarget) {
+  void Run(const Kind& aKind) {
     while (!m_stop) {
       const auto sent = base::BootNow();
-      const CallerAnswer answer = m_fleet.Send(m_node, aMethod, aTarget);
+      const CallerAnswer answer = m_fleet.Send(m_node, aKind.m_method, aKind.m_target);
       {
         const std::lock_guard lock(m_mutex);
         if (sent >= m_since) {
