Do not take a crash of several endpoints for a cut

A refused probe ends at once, one that works only after 100 ms, so two refused ones confirmed the suspicion before the others could refute it. A suspicion is confirmed now when all probes of a round have ended and none has worked, and a round has five of them. Without a relay, calls are refused only if connections hang; a refused connection costs nothing, and the first endpoint that is back gets calls at once.

--- a/packages/adapters/http1/Tunnel.h
+++ b/packages/adapters/http1/Tunnel.h
@@ -55,7 +55,7 @@
     bufferevent* m_buffer = nullptr;
     /// Whether the remote end sends nothing more.
     bool m_hasEnded = false;
-    /// Whether the remote end has been told that nothing more is sent to it.
+    /// Whether the remote end has got the end of what is sent to it.
     bool m_isShutDown = false;
   };
 
--- a/packages/forwarding/EndpointPool.cpp
+++ b/packages/forwarding/EndpointPool.cpp
@@ -83,7 +83,8 @@
 }
 
 bool EndpointPool::HasRoute(base::TimePoint aNow) const {
-  return !m_reach.IsIsolated() || m_reach.ReceivesBytes(aNow) || SelectRelay(aNow).has_value();
+  return !m_reach.IsIsolated() || !m_reach.Hangs() || m_reach.ReceivesBytes(aNow) ||
+         SelectRelay(aNow).has_value();
 }
 
 void EndpointPool::AvoidRelay(const std::string& aHost, base::TimePoint aNow) {
--- a/packages/forwarding/EndpointPool.h
+++ b/packages/forwarding/EndpointPool.h
@@ -55,8 +55,8 @@
   /// Returns a new connection that does not lead through another node.
   std::shared_ptr<adapters::http1::ClientConnection> ConnectDirectly(
     const fleet::Endpoint& aEndpoint);
-  /// Returns whether there is a way to the endpoints. False if the node is cut off from them and
-  /// there is no other node to lead connections through.
+  /// Returns whether there is a way to the endpoints, or trying takes no time. False if connections
+  /// to them hang and there is no other node to lead connections through.
   bool HasRoute(base::TimePoint aNow) const;
   /// Records that the node on the host `aHost` did not lead a connection through. It is not asked
   /// for a moment.
--- a/packages/forwarding/EndpointReach.cpp
+++ b/packages/forwarding/EndpointReach.cpp
@@ -34,13 +34,19 @@
   }
 }
 
-void EndpointReach::RecordConnectFailed(const base::EndpointId& aEndpoint, base::TimePoint aNow) {
+void EndpointReach::RecordConnectFailed(const base::EndpointId& aEndpoint,
+                                        base::TimePoint aNow,
+                                        bool aHasTimedOut) {
   m_failed[aEndpoint] = aNow;
+  m_hangs = aHasTimedOut;
   if (m_state == ReachState::Suspected) {
     m_confirmed.insert(aEndpoint);
-    if (m_confirmed.size() >= RequiredEndpoints()) {
-      SetState(ReachState::Isolated, aNow);
-    }
+  }
+}
+
+void EndpointReach::RecordProbesEnded(base::TimePoint aNow) {
+  if (m_state == ReachState::Suspected && m_confirmed.size() >= RequiredEndpoints()) {
+    SetState(ReachState::Isolated, aNow);
   }
 }
 
--- a/packages/forwarding/EndpointReach.h
+++ b/packages/forwarding/EndpointReach.h
@@ -58,7 +58,13 @@
   void RecordConnected(const base::EndpointId& aEndpoint, base::TimePoint aNow);
   /// Records that a new connection to an endpoint could not be established in time, or ended before
   /// the endpoint sent anything.
-  void RecordConnectFailed(const base::EndpointId& aEndpoint, base::TimePoint aNow);
+  /// `aHasTimedOut`: it hung until then.
+  void RecordConnectFailed(const base::EndpointId& aEndpoint,
+                           base::TimePoint aNow,
+                           bool aHasTimedOut = false);
+  /// Records that all probes of a round have ended. If none worked, their failures confirm the
+  /// suspicion: failures are often known before a connection has proved to work.
+  void RecordProbesEnded(base::TimePoint aNow);
   /// Records that a call waits for bytes of an endpoint on an established connection. `aCall` must
   /// not be in use.
   void RecordWaiting(uint64_t aCall, const base::EndpointId& aEndpoint, base::TimePoint aNow);
@@ -86,7 +92,10 @@
   bool ReceivesBytes(base::TimePoint aNow) const {
     return m_lastBytes && aNow - *m_lastBytes < m_settings.m_silence;
   }
-  /// Returns the endpoints at which connections failed since the last one that was established.
+  /// Returns whether the latest connection that failed had hung.
+  bool Hangs() const { return m_hangs; }
+  /// Returns the number of endpoints at which connections failed since the last one that was
+  /// established.
   size_t FailedCount() const { return m_failed.size(); }
   /// Returns the number of endpoints that are silent now although they have calls.
   size_t SilentCount(base::TimePoint aNow) const;
@@ -105,6 +114,7 @@
   ReachState m_state = ReachState::Reaching;
   ReachEvidence m_evidence = ReachEvidence::None;
   bool m_changed = false;
+  bool m_hangs = false;
   size_t m_endpointCount = 0;
   std::optional<base::TimePoint> m_isolatedSince;
   std::optional<base::TimePoint> m_lastBytes;
--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -438,7 +438,8 @@
       const auto attempt = weak.lock();
       if (attempt && !attempt->m_connection->IsEstablished()) {
         if (attempt->m_relay.empty()) {
-          self->m_node.m_reachMonitor.OnConnectFailed(attempt->m_endpoint.m_incarnation.m_endpoint);
+          self->m_node.m_reachMonitor.OnConnectFailed(attempt->m_endpoint.m_incarnation.m_endpoint,
+                                                      true);
         } else {
           self->m_node.m_pool.AvoidRelay(attempt->m_relay, base::BootNow());
         }
--- a/packages/forwarding/ReachMonitor.cpp
+++ b/packages/forwarding/ReachMonitor.cpp
@@ -15,7 +15,7 @@
 constexpr base::Millis kCheckInterval{ 100 };
 /// Interval between rounds of probes, and number of endpoints in a round.
 constexpr base::Millis kProbeInterval{ 300 };
-constexpr size_t kProbesPerRound = 3;
+constexpr size_t kProbesPerRound = 5;
 /// Maximum time for a probe to connect: a few round trips.
 constexpr base::Millis kProbeTimeout{ 200 };
 /// Time for which the connection of a probe has to stay open: something on the way may accept
@@ -41,8 +41,8 @@
   Evaluate();
 }
 
-void ReachMonitor::OnConnectFailed(const base::EndpointId& aEndpoint) {
-  m_reach.RecordConnectFailed(aEndpoint, base::BootNow());
+void ReachMonitor::OnConnectFailed(const base::EndpointId& aEndpoint, bool aHasTimedOut) {
+  m_reach.RecordConnectFailed(aEndpoint, base::BootNow(), aHasTimedOut);
   Evaluate();
 }
 
@@ -138,7 +138,7 @@
 }
 
 void ReachMonitor::StartProbes(base::TimePoint /*aNow*/) {
-  if (m_reach.State() == ReachState::Reaching) {
+  if (m_reach.State() == ReachState::Reaching || !m_probes.empty()) {
     return;
   }
   std::vector<fleet::Endpoint> endpoints = m_directory.Ready();
@@ -155,16 +155,16 @@
     m_probes.insert(m_probes.end(), { aEndpoint, m_pool.ConnectDirectly(aEndpoint), nullptr });
   ClientConnection::Events events;
   events.m_onEstablished = [this, probe] {
-    probe->m_timer = m_loop.After(kProbeHoldTime, [this, probe] { EndProbe(probe, true); });
+    probe->m_timer = m_loop.After(kProbeHoldTime, [this, probe] { EndProbe(probe, true, false); });
   };
   events.m_onEnd = [this, probe](EndKind /*aKind*/, bool /*aInMessage*/) {
-    EndProbe(probe, false);
+    EndProbe(probe, false, false);
   };
   probe->m_connection->SetEvents(std::move(events));
-  probe->m_timer = m_loop.After(kProbeTimeout, [this, probe] { EndProbe(probe, false); });
+  probe->m_timer = m_loop.After(kProbeTimeout, [this, probe] { EndProbe(probe, false, true); });
 }
 
-void ReachMonitor::EndProbe(ProbeIterator aProbe, bool aIsConnected) {
+void ReachMonitor::EndProbe(ProbeIterator aProbe, bool aIsConnected, bool aHasTimedOut) {
   const fleet::Endpoint endpoint = aProbe->m_endpoint;
   const auto connection = aProbe->m_connection;
   // The timer may be the caller.
@@ -176,7 +176,11 @@
     m_pool.Return(endpoint.m_incarnation, connection, std::nullopt, base::BootNow());
   } else {
     connection->Close();
-    OnConnectFailed(endpoint.m_incarnation.m_endpoint);
+    OnConnectFailed(endpoint.m_incarnation.m_endpoint, aHasTimedOut);
+  }
+  if (m_probes.empty()) {
+    m_reach.RecordProbesEnded(base::BootNow());
+    Evaluate();
   }
 }
 
--- a/packages/forwarding/ReachMonitor.h
+++ b/packages/forwarding/ReachMonitor.h
@@ -35,7 +35,7 @@
   void OnConnected(const base::EndpointId& aEndpoint);
   /// Records that a direct connection to an endpoint could not be established in time, or ended
   /// before the endpoint sent anything.
-  void OnConnectFailed(const base::EndpointId& aEndpoint);
+  void OnConnectFailed(const base::EndpointId& aEndpoint, bool aHasTimedOut = false);
   /// Records a call on a direct connection, and returns a key for it. While the node is cut off,
   /// `aOnIsolated` is called by the event loop several times a second until OnEnded is called.
   uint64_t OnSent(std::function<void()> aOnIsolated);
@@ -61,7 +61,7 @@
   void OnChanged();
   void StartProbes(base::TimePoint aNow);
   void StartProbe(const fleet::Endpoint& aEndpoint);
-  void EndProbe(ProbeIterator aProbe, bool aIsConnected);
+  void EndProbe(ProbeIterator aProbe, bool aIsConnected, bool aHasTimedOut);
   void NotifyCalls();
 
   adapters::http::EventLoop& m_loop;
--- a/packages/forwarding/tests/EndpointPoolTest.cpp
+++ b/packages/forwarding/tests/EndpointPoolTest.cpp
@@ -58,9 +58,11 @@
     endpoint.m_incarnation, pool.ConnectDirectly(endpoint), std::nullopt, now - base::Millis(10));
   reach.SetEndpointCount(1);
   for (int i = 0; i < 2; ++i) {
-    reach.RecordConnectFailed(endpoint.m_incarnation.m_endpoint, now);
+    reach.RecordConnectFailed(endpoint.m_incarnation.m_endpoint, now, true);
     reach.Update(now);
   }
+  reach.RecordProbesEnded(now);
+  reach.Update(now);
   BOOST_REQUIRE(reach.IsIsolated());
   BOOST_TEST(!pool.HasRoute(now));
   relays = { { "127.0.0.2", 1 }, { "127.0.0.3", 1 } };
--- a/packages/forwarding/tests/EndpointReachTest.cpp
+++ b/packages/forwarding/tests/EndpointReachTest.cpp
@@ -28,6 +28,7 @@
     BOOST_REQUIRE((StateAfter(Millis(0)) == ReachState::Suspected));
     Fail(kOne);
     Fail(kThree);
+    m_reach.RecordProbesEnded(m_now);
     BOOST_REQUIRE((StateAfter(Millis(0)) == ReachState::Isolated));
   }
 
@@ -54,12 +55,29 @@
   BOOST_TEST((fixture.StateAfter(Millis(0)) == ReachState::Suspected));
   BOOST_TEST((fixture.m_reach.Evidence() == ReachEvidence::FailedConnects));
   fixture.Fail(kTwo);
+  fixture.m_reach.RecordProbesEnded(fixture.m_now);
   BOOST_TEST((fixture.StateAfter(Millis(10)) == ReachState::Suspected));
   fixture.Fail(kThree);
+  BOOST_TEST((fixture.StateAfter(Millis(10)) == ReachState::Suspected));
+  fixture.m_reach.RecordProbesEnded(fixture.m_now);
   BOOST_TEST((fixture.StateAfter(Millis(10)) == ReachState::Isolated));
   BOOST_TEST(fixture.m_reach.IsolatedSince().has_value());
 }
 
+// Refused connections are known at once; that a connection works is known later.
+BOOST_AUTO_TEST_CASE(FailuresBeforeAWorkingProbeDoNotCount) {
+  ReachFixture fixture;
+  fixture.Fail(kOne);
+  fixture.Fail(kTwo);
+  BOOST_TEST((fixture.StateAfter(Millis(0)) == ReachState::Suspected));
+  fixture.Fail(kOne);
+  fixture.Fail(kTwo);
+  BOOST_TEST((fixture.StateAfter(Millis(100)) == ReachState::Suspected));
+  fixture.Connect(kThree);
+  fixture.m_reach.RecordProbesEnded(fixture.m_now);
+  BOOST_TEST((fixture.StateAfter(Millis(0)) == ReachState::Reaching));
+}
+
 // Two endpoints that crash at the same time must not cut a node off from all others.
 BOOST_AUTO_TEST_CASE(OneWorkingConnectionRefutesASuspicion) {
   ReachFixture fixture;
@@ -142,6 +160,7 @@
   fixture.Fail(kOne);
   BOOST_TEST((fixture.StateAfter(Millis(0)) == ReachState::Suspected));
   fixture.Fail(kOne);
+  fixture.m_reach.RecordProbesEnded(fixture.m_now);
   BOOST_TEST((fixture.StateAfter(Millis(0)) == ReachState::Isolated));
   fixture.Connect(kOne);
   BOOST_TEST((fixture.StateAfter(Millis(0)) == ReachState::Reaching));
