Cancel the timer of a probe together with the probe

A node that was cut off from the endpoints and then stood still for some 100 ms could crash: the end of a probe's connection and its timer were due in one iteration of the loop, and the timer, kept alive for the moment, used the probe after it had been removed. A handle may be destroyed in its own callback, so the probe takes its timer with it. A relay whose connect fails at once also reported that twice.

--- a/packages/adapters/http1/Tunnel.cpp
+++ b/packages/adapters/http1/Tunnel.cpp
@@ -110,6 +110,10 @@
                                                     reinterpret_cast<sockaddr*>(&to),
                                                     static_cast<int>(sizeof(to))) == 0;
   }
+  if (m_isRefused) {
+    // Connecting has failed at once.
+    return;
+  }
   m_timer =
     m_loop.After(started ? kConnectTimeout : base::Millis(0), [this] { OnConnectEnded(false); });
 }
--- a/packages/forwarding/ReachMonitor.cpp
+++ b/packages/forwarding/ReachMonitor.cpp
@@ -167,9 +167,7 @@
 void ReachMonitor::EndProbe(ProbeIterator aProbe, bool aIsConnected, bool aHasTimedOut) {
   const fleet::Endpoint endpoint = aProbe->m_endpoint;
   const auto connection = aProbe->m_connection;
-  // The timer may be the caller.
-  m_loop.Defer(
-    [timer = std::shared_ptr<adapters::http::EventHandle>(std::move(aProbe->m_timer))] {});
+  // Cancels the timer, which may have expired in the same iteration of the loop.
   m_probes.erase(aProbe);
   if (aIsConnected) {
     OnConnected(endpoint.m_incarnation.m_endpoint);
