Tell a relay's refusal from one that is due to the endpoint

Callers of a node that is cut off from the endpoints got endpoints_unreachable although relays were there: a relay refused an endpoint that leaves or has asked for a pause in the same way as it refuses all, so the call avoided the relay, chose the same endpoint again through the next one, and so took all relays from the other calls. The relay now answers 502 for what concerns the endpoint alone, which counts against the endpoint and not against the relay.

--- a/packages/adapters/http1/Tunnel.cpp
+++ b/packages/adapters/http1/Tunnel.cpp
@@ -92,7 +92,7 @@
     Connect(*address);
   } else {
     m_isRefused = true;
-    Respond("503 " + address.error());
+    Respond((address.error().m_isTarget ? "502 " : "503 ") + address.error().m_reason);
   }
 }
 
--- a/packages/adapters/http1/Tunnel.h
+++ b/packages/adapters/http1/Tunnel.h
@@ -16,11 +16,17 @@
 
 namespace papayafield::adapters::http1 {
 
+/// Why a client gets no connection to its target.
+struct TunnelRefusal {
+  /// Whether it is due to the target alone, so that another relay would not help.
+  bool m_isTarget = false;
+  std::string m_reason;
+};
+
 /// Callbacks of a tunnel. m_onBytes and m_onEnd may be empty.
 struct TunnelEvents {
-  /// Called with the name of the target that the client asks for. Returns its address, or the
-  /// reason of a refusal.
-  std::function<tl::expected<base::Address, std::string>(std::string_view aTarget)> m_onRequest;
+  /// Called with the name of the target that the client asks for. Returns its address or a refusal.
+  std::function<tl::expected<base::Address, TunnelRefusal>(std::string_view aTarget)> m_onRequest;
   /// Called when the target was connected, or could not be connected in time. May return the reason
   /// of a refusal for a target that was not connected.
   std::function<std::optional<std::string>(bool aIsConnected)> m_onConnected;
@@ -33,8 +39,8 @@
 /// Joins an accepted connection of a client, which asks for a target by `CONNECT`, to a connection
 /// to that target, and copies bytes in both directions until both have ended. A side that reads
 /// slowly stops the other one; ends and resets are passed on. A client that is refused has been
-/// sent the status 503, and one whose target could not be connected 502; in neither case has
-/// anything reached the target. Must be used only on the thread of its loop.
+/// sent the status 503, or 502 if the refusal is due to the target or that could not be connected;
+/// in neither case has anything reached the target. Must be used only on the thread of its loop.
 class Tunnel {
 public:
   /// Takes over the accepted socket `aFd`. `aUnacknowledgedTimeout` is the maximum time that sent
--- a/packages/forwarding/EndpointRelay.cpp
+++ b/packages/forwarding/EndpointRelay.cpp
@@ -83,8 +83,9 @@
   return std::nullopt;
 }
 
-tl::expected<base::Address, std::string> EndpointRelay::OnRequest(Connection& aConnection,
-                                                                  std::string_view aTarget) {
+tl::expected<base::Address, adapters::http1::TunnelRefusal> EndpointRelay::OnRequest(
+  Connection& aConnection,
+  std::string_view aTarget) {
   aConnection.m_endpoint = ParseRelayTarget(aTarget).value_or(fleet::Incarnation{});
   const auto refusal = FindRefusal(aConnection.m_endpoint);
   const std::string& id = aConnection.m_endpoint.m_endpoint.Text();
@@ -93,7 +94,8 @@
     m_node.m_metrics.Count("relay_refused_" + reason);
     m_log.Event("relayed connection refused",
                 { { "endpoint", id }, { "why", reason }, { "open", m_connections.size() } });
-    return tl::unexpected(reason);
+    const bool isTarget = refusal == RelayRefusal::Unknown || refusal == RelayRefusal::Unavailable;
+    return tl::unexpected(adapters::http1::TunnelRefusal{ isTarget, reason });
   }
   m_node.m_metrics.Count("relay_accepted");
   return m_node.m_directory.All().at(aConnection.m_endpoint.m_endpoint).m_address;
--- a/packages/forwarding/EndpointRelay.h
+++ b/packages/forwarding/EndpointRelay.h
@@ -59,8 +59,8 @@
   struct Connection;
 
   void Accept(int aFd);
-  tl::expected<base::Address, std::string> OnRequest(Connection& aConnection,
-                                                     std::string_view aTarget);
+  tl::expected<base::Address, adapters::http1::TunnelRefusal> OnRequest(Connection& aConnection,
+                                                                        std::string_view aTarget);
   std::optional<RelayRefusal> FindRefusal(const fleet::Incarnation& aIncarnation) const;
   std::optional<std::string> OnConnected(const Connection& aConnection, bool aIsConnected);
   bool OnBytes(Connection& aConnection, std::string_view aBytes);
