Let no gap in a node's memory of versions decide for a stream

A node that has stood still, or whose view of the registrations was cut off, for longer than the lifetime of a stream forgot the version that had served meanwhile as soon as it woke, took the other one for the only one, and answered so before the node that had begun the stream could.

Cause: the time at which this node last saw a version was taken for the end of that version. A node without live peers keeps asking.

--- a/packages/fleet/VersionHistory.cpp
+++ b/packages/fleet/VersionHistory.cpp
@@ -14,6 +14,14 @@
   }
 }
 
+void VersionHistory::Extend(base::TimePoint aNow) {
+  for (auto& [service, versions] : m_lastSeen) {
+    for (auto& [version, lastSeen] : versions) {
+      lastSeen = aNow;
+    }
+  }
+}
+
 void VersionHistory::Prune(base::Millis aRetention, base::TimePoint aNow) {
   for (auto& [service, versions] : m_lastSeen) {
     std::erase_if(versions, [&](const auto& aEntry) { return aNow - aEntry.second > aRetention; });
@@ -22,22 +30,13 @@
 }
 
 std::optional<std::string> VersionHistory::OnlyVersion(const ServiceId& aService,
-                                                       base::Millis aSpan,
                                                        base::TimePoint aNow) const {
   const auto found = m_lastSeen.find(aService);
-  if (!m_complete || found == m_lastSeen.end()) {
+  if (!m_complete || aNow < m_suspendedUntil || found == m_lastSeen.end() ||
+      found->second.size() != 1) {
     return std::nullopt;
   }
-  std::optional<std::string> only;
-  for (const auto& [version, lastSeen] : found->second) {
-    if (aNow - lastSeen <= aSpan) {
-      if (only) {
-        return std::nullopt;
-      }
-      only = version;
-    }
-  }
-  return only;
+  return found->second.begin()->first;
 }
 
 size_t VersionHistory::CountOf(const ServiceId& aService) const {
--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -236,7 +236,7 @@
   const base::Millis maxWait = std::min(TimeLeft() / kVersionSearchDivisor, kMaxVersionSearch);
   m_versionDeadline = now + maxWait;
   m_node.m_versionFinder.Find(
-    { StreamId(), m_service, m_node.StreamLifetime(now) },
+    { StreamId(), m_service },
     maxWait,
     [weak = weak_from_this()](const std::optional<std::string>& aVersion, VersionSource aSource) {
       if (const auto self = weak.lock()) {
--- a/packages/forwarding/NodeState.h
+++ b/packages/forwarding/NodeState.h
@@ -136,7 +136,7 @@
   rollout::VersionGate m_versions;
   fleet::VersionHistory m_versionHistory;
   StreamOrigins m_streamOrigins;
-  VersionFinder m_versionFinder{ m_streamOrigins, m_versionHistory };
+  VersionFinder m_versionFinder{ m_loop, m_streamOrigins, m_versionHistory };
   RegistryView m_registryView;
   EndpointReach m_reach{ EndpointReachSettings{} };
   EndpointPool m_pool;
--- a/packages/forwarding/StreamOrigins.cpp
+++ b/packages/forwarding/StreamOrigins.cpp
@@ -166,6 +166,9 @@
     if (asked == 0) {
       EndSearch(key, std::nullopt);
     } else if (const auto search = m_searches.find(key); search != m_searches.end()) {
+      if (search->second.m_asked != asked) {
+        search->second.m_unknownAt.clear();
+      }
       search->second.m_asked = asked;
     }
   }
--- a/packages/forwarding/VersionFinder.h
+++ b/packages/forwarding/VersionFinder.h
@@ -18,8 +18,8 @@
   Record,
   /// The record of a peer.
   Peer,
-  /// Only one version served in the lifetime of the stream, by a view that was confirmed after the
-  /// stream was resumed.
+  /// Only one version is remembered, by a view that was confirmed after the stream was resumed, and
+  /// no peer has named another one.
   OnlyVersion,
   /// The version is unknown.
   None,
@@ -30,8 +30,6 @@
   /// Call that brought the first event of the stream.
   std::string m_callId;
   fleet::ServiceId m_service;
-  /// Time for which streams may be resumed.
-  base::Millis m_lifetime{ 0 };
 };
 
 /// Finds the software version that began a stream. Belongs to the event loop's thread.
@@ -45,9 +43,12 @@
   using ConfirmView =
     std::function<void(base::Millis aMaxWait, std::function<void(bool aCurrent)> aOnDone)>;
 
-  /// `aOrigins` and `aHistory` must outlive the object.
-  VersionFinder(StreamOrigins& aOrigins, const fleet::VersionHistory& aHistory)
-    : m_origins(aOrigins)
+  /// `aLoop`, `aOrigins` and `aHistory` must outlive the object.
+  VersionFinder(adapters::http::EventLoop& aLoop,
+                StreamOrigins& aOrigins,
+                const fleet::VersionHistory& aHistory)
+    : m_loop(aLoop)
+    , m_origins(aOrigins)
     , m_history(aHistory) {}
 
   /// Sets what confirms the view. Before that, a version is never taken for the only one.
@@ -55,17 +56,21 @@
 
   /// Confirms the view of the registered endpoints; calls back at once with false if nothing can.
   void Confirm(base::Millis aMaxWait, std::function<void(bool aCurrent)> aOnDone) const;
-  /// Calls `aOnFound` once: at once if this node knows the stream, otherwise as soon as a peer or a
-  /// confirmed view tells the version, or when both are known not to, at the latest after
-  /// `aMaxWait`.
+  /// Calls `aOnFound` once: at once if this node knows the stream, otherwise as soon as a peer
+  /// tells the version, or a confirmed view after the peers have had time to answer, or when both
+  /// are known not to, at the latest after `aMaxWait`.
   void Find(const ResumedStream& aStream, base::Millis aMaxWait, OnFound aOnFound);
 
 private:
   struct Search;
 
-  void OnViewChecked(const std::shared_ptr<Search>& aSearch, bool aCurrent);
+  void OnPeersAnswered(const std::shared_ptr<Search>& aSearch,
+                       const std::optional<std::string>& aVersion) const;
+  void OnViewChecked(const std::shared_ptr<Search>& aSearch, bool aCurrent) const;
+  void TakeOnlyVersion(Search& aSearch) const;
   std::optional<std::string> OnlyVersion(const ResumedStream& aStream) const;
 
+  adapters::http::EventLoop& m_loop;
   StreamOrigins& m_origins;
   const fleet::VersionHistory& m_history;
   ConfirmView m_confirmView;
--- a/packages/forwarding/tests/VersionFinderTest.cpp
+++ b/packages/forwarding/tests/VersionFinderTest.cpp
@@ -9,8 +9,7 @@
 namespace {
 
 const fleet::ServiceId kService("engines");
-constexpr Millis kLifetime{ 30000 };
-constexpr Millis kMaxWait{ 60 };
+constexpr Millis kMaxWait{ 400 };
 
 fleet::Endpoint MakeEndpoint(const std::string& aVersion) {
   fleet::Endpoint endpoint;
@@ -33,7 +32,7 @@
     m_history.Add(MakeEndpoint("v1"), base::BootNow());
   }
   void Find() {
-    m_finder.Find({ "call-1", kService, kLifetime },
+    m_finder.Find({ "call-1", kService },
                   kMaxWait,
                   [this](const std::optional<std::string>& aVersion, VersionSource aSource) {
                     ++m_results;
@@ -54,7 +53,7 @@
   adapters::http::EventLoop m_loop;
   StreamOrigins m_origins{ m_loop };
   fleet::VersionHistory m_history;
-  VersionFinder m_finder{ m_origins, m_history };
+  VersionFinder m_finder{ m_loop, m_origins, m_history };
   size_t m_queries = 0;
   std::function<void(bool)> m_onViewChecked;
   int m_results = 0;
@@ -75,10 +74,34 @@
 
 BOOST_AUTO_TEST_CASE(OnlyVersionIsTakenOnceTheViewIsConfirmed) {
   Find();
+  RunFor(kMaxWait / 2);
   BOOST_TEST(m_results == 0);
   m_onViewChecked(true);
+  RunFor(kMaxWait / 2);
   CheckResult("v1", VersionSource::OnlyVersion);
-  RunFor(kMaxWait * 2);
+  RunFor(kMaxWait);
+  CheckResult("v1", VersionSource::OnlyVersion);
+  // Peers that ask must not take the conclusion for a record.
+  BOOST_TEST(m_origins.Known({ fleet::StreamKeyOf("call-1") }).empty());
+}
+
+// A node whose memory had a gap took its only version although the node that had begun the stream
+// knew better.
+BOOST_AUTO_TEST_CASE(PeerThatKnowsTheStreamIsRightAgainstTheOnlyVersion) {
+  Find();
+  m_onViewChecked(true);
+  RunFor(Millis(20));
+  BOOST_TEST(m_results == 0);
+  m_origins.Merge({ { fleet::StreamKeyOf("call-1"), "v2" } });
+  CheckResult("v2", VersionSource::Peer);
+}
+
+BOOST_AUTO_TEST_CASE(OnlyVersionIsTakenAtOnceIfNoPeerKnowsTheStream) {
+  Find();
+  RunFor(Millis(20));
+  m_origins.OnUnknown("10.1.0.2", { fleet::StreamKeyOf("call-1") });
+  BOOST_TEST(m_results == 0);
+  m_onViewChecked(true);
   CheckResult("v1", VersionSource::OnlyVersion);
 }
 
@@ -102,7 +125,7 @@
 
 BOOST_AUTO_TEST_CASE(PeerIsAskedWhileTheViewIsChecked) {
   Find();
-  RunFor(kMaxWait / 2);
+  RunFor(Millis(40));
   BOOST_TEST(m_queries == 1U);
   m_origins.Merge({ { fleet::StreamKeyOf("call-1"), "v2" } });
   CheckResult("v2", VersionSource::Peer);
@@ -120,7 +143,7 @@
 
 BOOST_AUTO_TEST_CASE(SearchWithoutTimeEndsAtOnce) {
   m_history.Add(MakeEndpoint("v2"), base::BootNow());
-  m_finder.Find({ "call-1", kService, kLifetime },
+  m_finder.Find({ "call-1", kService },
                 Millis(0),
                 [this](const std::optional<std::string>& aVersion, VersionSource) {
                   ++m_results;
--- a/packages/serving/GossipExchange.cpp
+++ b/packages/serving/GossipExchange.cpp
@@ -207,7 +207,7 @@
       m_socket.Send({ host, m_settings.m_gossipPort }, bytes);
     }
   }
-  return hosts.size();
+  return hosts.empty() ? m_peerTable.KnownCount() - 1 : hosts.size();
 }
 
 void GossipExchange::HandleOriginQuery(const gossip::OriginQuery& aQuery) {
--- a/packages/serving/GossipExchange.h
+++ b/packages/serving/GossipExchange.h
@@ -64,7 +64,8 @@
                             const std::vector<std::string>& aAlways);
   /// Sends the origins of streams to the host `aHost`.
   void SendOrigins(const std::string& aHost, const std::vector<fleet::StreamOrigin>& aOrigins);
-  /// Asks all other live nodes for the origins of streams. Returns how many there are.
+  /// Asks all other live nodes for the origins of streams. Returns from how many nodes an answer
+  /// may come; if none is live, from all that are known, since those may be asked later.
   size_t SendOriginQuery(const std::vector<fleet::StreamKey>& aStreams);
   /// Returns the number of rounds after which each node has been sent a heartbeat.
   size_t RoundsPerFleet() const;
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -248,6 +248,11 @@
   static constexpr double kMillisPerSecond = 1000;
   /// Interval of heartbeats and other periodic work.
   static constexpr base::Millis kTickInterval{ 250 };
+  /// Age from which on a view of the registrations may lack versions that served meanwhile. Longer
+  /// than a watch of the store.
+  static constexpr base::Millis kMaxViewAge{ 3000 };
+  /// Time after a restore of the store in which registrations may be missing.
+  static constexpr base::Millis kMaxRegistrationGap{ 5000 };
   /// Time beyond the tick interval for which a node that does not run counts as paused.
   static constexpr base::Millis kMinPause{ 500 };
   /// Delay of a quarantine report on new evidence.
@@ -387,6 +392,7 @@
                   { "revision_before", aLast.m_revision },
                   { "version", ConfigurationVersion() } });
     m_state.m_directory.OnStoreRestored(now);
+    m_state.m_versionHistory.Suspend(now + kMaxRegistrationGap);
     m_rollout.OnStoreRestored(now);
     if (m_lease.m_era < aEra) {
       ForgetRegistrationLease();
@@ -829,7 +835,11 @@
   void UpdateRegistryView(base::TimePoint aNow) {
     forwarding::RegistryView& view = m_state.m_registryView;
     const auto gap = std::chrono::duration_cast<base::Millis>(aNow - view.m_lastTick);
-    if (view.m_lastTick != base::TimePoint{} && gap > kTickInterval + kMinPause) {
+    const bool hasPaused = view.m_lastTick != base::TimePoint{} && gap > kTickInterval + kMinPause;
+    if (hasPaused || aNow - view.m_confirmedAt > kMaxViewAge) {
+      m_state.m_versionHistory.Extend(aNow);
+    }
+    if (hasPaused) {
       view.m_pauseEnd = aNow;
       m_state.m_metrics.Count("pauses");
       m_log.Event("node paused", { { "pause_ms", gap.count() } });
