--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -508,7 +508,7 @@
     }
   }
 
-  /// Writes the versions that served lately to the store. After a restart of all nodes it tells
+  /// Writes the versions that served lately to the store. After a restart of all nodes it shows
   /// which streams cannot be resumed safely. The leader keeps the record; any other node adds what
   /// stays missing.
   void UpdateVersionRecord(base::TimePoint aNow) {
