--- a/packages/forwarding/VersionFinder.h
+++ b/packages/forwarding/VersionFinder.h
@@ -56,9 +56,9 @@
 
   /// Confirms the view of the registered endpoints; calls back at once with false if nothing can.
   void Confirm(base::Millis aMaxWait, std::function<void(bool aCurrent)> aOnDone) const;
-  /// Calls `aOnFound` once: at once if this node knows the stream, otherwise as soon as a peer states
-  /// the version, or from a confirmed view after the peers have had time to answer, or when both are
-  /// known not to help, at the latest after `aMaxWait`.
+  /// Calls `aOnFound` once: at once if this node knows the stream, otherwise as soon as a peer
+  /// states the version, or from a confirmed view after the peers have had time to answer, or when
+  /// both are known not to help, at the latest after `aMaxWait`.
   void Find(const ResumedStream& aStream, base::Millis aMaxWait, OnFound aOnFound);
 
 private:
