StoreWatcher: a resumed watch continues from the replica's position

What callers saw: after a loss of most nodes of a large fleet, the nodes that were left sent calls to endpoints for more than three seconds after the store had acknowledged that these leave (DRAIN).

Cause: a node that begins to watch the store again, because its zone has no other watching node, listed everything first. That takes seconds for 1,700 endpoints on a link of 10 Mbit/s that carries the calls of the lost nodes. All that time IsStoreReachable was true, since the last call before the pause had succeeded, so the node sent updates with its old position to its zone as the store's, and the others waited for it instead of watching themselves.

Why this works: the replica has no gap up to its position, so the changes after it are all that is missing. The first watch is answered at once. The store counts as reachable only after that answer.

--- a/packages/sync/StoreWatcher.h
+++ b/packages/sync/StoreWatcher.h
@@ -21,6 +21,9 @@
   std::vector<std::string> m_prefixes;
   /// Maximum duration of one watch call. It bounds the time until a dead connection is detected.
   base::Millis m_watchTimeout{ 2000 };
+  /// Maximum duration of the first watch call after a pause of the watch. It is answered at once,
+  /// so that the node soon knows whether it has missed changes.
+  base::Millis m_resumeTimeout{ 10 };
   /// Pause after an answer with changes, so that changes in quick succession come with one call.
   base::Millis m_changePause{ 150 };
   /// Initial backoff after a failure. It doubles up to m_maxBackoff.
@@ -29,8 +32,9 @@
 };
 
 /// Keeps a replica of the store up to date: lists all prefixes once, then watches from that
-/// position, and lists again after any gap or restore. All calls must come from the thread of the
-/// event loop.
+/// position, and lists again after any gap or restore. While the watch is paused, others may apply
+/// changes to the replica; the watch is resumed from the replica's position. All calls must come
+/// from the thread of the event loop.
 template<store::StorePort Store>
 class StoreWatcher {
 public:
@@ -58,13 +62,12 @@
   /// Starts the first listing. Must be called only once.
   void Start() { ListAll(); }
   /// Sets whether this node watches the store itself. A node that does not watch receives changes
-  /// from its peers, and lists everything once when it starts to watch again.
+  /// from its peers. When it starts to watch again, the store is not reachable until it answers.
   void SetWatchEnabled(bool aEnabled) {
     const bool started = aEnabled && !m_watchEnabled;
     m_watchEnabled = aEnabled;
     if (started && m_paused) {
-      m_paused = false;
-      ListAll();
+      Resume();
     }
   }
   /// Lists everything again at once if another call to the store has shown an era later than the
@@ -80,8 +83,9 @@
   bool IsWatchEnabled() const { return m_watchEnabled; }
   /// Returns whether all prefixes have been listed at least once.
   bool Loaded() const { return m_loaded; }
-  /// Returns whether the store answered the last call. False while the watch is paused.
-  bool IsStoreReachable() const { return m_reachable && !m_paused; }
+  /// Returns whether the store answered the last call. False while the watch is paused, and after
+  /// that until the first answer.
+  bool IsStoreReachable() const { return m_reachable && !m_paused && !m_resuming; }
   /// Returns the time of the last answer from the store.
   base::TimePoint LastAnswer() const { return m_lastAnswer; }
 
@@ -92,6 +96,7 @@
     if (aReachable) {
       m_lastAnswer = base::BootNow();
       m_backoff = m_settings.m_initialBackoff;
+      m_resuming = false;
     }
     if (aReachable == m_reachable && m_reachabilityReported) {
       return;
@@ -179,6 +184,17 @@
     Watch();
   }
 
+  /// Continues from the replica's position, which peers have advanced without a gap.
+  void Resume() {
+    m_paused = false;
+    m_resuming = true;
+    m_position = m_replica.LastPosition();
+    m_currentEra = std::max(m_currentEra, m_position.m_era);
+    m_log.Event("store watch resumed",
+                { { "era", m_position.m_era }, { "revision", m_position.m_revision } });
+    Watch();
+  }
+
   void Watch() {
     m_paused = !m_watchEnabled;
     if (m_paused) {
@@ -188,7 +204,7 @@
     }
     m_store.Watch("",
                   m_position.m_revision,
-                  m_settings.m_watchTimeout,
+                  m_resuming ? m_settings.m_resumeTimeout : m_settings.m_watchTimeout,
                   [this, sequence = m_sequence](const store::Result<store::Changes>& aResult) {
                     if (sequence == m_sequence) {
                       OnWatchEnd(aResult);
@@ -257,6 +273,8 @@
   bool m_watchEnabled = true;
   /// Whether no call is in flight because the store is not being watched.
   bool m_paused = false;
+  /// Whether the store has not answered since the watch was resumed.
+  bool m_resuming = false;
   bool m_loaded = false;
   bool m_reachable = false;
   bool m_reachabilityReported = false;
