--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -287,10 +287,10 @@
   static constexpr size_t kWatchersPerZone = 2;
   /// Interval of the updates from a node that watches the store, also sent if nothing has changed.
   static constexpr base::Millis kUpdateInterval{ 500 };
-  /// A node of a large fleet that has received no update for this long watches the store itself. A
-  /// random delay of up to the same length is added, so that the first nodes that do so spare the
-  /// rest; with the listing, the sum stays under 3 s, the platform's bound on new work for a
-  /// leaving endpoint.
+  /// A node of a large fleet whose view no update has confirmed for this long watches the store
+  /// itself. A random delay of up to the same length is added, so that the first nodes that do so
+  /// spare the rest; with the first answer, the sum stays under 3 s, the platform's bound on new
+  /// work for a leaving endpoint.
   static constexpr base::Millis kUpdateTimeout{ 1100 };
   /// Number of usage windows before the current one that a heartbeat includes.
   static constexpr int64_t kUsageWindowsPerHeartbeat = 3;
