GossipExchange: only an update that leaves nothing missing confirms a view

Cause: each update of a node that watches the store counted as a confirmation of the receiver's view, even if its sender was behind or the changes that it announced could not be fetched. A node whose fetches failed therefore neither watched the store itself nor took its view of versions for old.

UpdateTest/OnlyAnUpdateThatLeavesNothingMissingConfirmsAView checks the decision, which did not exist before.

Why this works: an update confirms a view only if the view is at its position or follows it with the update's own changes; a fetch confirms it as of its start if it reaches the announced position.

--- a/packages/gossip/Update.cpp
+++ b/packages/gossip/Update.cpp
@@ -23,6 +23,11 @@
   return follows ? UpdateAction::Apply : UpdateAction::Fetch;
 }
 
+bool Confirms(const Update& aUpdate, const store::Position& aPosition) {
+  return aUpdate.m_position == aPosition ||
+         ClassifyUpdate(aUpdate, aPosition) == UpdateAction::Apply;
+}
+
 std::vector<Update> SplitUpdate(const Contact& aFrom,
                                 const store::Position& aAfter,
                                 const std::vector<store::Change>& aChanges) {
--- a/packages/gossip/Update.h
+++ b/packages/gossip/Update.h
@@ -32,6 +32,10 @@
 /// safe.
 UpdateAction ClassifyUpdate(const Update& aUpdate, const store::Position& aPosition);
 
+/// Returns whether a node that has applied all changes up to `aPosition` has missed none that the
+/// sender of `aUpdate` knows, once it has taken the action Ignore or Apply. Thread safe.
+bool Confirms(const Update& aUpdate, const store::Position& aPosition);
+
 /// Splits `aChanges` in order into updates that fit one datagram each. Returns a single update
 /// without changes if there are none or too many. Precondition: `aChanges` are sorted by revision,
 /// belong to the era of `aAfter`, and are all changes after it. Thread safe.
--- a/packages/gossip/tests/UpdateTest.cpp
+++ b/packages/gossip/tests/UpdateTest.cpp
@@ -51,6 +51,20 @@
   BOOST_TEST((ClassifyUpdate(updates[0], { 0, 22 }) == UpdateAction::Ignore));
 }
 
+// Nodes took their view for confirmed by peers that were behind, and by changes that they could not
+// fetch.
+BOOST_AUTO_TEST_CASE(OnlyAnUpdateThatLeavesNothingMissingConfirmsAView) {
+  const auto updates = SplitUpdate(kSender, { 0, 10 }, ChangesOf(11, 12, 300));
+  BOOST_REQUIRE(updates.size() > 1U);
+  BOOST_TEST(Confirms(updates[0], { 0, 10 }));
+  BOOST_TEST(!Confirms(updates[1], { 0, 10 }));
+  BOOST_TEST(!Confirms(updates[0], { 0, 22 }));
+  const Update empty{ kSender, 10, { 0, 10 }, {} };
+  BOOST_TEST(Confirms(empty, { 0, 10 }));
+  BOOST_TEST(!Confirms(empty, { 0, 9 }));
+  BOOST_TEST(!Confirms(empty, { 0, 11 }));
+}
+
 BOOST_AUTO_TEST_CASE(TooManyChangesRequireFetch) {
   const auto updates = SplitUpdate(kSender, { 0, 10 }, ChangesOf(11, 400, 300));
   BOOST_REQUIRE(updates.size() == 1U);
--- a/packages/serving/GossipExchange.cpp
+++ b/packages/serving/GossipExchange.cpp
@@ -258,11 +258,13 @@
     // The sender follows a history that the store has lost.
     return;
   }
-  m_lastUpdateTime = base::BootNow();
   if (aUpdate.m_position.m_era > era) {
     FetchNewEra(aUpdate.m_from.m_host);
     return;
   }
+  if (gossip::Confirms(aUpdate, m_replica.LastPosition())) {
+    m_lastUpdateTime = base::BootNow();
+  }
   switch (gossip::ClassifyUpdate(aUpdate, m_replica.LastPosition())) {
     case gossip::UpdateAction::Ignore:
       break;
@@ -270,7 +272,7 @@
       m_replica.CatchUp(aUpdate.m_changes, false, aUpdate.m_position);
       break;
     case gossip::UpdateAction::Fetch:
-      Fetch(aUpdate.m_from.m_host);
+      Fetch(aUpdate.m_from.m_host, aUpdate.m_position);
       break;
   }
 }
@@ -368,7 +370,8 @@
   return hosts;
 }
 
-void GossipExchange::Fetch(const std::string& aHost) {
+void GossipExchange::Fetch(const std::string& aHost,
+                           const std::optional<store::Position>& aAnnounced) {
   if (m_fetching) {
     return;
   }
@@ -382,8 +385,8 @@
   const std::string target = "/image?after=" + std::to_string(before.m_revision) +
                              "&era=" + std::to_string(before.m_era) +
                              "&configuration=" + std::to_string(m_configuration.m_version);
-  client->Call(
-    "GET", target, {}, {}, kFetchTimeout, [this, host = aHost, before](CallResult aResult) {
+  const auto onResult =
+    [this, host = aHost, before, aAnnounced, start = base::BootNow()](const CallResult& aResult) {
       m_fetching = false;
       m_behindSince.reset();
       const store::Position beforeResult = m_replica.LastPosition();
@@ -391,6 +394,9 @@
       if (aResult.m_status == 200) {
         ApplyReplica(aResult.m_body, before);
       }
+      if (aAnnounced && m_replica.LastPosition() >= *aAnnounced) {
+        m_lastUpdateTime = std::max(m_lastUpdateTime.value_or(start), start);
+      }
       if (m_replica.LastPosition() == beforeResult && m_configuration.m_version == versionBefore) {
         m_unresponsive[host] = base::BootNow();
       }
@@ -402,7 +408,8 @@
                     { "era", m_replica.LastPosition().m_era },
                     { "revision", m_replica.LastPosition().m_revision },
                     { "version", m_configuration.m_version } });
-    });
+    };
+  client->Call("GET", target, {}, {}, kFetchTimeout, onResult);
 }
 
 } // namespace papayafield::serving
--- a/packages/serving/GossipExchange.h
+++ b/packages/serving/GossipExchange.h
@@ -75,8 +75,8 @@
   /// one, which pass it on. Several calls in a short time cause one datagram to each of them. Each
   /// round of heartbeats repeats it.
   void AnnounceLeaving();
-  /// Returns when the last update from a node that watches the store arrived, or nullopt before the
-  /// first one.
+  /// Returns when the last update arrived that left no change missing here, from a node that
+  /// watches the store; nullopt before the first one.
   std::optional<base::TimePoint> LastUpdateTime() const { return m_lastUpdateTime; }
   /// Fetches the replica of a peer whose store position is later or whose configuration in force is
   /// newer. `aOwnStoreReachable`: this node watches the store directly, so a short lag is normal.
@@ -94,7 +94,8 @@
   void ReceiveQuarantineReport(const std::string& aBytes);
   void HandleUpdate(const gossip::Update& aUpdate);
   void HandleOriginQuery(const gossip::OriginQuery& aQuery);
-  void Fetch(const std::string& aHost);
+  /// Fetches the replica of `aHost`. `aAnnounced`: position that an update has just stated.
+  void Fetch(const std::string& aHost, const std::optional<store::Position>& aAnnounced = {});
   /// Fetches a complete replica of a later era after a random delay: from a random node that is
   /// known to have one, or else from `aHost`.
   void FetchNewEra(const std::string& aHost);
