RejectionLimit: keep slots free for the earlier calls of other nodes

An endpoint that states `Server-Brittle: N` could get more than N calls in a second that it had to reject, although each node kept to its share: calls that count as safe were not limited.

A call counted as safe if more slots were free than there are other nodes, at most three quarters. With 3 nodes at 8 slots, each one opened up to 5 calls while it saw 0 to 2 of the others; with 12 nodes at 8 slots, each one sent its first two calls at a total of 0 or 1.

A node now also keeps as many slots free as the others need to open the most calls again that they had in the last 10 s. If that leaves no room, the call has to stay within the node's equal share of the slots. The share is of all slots now, in place of 85 %: the part that was left out covered the same case.

--- a/packages/forwarding/RejectionLimit.cpp
+++ b/packages/forwarding/RejectionLimit.cpp
@@ -10,10 +10,8 @@
 /// Purposes of draws, which are independent of each other.
 constexpr uint64_t kSlotDraw = 1;
 constexpr uint64_t kTurnDraw = 2;
-/// Maximum part of an endpoint's slots that is kept free for calls that are under way unseen.
+/// Maximum part of an endpoint's slots that is kept free for one unseen call of each other node.
 constexpr double kMaxReservedPart = 0.75;
-/// Part of an endpoint's slots that nodes share when it is nearly full.
-constexpr double kDrawnPart = 0.85;
 /// Part of the tolerated rejections that nodes aim at where they take turns by independent draws.
 constexpr double kTurnFraction = 0.5;
 
@@ -78,9 +76,31 @@
 /// Returns the number of slots that each node gets, which may be a fraction; 0 if they are not
 /// known.
 double RejectionLimit::SlotShare(const fleet::Endpoint& aEndpoint) const {
-  // Draws give out more than the mean at times.
-  const double slots = m_nodeCount > 1 ? aEndpoint.m_slots * kDrawnPart : aEndpoint.m_slots;
-  return std::max(slots, 0.0) / static_cast<double>(m_nodeCount);
+  return std::max<double>(aEndpoint.m_slots, 0) / static_cast<double>(m_nodeCount);
+}
+
+/// Returns the most calls that the other nodes had open within the peak window.
+double RejectionLimit::MaxPeerCalls(const Record& aRecord, base::TimePoint aNow) const {
+  const auto first = std::find_if(
+    aRecord.m_peerCalls.begin(), aRecord.m_peerCalls.end(), [&](const PeerCalls& aCalls) {
+      return aCalls.m_at > aNow - m_settings.m_peakWindow;
+    });
+  return first == aRecord.m_peerCalls.end() ? 0 : first->m_calls;
+}
+
+/// Returns the number of slots to keep free for calls that other nodes may send before this node
+/// learns of them.
+double RejectionLimit::SlotsForPeers(const fleet::Endpoint& aEndpoint,
+                                     const OpenCalls& aOpen,
+                                     base::TimePoint aNow) const {
+  const double oneEach =
+    std::min(static_cast<double>(m_nodeCount) - 1, aEndpoint.m_slots * kMaxReservedPart);
+  const Record* record = FindRecord(aEndpoint);
+  if (record == nullptr) {
+    return oneEach;
+  }
+  // An endpoint that has become idle for all nodes looks free to all of them at once.
+  return std::max(oneEach, MaxPeerCalls(*record, aNow) - (aOpen.m_total - aOpen.m_own));
 }
 
 double RejectionLimit::MaxOpen(const fleet::Endpoint& aEndpoint,
@@ -125,10 +145,8 @@
   if (aEndpoint.m_slots <= 0) {
     return true;
   }
-  const double slots = aEndpoint.m_slots;
-  const double free = slots - aOpen.m_total;
-  // Each other node may send a call before this node learns of it.
-  if (free > std::min(static_cast<double>(m_nodeCount) - 1, slots * kMaxReservedPart)) {
+  const double free = aEndpoint.m_slots - aOpen.m_total;
+  if (free > SlotsForPeers(aEndpoint, aOpen, aNow)) {
     return true;
   }
   return free > 0 && isWithin(SlotShare(aEndpoint));
@@ -161,9 +179,19 @@
 void RejectionLimit::RecordSent(const fleet::Endpoint& aEndpoint,
                                 const OpenCalls& aOpen,
                                 base::TimePoint aNow) {
-  if (Find(aEndpoint, aNow) != nullptr && !IsSafe(aEndpoint, aOpen, aNow)) {
-    m_records[aEndpoint.m_incarnation].m_risks.push_back(aNow);
+  if (Find(aEndpoint, aNow) == nullptr) {
+    return;
+  }
+  const bool isSafe = IsSafe(aEndpoint, aOpen, aNow);
+  Record& record = m_records[aEndpoint.m_incarnation];
+  if (!isSafe) {
+    record.m_risks.push_back(aNow);
+  }
+  const double peerCalls = aOpen.m_total - aOpen.m_own;
+  while (!record.m_peerCalls.empty() && record.m_peerCalls.back().m_calls <= peerCalls) {
+    record.m_peerCalls.pop_back();
   }
+  record.m_peerCalls.push_back({ aNow, peerCalls });
 }
 
 double RejectionLimit::RecordRejection(const fleet::Endpoint& aEndpoint,
@@ -185,11 +213,14 @@
   for (auto& [incarnation, record] : m_records) {
     RemoveBefore(record.m_rejections, aNow - m_settings.m_maxWindow);
     RemoveBefore(record.m_risks, aNow - m_settings.m_maxWindow);
+    std::erase_if(record.m_peerCalls, [&](const PeerCalls& aCalls) {
+      return aCalls.m_at <= aNow - m_settings.m_peakWindow;
+    });
   }
   std::erase_if(m_records, [&](const auto& aEntry) {
     const Record& record = aEntry.second;
     return record.m_tolerance.m_until <= aNow && record.m_rejections.empty() &&
-           record.m_risks.empty();
+           record.m_risks.empty() && record.m_peerCalls.empty();
   });
 }
 
--- a/packages/forwarding/RejectionLimit.h
+++ b/packages/forwarding/RejectionLimit.h
@@ -19,6 +19,8 @@
   base::Millis m_window{ 1250 };
   /// Maximum time between two rejections where a node may cause less than one per window.
   base::Millis m_maxWindow{ 10000 };
+  /// Time for which the most calls that other nodes had open are expected to come back at once.
+  base::Millis m_peakWindow{ 10000 };
   /// Part of the tolerated rejections that nodes may cause. The rest covers calls that were under
   /// way when an endpoint became full.
   double m_usedPart = 0.5;
@@ -75,11 +77,18 @@
     int m_rejectionsPerSecond = 0;
     base::TimePoint m_until{};
   };
+  /// Open calls of the other nodes when this node sent a call.
+  struct PeerCalls {
+    base::TimePoint m_at{};
+    double m_calls = 0;
+  };
   struct Record {
     Tolerance m_tolerance;
     std::deque<base::TimePoint> m_rejections;
     /// When calls were sent that could be rejected.
     std::deque<base::TimePoint> m_risks;
+    /// Only those that no later one reaches: falling, so that the first one is the maximum.
+    std::deque<PeerCalls> m_peerCalls;
     /// Allowed number of open calls at `m_maxOpenAt`, from which it grows.
     double m_maxOpen = std::numeric_limits<double>::infinity();
     base::TimePoint m_maxOpenAt{};
@@ -99,6 +108,10 @@
                  const Record& aRecord,
                  base::TimePoint aNow) const;
   double SlotShare(const fleet::Endpoint& aEndpoint) const;
+  double MaxPeerCalls(const Record& aRecord, base::TimePoint aNow) const;
+  double SlotsForPeers(const fleet::Endpoint& aEndpoint,
+                       const OpenCalls& aOpen,
+                       base::TimePoint aNow) const;
   bool IsSafe(const fleet::Endpoint& aEndpoint, const OpenCalls& aOpen, base::TimePoint aNow) const;
   double Draw(const fleet::Endpoint& aEndpoint, uint64_t aPurpose, base::TimePoint aNow) const;
 
--- a/packages/forwarding/tests/RejectionLimitTest.cpp
+++ b/packages/forwarding/tests/RejectionLimitTest.cpp
@@ -147,6 +147,24 @@
   BOOST_TEST(limit.SetTolerance(first, 2, end));
 }
 
+// Other nodes may again open as many calls as they had, before this node learns of it.
+BOOST_AUTO_TEST_CASE(SlotsAreKeptFreeForEarlierCallsOfOtherNodes) {
+  const fleet::Endpoint endpoint = MakeEndpoint("i-1", 30);
+  RejectionLimit limit = MakeLimit(3);
+  limit.SetTolerance(endpoint, 0, kStart);
+  limit.RecordSent(endpoint, { 4, 20 }, kStart);
+  const base::TimePoint later = kStart + kAfterWindow;
+  BOOST_TEST(limit.Admits(endpoint, { 13, 13 }, later));
+  BOOST_TEST(limit.Admits(endpoint, { 13, 20 }, later));
+  BOOST_TEST(!limit.Admits(endpoint, { 14, 14 }, later));
+  BOOST_TEST(!limit.Admits(endpoint, { 14, 21 }, later));
+  const base::TimePoint afterPeakWindow = kStart + Millis(10001);
+  BOOST_TEST(limit.Admits(endpoint, { 14, 14 }, afterPeakWindow));
+  limit.RemoveObsolete(afterPeakWindow);
+  BOOST_TEST(limit.Admits(endpoint, { 27, 27 }, afterPeakWindow));
+  BOOST_TEST(!limit.Admits(endpoint, { 28, 28 }, afterPeakWindow));
+}
+
 namespace {
 
 /// Nodes that send more calls than one endpoint has room for, and learn of the calls of the others
@@ -266,6 +284,19 @@
   return result;
 }
 
+void CheckRejections(const Scenario& aScenario, uint64_t aSeed) {
+  const SimulationResult result = Simulate(aScenario, aSeed);
+  BOOST_TEST_CONTEXT(aScenario.m_nodes << " nodes, tolerance " << aScenario.m_tolerance << ", seed "
+                                       << aSeed) {
+    BOOST_TEST(result.m_maxRejections <= static_cast<size_t>(aScenario.m_tolerance));
+    BOOST_TEST(result.m_served * 2 > result.m_possible);
+    Scenario unlimited = aScenario;
+    unlimited.m_isLimited = false;
+    BOOST_TEST(Simulate(unlimited, aSeed).m_maxRejections >
+               static_cast<size_t>(aScenario.m_tolerance));
+  }
+}
+
 } // namespace
 
 // An endpoint under several nodes' overload that lets fewer calls wait.
@@ -277,18 +308,20 @@
                                     Scenario{ 12, 5, 8, 8, 1, 3, true },
                                     Scenario{ 20, 10, 16, 8, 2, 2, true } }) {
     for (uint64_t seed = 1; seed <= 40; ++seed) {
-      const SimulationResult result = Simulate(scenario, seed);
-      BOOST_TEST_CONTEXT(scenario.m_nodes << " nodes, tolerance " << scenario.m_tolerance
-                                          << ", seed " << seed) {
-        BOOST_TEST(result.m_maxRejections <= static_cast<size_t>(scenario.m_tolerance));
-        BOOST_TEST(result.m_served * 2 > result.m_possible);
-        Scenario unlimited = scenario;
-        unlimited.m_isLimited = false;
-        BOOST_TEST(Simulate(unlimited, seed).m_maxRejections >
-                   static_cast<size_t>(scenario.m_tolerance));
-      }
+      CheckRejections(scenario, seed);
     }
   }
 }
 
+// An endpoint that has become idle, since the nodes waited after rejections, is filled by all of
+// them between two heartbeats.
+BOOST_AUTO_TEST_CASE(IdleEndpointIsFilledByAllNodesAtOnce) {
+  for (const uint64_t seed : { 609, 782 }) {
+    CheckRejections({ 3, 3, 8, 8, 1, 2, true }, seed);
+  }
+  for (const uint64_t seed : { 257, 340, 377 }) {
+    CheckRejections({ 12, 5, 8, 8, 1, 3, true }, seed);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
