RejectionLimit: use free slots again one window after a rejection

With `Server-Brittle: 0`, a node that had one call rejected sent that endpoint nothing for 10 s, so that callers were refused while its slots were free.

The pause of 10 s was meant for calls that could be rejected, of which such an endpoint gets none anyway; it also stopped calls that find a free slot. These are sent again after one window of 1.25 s now, below the number of open calls that the rejection has halved. An endpoint whose slots are not known keeps the 10 s, as RejectionReducesOpenCallsWhichGrowAgain states.

--- a/packages/forwarding/RejectionLimit.cpp
+++ b/packages/forwarding/RejectionLimit.cpp
@@ -164,7 +164,9 @@
   const auto rejectionsSince = [&](base::Millis aWindow) {
     return record != nullptr ? CountSince(record->m_rejections, aNow - aWindow) : 0;
   };
-  const base::Millis pause = share.m_count > 0 ? m_settings.m_window : m_settings.m_maxWindow;
+  // Where slots are not known, no call is known to find one.
+  const bool hasLongPause = share.m_count == 0 && aEndpoint.m_slots <= 0;
+  const base::Millis pause = hasLongPause ? m_settings.m_maxWindow : m_settings.m_window;
   if (rejectionsSince(pause) >= std::max<size_t>(share.m_count, 1)) {
     return false;
   }
--- a/packages/forwarding/tests/RejectionLimitTest.cpp
+++ b/packages/forwarding/tests/RejectionLimitTest.cpp
@@ -118,6 +118,20 @@
   BOOST_TEST(!limit.Admits(endpoint, { 16, 16 }, kStart + Millis(10001)));
 }
 
+// An endpoint that tolerates no rejection gets none of its slots used for 10 s after one.
+BOOST_AUTO_TEST_CASE(FreeSlotsAreLeftUnusedAfterARejection) {
+  RejectionLimit limit = MakeLimit(1);
+  const fleet::Endpoint endpoint = MakeEndpoint("i-1", 20);
+  limit.SetTolerance(endpoint, 0, kStart);
+  limit.RecordRejection(endpoint, 11, kStart);
+  BOOST_TEST(!limit.Admits(endpoint, { 0, 0 }, kStart + Millis(1000)));
+  const base::TimePoint later = kStart + kAfterWindow;
+  BOOST_TEST(limit.Admits(endpoint, { 0, 0 }, later));
+  BOOST_TEST(limit.Admits(endpoint, { 5, 5 }, later));
+  BOOST_TEST(!limit.Admits(endpoint, { 12, 12 }, later));
+  BOOST_TEST(!limit.Admits(endpoint, { 0, 20 }, later));
+}
+
 BOOST_AUTO_TEST_CASE(RejectionsUseUpTheShare) {
   RejectionLimit limit = MakeLimit(3);
   const fleet::Endpoint endpoint = MakeEndpoint("i-1", 100);
@@ -324,4 +338,16 @@
   }
 }
 
+// Nodes whose calls would find a slot wait for 10 s after each rejection.
+BOOST_AUTO_TEST_CASE(EndpointThatToleratesNoRejectionIsLeftIdle) {
+  size_t served = 0;
+  size_t possible = 0;
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    const SimulationResult result = Simulate({ 3, 0, 64, 64, 1, 2, true }, seed);
+    served += result.m_served;
+    possible += result.m_possible;
+  }
+  BOOST_TEST(served * 100 > possible * 85);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
