EndpointReach: End a cut with one endpoint if there is no relay

Callers of a node that counts as cut off were refused (endpoints_unreachable) although an endpoint worked again: when most endpoints had been lost at once, all nodes counted as cut off, so that none was a relay, and it took two endpoints that work to end that. With two endpoints of which one stays away, the state did not end at all.

One connection that works now ends the state if no relay can be asked when it is known, or if there are two endpoints. The alternative, to let HasRoute be true while an endpoint was reached, sends the calls, but a node that is cut off does not record which endpoints fail, so each call would again lose its time at the others. A node that is not cut off does record it, and its calls go to the endpoint that works. With relays and more endpoints it still takes two, since the relays reach the others.

--- a/packages/forwarding/EndpointPool.cpp
+++ b/packages/forwarding/EndpointPool.cpp
@@ -57,7 +57,7 @@
 /// have been lost without a sign.
 bool EndpointPool::MayReuse(const IdleConnection& aIdle, base::TimePoint aNow) const {
   const auto since = m_reach.IsolatedSince();
-  return !since || aIdle.m_since >= *since || !SelectRelay(aNow);
+  return !since || aIdle.m_since >= *since || !HasRelay(aNow);
 }
 
 /// Returns the relay with the fewest connections of this node; nullopt if none can be asked.
@@ -83,8 +83,7 @@
 }
 
 bool EndpointPool::HasRoute(base::TimePoint aNow) const {
-  return !m_reach.IsIsolated() || !m_reach.Hangs() || m_reach.ReceivesBytes(aNow) ||
-         SelectRelay(aNow).has_value();
+  return !m_reach.IsIsolated() || !m_reach.Hangs() || m_reach.ReceivesBytes(aNow) || HasRelay(aNow);
 }
 
 void EndpointPool::AvoidRelay(const std::string& aHost, base::TimePoint aNow) {
--- a/packages/forwarding/EndpointPool.h
+++ b/packages/forwarding/EndpointPool.h
@@ -58,6 +58,8 @@
   /// Returns whether there is a way to the endpoints, or trying takes no time. False if connections
   /// to them hang and there is no other node to lead connections through.
   bool HasRoute(base::TimePoint aNow) const;
+  /// Returns whether another node can be asked to lead connections through.
+  bool HasRelay(base::TimePoint aNow) const { return SelectRelay(aNow).has_value(); }
   /// Records that the node on the host `aHost` did not lead a connection through. It is not asked
   /// for a moment.
   void AvoidRelay(const std::string& aHost, base::TimePoint aNow);
--- a/packages/forwarding/EndpointReach.cpp
+++ b/packages/forwarding/EndpointReach.cpp
@@ -10,6 +10,14 @@
   return std::min(m_settings.m_minEndpoints, std::max<size_t>(m_endpointCount, 1));
 }
 
+/// Returns the number of endpoints that have to be reached to end a cut. Of two endpoints, the
+/// other one may have failed. Without relays, one that is reached is better than none, and only a
+/// node that is not cut off records which of the others fail.
+size_t EndpointReach::RequiredConnected(bool aHasRelay) const {
+  const size_t others = m_endpointCount > 1 ? m_endpointCount - 1 : 1;
+  return aHasRelay ? std::min(m_settings.m_minEndpoints, others) : 1;
+}
+
 void EndpointReach::SetState(ReachState aState, base::TimePoint aNow) {
   if (aState == m_state) {
     return;
@@ -21,14 +29,16 @@
   m_isolatedSince = aState == ReachState::Isolated ? std::optional(aNow) : std::nullopt;
 }
 
-void EndpointReach::RecordConnected(const base::EndpointId& aEndpoint, base::TimePoint aNow) {
+void EndpointReach::RecordConnected(const base::EndpointId& aEndpoint,
+                                    base::TimePoint aNow,
+                                    bool aHasRelay) {
   m_lastConnected = aNow;
   m_failed.clear();
   if (m_state == ReachState::Suspected) {
     SetState(ReachState::Reaching, aNow);
   } else if (m_state == ReachState::Isolated) {
     m_connected.insert(aEndpoint);
-    if (m_connected.size() >= RequiredEndpoints()) {
+    if (m_connected.size() >= RequiredConnected(aHasRelay)) {
       SetState(ReachState::Reaching, aNow);
     }
   }
--- a/packages/forwarding/EndpointReach.h
+++ b/packages/forwarding/EndpointReach.h
@@ -44,7 +44,8 @@
 
 /// Decides whether this node is cut off from the endpoints, as opposed to endpoints that have
 /// failed. Failed connections or silence only raise a suspicion: it takes connections that fail
-/// after that at several endpoints to confirm it, and one that works to end it.
+/// after that at several endpoints to confirm it, and one that works to end it. A cut ends when
+/// connections to several endpoints work, or to one if the node has no other way.
 /// Connections through other nodes must not be recorded. Not thread safe.
 class EndpointReach {
 public:
@@ -55,7 +56,11 @@
   /// without endpoints.
   void SetEndpointCount(size_t aCount) { m_endpointCount = aCount; }
   /// Records that a new connection to an endpoint works.
-  void RecordConnected(const base::EndpointId& aEndpoint, base::TimePoint aNow);
+  /// `aHasRelay`: other nodes can lead connections through, so that a cut does not have to end with
+  /// the first endpoint that is reached.
+  void RecordConnected(const base::EndpointId& aEndpoint,
+                       base::TimePoint aNow,
+                       bool aHasRelay = true);
   /// Records that a new connection to an endpoint could not be established in time, or ended before
   /// the endpoint sent anything.
   /// `aHasTimedOut`: it hung until then.
@@ -107,6 +112,7 @@
   };
 
   size_t RequiredEndpoints() const;
+  size_t RequiredConnected(bool aHasRelay) const;
   ReachEvidence FindEvidence(base::TimePoint aNow) const;
   void SetState(ReachState aState, base::TimePoint aNow);
 
--- a/packages/forwarding/ReachMonitor.cpp
+++ b/packages/forwarding/ReachMonitor.cpp
@@ -37,7 +37,8 @@
   , m_timer(aLoop.Every(kCheckInterval, [this] { Check(); })) {}
 
 void ReachMonitor::OnConnected(const base::EndpointId& aEndpoint) {
-  m_reach.RecordConnected(aEndpoint, base::BootNow());
+  const auto now = base::BootNow();
+  m_reach.RecordConnected(aEndpoint, now, !m_reach.IsIsolated() || m_pool.HasRelay(now));
   Evaluate();
 }
 
--- a/packages/forwarding/tests/EndpointReachTest.cpp
+++ b/packages/forwarding/tests/EndpointReachTest.cpp
@@ -143,6 +143,14 @@
   BOOST_TEST(!fixture.m_reach.IsolatedSince().has_value());
 }
 
+// Of two endpoints, one that has failed would keep the node isolated.
+BOOST_AUTO_TEST_CASE(OneOfTwoEndpointsEndsAnIsolation) {
+  ReachFixture fixture(2);
+  fixture.Isolate();
+  fixture.Connect(kTwo);
+  BOOST_TEST((fixture.StateAfter(Millis(0)) == ReachState::Reaching));
+}
+
 // Connections that live on while new ones are refused say nothing about the end of a cut.
 BOOST_AUTO_TEST_CASE(BytesOnOldConnectionsDoNotEndAnIsolation) {
   ReachFixture fixture;
