ReachMonitor: Do not take a pause of the node for a cut

After the process or its host had stood still, connections and probes that were in flight timed out together, and calls seemed silent at several endpoints at once. The node counted as cut off until the next probes worked: callers were sent through other nodes or refused, and the node relayed for no one.

ReachMonitor now detects a pause by the time since its last check, as Swim and CrashGuard do by their ticks (there is no shared mechanism), whenever evidence is recorded or evaluated, since expired timers are called in any order. EndpointReach then ends a suspicion, does not count failed connections for 300 ms, in which those in flight end, and counts silence without the pause. A cut that was known stays known.

Not run with SIGSTOP or a suspended host.

--- a/packages/forwarding/EndpointReach.cpp
+++ b/packages/forwarding/EndpointReach.cpp
@@ -47,6 +47,9 @@
 void EndpointReach::RecordConnectFailed(const base::EndpointId& aEndpoint,
                                         base::TimePoint aNow,
                                         bool aHasTimedOut) {
+  if (aNow < m_failuresCountFrom) {
+    return;
+  }
   m_failed[aEndpoint] = aNow;
   m_hangs = aHasTimedOut;
   if (m_state == ReachState::Suspected) {
@@ -54,6 +57,23 @@
   }
 }
 
+void EndpointReach::RecordPause(base::TimePoint aNow, base::TimePoint::duration aPause) {
+  const auto extend = [&](base::TimePoint& aTime) { aTime = std::min(aTime + aPause, aNow); };
+  for (auto& [call, waiting] : m_waiting) {
+    extend(waiting.m_since);
+  }
+  for (auto* const time : { &m_lastBytes, &m_lastConnected }) {
+    if (*time) {
+      extend(**time);
+    }
+  }
+  m_failed.clear();
+  m_failuresCountFrom = aNow + m_settings.m_pauseGrace;
+  if (m_state == ReachState::Suspected) {
+    SetState(ReachState::Reaching, aNow);
+  }
+}
+
 void EndpointReach::RecordProbesEnded(base::TimePoint aNow) {
   if (m_state == ReachState::Suspected && m_confirmed.size() >= RequiredEndpoints()) {
     SetState(ReachState::Isolated, aNow);
--- a/packages/forwarding/EndpointReach.h
+++ b/packages/forwarding/EndpointReach.h
@@ -38,6 +38,9 @@
   base::Millis m_silence{ 500 };
   /// Time after which a failed connection no longer counts.
   base::Millis m_failureLifetime{ 2000 };
+  /// Time after a pause of this node for which failed connections do not count: those that were in
+  /// flight end then.
+  base::Millis m_pauseGrace{ 300 };
   /// Time for which silence gives no rise to a suspicion after a connection was established.
   base::Millis m_silenceRefutation{ 1000 };
 };
@@ -78,6 +81,10 @@
   /// Records that the call `aCall` no longer waits.
   void RecordEnded(uint64_t aCall) { m_waiting.erase(aCall); }
 
+  /// Records that this node did not run for `aPause` until now. What seems to have failed or to
+  /// have been silent meanwhile is no evidence, and a suspicion ends.
+  void RecordPause(base::TimePoint aNow, base::TimePoint::duration aPause);
+
   /// Evaluates the evidence. Returns whether the state has changed since the last evaluation.
   bool Update(base::TimePoint aNow);
 
@@ -123,6 +130,8 @@
   bool m_hangs = false;
   size_t m_endpointCount = 0;
   std::optional<base::TimePoint> m_isolatedSince;
+  /// Failed connections count from then on.
+  base::TimePoint m_failuresCountFrom{};
   std::optional<base::TimePoint> m_lastBytes;
   std::optional<base::TimePoint> m_lastConnected;
   /// Endpoints at which connections failed since the last one that was established.
--- a/packages/forwarding/ReachMonitor.cpp
+++ b/packages/forwarding/ReachMonitor.cpp
@@ -13,6 +13,9 @@
 namespace {
 
 constexpr base::Millis kCheckInterval{ 100 };
+/// Time since the last check from which the node has been paused. Connections that are in flight
+/// time out within it.
+constexpr base::Millis kMinPause{ 600 };
 /// Interval between rounds of probes, and number of endpoints in a round.
 constexpr base::Millis kProbeInterval{ 300 };
 constexpr size_t kProbesPerRound = 5;
@@ -43,7 +46,9 @@
 }
 
 void ReachMonitor::OnConnectFailed(const base::EndpointId& aEndpoint, bool aHasTimedOut) {
-  m_reach.RecordConnectFailed(aEndpoint, base::BootNow(), aHasTimedOut);
+  const auto now = base::BootNow();
+  DetectPause(now);
+  m_reach.RecordConnectFailed(aEndpoint, now, aHasTimedOut);
   Evaluate();
 }
 
@@ -69,7 +74,18 @@
   return m_reach.IsIsolated() && !m_reach.ReceivesBytes(base::BootNow());
 }
 
+/// Timers that expired while the node was paused are called in any order after it, so this is
+/// called before any evidence is recorded or evaluated.
+void ReachMonitor::DetectPause(base::TimePoint aNow) {
+  if (aNow - m_lastCheck >= kMinPause) {
+    m_reach.RecordPause(aNow, aNow - m_lastCheck);
+    m_lastCheck = aNow;
+  }
+}
+
 void ReachMonitor::Check() {
+  DetectPause(base::BootNow());
+  m_lastCheck = base::BootNow();
   m_reach.SetEndpointCount(m_directory.Ready().size());
   Evaluate();
   if (m_reach.IsIsolated()) {
@@ -79,6 +95,7 @@
 
 void ReachMonitor::Evaluate() {
   const auto now = base::BootNow();
+  DetectPause(now);
   if (m_reach.Update(now)) {
     m_nextProbes = {};
     OnChanged();
--- a/packages/forwarding/ReachMonitor.h
+++ b/packages/forwarding/ReachMonitor.h
@@ -56,6 +56,7 @@
   };
   using ProbeIterator = std::list<Probe>::iterator;
 
+  void DetectPause(base::TimePoint aNow);
   void Evaluate();
   void Check();
   void OnChanged();
@@ -75,6 +76,8 @@
   std::map<uint64_t, std::function<void()>> m_calls;
   std::list<Probe> m_probes;
   base::TimePoint m_nextProbes{};
+  /// Time of the last check, or of the first evaluation after a pause.
+  base::TimePoint m_lastCheck = base::BootNow();
   std::optional<base::TimePoint> m_isolatedSince;
   std::mt19937_64 m_random{ base::RandomSeed() };
   adapters::http::EventHandlePtr m_timer;
--- a/packages/forwarding/tests/EndpointReachTest.cpp
+++ b/packages/forwarding/tests/EndpointReachTest.cpp
@@ -163,6 +163,54 @@
   BOOST_TEST(!fixture.m_reach.ReceivesBytes(fixture.m_now));
 }
 
+// Connections in flight and waiting calls time out together when a node goes on after a pause.
+BOOST_AUTO_TEST_CASE(PauseOfTheNodeIsNoEvidence) {
+  ReachFixture fixture;
+  fixture.m_reach.RecordWaiting(1, kOne, fixture.m_now);
+  fixture.m_reach.RecordWaiting(2, kTwo, fixture.m_now);
+  fixture.m_now += Millis(2000);
+  fixture.m_reach.RecordPause(fixture.m_now, Millis(1950));
+  fixture.Fail(kOne);
+  fixture.Fail(kTwo);
+  BOOST_TEST((fixture.StateAfter(Millis(0)) == ReachState::Reaching));
+  BOOST_TEST((fixture.StateAfter(Millis(400)) == ReachState::Reaching));
+  // What fails later counts, and so does further silence.
+  BOOST_TEST((fixture.StateAfter(Millis(100)) == ReachState::Suspected));
+  BOOST_TEST((fixture.m_reach.Evidence() == ReachEvidence::Silence));
+  fixture.Connect(kThree);
+  fixture.Fail(kOne);
+  fixture.Fail(kTwo);
+  BOOST_TEST((fixture.StateAfter(Millis(0)) == ReachState::Suspected));
+  BOOST_TEST((fixture.m_reach.Evidence() == ReachEvidence::FailedConnects));
+}
+
+// Probes that were in flight would confirm a suspicion from before the pause.
+BOOST_AUTO_TEST_CASE(PauseEndsASuspicion) {
+  ReachFixture fixture;
+  fixture.Fail(kOne);
+  fixture.Fail(kTwo);
+  BOOST_TEST((fixture.StateAfter(Millis(0)) == ReachState::Suspected));
+  fixture.m_now += Millis(1000);
+  fixture.m_reach.RecordPause(fixture.m_now, Millis(950));
+  fixture.Fail(kOne);
+  fixture.Fail(kTwo);
+  fixture.m_reach.RecordProbesEnded(fixture.m_now);
+  BOOST_TEST((fixture.StateAfter(Millis(0)) == ReachState::Reaching));
+}
+
+// The end of a cut is not known before connections work.
+BOOST_AUTO_TEST_CASE(PauseDoesNotEndAnIsolation) {
+  ReachFixture fixture;
+  fixture.m_reach.RecordWaiting(1, kOne, fixture.m_now);
+  fixture.Isolate();
+  fixture.m_reach.RecordBytes(1, fixture.m_now);
+  fixture.m_now += Millis(1000);
+  fixture.m_reach.RecordPause(fixture.m_now, Millis(950));
+  BOOST_TEST((fixture.StateAfter(Millis(0)) == ReachState::Isolated));
+  // Nothing could have been received meanwhile.
+  BOOST_TEST(fixture.m_reach.ReceivesBytes(fixture.m_now));
+}
+
 BOOST_AUTO_TEST_CASE(OnlyEndpointIsEnough) {
   ReachFixture fixture(1);
   fixture.Fail(kOne);
--- a/packages/forwarding/tests/ReachMonitorTest.cpp
+++ b/packages/forwarding/tests/ReachMonitorTest.cpp
@@ -82,6 +82,14 @@
     const auto stop = m_loop.After(aTime, [this] { m_loop.Stop(); });
     m_loop.Run();
   }
+  /// Lets the thread stand still for `aTime`, during which the endpoints begin to accept
+  /// connections. The kernel repeats those that hang a second after they began.
+  void Pause(Millis aTime) {
+    std::this_thread::sleep_for(aTime);
+    for (HangingListener& listener : m_listeners) {
+      listener.Open();
+    }
+  }
   void FailAll() {
     for (size_t i = 0; i < m_listeners.size(); ++i) {
       m_node.m_reachMonitor.OnConnectFailed(Id(i), true);
@@ -136,4 +144,26 @@
   BOOST_TEST(!fixture.IsIsolated());
 }
 
+// Probes that were in flight when the process was stopped time out together when it goes on.
+BOOST_AUTO_TEST_CASE(ProbesInFlightDuringAPauseDoNotConfirmACut) {
+  MonitorFixture fixture(3);
+  fixture.Run(Millis(150));
+  fixture.FailAll();
+  const auto pause = fixture.m_loop.After(Millis(50), [&] { fixture.Pause(Millis(700)); });
+  fixture.Run(Millis(1500));
+  BOOST_TEST(fixture.m_isolations == 0);
+  BOOST_TEST((fixture.m_node.m_reach.State() == ReachState::Reaching));
+}
+
+// A cut that begins during a pause, or goes on after it, is still found.
+BOOST_AUTO_TEST_CASE(CutAfterAPauseIsFound) {
+  MonitorFixture fixture(3);
+  fixture.Run(Millis(150));
+  const auto pause =
+    fixture.m_loop.After(Millis(10), [] { std::this_thread::sleep_for(Millis(900)); });
+  const auto calls = fixture.m_loop.Every(Millis(50), [&] { fixture.FailAll(); });
+  fixture.Run(Millis(2200));
+  BOOST_TEST(fixture.IsIsolated());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
