Tunnel: Limit the time without progress after one side has ended

A relayed connection was reset 5 s after one side had ended, whatever was still passed on: a long answer was cut off if its client had ended its sending side after the request, and the rest of an answer if the client read it slowly.

Every 5 s the tunnel now looks whether any bytes were passed on, and is reset only if none were, so that an endpoint that sends nothing more still holds no connection for ever. The limit takes effect after 5 to 10 s. It is a setting of the relay (EndpointRelaySettings::m_maxLinger), so that tests need not wait.

An endpoint that is silent for 5 to 10 s after the half-close is still cut off.

--- a/packages/adapters/http1/Tunnel.cpp
+++ b/packages/adapters/http1/Tunnel.cpp
@@ -22,8 +22,6 @@
 /// Maximum time for the client's request to arrive, and for connecting to the target.
 constexpr base::Millis kRequestTimeout{ 1000 };
 constexpr base::Millis kConnectTimeout{ 200 };
-/// Maximum time between the ends of the two sides.
-constexpr base::Millis kLingerTimeout{ 5000 };
 /// Bytes that wait to be sent to one side, from which on the other side is not read.
 constexpr size_t kMaxBufferedBytes = 32768;
 constexpr size_t kMaxReadBytes = 16384;
@@ -35,9 +33,11 @@
 Tunnel::Tunnel(http::EventLoop& aLoop,
                int aFd,
                base::Millis aUnacknowledgedTimeout,
+               base::Millis aMaxLinger,
                TunnelEvents aEvents)
   : m_loop(aLoop)
   , m_unacknowledgedTimeout(aUnacknowledgedTimeout)
+  , m_maxLinger(aMaxLinger)
   , m_events(std::move(aEvents)) {
   evutil_make_socket_nonblocking(aFd);
   Attach(m_client, aFd);
@@ -155,6 +155,7 @@
       m_events.m_onBytes = nullptr;
     }
   }
+  m_movedBytes += evbuffer_get_length(input);
   evbuffer_add_buffer(output, input);
   if (evbuffer_get_length(output) > kMaxBufferedBytes) {
     bufferevent_disable(aFrom.m_buffer, EV_READ);
@@ -200,11 +201,28 @@
   aSide.m_hasEnded = true;
   Move(aSide);
   if (m_timer == nullptr) {
-    m_timer = m_loop.After(kLingerTimeout, [this] { End(true); });
+    LimitLinger();
   }
   ShutDownIfFlushed(Other(aSide));
 }
 
+/// Returns the number of bytes that have been passed on to either side.
+uint64_t Tunnel::PassedBytes() const {
+  return m_movedBytes - evbuffer_get_length(bufferevent_get_output(m_client.m_buffer)) -
+         evbuffer_get_length(bufferevent_get_output(m_target.m_buffer));
+}
+
+/// Ends the tunnel unless bytes are passed on in time, again and again.
+void Tunnel::LimitLinger() {
+  m_timer = m_loop.After(m_maxLinger, [this, passed = PassedBytes()] {
+    if (PassedBytes() == passed) {
+      End(true);
+    } else {
+      LimitLinger();
+    }
+  });
+}
+
 /// Ends the sending side of a connection once all bytes for it have been sent, and the tunnel when
 /// both have ended.
 void Tunnel::ShutDownIfFlushed(Side& aTo) {
--- a/packages/adapters/http1/Tunnel.h
+++ b/packages/adapters/http1/Tunnel.h
@@ -44,10 +44,12 @@
 class Tunnel {
 public:
   /// Takes over the accepted socket `aFd`. `aUnacknowledgedTimeout` is the maximum time that sent
-  /// bytes may stay unacknowledged.
+  /// bytes may stay unacknowledged. Once one side has ended, both are reset if no bytes are passed
+  /// on for `aMaxLinger`; that may take up to twice as long.
   Tunnel(http::EventLoop& aLoop,
          int aFd,
          base::Millis aUnacknowledgedTimeout,
+         base::Millis aMaxLinger,
          TunnelEvents aEvents);
   ~Tunnel();
   Tunnel(const Tunnel&) = delete;
@@ -78,6 +80,8 @@
   void OnConnectEnded(bool aIsConnected);
   void Respond(std::string_view aStatusLine);
   void Move(Side& aFrom);
+  uint64_t PassedBytes() const;
+  void LimitLinger();
   void ShutDownIfFlushed(Side& aTo);
   void End(bool aReset);
   static void ReadCallback(bufferevent* aBuffer, void* aSelf);
@@ -86,12 +90,16 @@
 
   http::EventLoop& m_loop;
   const base::Millis m_unacknowledgedTimeout;
+  const base::Millis m_maxLinger;
   TunnelEvents m_events;
   Side m_client;
   Side m_target;
+  /// Bytes that were taken from either side to be sent to the other one.
+  uint64_t m_movedBytes = 0;
   bool m_isOpen = false;
   bool m_isRefused = false;
-  /// Limits the time until the tunnel is open, and the time that one side may outlast the other.
+  /// Limits the time until the tunnel is open, and the time without progress after the end of one
+  /// side.
   http::EventHandlePtr m_timer;
 };
 
--- a/packages/forwarding/EndpointRelay.cpp
+++ b/packages/forwarding/EndpointRelay.cpp
@@ -57,7 +57,7 @@
   };
   events.m_onEnd = [this, id] { m_connections.erase(id); };
   connection.m_tunnel = std::make_unique<adapters::http1::Tunnel>(
-    m_node.m_loop, aFd, kUnacknowledgedTimeout, std::move(events));
+    m_node.m_loop, aFd, kUnacknowledgedTimeout, m_settings.m_maxLinger, std::move(events));
 }
 
 std::optional<RelayRefusal> EndpointRelay::FindRefusal(
--- a/packages/forwarding/EndpointRelay.h
+++ b/packages/forwarding/EndpointRelay.h
@@ -29,6 +29,9 @@
 struct EndpointRelaySettings {
   /// Maximum number of relayed connections. This node's own callers come first.
   size_t m_maxConnections = 256;
+  /// Time without bytes in either direction after which a connection of which one side has ended is
+  /// reset; it may take up to twice as long.
+  base::Millis m_maxLinger{ 5000 };
 };
 
 /// Leads connections of nodes that are cut off from the endpoints to the endpoints. The requests
--- a/packages/forwarding/tests/EndpointRelayTest.cpp
+++ b/packages/forwarding/tests/EndpointRelayTest.cpp
@@ -8,6 +8,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <array>
 #include <set>
 
 using namespace papayafield;
@@ -198,6 +200,107 @@
   BOOST_TEST(fixture.m_received == 2U);
 }
 
+/// A client that has ended its sending side after a request, and an endpoint that still answers it,
+/// both as raw sockets.
+struct HalfClosedFixture : RelayFixture {
+  HalfClosedFixture()
+    : RelayFixture(EndpointRelaySettings{ .m_maxLinger = Millis(300) })
+    , m_target(FreeAddress())
+    , m_sockets(m_loop, m_target, [this](int aFd) { m_endpoint = aFd; })
+    , m_client(socket(AF_INET, SOCK_STREAM, 0)) {
+    fleet::Endpoint endpoint;
+    endpoint.m_incarnation = { base::EndpointId("i-2"), 1 };
+    endpoint.m_address = m_target;
+    endpoint.m_position = { 0, 2 };
+    m_node.m_directory.Put({ endpoint.m_incarnation.m_endpoint, { 0, 2 }, endpoint });
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(m_relayAddress.m_port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    BOOST_REQUIRE(connect(m_client, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
+    const std::string request =
+      "CONNECT " + RelayTarget(endpoint.m_incarnation) + " HTTP/1.1\r\n\r\nrequest";
+    BOOST_REQUIRE(write(m_client, request.data(), request.size()) ==
+                  static_cast<ssize_t>(request.size()));
+    shutdown(m_client, SHUT_WR);
+    RunFor(Millis(100));
+    BOOST_REQUIRE(m_endpoint >= 0);
+    BOOST_REQUIRE(m_relay.Count() == 1U);
+  }
+  ~HalfClosedFixture() {
+    close(m_client);
+    close(m_endpoint);
+  }
+  HalfClosedFixture(const HalfClosedFixture&) = delete;
+  HalfClosedFixture& operator=(const HalfClosedFixture&) = delete;
+  HalfClosedFixture(HalfClosedFixture&&) = delete;
+  HalfClosedFixture& operator=(HalfClosedFixture&&) = delete;
+
+  void RunFor(Millis aTime) {
+    const auto stop = m_loop.After(aTime, [this] { m_loop.Stop(); });
+    m_loop.Run();
+  }
+  /// Returns what the client has received of the answer since the last call.
+  std::string Received() const {
+    std::string all;
+    std::array<char, 65536> buffer{};
+    for (ssize_t length = 1; length > 0;) {
+      length = recv(m_client, buffer.data(), buffer.size(), MSG_DONTWAIT);
+      all.append(buffer.data(), static_cast<size_t>(std::max<ssize_t>(length, 0)));
+    }
+    return all.substr(all.starts_with("HTTP/1.1 200") ? all.find("\r\n\r\n") + 4 : 0);
+  }
+
+  const base::Address m_target;
+  adapters::http1::SocketListener m_sockets;
+  int m_client;
+  int m_endpoint = -1;
+};
+
+// A long answer was cut off at a fixed time after its client had ended its side.
+BOOST_FIXTURE_TEST_CASE(AnswerOutlastsTheEndOfItsClient, HalfClosedFixture) {
+  std::string received;
+  for (int i = 0; i < 12; ++i) {
+    BOOST_TEST(send(m_endpoint, "x", 1, MSG_NOSIGNAL) == 1);
+    RunFor(Millis(100));
+    received += Received();
+  }
+  BOOST_TEST(received == std::string(12, 'x'));
+  shutdown(m_endpoint, SHUT_WR);
+  RunFor(Millis(100));
+  BOOST_TEST(m_relay.Count() == 0U);
+}
+
+// The rest of an answer waits in the relay if the client reads slowly.
+BOOST_FIXTURE_TEST_CASE(SlowReaderGetsTheWholeAnswer, HalfClosedFixture) {
+  constexpr size_t kBytes = 4U << 20U;
+  const std::string answer(kBytes, 'x');
+  size_t sent = 0;
+  size_t received = 0;
+  std::string taken(1U << 20U, '\0');
+  const auto start = base::BootNow();
+  while (received < kBytes && base::BootNow() - start < kTimeout) {
+    const ssize_t length =
+      send(m_endpoint, answer.data() + sent, kBytes - sent, MSG_DONTWAIT | MSG_NOSIGNAL);
+    sent += static_cast<size_t>(std::max<ssize_t>(length, 0));
+    if (sent == kBytes) {
+      shutdown(m_endpoint, SHUT_WR);
+    }
+    RunFor(Millis(100));
+    const ssize_t read = recv(m_client, taken.data(), taken.size(), MSG_DONTWAIT);
+    received += static_cast<size_t>(std::max<ssize_t>(read, 0));
+  }
+  // The answer to CONNECT comes first.
+  BOOST_TEST(received >= kBytes);
+}
+
+// An endpoint that sends nothing more must not hold a connection of the relay for ever.
+BOOST_FIXTURE_TEST_CASE(ConnectionWithoutProgressEndsAfterItsClient, HalfClosedFixture) {
+  RunFor(Millis(1000));
+  BOOST_TEST(m_relay.Count() == 0U);
+  BOOST_TEST(send(m_endpoint, "x", 1, MSG_NOSIGNAL) == -1);
+}
+
 // A refusal that is due to the endpoint must not count against the relay: one endpoint that leaves
 // would keep the node from all relays.
 BOOST_AUTO_TEST_CASE(RefusedConnectionsReachNoEndpoint) {
