--- a/packages/forwarding/EndpointReach.h
+++ b/packages/forwarding/EndpointReach.h
@@ -38,13 +38,17 @@
   base::Millis m_silence{ 500 };
   /// Time after which a failed connection no longer counts.
   base::Millis m_failureLifetime{ 2000 };
+  /// Time after a pause of this node for which failed connections do not count: those that were in
+  /// flight end then.
+  base::Millis m_pauseGrace{ 300 };
   /// Time for which silence gives no rise to a suspicion after a connection was established.
   base::Millis m_silenceRefutation{ 1000 };
 };
 
 /// Decides whether this node is cut off from the endpoints, as opposed to endpoints that have
 /// failed. Failed connections or silence only raise a suspicion: it takes connections that fail
-/// after that at several endpoints to confirm it, and one that works to end it.
+/// after that at several endpoints to confirm it, and one that works to end it. A cut ends when
+/// connections to several endpoints work, or to one if the node has no other way.
 /// Connections through other nodes must not be recorded. Not thread safe.
 class EndpointReach {
 public:
@@ -55,7 +59,11 @@
   /// without endpoints.
   void SetEndpointCount(size_t aCount) { m_endpointCount = aCount; }
   /// Records that a new connection to an endpoint works.
-  void RecordConnected(const base::EndpointId& aEndpoint, base::TimePoint aNow);
+  /// `aHasRelay`: other nodes can lead connections through, so that a cut does not have to end with
+  /// the first endpoint that is reached.
+  void RecordConnected(const base::EndpointId& aEndpoint,
+                       base::TimePoint aNow,
+                       bool aHasRelay = true);
   /// Records that a new connection to an endpoint could not be established in time, or ended before
   /// the endpoint sent anything.
   /// `aHasTimedOut`: it hung until then.
@@ -73,6 +81,10 @@
   /// Records that the call `aCall` no longer waits.
   void RecordEnded(uint64_t aCall) { m_waiting.erase(aCall); }
 
+  /// Records that this node did not run for `aPause` until now. What seems to have failed or to
+  /// have been silent meanwhile is no evidence, and a suspicion ends.
+  void RecordPause(base::TimePoint aNow, base::TimePoint::duration aPause);
+
   /// Evaluates the evidence. Returns whether the state has changed since the last evaluation.
   bool Update(base::TimePoint aNow);
 
@@ -107,6 +119,7 @@
   };
 
   size_t RequiredEndpoints() const;
+  size_t RequiredConnected(bool aHasRelay) const;
   ReachEvidence FindEvidence(base::TimePoint aNow) const;
   void SetState(ReachState aState, base::TimePoint aNow);
 
@@ -117,6 +130,8 @@
   bool m_hangs = false;
   size_t m_endpointCount = 0;
   std::optional<base::TimePoint> m_isolatedSince;
+  /// Failed connections count from then on.
+  base::TimePoint m_failuresCountFrom{};
   std::optional<base::TimePoint> m_lastBytes;
   std::optional<base::TimePoint> m_lastConnected;
   /// Endpoints at which connections failed since the last one that was established.
