Exchange: count crashes just after isolation

QuarantineTest failed in PartThatWasSoundBeforeIsKeptFromRunners: the part that all calls share was refused in place of the deadly one, and none of the sound calls after that was served.

All five runners crash within 20 ms there. Connections to them fail, and a node that takes itself for cut off from the endpoints a millisecond before it sees the last crash was no witness of it. A sound call at another node is lost in the same crash, so that the common part is in five crashes and the deadly one in four.

A node receives bytes up to the last crash, which shows that its connections work even if new ones fail. The loss of a connection therefore counts as a crash unless the node is silent: cut off, without bytes for 500 ms. Only the quarantine counts these losses; placement and roll-outs still leave them out.

--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -550,6 +550,13 @@
   return aAttempt.m_relay.empty() && !m_node.m_reach.IsIsolated();
 }
 
+/// Returns whether the connection of an attempt may have been lost by a crash of the endpoint.
+/// While endpoints send bytes, the connections to them work, even if new ones fail: several
+/// endpoints that crash at once look like a cut.
+bool Exchange::MayBeCrash(const ActiveAttempt& aAttempt) const {
+  return aAttempt.m_connectionLost && !m_node.m_reachMonitor.IsSilent();
+}
+
 /// Limits the time to the next sign of the endpoint: an engine may stop sending in the middle of a
 /// stream without closing the connection.
 void Exchange::StartSilenceTimer(const std::shared_ptr<ActiveAttempt>& aAttempt,
@@ -1047,7 +1054,7 @@
                                    aFault == AttemptFault::Lost && aAttempt->m_connectionLost,
                                    now);
   }
-  if (isWitness && aFault == AttemptFault::Lost && aAttempt->m_connectionLost) {
+  if (aFault == AttemptFault::Lost && MayBeCrash(*aAttempt)) {
     m_node.m_crashGuard.OnConnectionLost(
       m_call, endpoint.m_incarnation.m_endpoint, aAttempt->m_events, now);
   }
--- a/packages/forwarding/Exchange.h
+++ b/packages/forwarding/Exchange.h
@@ -76,6 +76,7 @@
   void OnConnectionEnd(const std::shared_ptr<ActiveAttempt>& aAttempt,
                        adapters::http1::EndKind aKind);
   bool IsWitness(const ActiveAttempt& aAttempt, AttemptFault aFault) const;
+  bool MayBeCrash(const ActiveAttempt& aAttempt) const;
   void AttachHandlers(const std::shared_ptr<ActiveAttempt>& aAttempt);
   void OnHead(const std::shared_ptr<ActiveAttempt>& aAttempt,
               adapters::http1::ResponseHead&& aHead);
--- /dev/null
+++ b/packages/forwarding/tests/ExchangeTest.cpp
@@ -0,0 +1,178 @@
+#include "forwarding/Exchange.h"
+
+#include "PlannerFixture.h"
+#include "adapters/http1/Listener.h"
+
+#include <boost/test/unit_test.hpp>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <set>
+
+/// \file
+/// Tests which lost connections count as crashes of endpoints.
+
+using namespace papayafield;
+using namespace papayafield::forwarding;
+using adapters::http1::RequestHead;
+using adapters::http1::ResponseHead;
+using adapters::http1::ServerConnection;
+using base::Millis;
+
+namespace {
+
+constexpr Millis kTimeLimit{ 5000 };
+
+/// Returns a loopback address that was free a moment ago.
+base::Address FreeAddress() {
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t length = sizeof(address);
+  BOOST_REQUIRE(bind(fd, reinterpret_cast<sockaddr*>(&address), length) == 0);
+  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length);
+  close(fd);
+  return { "127.0.0.1", ntohs(address.sin_port) };
+}
+
+WireFormat MakeWireFormat() {
+  WireFormat wire;
+  wire.m_idField = "Id";
+  wire.m_encodeAttempt = [](const AttemptInfo& /*aInfo*/) {
+    return RequestHead{ "POST", "/plain/a", {} };
+  };
+  wire.m_decodeAnswer = [](const ResponseHead& /*aHead*/) {
+    AnswerInfo info;
+    info.m_id = "call-1";
+    info.m_signed = true;
+    return info;
+  };
+  return wire;
+}
+
+/// A node that sends a call to an endpoint.
+struct ExchangeFixture {
+  ExchangeFixture()
+    : m_listener(m_loop, m_endpointAddress, 65536, [this](auto aConnection) {
+      Serve(aConnection);
+    }) {
+    BOOST_REQUIRE(m_listener.Listening());
+    m_node.ApplyCatalog(m_catalog);
+    PutEndpoint("i-1", tests::kPlain, m_endpointAddress);
+    // Keeps the node isolated: one endpoint that is reached does not end that.
+    PutEndpoint("i-2", tests::kEngines, FreeAddress());
+  }
+
+  void PutEndpoint(const char* aId,
+                   const fleet::ServiceId& aService,
+                   const base::Address& aAddress) {
+    fleet::Endpoint endpoint;
+    endpoint.m_incarnation = { base::EndpointId(aId), 1 };
+    endpoint.m_service = aService;
+    endpoint.m_address = aAddress;
+    endpoint.m_position = { 0, m_node.m_directory.All().size() + 1 };
+    m_node.m_directory.Put({ base::EndpointId(aId), endpoint.m_position, endpoint });
+  }
+
+  void Serve(const std::shared_ptr<ServerConnection>& aConnection) {
+    m_served.insert(aConnection);
+    ServerConnection::Events events;
+    events.m_onComplete = [this, weak = std::weak_ptr(aConnection)] {
+      ++m_received;
+      m_onRequest(*weak.lock());
+    };
+    aConnection->SetEvents(std::move(events));
+  }
+
+  void Isolate() {
+    const auto now = base::BootNow();
+    m_node.m_reach.SetEndpointCount(2);
+    for (int i = 0; i < 2; ++i) {
+      m_node.m_reach.RecordConnectFailed(base::EndpointId("i-1"), now);
+      m_node.m_reach.RecordConnectFailed(base::EndpointId("i-2"), now);
+      m_node.m_reach.Update(now);
+    }
+    m_node.m_reach.RecordProbesEnded(now);
+    m_node.m_reach.Update(now);
+    BOOST_REQUIRE(m_node.m_reach.IsIsolated());
+  }
+
+  /// Sends a call with a shared prompt part, and returns the crashes that the node has recorded.
+  size_t CrashesOfCall() {
+    CallInfo call;
+    call.m_id = "call-1";
+    call.m_promptParts = { { "shared", 100 }, { "own", 50 } };
+    AnswerSink sink;
+    sink.m_onAnswer = [this](const ResponseHead& aHead, std::string_view /*aBody*/) {
+      m_status = aHead.m_status;
+      m_loop.Stop();
+    };
+    const auto exchange = std::make_shared<Exchange>(m_node,
+                                                     m_catalog,
+                                                     *m_catalog->FindRoute("h.example", "/plain/a"),
+                                                     nullptr,
+                                                     std::move(call),
+                                                     RequestHead{ "POST", "/plain/a", {} },
+                                                     std::make_shared<const RequestBody>(),
+                                                     base::BootNow(),
+                                                     std::move(sink));
+    exchange->Start();
+    const auto limit = m_loop.After(kTimeLimit, [this] { m_loop.Stop(); });
+    m_loop.Run();
+    return m_node.m_crashGuard.MakeReport(base::BootNow()).m_crashes.size();
+  }
+
+  adapters::http::EventLoop m_loop;
+  NodeState m_node{ m_loop,
+                    MakeWireFormat(),
+                    {},
+                    {},
+                    {},
+                    Millis(0),
+                    1000,
+                    {},
+                    true,
+                    [] {},
+                    [] { return std::vector<base::Address>(); } };
+  const fleet::CatalogPtr m_catalog = tests::MakeCatalog();
+  const base::Address m_endpointAddress = FreeAddress();
+  std::function<void(ServerConnection&)> m_onRequest = [](ServerConnection& aConnection) {
+    aConnection.Close();
+  };
+  std::set<std::shared_ptr<ServerConnection>> m_served;
+  adapters::http1::Listener m_listener;
+  int m_received = 0;
+  int m_status = 0;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ExchangeTest)
+
+BOOST_AUTO_TEST_CASE(LostConnectionIsACrash) {
+  ExchangeFixture fixture;
+  BOOST_TEST(fixture.CrashesOfCall() == 1U);
+  BOOST_TEST(fixture.m_received == 1);
+  BOOST_TEST(fixture.m_status == 502);
+}
+
+// QuarantineTest: all endpoints crashed within milliseconds, so that the nodes counted as cut off
+// before they had seen the last crash, and the part in the most crashes was not the deadly one.
+BOOST_AUTO_TEST_CASE(ConnectionLostJustAfterIsolationIsACrash) {
+  ExchangeFixture fixture;
+  fixture.Isolate();
+  fixture.m_node.m_reach.RecordBytes(1, base::BootNow());
+  BOOST_TEST(fixture.CrashesOfCall() == 1U);
+  BOOST_TEST(fixture.m_received == 1);
+}
+
+BOOST_AUTO_TEST_CASE(ConnectionLostInSilenceIsNoCrash) {
+  ExchangeFixture fixture;
+  fixture.Isolate();
+  BOOST_TEST(fixture.CrashesOfCall() == 0U);
+  BOOST_TEST(fixture.m_received == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
