Tunnel: state how the endpoint's connection ended

Calls of a node that is cut off from the endpoints lead through relays. A part of their prompts that crashes endpoints was never refused, since a connection lost behind a relay was no witness: its end could also be that of the relay.

A client that asks for it (Tunnel-Coding: frames) now gets the endpoint's bytes in frames, and a last frame that states whether the endpoint's connection finished or was reset, or whether the relay itself is silent. A reset from the endpoint no longer resets the client's connection, because the reset could overtake the frame. Relays and clients of earlier versions work as before without frames; what a relay without frames ends is `relay_lost`. An answer that ends with the connection is complete only if the endpoint has ended it: before, one that a stopping relay cut was delivered as complete.

--- a/packages/adapters/http1/Connection.cpp
+++ b/packages/adapters/http1/Connection.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/http1/SocketOptions.h"
 #include "adapters/http1/StatusLineCheck.h"
+#include "adapters/http1/TunnelFrames.h"
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
@@ -338,6 +339,16 @@
   bool m_hasInvalidName = false;
 };
 
+/// What arrives from a target through a relay.
+template<class Head>
+struct Connection<Head>::RelayedInput {
+  /// Whether the relay sends frames.
+  bool m_isFramed = false;
+  TunnelFrameReader m_reader;
+  /// Bytes of the target.
+  std::unique_ptr<evbuffer, BufferDeleter> m_bytes{ evbuffer_new() };
+};
+
 template<class Head>
 Connection<Head>::Connection(http::EventLoop& aLoop, size_t aMaxHeadBytes)
   : m_loop(aLoop)
@@ -404,8 +415,10 @@
   const std::string& aTarget,
   base::Millis aUnacknowledgedTimeout) {
   auto connection = ConnectTo(aLoop, aRelay, aUnacknowledgedTimeout);
-  connection->Write("CONNECT " + aTarget + " HTTP/1.1\r\n\r\n");
+  connection->Write("CONNECT " + aTarget + " HTTP/1.1\r\n" + std::string(kTunnelCodingField) +
+                    "\r\n");
   connection->m_heldOutput.reset(evbuffer_new());
+  connection->m_relayed = std::make_unique<RelayedInput>();
   return connection;
 }
 
@@ -415,7 +428,7 @@
   constexpr std::string_view kHeadEnd = "\r\n\r\n";
   const evbuffer_ptr end = evbuffer_search(input, kHeadEnd.data(), kHeadEnd.size(), nullptr);
   if (end.pos < 0) {
-    if (PendingInput() > kMaxRelayHeadBytes) {
+    if (evbuffer_get_length(input) > kMaxRelayHeadBytes) {
       End(EndKind::RelayFailed);
     }
     return;
@@ -430,11 +443,25 @@
     End(status == "502" ? EndKind::NotConnected : EndKind::RelayFailed);
     return;
   }
+  m_relayed->m_isFramed = head.find(kTunnelCodingField) != std::string::npos;
   const auto held = std::move(m_heldOutput);
   bufferevent_write_buffer(m_buffer, held.get());
   OnEstablished();
 }
 
+/// Ends an established connection that leads through a relay.
+template<class Head>
+void Connection<Head>::OnRelayedEnd(bool aIsOrderly) {
+  const auto targetEnd = m_relayed->m_reader.End();
+  if (!targetEnd || *targetEnd == TargetEnd::Unreachable) {
+    End(EndKind::RelayLost);
+  } else if (*targetEnd == TargetEnd::Reset || !aIsOrderly) {
+    End(EndKind::Reset);
+  } else {
+    OnPeerFinished();
+  }
+}
+
 template<class Head>
 void Connection<Head>::OnEstablished() {
   m_established = true;
@@ -449,6 +476,28 @@
   return m_heldOutput != nullptr ? m_heldOutput.get() : bufferevent_get_output(m_buffer);
 }
 
+/// Returns the buffer with the bytes to parse.
+template<class Head>
+evbuffer* Connection<Head>::Input() const {
+  return m_relayed != nullptr && m_relayed->m_isFramed ? m_relayed->m_bytes.get()
+                                                       : bufferevent_get_input(m_buffer);
+}
+
+template<class Head>
+void Connection<Head>::DropInput() {
+  for (evbuffer* const input : { bufferevent_get_input(m_buffer), Input() }) {
+    evbuffer_drain(input, evbuffer_get_length(input));
+  }
+}
+
+/// Moves bytes of the target from the frames of a relay to the bytes to parse.
+template<class Head>
+void Connection<Head>::ReadFrames() {
+  if (m_relayed != nullptr && m_relayed->m_isFramed && PendingInput() < kMaxPendingInputBytes) {
+    m_relayed->m_reader.Read(bufferevent_get_input(m_buffer), m_relayed->m_bytes.get());
+  }
+}
+
 template<class Head>
 void Connection<Head>::SetEvents(Events aEvents) {
   // An old callback may be running and may own its object, so the old ones are destroyed later, by
@@ -554,7 +603,7 @@
     m_parser->DropHead();
   }
   bufferevent_enable(m_buffer, EV_READ);
-  evbuffer_drain(bufferevent_get_input(m_buffer), PendingInput());
+  DropInput();
   Events events;
   // The connection keeps itself alive until its end.
   events.m_onEnd = [self, onClosed = std::move(aOnClosed)](EndKind, bool) { onClosed(); };
@@ -581,7 +630,7 @@
 
 template<class Head>
 size_t Connection<Head>::PendingInput() const {
-  return m_buffer == nullptr ? 0 : evbuffer_get_length(bufferevent_get_input(m_buffer));
+  return m_buffer == nullptr ? 0 : evbuffer_get_length(Input());
 }
 
 template<class Head>
@@ -603,7 +652,7 @@
 
 template<class Head>
 bool Connection<Head>::ParseStep() {
-  evbuffer* input = bufferevent_get_input(m_buffer);
+  evbuffer* input = Input();
   const size_t length = std::min(evbuffer_get_contiguous_space(input), kMaxParseStepBytes);
   const auto* bytes =
     reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ssize_t>(length)));
@@ -645,7 +694,7 @@
     return;
   }
   if (m_discardInput) {
-    evbuffer_drain(bufferevent_get_input(m_buffer), PendingInput());
+    DropInput();
     return;
   }
   if (m_heldOutput != nullptr) {
@@ -654,6 +703,7 @@
       return;
     }
   }
+  ReadFrames();
   if (m_isPaused) {
     if (m_events.m_onUnexpectedData && PendingInput() > 0) {
       m_events.m_onUnexpectedData();
@@ -663,6 +713,7 @@
   m_isParsing = true;
   while (m_buffer != nullptr && !m_isPaused && !m_discardInput && PendingInput() > 0 &&
          ParseStep()) {
+    ReadFrames();
   }
   m_isParsing = false;
   if (m_buffer == nullptr || m_discardInput) {
@@ -701,9 +752,20 @@
     End(m_heldOutput == nullptr ? EndKind::NotConnected : EndKind::RelayFailed);
     return;
   }
-  if ((aWhat & BEV_EVENT_EOF) == 0) {
+  const bool isOrderly = (aWhat & BEV_EVENT_EOF) != 0;
+  if (m_relayed != nullptr) {
+    OnRelayedEnd(isOrderly);
+  } else if (isOrderly) {
+    OnPeerFinished();
+  } else {
     End(EndKind::Reset);
-  } else if (!m_discardInput && m_parser->EndsWithConnection() && HasUnreadOutput()) {
+  }
+}
+
+/// Handles the end of the peer's sending side.
+template<class Head>
+void Connection<Head>::OnPeerFinished() {
+  if (!m_discardInput && m_parser->EndsWithConnection() && HasUnreadOutput()) {
     AwaitOutput();
   } else {
     CompleteAtEnd();
--- a/packages/adapters/http1/Connection.h
+++ b/packages/adapters/http1/Connection.h
@@ -25,6 +25,9 @@
   NotConnected,
   /// The relay could not be reached, or refused to connect to the target.
   RelayFailed,
+  /// The established connection was lost at the relay or on the way to it, or it is unknown whether
+  /// it was lost there or at the target. Otherwise the kind says how the target's connection ended.
+  RelayLost,
   /// The peer sent bytes that are not a valid HTTP message.
   Malformed,
   /// The head of a message exceeds the size limit.
@@ -83,7 +86,8 @@
                                                base::Millis aUnacknowledgedTimeout);
   /// Starts connecting to `aTarget`, which is a name that the relay at `aRelay` knows. Nothing but
   /// the name is sent before the relay has connected to the target, and until then the connection
-  /// does not count as established.
+  /// does not count as established. A response that ends with the connection is complete only if
+  /// the relay states that the target has ended it.
   static std::shared_ptr<Connection> ConnectThrough(http::EventLoop& aLoop,
                                                     const base::Address& aRelay,
                                                     const std::string& aTarget,
@@ -138,14 +142,20 @@
 
 private:
   struct Parser;
+  struct RelayedInput;
 
   Connection(http::EventLoop& aLoop, size_t aMaxHeadBytes);
   void AttachBuffer(bufferevent* aBuffer);
   void OnReadable();
   void OnRelayResponse();
+  void OnRelayedEnd(bool aIsOrderly);
   void OnEstablished();
   evbuffer* Output() const;
+  evbuffer* Input() const;
+  void DropInput();
+  void ReadFrames();
   void OnBufferEvent(short aWhat);
+  void OnPeerFinished();
   void OnWritable();
   void EndSending();
   bool HasUnreadOutput() const;
@@ -162,6 +172,8 @@
   bufferevent* m_buffer = nullptr;
   /// Bytes to send once the relay has connected to the target; null in all other cases.
   std::unique_ptr<evbuffer, BufferDeleter> m_heldOutput;
+  /// Set if the connection leads through a relay.
+  std::unique_ptr<RelayedInput> m_relayed;
   Events m_events;
   size_t m_maxHeadBytes;
   bool m_established = false;
@@ -205,6 +217,7 @@
     { adapters::http1::EndKind::Reset, "reset" },
     { adapters::http1::EndKind::NotConnected, "not_connected" },
     { adapters::http1::EndKind::RelayFailed, "relay_failed" },
+    { adapters::http1::EndKind::RelayLost, "relay_lost" },
     { adapters::http1::EndKind::Malformed, "malformed" },
     { adapters::http1::EndKind::HeadTooLarge, "head_too_large" },
   });
--- a/packages/adapters/http1/Tunnel.cpp
+++ b/packages/adapters/http1/Tunnel.cpp
@@ -86,6 +86,7 @@
     End(true);
     return;
   }
+  m_isFramed = head.find(kTunnelCodingField) != std::string::npos;
   const auto address =
     m_events.m_onRequest(std::string_view(head).substr(kMethod.size(), targetEnd - kMethod.size()));
   if (address) {
@@ -123,7 +124,7 @@
   const std::optional<std::string> refusal = m_events.m_onConnected(aIsConnected);
   if (aIsConnected) {
     m_isOpen = true;
-    Respond("200 Connected");
+    Respond("200 Connected", m_isFramed ? kTunnelCodingField : std::string_view());
     bufferevent_enable(m_client.m_buffer, EV_READ);
     Move(m_client);
   } else {
@@ -136,8 +137,9 @@
 }
 
 /// Sends a response to the client. One with an error ends the tunnel when it has been sent.
-void Tunnel::Respond(std::string_view aStatusLine) {
-  const std::string text = "HTTP/1.1 " + std::string(aStatusLine) + "\r\n\r\n";
+void Tunnel::Respond(std::string_view aStatusLine, std::string_view aFields) {
+  const std::string text =
+    "HTTP/1.1 " + std::string(aStatusLine) + "\r\n" + std::string(aFields) + "\r\n";
   bufferevent_write(m_client.m_buffer, text.data(), text.size());
   if (m_isRefused) {
     m_timer = m_loop.After(kRequestTimeout, [this] { End(true); });
@@ -148,6 +150,10 @@
 void Tunnel::Move(Side& aFrom) {
   Side& to = Other(aFrom);
   evbuffer* const input = bufferevent_get_input(aFrom.m_buffer);
+  if (to.m_buffer == nullptr) {
+    evbuffer_drain(input, evbuffer_get_length(input));
+    return;
+  }
   evbuffer* const output = bufferevent_get_output(to.m_buffer);
   if (&aFrom == &m_target && m_events.m_onBytes && evbuffer_get_length(input) > 0) {
     const size_t length = evbuffer_get_length(input);
@@ -155,7 +161,11 @@
       m_events.m_onBytes = nullptr;
     }
   }
-  evbuffer_add_buffer(output, input);
+  if (&aFrom == &m_target && m_isFramed) {
+    AddTargetBytes(output, input);
+  } else {
+    evbuffer_add_buffer(output, input);
+  }
   if (evbuffer_get_length(output) > kMaxBufferedBytes) {
     bufferevent_disable(aFrom.m_buffer, EV_READ);
   }
@@ -194,17 +204,47 @@
     return;
   }
   if ((aWhat & BEV_EVENT_EOF) == 0) {
-    End(true);
+    if (&aSide == &m_target && m_isFramed && !aSide.m_hasEnded && !m_client.m_hasEnded) {
+      OnTargetReset();
+    } else {
+      End(true);
+    }
     return;
   }
   aSide.m_hasEnded = true;
   Move(aSide);
+  if (&aSide == &m_target) {
+    OnTargetEnd(TargetEnd::Finished);
+  } else if (m_target.m_buffer == nullptr) {
+    End(false);
+    return;
+  }
   if (m_timer == nullptr) {
     m_timer = m_loop.After(kLingerTimeout, [this] { End(true); });
   }
   ShutDownIfFlushed(Other(aSide));
 }
 
+/// States to a client that asked for frames how the target's connection ended.
+void Tunnel::OnTargetEnd(TargetEnd aEnd) {
+  if (m_isFramed) {
+    const bool isReachable = !m_events.m_isTargetReachable || m_events.m_isTargetReachable();
+    AddTargetEnd(bufferevent_get_output(m_client.m_buffer),
+                 isReachable ? aEnd : TargetEnd::Unreachable);
+  }
+}
+
+/// Ends the target's connection and keeps that of the client until it has read the statement. A
+/// reset of that one could overtake the statement.
+void Tunnel::OnTargetReset() {
+  Move(m_target);
+  m_target.m_hasEnded = true;
+  OnTargetEnd(TargetEnd::Reset);
+  bufferevent_free(std::exchange(m_target.m_buffer, nullptr));
+  bufferevent_enable(m_client.m_buffer, EV_READ);
+  m_timer = m_loop.After(kLingerTimeout, [this] { End(true); });
+}
+
 /// Ends the sending side of a connection once all bytes for it have been sent, and the tunnel when
 /// both have ended.
 void Tunnel::ShutDownIfFlushed(Side& aTo) {
--- a/packages/adapters/http1/Tunnel.h
+++ b/packages/adapters/http1/Tunnel.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/http/EventLoop.h"
+#include "adapters/http1/TunnelFrames.h"
 #include "base/Ids.h"
 #include "base/Time.h"
 
@@ -23,7 +24,7 @@
   std::string m_reason;
 };
 
-/// Callbacks of a tunnel. m_onBytes and m_onEnd may be empty.
+/// Callbacks of a tunnel. m_onBytes, m_isTargetReachable and m_onEnd may be empty.
 struct TunnelEvents {
   /// Called with the name of the target that the client asks for. Returns its address or a refusal.
   std::function<tl::expected<base::Address, TunnelRefusal>(std::string_view aTarget)> m_onRequest;
@@ -32,15 +33,20 @@
   std::function<std::optional<std::string>(bool aIsConnected)> m_onConnected;
   /// Called with bytes that the target sent, before they are passed on, until it returns false.
   std::function<bool(std::string_view aBytes)> m_onBytes;
+  /// Called when the target's connection has ended. Returns whether that is the target's doing, as
+  /// far as the relay knows, and not that of the way to it.
+  std::function<bool()> m_isTargetReachable;
   /// Called when the tunnel has ended; no other callback follows. It may be destroyed then.
   std::function<void()> m_onEnd;
 };
 
 /// Joins an accepted connection of a client, which asks for a target by `CONNECT`, to a connection
 /// to that target, and copies bytes in both directions until both have ended. A side that reads
-/// slowly stops the other one; ends and resets are passed on. A client that is refused has been
-/// sent the status 503, or 502 if the refusal is due to the target or that could not be connected;
-/// in neither case has anything reached the target. Must be used only on the thread of its loop.
+/// slowly stops the other one; ends and resets are passed on. A client that asks for frames also
+/// receives how the target's connection ended, which differs from an end of the relay. A client
+/// that is refused has been sent the status 503, or 502 if the refusal is due to the target or that
+/// could not be connected; in neither case has anything reached the target. Must be used only on
+/// the thread of its loop.
 class Tunnel {
 public:
   /// Takes over the accepted socket `aFd`. `aUnacknowledgedTimeout` is the maximum time that sent
@@ -76,8 +82,10 @@
   void OnRequestBytes();
   void Connect(const base::Address& aTo);
   void OnConnectEnded(bool aIsConnected);
-  void Respond(std::string_view aStatusLine);
+  void Respond(std::string_view aStatusLine, std::string_view aFields = {});
   void Move(Side& aFrom);
+  void OnTargetEnd(TargetEnd aEnd);
+  void OnTargetReset();
   void ShutDownIfFlushed(Side& aTo);
   void End(bool aReset);
   static void ReadCallback(bufferevent* aBuffer, void* aSelf);
@@ -91,6 +99,8 @@
   Side m_target;
   bool m_isOpen = false;
   bool m_isRefused = false;
+  /// Whether the client gets the target's bytes in frames.
+  bool m_isFramed = false;
   /// Limits the time until the tunnel is open, and the time that one side may outlast the other.
   http::EventHandlePtr m_timer;
 };
--- a/packages/forwarding/EndpointRelay.cpp
+++ b/packages/forwarding/EndpointRelay.cpp
@@ -55,6 +55,7 @@
   events.m_onBytes = [this, &connection](std::string_view aBytes) {
     return OnBytes(connection, aBytes);
   };
+  events.m_isTargetReachable = [this] { return !m_node.m_reachMonitor.IsSilent(); };
   events.m_onEnd = [this, id] { m_connections.erase(id); };
   connection.m_tunnel = std::make_unique<adapters::http1::Tunnel>(
     m_node.m_loop, aFd, kUnacknowledgedTimeout, std::move(events));
--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -523,14 +523,15 @@
 }
 
 void Exchange::OnConnectionEnd(const std::shared_ptr<ActiveAttempt>& aAttempt, EndKind aKind) {
-  aAttempt->m_connectionLost =
-    aAttempt->m_relay.empty() && (aKind == EndKind::Finished || aKind == EndKind::Reset);
+  aAttempt->m_connectionLost = aKind == EndKind::Finished || aKind == EndKind::Reset;
   const bool notSent = aKind == EndKind::NotConnected || aKind == EndKind::RelayFailed;
   const bool isUnused = !aAttempt->m_reused && !aAttempt->m_hasBytes;
   const bool hasFailed =
     aKind == EndKind::NotConnected || aKind == EndKind::Finished || aKind == EndKind::Reset;
   if (aAttempt->m_relay.empty() && isUnused && hasFailed) {
     m_node.m_reachMonitor.OnConnectFailed(aAttempt->m_endpoint.m_incarnation.m_endpoint);
+  } else if (aKind == EndKind::RelayLost) {
+    m_node.m_pool.AvoidRelay(aAttempt->m_relay, base::BootNow());
   } else if (aKind == EndKind::RelayFailed) {
     m_node.m_pool.AvoidRelay(aAttempt->m_relay, base::BootNow());
     // The endpoint itself was not tried.
@@ -547,14 +548,19 @@
       aFault == AttemptFault::Unattributed) {
     return true;
   }
-  return aAttempt.m_relay.empty() && !m_node.m_reach.IsIsolated();
+  if (!aAttempt.m_relay.empty()) {
+    // The relay has stated that it was the endpoint that ended the connection.
+    return aFault == AttemptFault::Lost && aAttempt.m_connectionLost;
+  }
+  return !m_node.m_reach.IsIsolated();
 }
 
 /// Returns whether the connection of an attempt may have been lost by a crash of the endpoint.
 /// While endpoints send bytes, the connections to them work, even if new ones fail: several
 /// endpoints that crash at once look like a cut.
 bool Exchange::MayBeCrash(const ActiveAttempt& aAttempt) const {
-  return aAttempt.m_connectionLost && !m_node.m_reachMonitor.IsSilent();
+  return aAttempt.m_connectionLost &&
+         (!aAttempt.m_relay.empty() || !m_node.m_reachMonitor.IsSilent());
 }
 
 /// Limits the time to the next sign of the endpoint: an engine may stop sending in the middle of a
--- a/packages/forwarding/tests/EndpointRelayTest.cpp
+++ b/packages/forwarding/tests/EndpointRelayTest.cpp
@@ -8,7 +8,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <optional>
 #include <set>
+#include <vector>
 
 using namespace papayafield;
 using namespace papayafield::forwarding;
@@ -185,6 +187,58 @@
   BOOST_TEST(fixture.m_body.size() <= 2U);
 }
 
+// A relay that states no end is of an earlier version: it may be its own end.
+BOOST_AUTO_TEST_CASE(AnswersOfRelaysWithoutFramesAreRead) {
+  for (const bool isComplete : { true, false }) {
+    adapters::http::EventLoop loop;
+    const base::Address address = FreeAddress();
+    const adapters::http1::SocketListener relay(loop, address, [&](int aFd) {
+      const std::string bytes =
+        "HTTP/1.1 200 Connected\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no" +
+        std::string(isComplete ? "k" : "");
+      BOOST_TEST(write(aFd, bytes.data(), bytes.size()) == static_cast<ssize_t>(bytes.size()));
+      shutdown(aFd, SHUT_WR);
+    });
+    const auto connection = ClientConnection::ConnectThrough(loop, address, "i-1@1", kTimeout);
+    bool isAnswered = false;
+    std::optional<EndKind> end;
+    ClientConnection::Events events;
+    events.m_onComplete = [&] { isAnswered = true; };
+    events.m_onEnd = [&](EndKind aKind, bool /*aInMessage*/) {
+      end = aKind;
+      loop.Stop();
+    };
+    connection->SetEvents(std::move(events));
+    const auto limit = loop.After(kTimeout, [&] { loop.Stop(); });
+    loop.Run();
+    BOOST_TEST(isAnswered == isComplete);
+    BOOST_TEST((end == EndKind::RelayLost));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ClientsThatAskForNoFramesGetNone) {
+  RelayFixture fixture;
+  const auto connection =
+    ClientConnection::ConnectTo(fixture.m_loop, fixture.m_relayAddress, kTimeout);
+  connection->Write("CONNECT " + RelayTarget(RelayFixture::kEndpoint) + " HTTP/1.1\r\n\r\n" +
+                    adapters::http1::Serialize({ "POST", "/a", {} }, "{}"));
+  std::vector<int> statuses;
+  ClientConnection::Events events;
+  // The response of the relay has no length either.
+  connection->ExpectNoBody();
+  events.m_onHead = [&](ResponseHead&& aHead) { statuses.push_back(aHead.m_status); };
+  events.m_onComplete = [&] {
+    connection->Resume();
+    if (statuses.size() == 2) {
+      fixture.m_loop.Stop();
+    }
+  };
+  connection->SetEvents(std::move(events));
+  fixture.Run();
+  BOOST_TEST((statuses == std::vector<int>{ 200, 200 }));
+  connection->Close();
+}
+
 // The endpoint drops a call whose caller has gone.
 BOOST_AUTO_TEST_CASE(EndOfTheClientIsPassedOn) {
   RelayFixture fixture;
--- a/packages/forwarding/tests/ExchangeTest.cpp
+++ b/packages/forwarding/tests/ExchangeTest.cpp
@@ -1,4 +1,5 @@
 #include "forwarding/Exchange.h"
+#include "forwarding/EndpointRelay.h"
 
 #include "PlannerFixture.h"
 #include "adapters/http1/Listener.h"
@@ -52,28 +53,31 @@
   return wire;
 }
 
-/// A node that sends a call to an endpoint.
+/// A node that sends a call to an endpoint, and another node that relays connections.
 struct ExchangeFixture {
   ExchangeFixture()
     : m_listener(m_loop, m_endpointAddress, 65536, [this](auto aConnection) {
       Serve(aConnection);
     }) {
     BOOST_REQUIRE(m_listener.Listening());
-    m_node.ApplyCatalog(m_catalog);
-    PutEndpoint("i-1", tests::kPlain, m_endpointAddress);
-    // Keeps the node isolated: one endpoint that is reached does not end that.
-    PutEndpoint("i-2", tests::kEngines, FreeAddress());
+    for (NodeState* const node : { &m_node, &m_otherNode }) {
+      node->ApplyCatalog(m_catalog);
+      PutEndpoint(*node, "i-1", tests::kPlain, m_endpointAddress);
+      // Keeps the node isolated: one endpoint that is reached does not end that.
+      PutEndpoint(*node, "i-2", tests::kEngines, FreeAddress());
+    }
   }
 
-  void PutEndpoint(const char* aId,
-                   const fleet::ServiceId& aService,
-                   const base::Address& aAddress) {
+  static void PutEndpoint(NodeState& aNode,
+                          const char* aId,
+                          const fleet::ServiceId& aService,
+                          const base::Address& aAddress) {
     fleet::Endpoint endpoint;
     endpoint.m_incarnation = { base::EndpointId(aId), 1 };
     endpoint.m_service = aService;
     endpoint.m_address = aAddress;
-    endpoint.m_position = { 0, m_node.m_directory.All().size() + 1 };
-    m_node.m_directory.Put({ base::EndpointId(aId), endpoint.m_position, endpoint });
+    endpoint.m_position = { 0, aNode.m_directory.All().size() + 1 };
+    aNode.m_directory.Put({ base::EndpointId(aId), endpoint.m_position, endpoint });
   }
 
   void Serve(const std::shared_ptr<ServerConnection>& aConnection) {
@@ -86,17 +90,25 @@
     aConnection->SetEvents(std::move(events));
   }
 
-  void Isolate() {
+  static void Isolate(NodeState& aNode) {
     const auto now = base::BootNow();
-    m_node.m_reach.SetEndpointCount(2);
+    aNode.m_reach.SetEndpointCount(2);
     for (int i = 0; i < 2; ++i) {
-      m_node.m_reach.RecordConnectFailed(base::EndpointId("i-1"), now);
-      m_node.m_reach.RecordConnectFailed(base::EndpointId("i-2"), now);
-      m_node.m_reach.Update(now);
+      aNode.m_reach.RecordConnectFailed(base::EndpointId("i-1"), now);
+      aNode.m_reach.RecordConnectFailed(base::EndpointId("i-2"), now);
+      aNode.m_reach.Update(now);
     }
-    m_node.m_reach.RecordProbesEnded(now);
-    m_node.m_reach.Update(now);
-    BOOST_REQUIRE(m_node.m_reach.IsIsolated());
+    aNode.m_reach.RecordProbesEnded(now);
+    aNode.m_reach.Update(now);
+    BOOST_REQUIRE(aNode.m_reach.IsIsolated());
+  }
+
+  /// Lets the other node relay connections of the isolated node.
+  void StartRelay() {
+    Isolate(m_node);
+    m_relays = { FreeAddress() };
+    m_relay = std::make_unique<EndpointRelay>(m_otherNode, m_relays[0], EndpointRelaySettings{});
+    BOOST_REQUIRE(m_relay->Listening());
   }
 
   /// Sends a call with a shared prompt part, and returns the crashes that the node has recorded.
@@ -125,19 +137,24 @@
   }
 
   adapters::http::EventLoop m_loop;
-  NodeState m_node{ m_loop,
-                    MakeWireFormat(),
-                    {},
-                    {},
-                    {},
-                    Millis(0),
-                    1000,
-                    {},
-                    true,
-                    [] {},
-                    [] { return std::vector<base::Address>(); } };
+  std::vector<base::Address> m_relays;
+  NodeState m_node{ m_loop, MakeWireFormat(),           {}, {}, {}, Millis(0), 1000, {}, true,
+                    [] {},  [this] {
+                     return m_relays; } };
+  NodeState m_otherNode{ m_loop,
+                         MakeWireFormat(),
+                         {},
+                         {},
+                         {},
+                         Millis(0),
+                         1000,
+                         {},
+                         true,
+                         [] {},
+                         [] { return std::vector<base::Address>(); } };
   const fleet::CatalogPtr m_catalog = tests::MakeCatalog();
   const base::Address m_endpointAddress = FreeAddress();
+  std::unique_ptr<EndpointRelay> m_relay;
   std::function<void(ServerConnection&)> m_onRequest = [](ServerConnection& aConnection) {
     aConnection.Close();
   };
@@ -162,7 +179,7 @@
 // before they had seen the last crash, and the part in the most crashes was not the deadly one.
 BOOST_AUTO_TEST_CASE(ConnectionLostJustAfterIsolationIsACrash) {
   ExchangeFixture fixture;
-  fixture.Isolate();
+  ExchangeFixture::Isolate(fixture.m_node);
   fixture.m_node.m_reach.RecordBytes(1, base::BootNow());
   BOOST_TEST(fixture.CrashesOfCall() == 1U);
   BOOST_TEST(fixture.m_received == 1);
@@ -170,7 +187,69 @@
 
 BOOST_AUTO_TEST_CASE(ConnectionLostInSilenceIsNoCrash) {
   ExchangeFixture fixture;
-  fixture.Isolate();
+  ExchangeFixture::Isolate(fixture.m_node);
+  BOOST_TEST(fixture.CrashesOfCall() == 0U);
+  BOOST_TEST(fixture.m_received == 1);
+}
+
+// Crashes that calls of isolated nodes caused were not counted.
+BOOST_AUTO_TEST_CASE(ConnectionThatAnEndpointEndsBehindARelayIsACrash) {
+  for (const bool isReset : { false, true }) {
+    ExchangeFixture fixture;
+    fixture.StartRelay();
+    fixture.m_onRequest = [isReset](ServerConnection& aConnection) {
+      if (isReset) {
+        aConnection.Reset();
+      } else {
+        aConnection.Close();
+      }
+    };
+    BOOST_TEST(fixture.CrashesOfCall() == 1U);
+    BOOST_TEST(fixture.m_received == 1);
+    BOOST_TEST(fixture.m_otherNode.m_crashGuard.MakeReport(base::BootNow()).m_crashes.empty());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ConnectionThatIsLostAtTheRelayIsNoCrash) {
+  ExchangeFixture fixture;
+  fixture.StartRelay();
+  fixture.m_onRequest = [&](ServerConnection& /*aConnection*/) {
+    fixture.m_loop.Defer([&] { fixture.m_relay.reset(); });
+  };
+  BOOST_TEST(fixture.CrashesOfCall() == 0U);
+  BOOST_TEST(fixture.m_received == 1);
+  BOOST_TEST(fixture.m_status == 502);
+}
+
+// An answer without a length counted as complete when the relay ended in the middle of it.
+BOOST_AUTO_TEST_CASE(AnswerThatIsCutAtTheRelayIsNotDelivered) {
+  for (const bool isCut : { false, true }) {
+    ExchangeFixture fixture;
+    fixture.StartRelay();
+    adapters::http::EventHandlePtr timer;
+    fixture.m_onRequest = [&](ServerConnection& aConnection) {
+      aConnection.Write("HTTP/1.1 200 OK\r\n\r\nhalf");
+      timer = fixture.m_loop.After(Millis(50), [&] {
+        if (isCut) {
+          fixture.m_relay.reset();
+        } else {
+          aConnection.Close();
+        }
+      });
+    };
+    BOOST_TEST(fixture.CrashesOfCall() == 0U);
+    BOOST_TEST(fixture.m_status == (isCut ? 502 : 200));
+  }
+}
+
+// The relay's own connections may have failed with its way to the endpoints.
+BOOST_AUTO_TEST_CASE(ConnectionLostBehindAnIsolatedRelayIsNoCrash) {
+  ExchangeFixture fixture;
+  fixture.StartRelay();
+  fixture.m_onRequest = [&](ServerConnection& aConnection) {
+    ExchangeFixture::Isolate(fixture.m_otherNode);
+    aConnection.Reset();
+  };
   BOOST_TEST(fixture.CrashesOfCall() == 0U);
   BOOST_TEST(fixture.m_received == 1);
 }
--- a/soak/Caller.cpp
+++ b/soak/Caller.cpp
@@ -30,6 +30,7 @@
       return CallEnd::Malformed;
     case EndKind::Finished:
     case EndKind::Reset:
+    case EndKind::RelayLost:
       break;
   }
   return CallEnd::Closed;
--- a/tests/integration/NodesCutOffFromEndpointsTest.cpp
+++ b/tests/integration/NodesCutOffFromEndpointsTest.cpp
@@ -1,5 +1,7 @@
 #include "tests/harness/PlatformFleet.h"
 
+#include "base/Digest.h"
+
 #include <boost/test/unit_test.hpp>
 
 #include <atomic>
@@ -113,6 +115,19 @@
   }
 }
 
+/// Sends a call with the shared prompt part "deadly" to node `aNode` and returns its status.
+int SendDeadlyCall(const PlatformFleet& aFleet, size_t aNode) {
+  const std::string id = base::RandomHex(8);
+  adapters::http::Headers headers;
+  for (const auto& field : MakeCallerHeaders("h.example", "key-1", id, Millis(5000))) {
+    headers.Add(field.m_name, field.m_value);
+  }
+  headers.Add("Papayafield-Model", "m");
+  headers.Add("Papayafield-Token-Usage", "900,60");
+  headers.Add("Papayafield-Prefix-Hash", "deadly:50," + id + ":100");
+  return Call(aFleet.CallerAddress(aNode), "POST", "/stream/a", "{}", headers).m_status;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(NodesCutOffFromEndpointsTest)
@@ -143,4 +158,35 @@
   }
 }
 
+// The attempts of a node that is cut off lead through relays, which do not read the calls. Crashes
+// that these calls caused were not counted, and the part was never refused.
+BOOST_AUTO_TEST_CASE(DeadlyPartIsRefusedByACutOffNode) {
+  constexpr int kMaxCalls = 20;
+  constexpr size_t kMaxCrashes = 10;
+  constexpr Millis kPauseBetweenDeadlyCalls{ 700 };
+  PlatformFleet fleet(kNodes, kRunners, PlatformFleet::Proxies::RunnersOfFirstNode);
+  const Callers others(fleet, 1);
+  Callers cutOff(fleet, 0);
+  SetFaults(fleet, { { "refuse", true }, { "cut", true } });
+  BOOST_REQUIRE(PlatformFleet::WaitUntil([&] { return fleet.ReadMetric(0, "isolated") == 1; }));
+  fleet.PostControl("deadly_part", { { "part", "deadly" }, { "down_ms", 300 } });
+  int calls = 0;
+  while (calls < kMaxCalls && fleet.ReadMetric(0, "quarantine_banned_parts") != 1) {
+    ++calls;
+    SendDeadlyCall(fleet, 0);
+    std::this_thread::sleep_for(kPauseBetweenDeadlyCalls);
+  }
+  const size_t crashes = fleet.PostControl("report").at("crashes").size();
+  BOOST_TEST_MESSAGE(calls << " calls, " << crashes << " crashes");
+  BOOST_TEST(fleet.ReadMetric(0, "isolated") == 1);
+  BOOST_TEST(fleet.ReadMetric(0, "quarantine_banned_parts") == 1);
+  BOOST_TEST(crashes <= kMaxCrashes);
+  BOOST_TEST(SendDeadlyCall(fleet, 0) == 503);
+  BOOST_TEST(fleet.PostControl("report").at("crashes").size() == crashes);
+  cutOff.Take();
+  std::this_thread::sleep_for(kObservedTime);
+  const Outcomes sound = cutOff.Take();
+  BOOST_TEST(sound.m_failed * 50 <= sound.m_served);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
