ProcessContinuity: a restarted endpoint is no longer taken for its old version

Callers got streams with events of two versions if an endpoint had been restarted under its identifier with another version and the node had not read that yet: a stream of the old version was resumed there, and streams that began there were recorded as those of the old version and went on at it later.

Cause: the version of an endpoint was that of the registration that had been read, whatever process answered.

Evidence: RestartedRunnersTest (real processes, a link to the store with 1.5 s of delay).

Now the loss of all connections to an endpoint, or a refused one, is a sign that its process has ended. The process that is reached next counts as the registered one only once the view has been confirmed 0.3 s after that, the time within which it must have registered. Until then no request of a resumed stream is sent there, and the origin of a stream that begins there is not recorded; peers that ask for it wait and ask again. An answer whose endpoint is not confirmed is not continued elsewhere before that. The view is read at most four times a second a node, and only after such a sign.

--- a/packages/forwarding/EndpointPool.cpp
+++ b/packages/forwarding/EndpointPool.cpp
@@ -15,6 +15,8 @@
 constexpr base::Millis kDefaultKeepAlive{ 4000 };
 /// Maximum number of idle connections to one endpoint.
 constexpr size_t kMaxIdlePerEndpoint = 64;
+/// Fraction of its keep-alive time before which an idle connection does not end in the usual way.
+constexpr double kEarlyEndFraction = 0.7;
 /// Time for which a relay is not asked after it did not lead a connection through.
 constexpr base::Millis kRelayAvoidance{ 250 };
 
@@ -22,10 +24,12 @@
 
 EndpointPool::EndpointPool(adapters::http::EventLoop& aLoop,
                            const EndpointReach& aReach,
-                           RelayList aRelays)
+                           RelayList aRelays,
+                           OnIdleEnded aOnIdleEnded)
   : m_loop(aLoop)
   , m_reach(aReach)
-  , m_relays(std::move(aRelays)) {}
+  , m_relays(std::move(aRelays))
+  , m_onIdleEnded(std::move(aOnIdleEnded)) {}
 
 EndpointPool::~EndpointPool() {
   for (auto& [endpoint, idleList] : m_idle) {
@@ -163,7 +167,16 @@
     }
   };
   ClientConnection::Events events;
-  events.m_onEnd = [drop](EndKind, bool) { drop(); };
+  const auto earlyUntil = aNow + std::chrono::duration_cast<base::Millis>(
+                                   aKeepAlive.value_or(kDefaultKeepAlive) * kEarlyEndFraction);
+  events.m_onEnd = [this, drop, aEndpoint, earlyUntil, weak = std::weak_ptr(aConnection)](
+                     EndKind aKind, bool /*aInMessage*/) {
+    const auto connection = weak.lock();
+    if (connection && m_onIdleEnded && base::BootNow() < earlyUntil) {
+      m_onIdleEnded(aEndpoint, connection, aKind);
+    }
+    drop();
+  };
   // Bytes that arrive while no call waits for an answer belong to no call.
   events.m_onUnexpectedData = drop;
   aConnection->SetEvents(std::move(events));
--- a/packages/forwarding/EndpointPool.h
+++ b/packages/forwarding/EndpointPool.h
@@ -37,8 +37,17 @@
   /// Returns the addresses of the relays of other nodes that reach the endpoints.
   using RelayList = std::function<std::vector<base::Address>()>;
 
+  /// Called when an endpoint has ended an idle connection well before its keep-alive time.
+  using OnIdleEnded =
+    std::function<void(const fleet::Incarnation& aEndpoint,
+                       const std::shared_ptr<adapters::http1::ClientConnection>& aConnection,
+                       adapters::http1::EndKind aKind)>;
+
   /// `aReach` must outlive the object.
-  EndpointPool(adapters::http::EventLoop& aLoop, const EndpointReach& aReach, RelayList aRelays);
+  EndpointPool(adapters::http::EventLoop& aLoop,
+               const EndpointReach& aReach,
+               RelayList aRelays,
+               OnIdleEnded aOnIdleEnded = {});
   ~EndpointPool();
   EndpointPool(const EndpointPool&) = delete;
   EndpointPool& operator=(const EndpointPool&) = delete;
@@ -109,6 +118,7 @@
   adapters::http::EventLoop& m_loop;
   const EndpointReach& m_reach;
   RelayList m_relays;
+  OnIdleEnded m_onIdleEnded;
   std::map<fleet::Incarnation, std::deque<IdleConnection>> m_idle;
   std::set<fleet::Incarnation> m_answersWithoutId;
   uint64_t m_connectCount = 0;
--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -53,12 +53,18 @@
 /// Reason in the log of a call that ended because its time was over.
 constexpr const char* kTimeoutReason = "timeout";
 
+/// Reason in the log of a stream that cannot be continued at the version that began it.
+constexpr const char* kVersionUnknownReason = "stream_version_unknown";
+
 /// Longest search for the version that began a stream, also as a divisor of the caller's time.
 constexpr base::Millis kMaxVersionSearch{ 1000 };
 constexpr int kVersionSearchDivisor = 3;
 /// Interval at which a resumed stream looks for an endpoint of its version.
 constexpr base::Millis kVersionCheckInterval{ 20 };
 
+/// Longest time for which the version that began a stream is to be confirmed.
+constexpr base::Millis kMaxVersionConfirmation{ 10000 };
+
 /// Appended to a route's name where the gaps between the events of its streams are counted.
 constexpr const char* kGapSuffix = "/gap";
 
@@ -77,6 +83,10 @@
   fleet::Endpoint m_endpoint;
   std::shared_ptr<ClientConnection> m_connection;
   bool m_reused = false;
+  /// Whether the request has been passed to the connection.
+  bool m_isWritten = false;
+  /// When the endpoint's process was first reached, if it may have replaced the registered one.
+  base::TimePoint m_processSince{};
   /// Host of the node that the connection leads through; empty if it is direct.
   std::string m_relay;
   /// Key of the attempt at the monitor; 0 if the connection is not direct.
@@ -254,7 +264,7 @@
   if (!m_version) {
     // An endpoint of another version would append text that does not fit.
     m_node.m_metrics.Count("resumed_version_unknown");
-    Reject(503, "stream_version_unknown", 0);
+    Reject(503, kVersionUnknownReason, 0);
   } else if (Planner().IsVersionGone()) {
     AwaitEndpointOfVersion();
   } else {
@@ -320,12 +330,55 @@
   if (!m_version) {
     m_version = aAttempt.m_endpoint.m_version;
   }
-  if (m_route.m_resumable) {
+  if (!m_route.m_resumable) {
+    return;
+  }
+  if (m_node.m_continuity.IsConfirmed(aAttempt.m_endpoint, aAttempt.m_processSince)) {
     m_node.m_streamOrigins.Record(StreamId(), *m_version);
+  } else {
+    ConfirmVersion(aAttempt);
+  }
+}
+
+/// Records the version of the stream as soon as it is certain that the endpoint has it. The call
+/// may end before that.
+void Exchange::ConfirmVersion(const ActiveAttempt& aAttempt) {
+  m_certainty = VersionCertainty::Pending;
+  m_node.m_metrics.Count("stream_versions_unconfirmed");
+  m_node.m_streamOrigins.Expect(StreamId());
+  m_node.m_continuity.Confirm(
+    aAttempt.m_endpoint,
+    aAttempt.m_processSince,
+    kMaxVersionConfirmation,
+    [&node = m_node, weak = weak_from_this(), stream = StreamId(), version = *m_version](
+      bool aIsSame) {
+      const bool isOpen = node.m_streamOrigins.IsExpected(fleet::StreamKeyOf(stream));
+      node.m_streamOrigins.Dismiss(stream);
+      if (isOpen && aIsSame) {
+        node.m_streamOrigins.Record(stream, version);
+      }
+      if (const auto self = weak.lock()) {
+        self->OnVersionConfirmed(aIsSame);
+      }
+    });
+}
+
+void Exchange::OnVersionConfirmed(bool aIsSame) {
+  m_certainty = aIsSame ? VersionCertainty::Confirmed : VersionCertainty::Unknown;
+  if (std::exchange(m_dispatchWaits, false) && !m_finished) {
+    Dispatch();
   }
 }
 
 void Exchange::Dispatch() {
+  if (m_certainty == VersionCertainty::Pending) {
+    m_dispatchWaits = true;
+    return;
+  }
+  if (m_certainty == VersionCertainty::Unknown) {
+    Reject(503, kVersionUnknownReason, 0);
+    return;
+  }
   const auto now = base::BootNow();
   if (TimeLeft() < kMinAttemptTime) {
     OnTimeout();
@@ -432,26 +485,77 @@
   m_node.m_placement.RecordCallStarted(
     aEndpoint.m_incarnation.m_endpoint, attempt->m_queuedTokens, attempt->m_urgency);
   attempt->m_openCalls = m_node.m_placement.TotalLoad(aEndpoint.m_incarnation.m_endpoint).m_calls;
+  AttachHandlers(attempt);
+  if (m_head.m_method == kHeadMethod) {
+    attempt->m_connection->ExpectNoBody();
+  }
+  if (NeedsConfirmation(*attempt)) {
+    WriteWhenConfirmed(attempt);
+  } else {
+    WriteRequest(attempt);
+  }
+}
+
+/// Returns whether the endpoint may have another version than the stream that the attempt is to
+/// continue, because its process may have been replaced.
+bool Exchange::NeedsConfirmation(const ActiveAttempt& aAttempt) const {
+  if (!m_version || aAttempt.m_connection->IsEstablished()) {
+    return m_version &&
+           !m_node.m_continuity.IsConfirmed(aAttempt.m_endpoint, aAttempt.m_processSince);
+  }
+  const fleet::Incarnation& incarnation = aAttempt.m_endpoint.m_incarnation;
+  return m_node.m_continuity.HasEnded(incarnation) ||
+         !m_node.m_continuity.IsConfirmed(
+           aAttempt.m_endpoint,
+           m_node.m_continuity.ProcessSince(incarnation, aAttempt.m_connection));
+}
+
+/// Sends the request of an attempt once the registration of its endpoint is confirmed.
+void Exchange::WriteWhenConfirmed(const std::shared_ptr<ActiveAttempt>& aAttempt) {
+  if (!aAttempt->m_connection->IsEstablished()) {
+    // OnEstablished calls again.
+    return;
+  }
+  m_node.m_metrics.Count("resumptions_awaiting_registration");
+  m_node.m_continuity.Confirm(
+    aAttempt->m_endpoint,
+    aAttempt->m_processSince,
+    std::min(TimeLeft() / kVersionSearchDivisor, kMaxVersionSearch),
+    [weak = weak_from_this(), weakAttempt = std::weak_ptr(aAttempt)](bool aIsSame) {
+      const auto self = weak.lock();
+      const auto attempt = weakAttempt.lock();
+      if (!self || !attempt || attempt->m_ended) {
+        return;
+      }
+      if (aIsSame && attempt == self->m_attempt) {
+        self->WriteRequest(attempt);
+      } else {
+        self->Fail(attempt, AttemptFault::NotSent, "version_unconfirmed");
+      }
+    });
+}
+
+void Exchange::WriteRequest(const std::shared_ptr<ActiveAttempt>& aAttempt) {
+  aAttempt->m_isWritten = true;
+  if (aAttempt->m_connection->IsEstablished()) {
+    AwaitBytes(*aAttempt);
+  }
   const AttemptInfo attemptInfo{ m_head,
-                                 aEndpoint.m_incarnation.m_endpoint,
+                                 aAttempt->m_endpoint.m_incarnation.m_endpoint,
                                  m_team,
                                  TimeLeft(),
                                  EnginePriority(),
                                  m_call.m_promptTokens.has_value(),
                                  m_splitter.LastEventId() };
-  AttachHandlers(attempt);
-  if (m_head.m_method == kHeadMethod) {
-    attempt->m_connection->ExpectNoBody();
-  }
   const adapters::http1::RequestHead head = m_node.m_wire.m_encodeAttempt(attemptInfo);
   if (m_body->Size() <= kMaxCopiedBodyBytes && m_body->Blocks().size() <= 1) {
-    attempt->m_connection->Write(adapters::http1::Serialize(
+    aAttempt->m_connection->Write(adapters::http1::Serialize(
       head, m_body->Blocks().empty() ? std::string_view() : m_body->Blocks().front()));
     return;
   }
-  attempt->m_connection->Write(adapters::http1::SerializeHead(head, m_body->Size()));
+  aAttempt->m_connection->Write(adapters::http1::SerializeHead(head, m_body->Size()));
   for (const std::string& block : m_body->Blocks()) {
-    attempt->m_connection->WriteShared(m_body, block);
+    aAttempt->m_connection->WriteShared(m_body, block);
   }
 }
 
@@ -486,6 +590,8 @@
         if (attempt->m_relay.empty()) {
           self->m_node.m_reachMonitor.OnConnectFailed(attempt->m_endpoint.m_incarnation.m_endpoint,
                                                       true);
+          self->m_node.m_continuity.OnEnded(
+            attempt->m_endpoint.m_incarnation, attempt->m_connection, EndKind::Reset);
         } else {
           self->m_node.m_pool.AvoidRelay(attempt->m_relay, base::BootNow());
         }
@@ -499,10 +605,22 @@
 }
 
 void Exchange::OnEstablished(const std::shared_ptr<ActiveAttempt>& aAttempt) {
-  if (aAttempt->m_watch == 0) {
-    return;
+  const fleet::Incarnation& incarnation = aAttempt->m_endpoint.m_incarnation;
+  if (aAttempt->m_relay.empty()) {
+    m_node.m_continuity.OnEstablished(incarnation, aAttempt->m_connection);
+  }
+  aAttempt->m_processSince = m_node.m_continuity.ProcessSince(incarnation, aAttempt->m_connection);
+  if (aAttempt->m_isWritten) {
+    AwaitBytes(*aAttempt);
+  } else if (!aAttempt->m_reused) {
+    WriteWhenConfirmed(aAttempt);
+  }
+}
+
+void Exchange::AwaitBytes(const ActiveAttempt& aAttempt) {
+  if (aAttempt.m_watch != 0) {
+    m_node.m_reachMonitor.OnWaiting(aAttempt.m_watch, aAttempt.m_endpoint.m_incarnation.m_endpoint);
   }
-  m_node.m_reachMonitor.OnWaiting(aAttempt->m_watch, aAttempt->m_endpoint.m_incarnation.m_endpoint);
 }
 
 /// Handles an attempt on a direct connection while the node is cut off from the endpoints.
@@ -516,8 +634,8 @@
   }
   // Established connections may go on working.
   if (aAttempt == m_attempt && m_node.m_reachMonitor.IsSilent() && m_route.Repeatable() &&
-      m_silentAttempt == nullptr && (!aAttempt->m_hasHead || m_streamBegun) &&
-      MayContinueElsewhere()) {
+      aAttempt->m_isWritten && m_silentAttempt == nullptr &&
+      (!aAttempt->m_hasHead || m_streamBegun) && MayContinueElsewhere()) {
     TryElsewhere(aAttempt);
   }
 }
@@ -525,10 +643,14 @@
 void Exchange::OnConnectionEnd(const std::shared_ptr<ActiveAttempt>& aAttempt, EndKind aKind) {
   aAttempt->m_connectionLost =
     aAttempt->m_relay.empty() && (aKind == EndKind::Finished || aKind == EndKind::Reset);
-  const bool notSent = aKind == EndKind::NotConnected || aKind == EndKind::RelayFailed;
+  const bool notSent =
+    aKind == EndKind::NotConnected || aKind == EndKind::RelayFailed || !aAttempt->m_isWritten;
   const bool isUnused = !aAttempt->m_reused && !aAttempt->m_hasBytes;
   const bool hasFailed =
     aKind == EndKind::NotConnected || aKind == EndKind::Finished || aKind == EndKind::Reset;
+  if (aAttempt->m_relay.empty() && hasFailed && !aAttempt->m_ended) {
+    m_node.m_continuity.OnEnded(aAttempt->m_endpoint.m_incarnation, aAttempt->m_connection, aKind);
+  }
   if (aAttempt->m_relay.empty() && isUnused && hasFailed) {
     m_node.m_reachMonitor.OnConnectFailed(aAttempt->m_endpoint.m_incarnation.m_endpoint);
   } else if (aKind == EndKind::RelayFailed) {
@@ -547,7 +669,8 @@
       aFault == AttemptFault::Unattributed) {
     return true;
   }
-  return aAttempt.m_relay.empty() && !m_node.m_reach.IsIsolated();
+  const bool wasReady = aAttempt.m_connection->IsEstablished() && !aAttempt.m_isWritten;
+  return aAttempt.m_relay.empty() && !wasReady && !m_node.m_reach.IsIsolated();
 }
 
 /// Limits the time to the next sign of the endpoint: an engine may stop sending in the middle of a
@@ -566,6 +689,10 @@
   if (aAttempt->m_ended || (aAttempt->m_hasHead && !m_streamBegun)) {
     return;
   }
+  if (!aAttempt->m_isWritten) {
+    StartSilenceTimer(aAttempt, aLimit);
+    return;
+  }
   if (m_silentAttempt != nullptr) {
     // The endpoint before this one is given up first.
     StartSilenceTimer(aAttempt, aLimit);
@@ -595,9 +722,9 @@
     m_possibleRuns + 1, m_route.m_maxAttempts, m_streamBegun && m_splitter.LastEventId().empty()
   };
   const auto now = base::BootNow();
-  return !m_callerDisconnected && MayRetry(state) && TimeLeft() > kMinAttemptTime &&
-         m_node.HasRetry(m_service) && !m_node.m_crashGuard.RefusalTime(m_call, now) &&
-         HasEndpoint();
+  return !m_callerDisconnected && m_certainty == VersionCertainty::Confirmed && MayRetry(state) &&
+         TimeLeft() > kMinAttemptTime && m_node.HasRetry(m_service) &&
+         !m_node.m_crashGuard.RefusalTime(m_call, now) && HasEndpoint();
 }
 
 /// Returns whether there is an endpoint for the call, and a way to it.
@@ -626,7 +753,7 @@
 /// Continues with the silent attempt in place of the one that was to take over from it.
 void Exchange::ReturnToSilent(const char* aReason) {
   if (m_attempt != nullptr) {
-    m_possibleRuns += m_attempt->m_connection->IsEstablished() ? 1 : 0;
+    m_possibleRuns += m_attempt->m_connection->IsEstablished() && m_attempt->m_isWritten ? 1 : 0;
     Release(m_attempt, false);
   }
   m_overlapTimer.reset();
@@ -1188,8 +1315,8 @@
 
 /// Returns whether an attempt is in progress that may run: its connection has been established.
 bool Exchange::MayHaveBeenSent() const {
-  return m_silentAttempt != nullptr ||
-         (m_attempt != nullptr && m_attempt->m_connection->IsEstablished());
+  return m_silentAttempt != nullptr || (m_attempt != nullptr && m_attempt->m_isWritten &&
+                                        m_attempt->m_connection->IsEstablished());
 }
 
 void Exchange::Abort() {
--- a/packages/forwarding/Exchange.h
+++ b/packages/forwarding/Exchange.h
@@ -61,6 +61,13 @@
 
 private:
   struct ActiveAttempt;
+  /// What is known of the version that began the stream.
+  enum class VersionCertainty {
+    Confirmed,
+    /// The registration of its endpoint is being confirmed.
+    Pending,
+    Unknown,
+  };
 
   const std::string& StreamId() const;
   void FindVersion();
@@ -69,8 +76,14 @@
   void AwaitEndpointOfVersion();
   void EndAwait();
   void BindVersion(const ActiveAttempt& aAttempt);
+  void ConfirmVersion(const ActiveAttempt& aAttempt);
+  void OnVersionConfirmed(bool aIsSame);
   void Dispatch();
   void Send(const fleet::Endpoint& aEndpoint);
+  void WriteRequest(const std::shared_ptr<ActiveAttempt>& aAttempt);
+  bool NeedsConfirmation(const ActiveAttempt& aAttempt) const;
+  void AwaitBytes(const ActiveAttempt& aAttempt);
+  void WriteWhenConfirmed(const std::shared_ptr<ActiveAttempt>& aAttempt);
   void OnEstablished(const std::shared_ptr<ActiveAttempt>& aAttempt);
   void OnIsolated(const std::shared_ptr<ActiveAttempt>& aAttempt);
   void OnConnectionEnd(const std::shared_ptr<ActiveAttempt>& aAttempt,
@@ -159,6 +172,10 @@
   fleet::ServiceId m_service;
   /// Version of the endpoint that began the stream; the others cannot continue it.
   std::optional<std::string> m_version;
+  /// Whether the endpoint that began the stream has this version, and whether the next attempt
+  /// waits until that is known.
+  VersionCertainty m_certainty = VersionCertainty::Confirmed;
+  bool m_dispatchWaits = false;
   /// Until then a resumed stream waits for its version and for an endpoint of it.
   base::TimePoint m_versionDeadline{};
   adapters::http::EventHandlePtr m_versionTimer;
--- a/packages/forwarding/NodeState.cpp
+++ b/packages/forwarding/NodeState.cpp
@@ -32,7 +32,17 @@
   , m_buffers(aBufferSettings)
   , m_directory(aExpiryGrace)
   , m_streamOrigins(aLoop)
-  , m_pool(aLoop, m_reach, std::move(aRelays))
+  , m_continuity(aLoop,
+                 m_directory,
+                 [this](base::Millis aMaxWait, auto aOnDone) {
+                   m_versionFinder.Confirm(aMaxWait, std::move(aOnDone));
+                 })
+  , m_pool(aLoop,
+           m_reach,
+           std::move(aRelays),
+           [this](const auto& aEndpoint, const auto& aConnection, auto aKind) {
+             m_continuity.OnEnded(aEndpoint, aConnection, aKind);
+           })
   , m_signals(m_availability, m_rejectionLimit, m_pool, std::move(aOnEndpointLeaving))
   , m_quota(aQuotaTolerance, base::RandomSeed())
   , m_usage(aWindowMs)
--- a/packages/forwarding/NodeState.h
+++ b/packages/forwarding/NodeState.h
@@ -16,6 +16,7 @@
 #include "forwarding/EndpointPool.h"
 #include "forwarding/EndpointSignals.h"
 #include "forwarding/Metrics.h"
+#include "forwarding/ProcessContinuity.h"
 #include "forwarding/ReachMonitor.h"
 #include "forwarding/RegistryView.h"
 #include "forwarding/RejectionLimit.h"
@@ -139,6 +140,7 @@
   VersionFinder m_versionFinder{ m_loop, m_streamOrigins, m_versionHistory };
   RegistryView m_registryView;
   EndpointReach m_reach{ EndpointReachSettings{} };
+  ProcessContinuity m_continuity;
   EndpointPool m_pool;
   CallDurations m_durations;
   EndpointSignals m_signals;
--- a/packages/forwarding/StreamOrigins.cpp
+++ b/packages/forwarding/StreamOrigins.cpp
@@ -48,10 +48,21 @@
   m_unsaved.insert(key);
   m_unsent.push_back({ key, m_versions.at(key) });
   SendLater();
+  m_expected.erase(key);
+  EndSearch(key, m_versions.at(key));
+}
+
+void StreamOrigins::Expect(const std::string& aCallId) {
+  m_expected.insert(fleet::StreamKeyOf(aCallId));
+}
+
+void StreamOrigins::Dismiss(const std::string& aCallId) {
+  m_expected.erase(fleet::StreamKeyOf(aCallId));
 }
 
 void StreamOrigins::OnComplete(const std::string& aCallId) {
   const fleet::StreamKey key = fleet::StreamKeyOf(aCallId);
+  m_expected.erase(key);
   m_incomplete.erase(key);
   m_unsaved.erase(key);
 }
@@ -79,7 +90,8 @@
       continue;
     }
     search->second.m_unknownAt.insert(aHost);
-    if (search->second.m_asked > 0 && search->second.m_unknownAt.size() >= search->second.m_asked) {
+    if (search->second.m_asked > 0 && search->second.m_unknownAt.size() >= search->second.m_asked &&
+        !IsExpected(key)) {
       EndSearch(key, std::nullopt);
     }
   }
@@ -163,7 +175,7 @@
   }
   const size_t asked = m_askAll(keys);
   for (const fleet::StreamKey key : keys) {
-    if (asked == 0) {
+    if (asked == 0 && !IsExpected(key)) {
       EndSearch(key, std::nullopt);
     } else if (const auto search = m_searches.find(key); search != m_searches.end()) {
       if (search->second.m_asked != asked) {
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -488,6 +488,10 @@
   gossip::OriginNotice MakeOriginReply(const gossip::OriginQuery& aQuery) const {
     gossip::OriginNotice reply;
     for (const fleet::StreamKey key : aQuery.m_streams) {
+      if (m_state.m_streamOrigins.IsExpected(key)) {
+        // The peer asks again.
+        continue;
+      }
       auto known = m_state.m_streamOrigins.Known({ key });
       if (known.empty()) {
         reply.m_unknown.push_back(key);
@@ -858,6 +862,7 @@
       m_log.Event("endpoint registration expired", { { "endpoint", endpoint.Text() } });
     }
     m_state.m_pool.CloseExpired(m_state.m_directory.All(), now);
+    m_state.m_continuity.RetainRegistered();
     m_state.m_placement.RetainEndpoints(m_state.m_directory.All());
     m_state.m_engines.RetainEndpoints(m_state.m_directory.All());
     m_state.m_failures.RetainEndpoints(m_state.m_directory.All());
--- a/tests/integration/StreamVersionsTest.cpp
+++ b/tests/integration/StreamVersionsTest.cpp
@@ -25,6 +25,8 @@
 
 /// Time within which the origin of a stream is saved.
 constexpr base::Millis kMaxSaveDelay{ 300 };
+/// Delay of a slow link between a node and the store.
+constexpr base::Millis kSlowRead{ 1500 };
 /// Time after which all nodes have read what runners have registered.
 constexpr base::Millis kReadTime{ 500 };
 
@@ -78,6 +80,16 @@
     return ids;
   }
 
+  /// Restarts the process of a runner under its identifier, as one of the version `aVersion`.
+  void RestartRunner(int aRunner, const std::string& aVersion) const {
+    m_fleet.PostControl("runner", { { "index", aRunner }, { "process", "stopped" } });
+    m_fleet.PostControl("runner",
+                        { { "index", aRunner },
+                          { "version", aVersion },
+                          { "process", "running" },
+                          { "state", "ready" } });
+  }
+
   std::vector<std::string> BeginAndBreakOff(size_t aNode) const {
     std::vector<std::string> ids;
     for (int i = 0; i < kStreams; ++i) {
@@ -142,6 +154,44 @@
     : OneVersionFixture(3) {}
 };
 
+/// Four runners of one version, until the test restarts two of them. The link of node 1 to the
+/// store can be slowed down.
+struct RestartedRunnersFixture : TwoVersionsFixture {
+  RestartedRunnersFixture()
+    : m_proxy(m_fleet.AddPlatformProxy(1)) {
+    for (const int runner : { 1, 3 }) {
+      m_fleet.PostControl("runner",
+                          { { "index", runner }, { "version", "v1" }, { "state", "ready" } });
+    }
+    BOOST_REQUIRE(PlatformFleet::WaitUntil([&] { return m_fleet.IsReady(1); }));
+    std::this_thread::sleep_for(kReadTime);
+  }
+
+  /// Lets node 1 open connections to both runners 1 and 3; the others take no calls.
+  void ConnectNode() const {
+    SetMode({ 0, 2 }, "shed");
+    std::vector<std::future<CallerAnswer>> answers;
+    answers.reserve(kStreams);
+    for (int i = 0; i < kStreams; ++i) {
+      answers.push_back(
+        std::async(std::launch::async, [this] { return m_fleet.Send(1, "POST", "/stream/a"); }));
+    }
+    for (auto& answer : answers) {
+      BOOST_TEST(answer.get().m_status == 200);
+    }
+  }
+
+  /// Restarts runners 1 and 3. Node 1 reads of it after kSlowRead at the earliest.
+  void RestartBeforeItIsRead(const std::string& aVersion) const {
+    m_fleet.SetProxyFaults(m_proxy, { { "delay_ms", kSlowRead.count() } });
+    for (const int runner : { 1, 3 }) {
+      RestartRunner(runner, aVersion);
+    }
+  }
+
+  const size_t m_proxy;
+};
+
 /// A fleet in which few nodes watch the store.
 struct LargeFleetFixture : TwoVersionsFixture {
   LargeFleetFixture()
@@ -319,6 +369,65 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(RestartedRunnersTest, RestartedRunnersFixture)
+
+// A runner that was restarted under its identifier was taken for the version that it had registered
+// before.
+BOOST_AUTO_TEST_CASE(ResumedStreamsAvoidARunnerWhoseNewRegistrationIsNotRead) {
+  const std::vector<std::string> ids = BeginAndBreakOff(0);
+  ConnectNode();
+  RestartBeforeItIsRead("v2");
+  std::vector<std::string> retries;
+  std::vector<std::future<CallerAnswer>> answers;
+  for (const std::string& id : ids) {
+    retries.push_back(base::RandomHex(8));
+    answers.push_back(std::async(std::launch::async,
+                                 [&, retry = retries.back(), id] { return Resume(1, id, retry); }));
+  }
+  for (size_t i = 0; i < ids.size(); ++i) {
+    answers[i].wait();
+    BOOST_TEST(VersionsOf({ ids[i], retries[i] }).size() == 1, ids[i]);
+  }
+}
+
+// Streams that began at such a runner were recorded as those of the version before.
+BOOST_AUTO_TEST_CASE(StreamsOfARunnerWhoseNewRegistrationIsNotReadAreNotRecorded) {
+  ConnectNode();
+  RestartBeforeItIsRead("v2");
+  const std::vector<std::string> ids = BeginAndBreakOff(1);
+  m_fleet.SetProxyFaults(m_proxy, { { "delay_ms", 0 } });
+  std::this_thread::sleep_for(kSlowRead * 2 + kReadTime);
+  SetMode({ 0, 2 }, "ok");
+  SetMode({ 1, 3 }, "shed");
+  ResumeAll(0, ids);
+}
+
+// The restarted runner has the same version, and its new registration is read.
+BOOST_AUTO_TEST_CASE(StreamsOfRestartedRunnersGoOn) {
+  const std::vector<std::string> ids = BeginAndBreakOff(0);
+  ConnectNode();
+  for (const int runner : { 1, 3 }) {
+    RestartRunner(runner, "v1");
+  }
+  BOOST_TEST(ResumeAll(1, ids) == kStreams);
+  BOOST_TEST(ResumeAll(0, BeginAndBreakOff(1)) == kStreams);
+}
+
+// The connections of a node to the runners ended, but the runners go on.
+BOOST_AUTO_TEST_CASE(StreamsGoOnAtRunnersThatEndedTheirConnections) {
+  const std::vector<std::string> ids = BeginAndBreakOff(0);
+  ConnectNode();
+  for (const int runner : { 1, 3 }) {
+    m_fleet.PostControl("runner", { { "index", runner }, { "process", "stopped" } });
+    m_fleet.PostControl("runner",
+                        { { "index", runner }, { "process", "running" }, { "mode", "ok" } });
+  }
+  BOOST_TEST(ResumeAll(1, ids) == kStreams);
+  BOOST_TEST(ResumeAll(0, BeginAndBreakOff(1)) == kStreams);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(StreamVersionsOfLargeFleetsTest, LargeFleetFixture)
 
 // The node that saves the streams did not do so unless it watched the store.
