StreamRecordWriter: a host that takes over keeps the record of the former one

Callers whose streams the former saving node had recorded in the same second were refused after the loss of all nodes, if another node had begun to save them.

Cause: the keys of all nodes had the same names, so the first write of the next node overwrote the key of that second.

The keys contain the incarnation of the node, so no other process writes them. Nodes that start list the prefix and read all of them as before.

--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -95,7 +95,10 @@
           }
         })
     , m_replicaBarrier(aLoop, aStore, m_replica, VersionRecordKey())
-    , m_streamRecordWriter(aStore, m_state.m_streamOrigins, StreamRecordPrefix())
+    , m_streamRecordWriter(aStore,
+                           m_state.m_streamOrigins,
+                           StreamRecordPrefix(),
+                           m_self.IncarnationKey())
     , m_peerTable(m_self)
     , m_gossip(
         aLoop,
--- a/packages/serving/StreamRecordWriter.h
+++ b/packages/serving/StreamRecordWriter.h
@@ -30,10 +30,14 @@
   static constexpr size_t kMaxStreamsPerKey = 4096;
 
   /// `aStore` and `aOrigins` must outlive the object. `aPrefix` begins the keys of the record.
-  StreamRecordWriter(Store& aStore, forwarding::StreamOrigins& aOrigins, std::string aPrefix)
+  /// `aOwner` distinguishes the keys of this node from all others.
+  StreamRecordWriter(Store& aStore,
+                     forwarding::StreamOrigins& aOrigins,
+                     std::string aPrefix,
+                     const std::string& aOwner)
     : m_store(aStore)
     , m_origins(aOrigins)
-    , m_prefix(std::move(aPrefix)) {}
+    , m_ownPrefix(std::move(aPrefix) + aOwner + "/") {}
 
   /// Writes the streams that are to be saved, the latest ones first, together with those that were
   /// saved under the same key. Does nothing if there are none, while a write is in progress, or too
@@ -57,7 +61,7 @@
     origins.insert(origins.end(), added.begin(), added.end());
     store::Transaction transaction;
     transaction.m_writes.push_back(
-      { m_prefix + std::to_string(key), EncodeStreamRecord(origins), 0 });
+      { m_ownPrefix + std::to_string(key), EncodeStreamRecord(origins), 0 });
     m_writing = true;
     m_nextWrite = aNow + kInterval;
     m_store.Commit(transaction,
@@ -81,7 +85,7 @@
 
   Store& m_store;
   forwarding::StreamOrigins& m_origins;
-  const std::string m_prefix;
+  const std::string m_ownPrefix;
   const base::Log m_log{ "serving" };
   /// The key of the last write, and the streams that were saved under it.
   int64_t m_key = -1;
--- a/packages/serving/tests/StreamRecordWriterTest.cpp
+++ b/packages/serving/tests/StreamRecordWriterTest.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <deque>
 #include <map>
 
@@ -36,6 +37,7 @@
     BOOST_TEST(aTransaction.m_writes[0].m_key.starts_with(kPrefix));
     m_keys.push_back(aTransaction.m_writes[0].m_key);
     m_writes.push_back(Versions(DecodeStreamRecord(aTransaction.m_writes[0].m_data)));
+    m_items[m_keys.back()] = m_writes.back();
     m_pending.push_back(std::move(aOnResult));
   }
   void Grant(Millis, const store::OnResult<store::Lease>&) {}
@@ -51,8 +53,16 @@
     onResult(aResult);
   }
 
+  /// Returns whether the stream of `aCallId` can be read.
+  bool HasStream(const std::string& aCallId) const {
+    return std::any_of(m_items.begin(), m_items.end(), [&](const auto& aItem) {
+      return aItem.second.contains(fleet::StreamKeyOf(aCallId));
+    });
+  }
+
   std::vector<std::string> m_keys;
   std::vector<StreamVersions> m_writes;
+  std::map<std::string, StreamVersions> m_items;
   std::deque<store::OnResult<store::Position>> m_pending;
 };
 
@@ -64,7 +74,7 @@
   adapters::http::EventLoop m_loop;
   forwarding::StreamOrigins m_origins{ m_loop };
   PendingStore m_store;
-  StreamRecordWriter<PendingStore> m_writer{ m_store, m_origins, kPrefix };
+  StreamRecordWriter<PendingStore> m_writer{ m_store, m_origins, kPrefix, "host-1" };
 };
 
 } // namespace
@@ -136,4 +146,18 @@
   BOOST_TEST(m_store.m_writes[1].contains(fleet::StreamKeyOf("call-1")));
 }
 
+// A host that took over overwrote the key of the former one, whose streams were lost.
+BOOST_AUTO_TEST_CASE(HostThatTakesOverKeepsTheStreamsOfTheFormerOne) {
+  forwarding::StreamOrigins origins(m_loop);
+  StreamRecordWriter<PendingStore> next(m_store, origins, kPrefix, "host-2");
+  m_origins.Record("call-1", "v1");
+  Save(kStart);
+  m_store.Answer(store::Position{ 0, 1 });
+  origins.Record("call-2", "v1");
+  next.Save(kRetention, kStart + Millis(100), kWallMs + 100);
+  m_store.Answer(store::Position{ 0, 2 });
+  BOOST_TEST(m_store.HasStream("call-1"));
+  BOOST_TEST(m_store.HasStream("call-2"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
