StreamRecordWriter: keys are numbered and removed by age

After a change of the timeouts of streams, streams of the last seconds were missing in the record, so that they were refused after the loss of all nodes, and keys of the former retention stayed in the store.

Cause: the key was the second modulo the retention. Another modulus overwrites recent keys, and never again those beyond it.

Keys are numbered within the incarnation of the node and are not used again. Every node notes when it last read a key, on its own clock; the node that saves removes those that have not been written for the retention, at most 32 every 3 s, whoever wrote them. It waits until it knows a configuration, since the retention follows from it. Transactions of the store can remove keys.

--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -341,6 +341,7 @@
         m_reporter.OnRecord(*aItem);
       }
     } else if (aKey.starts_with(StreamRecordPrefix())) {
+      m_streamRecordWriter.OnItem(aKey, aItem.has_value(), base::BootNow());
       if (aItem) {
         m_state.m_streamOrigins.MergeSaved(DecodeStreamRecord(aItem->m_data));
       }
@@ -465,8 +466,7 @@
       m_state.m_streamOrigins.SendIncomplete();
     }
     m_mixedVersions = std::move(mixed);
-    m_savesStreams =
-      !m_mixedVersions.empty() && !aWorkingSet.empty() && aWorkingSet.front() == m_settings.m_host;
+    m_keepsStreamRecord = !aWorkingSet.empty() && aWorkingSet.front() == m_settings.m_host;
     if (m_state.Catalog() != nullptr) {
       const base::Millis retention = m_state.StreamLifetime(aNow) + kVersionRetention;
       m_state.m_versionHistory.Prune(retention, aNow);
@@ -505,14 +505,17 @@
     return reply;
   }
 
-  /// Saves the origins of new streams if this node is the one that does so.
+  /// Saves the origins of new streams, and removes old ones, if this node is the one that does so.
   void SaveStreams() {
+    if (!m_keepsStreamRecord || m_state.Catalog() == nullptr) {
+      return;
+    }
     // Nodes that do not watch the store write to it all the same.
-    if (m_savesStreams) {
-      const auto now = base::BootNow();
-      m_streamRecordWriter.Save(
-        m_state.StreamLifetime(now) + kVersionRetention, now, base::WallMillis());
+    const auto now = base::BootNow();
+    if (!m_mixedVersions.empty()) {
+      m_streamRecordWriter.Save(now);
     }
+    m_streamRecordWriter.RemoveExpired(m_state.StreamLifetime(now) + kVersionRetention, now);
   }
 
   /// Writes the versions that served lately to the store. After a restart of all nodes it shows
@@ -1117,7 +1120,7 @@
   /// Services of which several versions served lately.
   std::set<fleet::ServiceId> m_mixedVersions;
   /// Whether this node saves the origins of streams for all nodes.
-  bool m_savesStreams = false;
+  bool m_keepsStreamRecord = false;
   std::mt19937_64 m_random{ base::RandomSeed() };
   /// Engine work, calls to engines, and late ones among them, of all nodes.
   duties::DemandMeter m_demand;
--- a/packages/store/StorePort.h
+++ b/packages/store/StorePort.h
@@ -71,7 +71,7 @@
   uint64_t m_era = 0;
 };
 
-/// A set of writes that is applied atomically if all expected revisions match.
+/// A set of writes and removals that is applied atomically if all expected revisions match.
 struct Transaction {
   /// Expected revision of each key; 0 means that the key must not exist. The store compares
   /// revisions alone, without the era.
@@ -82,6 +82,8 @@
     LeaseId m_lease = 0;
   };
   std::vector<Write> m_writes;
+  /// Keys that are removed; those without an item are ignored.
+  std::vector<std::string> m_removals;
 };
 
 /// Reason for which a store call failed.
