StreamRecordWriter: a write no longer repeats all streams of its second

Each write, ten times a second, sent all streams of its second again, up to 4,096, to the store and from there to the nodes that watch it.

Cause: a key held all streams of one second.

A key is closed once it holds 200 streams, or after a second. At few streams a node that starts lists one key a second as before; at many, a key holds two writes or one.

--- a/packages/serving/StreamRecordWriter.h
+++ b/packages/serving/StreamRecordWriter.h
@@ -6,7 +6,6 @@
 #include "serving/StreamRecord.h"
 #include "store/StorePort.h"
 
-#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -25,11 +24,12 @@
   static constexpr base::Millis kInterval{ 100 };
   /// Time after a failed write until the next one.
   static constexpr base::Millis kRetryInterval{ 500 };
-  /// Time whose streams share a key. Fewer keys shorten the listing of a node that starts.
+  /// Time and number of streams after which another key is begun. Fewer keys shorten the listing of
+  /// a node that starts; each write repeats the streams of its key.
   static constexpr base::Millis kTimePerKey{ 1000 };
-  /// Maximum number of streams per write that are new, and per key.
+  static constexpr size_t kStreamsPerKey = 200;
+  /// Maximum number of streams per write that are new.
   static constexpr size_t kMaxNewStreams = 512;
-  static constexpr size_t kMaxStreamsPerKey = 4096;
   /// Minimum time between two removals of keys, and maximum number of keys that each one removes.
   static constexpr base::Millis kRemovalInterval{ 3000 };
   static constexpr size_t kMaxRemovals = 32;
@@ -51,16 +51,15 @@
     if (m_writing || aNow < m_nextWrite) {
       return;
     }
-    if (aNow >= m_keyEnd) {
+    const auto added = m_origins.TakeUnsaved(kMaxNewStreams);
+    if (added.empty()) {
+      return;
+    }
+    if (m_saved.size() >= kStreamsPerKey || aNow >= m_keyEnd) {
       ++m_key;
       m_keyEnd = aNow + kTimePerKey;
       m_saved.clear();
     }
-    const auto added =
-      m_origins.TakeUnsaved(std::min(kMaxNewStreams, kMaxStreamsPerKey - m_saved.size()));
-    if (added.empty()) {
-      return;
-    }
     auto origins = m_saved;
     origins.insert(origins.end(), added.begin(), added.end());
     store::Transaction transaction;
--- a/packages/serving/tests/StreamRecordWriterTest.cpp
+++ b/packages/serving/tests/StreamRecordWriterTest.cpp
@@ -236,4 +236,26 @@
   BOOST_TEST(m_store.m_removals.size() == 2);
 }
 
+// Each write repeated all streams of its second.
+BOOST_AUTO_TEST_CASE(WritesRepeatFewStreams) {
+  constexpr int kWrites = 40;
+  constexpr int kStreamsPerWrite = 100;
+  size_t written = 0;
+  for (int write = 0; write < kWrites; ++write) {
+    for (int stream = 0; stream < kStreamsPerWrite; ++stream) {
+      m_origins.Record(std::to_string(write) + "-" + std::to_string(stream), "v1");
+    }
+    Save(kStart + Millis(100) * write);
+    m_store.AnswerAll();
+    written += m_store.m_writes.back().size();
+  }
+  BOOST_TEST(m_store.m_writes.size() == kWrites);
+  BOOST_TEST(written <= kWrites * kStreamsPerWrite * 2);
+  // The listing of a node that starts.
+  BOOST_TEST(m_store.m_items.size() <= kWrites / 2);
+  for (int write = 0; write < kWrites; ++write) {
+    BOOST_TEST(m_store.HasStream(std::to_string(write) + "-0"));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
