EndpointSignals: end a tolerance that an endpoint states no longer

Callers were refused with `overload` for up to 15 s after an endpoint had stopped stating `Server-Brittle`: the tolerance only lapsed.

Only an answer that the endpoint signed, to the call that was sent, counts: proxies do not sign, and answers to earlier calls may be older. The call must have been sent after the latest statement had arrived, so an answer that was made before the first statement and arrives late ends nothing. Relayed answers, whose calls the relay does not know, and answers with an invalid value end nothing. Endpoints of the service that have stated nothing themselves stay limited until the statement lapses, as before.

Evidence: AnswerSignalsTest/ToleranceOutlivesItsStatement fails without the call of EndTolerance in OnAnswer (run), and passes with it, as does RejectionLimitTest/EndedToleranceHoldsByThatOfTheService, which uses the new method. No integration test ends a statement.

--- a/packages/forwarding/EndpointRelay.cpp
+++ b/packages/forwarding/EndpointRelay.cpp
@@ -127,7 +127,7 @@
     const auto& known = m_node.m_directory.All();
     const auto found = known.find(aConnection.m_endpoint.m_endpoint);
     if (found != known.end() && found->second.m_incarnation == aConnection.m_endpoint) {
-      m_node.m_signals.OnAnswer(found->second, m_node.m_wire.m_decodeAnswer(*head), "relayed");
+      m_node.m_signals.OnAnswer(found->second, m_node.m_wire.m_decodeAnswer(*head), "relayed", {});
     }
   }
   return !aConnection.m_answer.IsDone();
--- a/packages/forwarding/EndpointSignals.cpp
+++ b/packages/forwarding/EndpointSignals.cpp
@@ -5,9 +5,25 @@
 
 namespace papayafield::forwarding {
 
+namespace {
+
+/// Returns whether `aInfo` is the answer of `aEndpoint` itself to the call `aCallId`, and states no
+/// tolerance. Proxies do not sign, and an answer to an earlier call may be older.
+bool StatesNoTolerance(const fleet::Endpoint& aEndpoint,
+                       const AnswerInfo& aInfo,
+                       const std::string& aCallId) {
+  const bool isOwn =
+    aInfo.m_instance.empty() || aInfo.m_instance == aEndpoint.m_incarnation.m_endpoint.Text();
+  return isOwn && aInfo.m_signed && aInfo.m_id == aCallId && !aInfo.m_rejectionTolerance &&
+         !aInfo.m_hasInvalidTolerance;
+}
+
+} // namespace
+
 void EndpointSignals::OnAnswer(const fleet::Endpoint& aEndpoint,
                                const AnswerInfo& aInfo,
-                               const std::string& aCallId) {
+                               const std::string& aCallId,
+                               base::TimePoint aSentAt) {
   const fleet::Incarnation& incarnation = aEndpoint.m_incarnation;
   const std::string& id = incarnation.m_endpoint.Text();
   if (aInfo.m_hasInvalidRetryAfter) {
@@ -17,6 +33,9 @@
     m_log.Event("invalid rejection tolerance ignored",
                 { { "endpoint", id }, { "request", aCallId } });
   }
+  if (StatesNoTolerance(aEndpoint, aInfo, aCallId)) {
+    EndTolerance(aEndpoint, aCallId, aSentAt);
+  }
   if (!aInfo.m_leaving && !aInfo.m_retryAfter && !aInfo.m_rejectionTolerance) {
     return;
   }
@@ -55,6 +74,17 @@
   }
 }
 
+void EndpointSignals::EndTolerance(const fleet::Endpoint& aEndpoint,
+                                   const std::string& aCallId,
+                                   base::TimePoint aSentAt) {
+  if (m_rejectionLimit.EndTolerance(aEndpoint, aSentAt, base::BootNow())) {
+    m_log.Event("endpoint states no tolerance of rejections any more",
+                { { "endpoint", aEndpoint.m_incarnation.m_endpoint.Text() },
+                  { "service", aEndpoint.m_service.Text() },
+                  { "request", aCallId } });
+  }
+}
+
 void EndpointSignals::OnRejected(const fleet::Endpoint& aEndpoint,
                                  double aOwnCalls,
                                  const std::string& aCallId) {
--- a/packages/forwarding/EndpointSignals.h
+++ b/packages/forwarding/EndpointSignals.h
@@ -28,10 +28,13 @@
     , m_onMarked(std::move(aOnMarked)) {}
 
   /// Applies the head of an answer that arrived on a connection to `aEndpoint`, whichever call it
-  /// answers. `aCallId`: the call that is being read for, for the log.
+  /// answers.
+  /// \param aCallId the call that is being read for.
+  /// \param aSentAt when that call was sent; the epoch if that is not known.
   void OnAnswer(const fleet::Endpoint& aEndpoint,
                 const AnswerInfo& aInfo,
-                const std::string& aCallId);
+                const std::string& aCallId,
+                base::TimePoint aSentAt);
   /// Takes into account that an endpoint rejected the call `aCallId` for want of room.
   /// `aOwnCalls`: open calls of this node there, including that one.
   void OnRejected(const fleet::Endpoint& aEndpoint, double aOwnCalls, const std::string& aCallId);
@@ -40,6 +43,9 @@
 
 private:
   void OnLeaving(const fleet::Incarnation& aEndpoint);
+  void EndTolerance(const fleet::Endpoint& aEndpoint,
+                    const std::string& aCallId,
+                    base::TimePoint aSentAt);
 
   fleet::EndpointAvailability& m_availability;
   RejectionLimit& m_rejectionLimit;
--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -676,7 +676,7 @@
   }
   aAttempt->m_answerInfo = m_node.m_wire.m_decodeAnswer(aHead);
   const AnswerInfo& info = aAttempt->m_answerInfo;
-  m_node.m_signals.OnAnswer(aAttempt->m_endpoint, info, m_call.m_id);
+  m_node.m_signals.OnAnswer(aAttempt->m_endpoint, info, m_call.m_id, aAttempt->m_sentAt);
   const AnswerOrigin origin =
     OriginOf(info.m_id, m_call.m_id, aAttempt->m_reused || aAttempt->m_sawMisdirected);
   aAttempt->m_isMisdirected = origin == AnswerOrigin::OtherCall;
--- a/packages/forwarding/RejectionLimit.cpp
+++ b/packages/forwarding/RejectionLimit.cpp
@@ -33,12 +33,29 @@
                                   base::TimePoint aNow) {
   const Tolerance tolerance{ std::max(aTolerance, 0), aNow + m_settings.m_lapse };
   m_services[aEndpoint.m_service] = tolerance;
-  const Tolerance previous =
-    std::exchange(m_records[aEndpoint.m_incarnation].m_tolerance, tolerance);
-  return previous.m_until <= aNow ||
+  Record& record = m_records[aEndpoint.m_incarnation];
+  const bool hadEnded = std::exchange(record.m_hasEnded, false);
+  const Tolerance previous = std::exchange(record.m_tolerance, tolerance);
+  return hadEnded || previous.m_until <= aNow ||
          previous.m_rejectionsPerSecond != tolerance.m_rejectionsPerSecond;
 }
 
+bool RejectionLimit::EndTolerance(const fleet::Endpoint& aEndpoint,
+                                  base::TimePoint aSentAt,
+                                  base::TimePoint aNow) {
+  const auto found = m_records.find(aEndpoint.m_incarnation);
+  if (found == m_records.end()) {
+    return false;
+  }
+  Record& record = found->second;
+  const base::TimePoint statedAt = record.m_tolerance.m_until - m_settings.m_lapse;
+  if (record.m_tolerance.m_until <= aNow || aSentAt <= statedAt) {
+    return false;
+  }
+  record.m_tolerance.m_until = aNow + m_settings.m_lapse;
+  return !std::exchange(record.m_hasEnded, true);
+}
+
 bool RejectionLimit::Holds(const fleet::ServiceId& aService, base::TimePoint aNow) const {
   const auto found = m_services.find(aService);
   return found != m_services.end() && found->second.m_until > aNow;
@@ -54,7 +71,7 @@
                                                       base::TimePoint aNow) const {
   const Record* record = FindRecord(aEndpoint);
   if (record != nullptr && record->m_tolerance.m_until > aNow) {
-    return &record->m_tolerance;
+    return record->m_hasEnded ? nullptr : &record->m_tolerance;
   }
   const auto service = m_services.find(aEndpoint.m_service);
   return service != m_services.end() && service->second.m_until > aNow ? &service->second : nullptr;
--- a/packages/forwarding/RejectionLimit.h
+++ b/packages/forwarding/RejectionLimit.h
@@ -46,7 +46,7 @@
 /// counted unless they are rejected; any other call counts when it is sent, and once more if it is
 /// rejected. A rejection also limits the open calls of this node, with multiplicative decrease and
 /// additive increase. A tolerance that one endpoint states holds for all endpoints of its service
-/// that have stated none. Not thread safe.
+/// that have stated none, and ends for one that states it no longer. Not thread safe.
 class RejectionLimit {
 public:
   /// `aSeed`: seed of the draws by which nodes take turns.
@@ -59,6 +59,13 @@
   /// Records that an endpoint tolerates `aTolerance` rejections per second; negative values count
   /// as 0. Returns whether this differs from what was known of the endpoint.
   bool SetTolerance(const fleet::Endpoint& aEndpoint, int aTolerance, base::TimePoint aNow);
+  /// Records that an endpoint stated no tolerance in its answer to a call of this node. Ends the
+  /// tolerance that it stated before, unless the call was sent (`aSentAt`) before the latest of
+  /// these statements arrived: the endpoint may have made that answer earlier. Returns whether it
+  /// ended one.
+  bool EndTolerance(const fleet::Endpoint& aEndpoint,
+                    base::TimePoint aSentAt,
+                    base::TimePoint aNow);
   /// Returns whether calls to endpoints of `aService` are limited.
   bool Holds(const fleet::ServiceId& aService, base::TimePoint aNow) const;
   /// Returns whether a call may be sent to `aEndpoint`. Always true where no tolerance is known.
@@ -84,6 +91,9 @@
   };
   struct Record {
     Tolerance m_tolerance;
+    /// Whether the endpoint has ended the tolerance, which then does not hold for it, nor does that
+    /// of its service.
+    bool m_hasEnded = false;
     std::deque<base::TimePoint> m_rejections;
     /// When calls were sent that could be rejected.
     std::deque<base::TimePoint> m_risks;
--- a/packages/forwarding/tests/AnswerSignalsTest.cpp
+++ b/packages/forwarding/tests/AnswerSignalsTest.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/EndpointSignals.h"
 
 #include <boost/test/unit_test.hpp>
+#include <functional>
 
 using namespace papayafield;
 using namespace papayafield::forwarding;
@@ -49,8 +50,8 @@
     info.m_leaving = row.m_leaving;
     info.m_retryAfter = row.m_retryAfter;
     info.m_instance = row.m_instance;
-    signals.OnAnswer(endpoint, info, "call");
-    signals.OnAnswer(endpoint, info, "call");
+    signals.OnAnswer(endpoint, info, "call", base::BootNow());
+    signals.OnAnswer(endpoint, info, "call", base::BootNow());
     BOOST_TEST_CONTEXT("row " << &row - kRows) {
       BOOST_TEST((availability.Check(kEndpoint, base::BootNow()) == row.m_result));
       BOOST_TEST(marks == (row.m_result == Unavailability::Leaving ? 1 : 0));
@@ -74,7 +75,7 @@
     info.m_rejectionTolerance = 0;
     info.m_instance = instance;
     BOOST_TEST(limit.Admits(endpoint, { 4, 4 }, base::BootNow()));
-    signals.OnAnswer(endpoint, info, "call");
+    signals.OnAnswer(endpoint, info, "call", base::BootNow());
     BOOST_TEST_CONTEXT(instance) {
       const bool applies = info.m_instance != "i-2";
       BOOST_TEST(limit.Admits(endpoint, { 4, 4 }, base::BootNow()) == !applies);
@@ -85,6 +86,47 @@
   }
 }
 
+// Calls to an endpoint stay limited for 15 s although it states no tolerance any more.
+BOOST_AUTO_TEST_CASE(ToleranceOutlivesItsStatement) {
+  struct Row {
+    const char* m_what;
+    bool m_ends;
+    std::function<void(AnswerInfo&)> m_change;
+  };
+  for (const Row& row : {
+         Row{ "the endpoint's answer", true, [](AnswerInfo&) {} },
+         { "no signature", false, [](AnswerInfo& aInfo) { aInfo.m_signed = false; } },
+         { "another call", false, [](AnswerInfo& aInfo) { aInfo.m_id = "earlier"; } },
+         { "another endpoint", false, [](AnswerInfo& aInfo) { aInfo.m_instance = "i-2"; } },
+         { "invalid", false, [](AnswerInfo& aInfo) { aInfo.m_hasInvalidTolerance = true; } },
+       }) {
+    adapters::http::EventLoop loop;
+    const EndpointReach reach{ EndpointReachSettings{} };
+    EndpointPool pool(loop, reach, [] { return std::vector<base::Address>(); });
+    fleet::EndpointAvailability availability{ fleet::AvailabilitySettings{} };
+    RejectionLimit limit{ RejectionLimitSettings{} };
+    EndpointSignals signals(availability, limit, pool, [] {});
+    fleet::Endpoint endpoint;
+    endpoint.m_incarnation = kEndpoint;
+    endpoint.m_slots = 4;
+    AnswerInfo info;
+    info.m_id = "call";
+    info.m_signed = true;
+    info.m_rejectionTolerance = 0;
+    const auto earlier = base::BootNow();
+    signals.OnAnswer(endpoint, info, "call", earlier);
+    info.m_rejectionTolerance.reset();
+    row.m_change(info);
+    BOOST_TEST_CONTEXT(row.m_what) {
+      // The endpoint may have sent this answer before it stated the tolerance.
+      signals.OnAnswer(endpoint, info, "call", earlier);
+      BOOST_TEST(!limit.Admits(endpoint, { 4, 4 }, base::BootNow()));
+      signals.OnAnswer(endpoint, info, "call", base::BootNow() + base::Millis(1));
+      BOOST_TEST(limit.Admits(endpoint, { 4, 4 }, base::BootNow()) == row.m_ends);
+    }
+  }
+}
+
 // A report is announced again only by nodes that did not know of it.
 BOOST_AUTO_TEST_CASE(KnownReportIsNotAnnouncedAgain) {
   adapters::http::EventLoop loop;
--- a/packages/forwarding/tests/RejectionLimitTest.cpp
+++ b/packages/forwarding/tests/RejectionLimitTest.cpp
@@ -179,6 +179,26 @@
   BOOST_TEST(!limit.Admits(endpoint, { 28, 28 }, afterPeakWindow));
 }
 
+// The tolerance of the service does not hold for an endpoint that states none any more.
+BOOST_AUTO_TEST_CASE(EndedToleranceHoldsByThatOfTheService) {
+  RejectionLimit limit = MakeLimit(1);
+  const fleet::Endpoint first = MakeEndpoint("i-1", 4);
+  const fleet::Endpoint second = MakeEndpoint("i-2", 4);
+  BOOST_TEST(!limit.EndTolerance(first, kStart, kStart));
+  limit.SetTolerance(first, 2, kStart);
+  limit.SetTolerance(second, 2, kStart);
+  const base::TimePoint later = kStart + Millis(100);
+  BOOST_TEST(!limit.EndTolerance(first, kStart, later));
+  BOOST_TEST(limit.EndTolerance(first, kStart + Millis(1), later));
+  BOOST_TEST(!limit.EndTolerance(first, later + Millis(1), later + Millis(2)));
+  BOOST_TEST(SendToFullEndpoint(limit, first, 100, later) == 100U);
+  BOOST_TEST(SendToFullEndpoint(limit, second, 100, later) == 1U);
+  limit.RemoveObsolete(later);
+  BOOST_TEST(SendToFullEndpoint(limit, first, 100, later) == 100U);
+  BOOST_TEST(limit.SetTolerance(first, 2, later + Millis(3)));
+  BOOST_TEST(SendToFullEndpoint(limit, first, 100, later + Millis(3)) == 1U);
+}
+
 namespace {
 
 /// Nodes that send more calls than one endpoint has room for, and learn of the calls of the others
