SplitUpdate: changes at one position are not split over datagrams

What callers saw: nothing yet; found by a review of the changes to views that count as confirmed.

Cause: a transaction writes several keys at one position of the store. If they took two datagrams, a node that had applied the first one stood at that position, ignored the second one, and took its view for complete. A resumed watch continues after that position too. The removal of old stream records, 32 keys in a transaction, is large enough for that.

Evidence: UpdateTest/ChangesAtOnePositionAreNotSplit failed before (several updates) and passes now. The sequence was not run with real nodes.

Why this works: changes that can't stay together are announced without changes, and the receiver fetches them from the sender's replica.

--- a/packages/gossip/Update.cpp
+++ b/packages/gossip/Update.cpp
@@ -38,6 +38,10 @@
     const size_t size =
       change.m_item.m_key.size() + change.m_item.m_data.size() + kChangeOverheadBytes;
     if (bytes + size > kMaxChangeBytesPerUpdate) {
+      if (!updates.empty() && change.m_item.m_position == after) {
+        // A transaction writes several keys at one position, at which a node has all of them.
+        return { { aFrom, aAfter.m_revision, aChanges.back().m_item.m_position, {} } };
+      }
       updates.push_back({ aFrom, after.m_revision, after, {} });
       bytes = 0;
     }
--- a/packages/gossip/Update.h
+++ b/packages/gossip/Update.h
@@ -37,8 +37,9 @@
 bool Confirms(const Update& aUpdate, const store::Position& aPosition);
 
 /// Splits `aChanges` in order into updates that fit one datagram each. Returns a single update
-/// without changes if there are none or too many. Precondition: `aChanges` are sorted by revision,
-/// belong to the era of `aAfter`, and are all changes after it. Thread safe.
+/// without changes if there are none or too many, or if those at one position do not fit in the
+/// rest of a datagram. Precondition: `aChanges` are sorted by revision, belong to the era of
+/// `aAfter`, and are all changes after it. Thread safe.
 std::vector<Update> SplitUpdate(const Contact& aFrom,
                                 const store::Position& aAfter,
                                 const std::vector<store::Change>& aChanges);
--- a/packages/gossip/tests/UpdateTest.cpp
+++ b/packages/gossip/tests/UpdateTest.cpp
@@ -65,6 +65,18 @@
   BOOST_TEST(!Confirms(empty, { 0, 11 }));
 }
 
+// Nodes lost the changes of a transaction that came with a second datagram.
+BOOST_AUTO_TEST_CASE(ChangesAtOnePositionAreNotSplit) {
+  auto changes = ChangesOf(11, 12, 300);
+  for (size_t i = 2; i < changes.size(); ++i) {
+    changes[i].m_item.m_position = { 0, 13 };
+  }
+  const auto updates = SplitUpdate(kSender, { 0, 10 }, changes);
+  BOOST_REQUIRE(updates.size() == 1U);
+  BOOST_TEST(updates[0].m_position.m_revision == 13U);
+  BOOST_TEST((ClassifyUpdate(updates[0], { 0, 10 }) == UpdateAction::Fetch));
+}
+
 BOOST_AUTO_TEST_CASE(TooManyChangesRequireFetch) {
   const auto updates = SplitUpdate(kSender, { 0, 10 }, ChangesOf(11, 400, 300));
   BOOST_REQUIRE(updates.size() == 1U);
