Report windows of usage until they are overdue, however short they are

What callers saw: with usage_window_s = 1 and usage_late_s = 10, the usage of a window was never reported if nobody could write it for three or four seconds after its end, though it was due six seconds later.

Cause: the reporter began with the fourth window before the present one (the third if there was no report yet), kept four windows in the record, and dropped the counts of older ones.

Fix: the number of windows is that in which a report may still be sent (the report deadline divided by the window, and two), and at least four as before. With windows of 5 s and a deadline of 10 s it is still four. Reports are still sent only as they were read back from the store, so that a window has one set of counts.

--- a/packages/duties/UsageReporter.h
+++ b/packages/duties/UsageReporter.h
@@ -61,6 +61,8 @@
     , m_replica(aReplica)
     , m_ledger(aLedger)
     , m_settings(std::move(aSettings))
+    , m_maxStoredWindows(
+        std::max(kMinStoredWindows, m_ledger.WindowOf(m_settings.m_reportDeadline.count()) + 2))
     , m_areCountsKnown(std::move(aAreCountsKnown))
     , m_onFenced(std::move(aOnFenced))
     , m_clock(aClock)
@@ -117,7 +119,7 @@
       m_acceptedWindows.clear();
     }
     const int64_t now = m_wallMillis();
-    m_ledger.RemoveWindowsBefore(m_ledger.WindowOf(now) - kMaxStoredWindows);
+    m_ledger.RemoveWindowsBefore(m_ledger.WindowOf(now) - m_maxStoredWindows);
     const Reports stored = ReadStoredReports(now);
     if (SendNextReport(stored, now, aLeadership)) {
       return;
@@ -129,8 +131,8 @@
 
 private:
   using Reports = UsageReports;
-  /// Number of windows in the stored record; older windows can no longer be reported.
-  static constexpr int64_t kMaxStoredWindows = 4;
+  /// Minimum of m_maxStoredWindows.
+  static constexpr int64_t kMinStoredWindows = 4;
   /// Number of windows by which the clock of the node that wrote the record may be ahead of this
   /// node's. A report that was dropped as wrong would be written again with other counts.
   static constexpr int64_t kMaxClockLeadWindows = 12;
@@ -147,7 +149,7 @@
 
   /// Returns the oldest window that any node may still report at the wall time `aNow`.
   int64_t OldestWindow(int64_t aNow) const {
-    return m_ledger.WindowOf(aNow) - kMaxStoredWindows - kMaxClockLeadWindows;
+    return m_ledger.WindowOf(aNow) - m_maxStoredWindows - kMaxClockLeadWindows;
   }
 
   std::optional<Reports> ParseRecord(const store::Item& aItem, int64_t aNow) const {
@@ -171,7 +173,7 @@
     for (const auto& [window, known] : m_known) {
       reports.try_emplace(window, known.m_counts);
     }
-    while (static_cast<int64_t>(reports.size()) > kMaxStoredWindows) {
+    while (static_cast<int64_t>(reports.size()) > m_maxStoredWindows) {
       reports.erase(reports.begin());
     }
     return reports;
@@ -243,8 +245,8 @@
   /// none.
   bool WriteNextReport(Reports aReports, int64_t aNow) {
     const int64_t current = m_ledger.WindowOf(aNow);
-    const int64_t last = aReports.empty() ? current - kMaxStoredWindows : aReports.rbegin()->first;
-    for (int64_t window = std::max(last + 1, current - kMaxStoredWindows); window < current;
+    const int64_t last = aReports.empty() ? current - m_maxStoredWindows : aReports.rbegin()->first;
+    for (int64_t window = std::max(last + 1, current - m_maxStoredWindows); window < current;
          ++window) {
       if (!IsWindowComplete(window, aNow)) {
         return false;
@@ -261,7 +263,7 @@
         continue;
       }
       aReports[window] = counts;
-      while (static_cast<int64_t>(aReports.size()) > kMaxStoredWindows) {
+      while (static_cast<int64_t>(aReports.size()) > m_maxStoredWindows) {
         aReports.erase(aReports.begin());
       }
       Commit(aReports, window, "new");
@@ -306,6 +308,9 @@
   const sync::StoreReplica& m_replica;
   UsageLedger& m_ledger;
   UsageReporterSettings m_settings;
+  /// Maximum number of windows in the stored record; older windows can no longer be reported. No
+  /// window is dropped before its report is overdue, however short the windows are.
+  const int64_t m_maxStoredWindows;
   CountsKnownPredicate m_areCountsKnown;
   std::function<void(FencingToken)> m_onFenced;
   const Clock m_clock;
--- a/packages/duties/tests/DutiesTest.cpp
+++ b/packages/duties/tests/DutiesTest.cpp
@@ -131,7 +131,8 @@
   Node(FakeStore& aStore,
        FakePlatform& aPlatform,
        const std::string& aIncarnation,
-       std::function<int64_t()> aWallMillis = &base::WallMillis)
+       std::function<int64_t()> aWallMillis = &base::WallMillis,
+       base::Millis aReportDeadline = base::Millis(60000))
     : m_election(aStore,
                  m_replica,
                  { "duties", aIncarnation, base::Millis(60000), base::Millis(100) },
@@ -142,7 +143,7 @@
         aPlatform,
         m_replica,
         m_ledger,
-        { "usage", base::Millis(0), base::Millis(0), base::Millis(60000) },
+        { "usage", base::Millis(0), base::Millis(0), aReportDeadline },
         [](int64_t) { return true; },
         [this](FencingToken aFencingToken) { m_election.OnTokenRejected(aFencingToken); },
         NodeClock{ &m_clock },
@@ -514,7 +515,7 @@
 BOOST_AUTO_TEST_CASE(NodesThatDoNotLeadRemoveOldCounts) {
   FakeStore store;
   FakePlatform platform;
-  Node node(store, platform, "one");
+  Node node(store, platform, "one", &base::WallMillis, UsageReporterSettings().m_reportDeadline);
   const int64_t current = node.m_ledger.WindowOf(base::WallMillis());
   for (const int64_t age : { 1000, 100, 20, 1, 0 }) {
     node.m_ledger.CountLocalRequest(kTeam, (current - age) * kWindowMs);
@@ -571,4 +572,105 @@
   BOOST_TEST((platform.m_reports[1] == platform.m_reports[0]));
 }
 
+// The write of a report was interrupted by a restore, and the next leader came more than four
+// windows later. It began with the fourth window before its own.
+BOOST_AUTO_TEST_CASE(WindowOfAnInterruptedWriteIsReportedByALateLeader) {
+  FakeStore store;
+  FakePlatform platform;
+  constexpr int64_t kFirst = 1000000;
+  constexpr int64_t kWindowsWithoutLeader = 6;
+  int64_t now = (kFirst + 1) * kWindowMs;
+  const auto wallMillis = [&now] { return now; };
+  Node one(store, platform, "one", wallMillis);
+  Node two(store, platform, "two", wallMillis);
+  const auto countCalls = [&](int64_t aWindow) {
+    // The number of calls tells the windows apart.
+    for (int64_t i = kFirst; i <= aWindow; ++i) {
+      one.m_ledger.CountLocalRequest(kTeam, aWindow * kWindowMs + 1);
+    }
+    two.m_ledger.MergePeerCounts("one", one.m_ledger.LocalCounts());
+  };
+  const auto tick = [&](Node& aNode, FencingToken aToken) {
+    store.UpdateReplica(one.m_replica);
+    store.UpdateReplica(two.m_replica);
+    aNode.m_clock.Advance(kSpreadTime);
+    aNode.m_reporter.RemoveOldCounts();
+    aNode.m_reporter.Tick(Leadership{ aToken, base::TimePoint::max() });
+  };
+  store.UpdateReplica(one.m_replica);
+  store.UpdateReplica(two.m_replica);
+  one.m_reporter.OnLoaded(kFirst * kWindowMs - 1);
+  two.m_reporter.OnLoaded(kFirst * kWindowMs - 1);
+  countCalls(kFirst);
+  for (int i = 0; i < 4; ++i) {
+    tick(one, 1);
+  }
+  BOOST_REQUIRE(platform.m_reports.size() == 1U);
+  const auto copy = store.m_items;
+  const uint64_t revision = store.m_revision;
+  countCalls(kFirst + 1);
+  now += kWindowMs;
+  store.m_loseNextResponse = true;
+  one.m_reporter.Tick(Leadership{ 1, base::TimePoint::max() });
+  BOOST_TEST(!store.m_loseNextResponse);
+  store.Restore(copy, revision);
+  for (int64_t window = kFirst + 2; window < kFirst + 1 + kWindowsWithoutLeader; ++window) {
+    countCalls(window);
+    now += kWindowMs;
+  }
+  for (int i = 0; i < 4 * kWindowsWithoutLeader; ++i) {
+    tick(two, 2);
+  }
+  std::map<int64_t, std::set<uint64_t>> reports;
+  for (const auto& [window, teams] : platform.m_reports) {
+    reports[window].insert(teams.at(kTeam));
+  }
+  for (int64_t window = kFirst; window < kFirst + 1 + kWindowsWithoutLeader; ++window) {
+    const std::set<uint64_t> expected{ static_cast<uint64_t>(window - kFirst + 1) };
+    BOOST_TEST(reports[window] == expected, "window " << window - kFirst);
+  }
+}
+
+// With windows of 1 s, the counts of a window were dropped before the wait for a silent node ended.
+BOOST_AUTO_TEST_CASE(ShortWindowIsReportedThoughANodeIsSilent) {
+  FakeStore store;
+  FakePlatform platform;
+  base::ManualClock clock;
+  constexpr int64_t kShortWindowMs = 1000;
+  constexpr int64_t kWindow = 5000000;
+  int64_t now = kWindow * kShortWindowMs;
+  sync::StoreReplica replica([](auto&&...) {});
+  UsageLedger ledger(kShortWindowMs);
+  UsageReporterSettings settings;
+  settings.m_key = "usage";
+  UsageReporter<FakeStore, FakePlatform, NodeClock> reporter(
+    store,
+    platform,
+    replica,
+    ledger,
+    settings,
+    [](int64_t) { return false; },
+    [](FencingToken) {},
+    NodeClock{ &clock },
+    [&now] { return now; });
+  ledger.CountLocalRequest(kTeam, now);
+  reporter.OnLoaded(now);
+  const int64_t end = now + kShortWindowMs;
+  for (; now < end + settings.m_reportDeadline.count(); now += 100) {
+    store.UpdateReplica(replica);
+    if (const store::Item* item = replica.Find("usage"); item != nullptr) {
+      reporter.OnRecord(*item);
+    }
+    reporter.RemoveOldCounts();
+    reporter.Tick(Leadership{ 1, base::TimePoint::max() });
+    clock.Advance(base::Millis(100));
+    if (now < end + settings.m_maxCountWait.count()) {
+      BOOST_TEST(!store.m_items.contains("usage"));
+    }
+  }
+  BOOST_REQUIRE(platform.m_reports.size() == 1U);
+  BOOST_TEST(platform.m_reports[0].first == kWindow);
+  BOOST_TEST(platform.m_reports[0].second.at(kTeam) == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/integration/RestoredStoreTest.cpp
+++ b/tests/integration/RestoredStoreTest.cpp
@@ -306,6 +306,25 @@
   restored.CheckLeaderCalls();
 }
 
+// The next leader comes more than four usage windows after the last report.
+BOOST_AUTO_TEST_CASE(UsageIsReportedOnceAcrossALongRestore) {
+  RestoredFleet restored(3, 2);
+  restored.AwaitOneLeader();
+  restored.Mark();
+  for (int i = 0; i < 10; ++i) {
+    restored.SendCalls();
+    Sleep(base::Millis(300));
+  }
+  constexpr base::Millis kLongDowntime{ 2000 };
+  restored.Restore(kRewriteDelay, kLongDowntime);
+  restored.AwaitUsageReport();
+  restored.AwaitOneLeader();
+  BOOST_TEST(
+    PlatformFleet::WaitUntil([&] { return restored.ReportedCalls() == restored.ExecutedCalls(); }),
+    "reported: " << restored.ReportedCalls() << ", executed: " << restored.ExecutedCalls());
+  restored.CheckLeaderCalls();
+}
+
 // The copy lists a leader that has been killed since; the leader that followed it is lost.
 BOOST_AUTO_TEST_CASE(LeadershipIsTakenAgainIfTheCopyListsAnEarlierLeader) {
   RestoredFleet restored(3, 2);
