Forwarding: streams that lost their endpoint wait 2.5 s for its version

Callers of a stream saw nothing for up to 10 s: the endpoint that had begun it was lost before the node could confirm its version, e.g. while the store could not be read, and the next attempt waited for the end of the confirmation.

Cause: the time for which the version is to be confirmed, so that it can be recorded, also limited the wait of the call.

The wait has a limit of its own now. The confirmation goes on after that, so that the version is still recorded for a caller that resumes the stream; a shorter confirmation would have refused it while several versions serve.

--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -64,6 +64,8 @@
 
 /// Longest time for which the version that began a stream is to be confirmed.
 constexpr base::Millis kMaxVersionConfirmation{ 10000 };
+/// Longest time for which a stream without an endpoint waits for that.
+constexpr base::Millis kMaxConfirmationWait{ 2500 };
 
 /// Appended to a route's name where the gaps between the events of its streams are counted.
 constexpr const char* kGapSuffix = "/gap";
@@ -365,14 +367,27 @@
 
 void Exchange::OnVersionConfirmed(bool aIsSame) {
   m_certainty = aIsSame ? VersionCertainty::Confirmed : VersionCertainty::Unknown;
+  m_confirmationTimer.reset();
   if (std::exchange(m_dispatchWaits, false) && !m_finished) {
     Dispatch();
   }
 }
 
+/// Starts the next attempt once the version of the stream is confirmed, or breaks the stream off.
+/// The version is recorded for its caller even if it is confirmed after that.
+void Exchange::AwaitConfirmation() {
+  m_dispatchWaits = true;
+  m_confirmationTimer = m_node.m_loop.After(kMaxConfirmationWait, [weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self && std::exchange(self->m_dispatchWaits, false) && !self->m_finished) {
+      self->Reject(503, kVersionUnknownReason, 0);
+    }
+  });
+}
+
 void Exchange::Dispatch() {
   if (m_certainty == VersionCertainty::Pending) {
-    m_dispatchWaits = true;
+    AwaitConfirmation();
     return;
   }
   if (m_certainty == VersionCertainty::Unknown) {
@@ -1486,6 +1501,7 @@
   m_deadlineTimer.reset();
   m_overlapTimer.reset();
   m_versionTimer.reset();
+  m_confirmationTimer.reset();
   if (m_silentAttempt != nullptr) {
     Release(m_silentAttempt, false);
     m_silentAttempt.reset();
--- a/packages/forwarding/Exchange.h
+++ b/packages/forwarding/Exchange.h
@@ -78,6 +78,7 @@
   void BindVersion(const ActiveAttempt& aAttempt);
   void ConfirmVersion(const ActiveAttempt& aAttempt);
   void OnVersionConfirmed(bool aIsSame);
+  void AwaitConfirmation();
   void Dispatch();
   void Send(const fleet::Endpoint& aEndpoint);
   void WriteRequest(const std::shared_ptr<ActiveAttempt>& aAttempt);
@@ -177,6 +178,8 @@
   /// waits until that is known.
   VersionCertainty m_certainty = VersionCertainty::Confirmed;
   bool m_dispatchWaits = false;
+  /// Limits that wait.
+  adapters::http::EventHandlePtr m_confirmationTimer;
   /// Until then a resumed stream waits for its version and for an endpoint of it.
   base::TimePoint m_versionDeadline{};
   adapters::http::EventHandlePtr m_versionTimer;
--- a/packages/forwarding/tests/ExchangeTest.cpp
+++ b/packages/forwarding/tests/ExchangeTest.cpp
@@ -12,7 +12,8 @@
 #include <set>
 
 /// \file
-/// Tests which lost connections count as crashes of endpoints.
+/// Tests which lost connections count as crashes of endpoints, and which as signs that another
+/// process has taken the place of an endpoint.
 
 using namespace papayafield;
 using namespace papayafield::forwarding;
@@ -44,19 +45,35 @@
   wire.m_encodeAttempt = [](const AttemptInfo& /*aInfo*/) {
     return RequestHead{ "POST", "/plain/a", {} };
   };
-  wire.m_decodeAnswer = [](const ResponseHead& /*aHead*/) {
+  wire.m_decodeAnswer = [](const ResponseHead& aHead) {
     AnswerInfo info;
     info.m_id = "call-1";
     info.m_signed = true;
+    info.m_eventStream = aHead.m_fields.Find("Content-Type") == "text/event-stream";
     return info;
   };
   return wire;
 }
 
+/// Returns a catalog whose plain route has streams that may be resumed.
+fleet::CatalogPtr MakeStreamCatalog() {
+  fleet::Catalog::Contents contents;
+  contents.m_version = 1;
+  contents.m_services = tests::MakeCatalog()->Services();
+  fleet::Route route = tests::MakeRoute("plain", tests::kPlain, 1, Millis(100));
+  route.m_kind = fleet::CallKind::Stream;
+  route.m_resumable = true;
+  route.m_timeout = Millis(30000);
+  route.m_maxAttempts = 2;
+  contents.m_routes = { route };
+  return std::make_shared<const fleet::Catalog>(std::move(contents));
+}
+
 /// A node that sends a call to an endpoint, and another node that relays connections.
 struct ExchangeFixture {
-  ExchangeFixture()
-    : m_listener(m_loop, m_endpointAddress, 65536, [this](auto aConnection) {
+  explicit ExchangeFixture(fleet::CatalogPtr aCatalog = tests::MakeCatalog())
+    : m_catalog(std::move(aCatalog))
+    , m_listener(m_loop, m_endpointAddress, 65536, [this](auto aConnection) {
       Serve(aConnection);
     }) {
     BOOST_REQUIRE(m_listener.Listening());
@@ -121,6 +138,12 @@
       m_status = aHead.m_status;
       m_loop.Stop();
     };
+    sink.m_onStreamHead = [](const ResponseHead& /*aHead*/) {};
+    sink.m_onEvents = [](std::string_view /*aEvents*/) {};
+    sink.m_onStreamBroken = [this] {
+      m_isBroken = true;
+      m_loop.Stop();
+    };
     const auto exchange = std::make_shared<Exchange>(m_node,
                                                      m_catalog,
                                                      *m_catalog->FindRoute("h.example", "/plain/a"),
@@ -136,6 +159,13 @@
     return m_node.m_crashGuard.MakeReport(base::BootNow()).m_crashes.size();
   }
 
+  void RunFor(Millis aTime) {
+    const auto timer = m_loop.After(aTime, [this] { m_loop.Stop(); });
+    m_loop.Run();
+  }
+
+  static inline const fleet::Incarnation kEndpoint{ base::EndpointId("i-1"), 1 };
+
   adapters::http::EventLoop m_loop;
   std::vector<base::Address> m_relays;
   NodeState m_node{ m_loop, MakeWireFormat(),           {}, {}, {}, Millis(0), 1000, {}, true,
@@ -152,7 +182,7 @@
                          true,
                          [] {},
                          [] { return std::vector<base::Address>(); } };
-  const fleet::CatalogPtr m_catalog = tests::MakeCatalog();
+  const fleet::CatalogPtr m_catalog;
   const base::Address m_endpointAddress = FreeAddress();
   std::unique_ptr<EndpointRelay> m_relay;
   std::function<void(ServerConnection&)> m_onRequest = [](ServerConnection& aConnection) {
@@ -162,6 +192,7 @@
   adapters::http1::Listener m_listener;
   int m_received = 0;
   int m_status = 0;
+  bool m_isBroken = false;
 };
 
 } // namespace
@@ -254,4 +285,32 @@
   BOOST_TEST(fixture.m_received == 1);
 }
 
+// A stream whose endpoint was lost before its version was confirmed waited up to 10 s without a
+// sign to its caller.
+BOOST_AUTO_TEST_CASE(StreamOfUnconfirmedVersionIsBrokenOffSoonAfterItsEndpoint) {
+  ExchangeFixture fixture(MakeStreamCatalog());
+  const auto refused = fixture.m_node.m_pool.ConnectDirectly(
+    fixture.m_node.m_directory.All().at(ExchangeFixture::kEndpoint.m_endpoint));
+  fixture.m_node.m_continuity.OnEnded(
+    ExchangeFixture::kEndpoint, refused, adapters::http1::EndKind::NotConnected);
+  refused->Close();
+  fixture.m_onRequest = [](ServerConnection& aConnection) {
+    aConnection.Write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+                      "id: 1\ndata: x\n\nid: 2\n");
+    aConnection.CloseWhenFlushed();
+  };
+  const auto start = base::BootNow();
+  fixture.CrashesOfCall();
+  BOOST_TEST(fixture.m_received == 1);
+  BOOST_TEST(fixture.m_isBroken);
+  BOOST_TEST((base::BootNow() - start < Millis(3000)));
+  // The version is recorded for the caller once it is confirmed.
+  const fleet::StreamKey key = fleet::StreamKeyOf("call-1");
+  BOOST_TEST(fixture.m_node.m_streamOrigins.Known({ key }).empty());
+  fixture.m_node.m_versionFinder.SetConfirmView(
+    [](Millis /*aMaxWait*/, const std::function<void(bool)>& aOnDone) { aOnDone(true); });
+  fixture.RunFor(Millis(500));
+  BOOST_TEST(fixture.m_node.m_streamOrigins.Known({ key }).size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
