Forwarding: connections that hang at a node in doubt are no sign of restarts

Streams at nodes that are cut off waited 0.3 s and a read of the store each, and new ones could not be continued elsewhere meanwhile: their endpoints counted as replaced by another process.

Cause: a connection that could not be established in time was a sign that the endpoint's process had ended, also while connections to several endpoints failed. All connections of a node that is cut off hang.

Such a connection is no sign while the node may be isolated. Refused connections remain one at all times: several endpoints that restart at once look like a cut too, and then the refusal may be the only sign that a stream would be continued at another version (ORDER). The established connections that a cut ends remain signs as well.

ConnectTimeoutOfANodeThatMayBeIsolatedIsNoSignOfAnotherProcess fails without the change and passes with it; a hanging connection at a node that is not in doubt still counts.

--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -605,8 +605,12 @@
         if (attempt->m_relay.empty()) {
           self->m_node.m_reachMonitor.OnConnectFailed(attempt->m_endpoint.m_incarnation.m_endpoint,
                                                       true);
-          self->m_node.m_continuity.OnEnded(
-            attempt->m_endpoint.m_incarnation, attempt->m_connection, EndKind::Reset);
+          // Connections of a node that is cut off hang whether or not the endpoint has been
+          // replaced.
+          if (!self->m_node.m_reach.MayBeIsolated()) {
+            self->m_node.m_continuity.OnEnded(
+              attempt->m_endpoint.m_incarnation, attempt->m_connection, EndKind::Reset);
+          }
         } else {
           self->m_node.m_pool.AvoidRelay(attempt->m_relay, base::BootNow());
         }
--- a/packages/forwarding/tests/ExchangeTest.cpp
+++ b/packages/forwarding/tests/ExchangeTest.cpp
@@ -69,6 +69,44 @@
   return std::make_shared<const fleet::Catalog>(std::move(contents));
 }
 
+/// An address at which new connections hang, because the queue of a listener is full.
+class HangingAddress {
+public:
+  HangingAddress() {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(m_address.m_port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const auto* const raw = reinterpret_cast<const sockaddr*>(&address);
+    for (size_t i = 0; i <= kQueued; ++i) {
+      m_sockets.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+      if (i == 0) {
+        BOOST_REQUIRE(bind(m_sockets[0], raw, sizeof(address)) == 0);
+        BOOST_REQUIRE(listen(m_sockets[0], 0) == 0);
+      } else {
+        connect(m_sockets[i], raw, sizeof(address));
+      }
+    }
+  }
+  ~HangingAddress() {
+    for (const int fd : m_sockets) {
+      close(fd);
+    }
+  }
+  HangingAddress(const HangingAddress&) = delete;
+  HangingAddress& operator=(const HangingAddress&) = delete;
+  HangingAddress(HangingAddress&&) = delete;
+  HangingAddress& operator=(HangingAddress&&) = delete;
+
+  const base::Address& Address() const { return m_address; }
+
+private:
+  static constexpr size_t kQueued = 4;
+
+  const base::Address m_address = FreeAddress();
+  std::vector<int> m_sockets;
+};
+
 /// A node that sends a call to an endpoint, and another node that relays connections.
 struct ExchangeFixture {
   explicit ExchangeFixture(fleet::CatalogPtr aCatalog = tests::MakeCatalog())
@@ -313,4 +351,24 @@
   BOOST_TEST(fixture.m_node.m_streamOrigins.Known({ key }).size() == 1U);
 }
 
+// Endpoints that a node did not reach because it was cut off counted as replaced.
+BOOST_AUTO_TEST_CASE(ConnectTimeoutOfANodeThatMayBeIsolatedIsNoSignOfAnotherProcess) {
+  for (const bool mayBeIsolated : { false, true }) {
+    const HangingAddress hanging;
+    ExchangeFixture fixture;
+    ExchangeFixture::PutEndpoint(fixture.m_node, "i-1", tests::kPlain, hanging.Address());
+    if (mayBeIsolated) {
+      const auto now = base::BootNow();
+      fixture.m_node.m_reach.SetEndpointCount(2);
+      fixture.m_node.m_reach.RecordConnectFailed(base::EndpointId("i-1"), now, true);
+      fixture.m_node.m_reach.RecordConnectFailed(base::EndpointId("i-2"), now, true);
+      fixture.m_node.m_reach.Update(now);
+    }
+    BOOST_REQUIRE(fixture.m_node.m_reach.MayBeIsolated() == mayBeIsolated);
+    fixture.CrashesOfCall();
+    BOOST_TEST(fixture.m_status == 503);
+    BOOST_TEST(fixture.m_node.m_continuity.HasEnded(ExchangeFixture::kEndpoint) == !mayBeIsolated);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
