Forwarding: ends of relayed connections are signs of restarted endpoints

And once there was a sign from a direct connection, each resumed stream through a relay waited 0.3 s and a read of the store, for as long as the node was cut off.

Cause: ProcessContinuity learned nothing from connections through other nodes, neither their ends nor that they had reached a process after a sign, so that the process counted as reached in the present each time.

The relay states how the endpoint has ended a connection; these ends are recorded now, and so is that a relayed connection is established, so that the time from which the view has to be confirmed is set once. The end of the relay itself (RelayLost, RelayFailed) is still no sign. A sign is that no connection is left on the same path: direct connections of a node that is cut off seem open until they time out, and would hide the end.

ExchangeTest/EndBehindARelayIsASignOfAnotherProcess fails without the change (no sign, no time) and passes with it. Two cases of ProcessContinuityTest cover the two paths side by side.

--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -82,6 +82,10 @@
 
 /// One attempt in progress.
 struct Exchange::ActiveAttempt {
+  ConnectionPath Path() const {
+    return m_relay.empty() ? ConnectionPath::Direct : ConnectionPath::Relayed;
+  }
+
   fleet::Endpoint m_endpoint;
   std::shared_ptr<ClientConnection> m_connection;
   bool m_reused = false;
@@ -625,9 +629,7 @@
 
 void Exchange::OnEstablished(const std::shared_ptr<ActiveAttempt>& aAttempt) {
   const fleet::Incarnation& incarnation = aAttempt->m_endpoint.m_incarnation;
-  if (aAttempt->m_relay.empty()) {
-    m_node.m_continuity.OnEstablished(incarnation, aAttempt->m_connection);
-  }
+  m_node.m_continuity.OnEstablished(incarnation, aAttempt->m_connection, aAttempt->Path());
   aAttempt->m_processSince = m_node.m_continuity.ProcessSince(incarnation, aAttempt->m_connection);
   if (aAttempt->m_isWritten) {
     AwaitBytes(*aAttempt);
@@ -666,8 +668,9 @@
   const bool isUnused = !aAttempt->m_reused && !aAttempt->m_hasBytes;
   const bool hasFailed =
     aKind == EndKind::NotConnected || aKind == EndKind::Finished || aKind == EndKind::Reset;
-  if (aAttempt->m_relay.empty() && hasFailed && !aAttempt->m_ended) {
-    m_node.m_continuity.OnEnded(aAttempt->m_endpoint.m_incarnation, aAttempt->m_connection, aKind);
+  if (hasFailed && !aAttempt->m_ended) {
+    m_node.m_continuity.OnEnded(
+      aAttempt->m_endpoint.m_incarnation, aAttempt->m_connection, aKind, aAttempt->Path());
   }
   if (aAttempt->m_relay.empty() && isUnused && hasFailed) {
     m_node.m_reachMonitor.OnConnectFailed(aAttempt->m_endpoint.m_incarnation.m_endpoint);
--- a/packages/forwarding/ProcessContinuity.cpp
+++ b/packages/forwarding/ProcessContinuity.cpp
@@ -9,7 +9,8 @@
 using adapters::http1::EndKind;
 
 void ProcessContinuity::OnEstablished(const fleet::Incarnation& aEndpoint,
-                                      const Connection& aConnection) {
+                                      const Connection& aConnection,
+                                      ConnectionPath aPath) {
   Process& process = m_processes[aEndpoint];
   std::erase_if(process.m_open, [](const OpenConnection& aOpen) {
     const auto connection = aOpen.m_connection.lock();
@@ -28,19 +29,24 @@
       "endpoint reached again",
       { { "endpoint", aEndpoint.m_endpoint.Text() }, { "start_ms", aEndpoint.m_startMs } });
   }
-  process.m_open.push_back({ aConnection, process.m_since });
+  process.m_open.push_back({ aConnection, aPath, process.m_since });
 }
 
 void ProcessContinuity::OnEnded(const fleet::Incarnation& aEndpoint,
                                 const Connection& aConnection,
-                                EndKind aKind) {
+                                EndKind aKind,
+                                ConnectionPath aPath) {
   Process& process = m_processes[aEndpoint];
   std::erase_if(process.m_open, [&](const OpenConnection& aOpen) {
     const auto connection = aOpen.m_connection.lock();
     return connection == nullptr || connection == aConnection || !connection->IsOpen();
   });
-  process.m_hasEnded =
-    process.m_hasEnded || process.m_open.empty() || aKind == EndKind::NotConnected;
+  // Direct connections of a node that is cut off may seem open for a while.
+  const bool leavesNone =
+    std::none_of(process.m_open.begin(),
+                 process.m_open.end(),
+                 [aPath](const OpenConnection& aOpen) { return aOpen.m_path == aPath; });
+  process.m_hasEnded = process.m_hasEnded || leavesNone || aKind == EndKind::NotConnected;
 }
 
 base::TimePoint ProcessContinuity::ProcessSince(const fleet::Incarnation& aEndpoint,
--- a/packages/forwarding/ProcessContinuity.h
+++ b/packages/forwarding/ProcessContinuity.h
@@ -14,6 +14,13 @@
 
 namespace papayafield::forwarding {
 
+/// How a connection leads to an endpoint.
+enum class ConnectionPath {
+  Direct,
+  /// Through another node, which states how the endpoint has ended it.
+  Relayed,
+};
+
 /// Notices from the connections to an endpoint that another process may have taken its place under
 /// the same identifier. The registration that this node has read may then be that of the process
 /// before, until the view of the registrations is confirmed. Belongs to the event loop's thread.
@@ -35,16 +42,20 @@
     , m_directory(aDirectory)
     , m_confirmView(std::move(aConfirmView)) {}
 
-  /// Records that a direct connection is established; may be called again for the same one.
-  void OnEstablished(const fleet::Incarnation& aEndpoint, const Connection& aConnection);
-  /// Records that the endpoint has ended or refused a direct connection: one that it refused, or
-  /// that leaves none open, is a sign that its process has ended.
+  /// Records that a connection is established; may be called again for the same one.
+  void OnEstablished(const fleet::Incarnation& aEndpoint,
+                     const Connection& aConnection,
+                     ConnectionPath aPath = ConnectionPath::Direct);
+  /// Records that the endpoint has ended or refused a connection: one that it refused, or that
+  /// leaves none open on the same path, is a sign that its process has ended. The end of a relay
+  /// must not be recorded.
   void OnEnded(const fleet::Incarnation& aEndpoint,
                const Connection& aConnection,
-               adapters::http1::EndKind aKind);
+               adapters::http1::EndKind aKind,
+               ConnectionPath aPath = ConnectionPath::Direct);
   /// Returns when a process that may have taken the place of the registered one was first reached,
   /// for calls on `aConnection`; the epoch if there is no sign of that. The present for a
-  /// connection through another node if this node has reached no process since the sign.
+  /// connection that is not established if no process has been reached since the sign.
   base::TimePoint ProcessSince(const fleet::Incarnation& aEndpoint,
                                const Connection& aConnection) const;
   /// Returns whether the process of the endpoint has ended, as far as its connections show, and
@@ -72,6 +83,7 @@
 
   struct OpenConnection {
     std::weak_ptr<adapters::http1::ClientConnection> m_connection;
+    ConnectionPath m_path = ConnectionPath::Direct;
     /// When its process was first reached; the epoch if it is the registered one.
     base::TimePoint m_processSince;
   };
--- a/packages/forwarding/tests/ExchangeTest.cpp
+++ b/packages/forwarding/tests/ExchangeTest.cpp
@@ -371,4 +371,40 @@
   }
 }
 
+// An isolated node did not notice that an endpoint was restarted under its identifier.
+BOOST_AUTO_TEST_CASE(EndBehindARelayIsASignOfAnotherProcess) {
+  ExchangeFixture fixture;
+  fixture.StartRelay();
+  fixture.CrashesOfCall();
+  BOOST_TEST(fixture.m_received == 1);
+  const ProcessContinuity& continuity = fixture.m_node.m_continuity;
+  BOOST_TEST(continuity.HasEnded(ExchangeFixture::kEndpoint));
+  fixture.m_onRequest = [](ServerConnection& aConnection) {
+    aConnection.Write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  };
+  ExchangeFixture::Isolate(fixture.m_node);
+  fixture.CrashesOfCall();
+  BOOST_TEST(fixture.m_status == 200);
+  BOOST_TEST(fixture.m_otherNode.m_metrics.Page().find(R"({event="relay_accepted"} 2)") !=
+             std::string::npos);
+  BOOST_TEST(!continuity.HasEnded(ExchangeFixture::kEndpoint));
+  // All later connections lead to the process that was reached then.
+  const auto since = continuity.ProcessSince(ExchangeFixture::kEndpoint, nullptr);
+  BOOST_TEST((since != base::TimePoint{}));
+  fixture.RunFor(Millis(20));
+  BOOST_TEST((continuity.ProcessSince(ExchangeFixture::kEndpoint, nullptr) == since));
+}
+
+// The loss of a relay says nothing about the endpoint.
+BOOST_AUTO_TEST_CASE(EndOfARelayIsNoSignOfAnotherProcess) {
+  ExchangeFixture fixture;
+  fixture.StartRelay();
+  fixture.m_onRequest = [&](ServerConnection& /*aConnection*/) {
+    fixture.m_loop.Defer([&] { fixture.m_relay.reset(); });
+  };
+  fixture.CrashesOfCall();
+  BOOST_TEST(fixture.m_received == 1);
+  BOOST_TEST(!fixture.m_node.m_continuity.HasEnded(ExchangeFixture::kEndpoint));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/forwarding/tests/ProcessContinuityTest.cpp
+++ b/packages/forwarding/tests/ProcessContinuityTest.cpp
@@ -33,15 +33,17 @@
     m_directory.Put(registration);
     m_endpoint = *registration.m_endpoint;
   }
-  ProcessContinuity::Connection Connect() {
+  ProcessContinuity::Connection Connect(ConnectionPath aPath = ConnectionPath::Direct) {
     auto connection = ClientConnection::ConnectTo(m_loop, kAddress, Millis(1000));
     connection->SetEvents({});
     RunFor(Millis(20));
-    m_continuity.OnEstablished(m_endpoint.m_incarnation, connection);
+    m_continuity.OnEstablished(m_endpoint.m_incarnation, connection, aPath);
     return connection;
   }
-  void End(const ProcessContinuity::Connection& aConnection, EndKind aKind = EndKind::Reset) {
-    m_continuity.OnEnded(m_endpoint.m_incarnation, aConnection, aKind);
+  void End(const ProcessContinuity::Connection& aConnection,
+           EndKind aKind = EndKind::Reset,
+           ConnectionPath aPath = ConnectionPath::Direct) {
+    m_continuity.OnEnded(m_endpoint.m_incarnation, aConnection, aKind, aPath);
     aConnection->Close();
   }
   bool IsConfirmed(const ProcessContinuity::Connection& aConnection) const {
@@ -118,6 +120,35 @@
   BOOST_TEST(IsConfirmed(open));
 }
 
+// Direct connections of an isolated node seem open until they time out.
+BOOST_AUTO_TEST_CASE(EndBehindARelayIsASignWhileDirectConnectionsSeemOpen) {
+  const auto direct = Connect();
+  const auto first = Connect(ConnectionPath::Relayed);
+  const auto second = Connect(ConnectionPath::Relayed);
+  End(first, EndKind::Finished, ConnectionPath::Relayed);
+  BOOST_TEST(!m_continuity.HasEnded(m_endpoint.m_incarnation));
+  End(second, EndKind::Finished, ConnectionPath::Relayed);
+  BOOST_TEST(m_continuity.HasEnded(m_endpoint.m_incarnation));
+  const auto relayed = Connect(ConnectionPath::Relayed);
+  BOOST_TEST(!m_continuity.HasEnded(m_endpoint.m_incarnation));
+  BOOST_TEST(!IsConfirmed(relayed));
+  BOOST_TEST(IsConfirmed(direct));
+  Confirm(relayed);
+  RunFor(ProcessContinuity::kMaxRegistrationDelay * 2);
+  BOOST_TEST(IsConfirmed(relayed));
+  // The node reaches the endpoints again: the same process.
+  BOOST_TEST(IsConfirmed(Connect()));
+}
+
+// A relayed connection that is left says nothing about the direct ones.
+BOOST_AUTO_TEST_CASE(EndOfTheLastDirectConnectionIsASignBesideRelayedOnes) {
+  const auto relayed = Connect(ConnectionPath::Relayed);
+  End(Connect());
+  BOOST_TEST(m_continuity.HasEnded(m_endpoint.m_incarnation));
+  BOOST_TEST(IsConfirmed(relayed));
+  BOOST_TEST(!IsConfirmed(Connect()));
+}
+
 BOOST_AUTO_TEST_CASE(AnotherRegistrationConfirmsNothing) {
   const fleet::Endpoint registered = m_endpoint;
   uint64_t revision = 1;
