Forwarding: check that connections of a test are started

The linter refuses the unused result of connect() in HangingAddress of ExchangeTest. The test requires now that each is established or in progress, which is also what it rests on.

--- a/packages/forwarding/tests/ExchangeTest.cpp
+++ b/packages/forwarding/tests/ExchangeTest.cpp
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <set>
 
 /// \file
@@ -84,7 +85,7 @@
         BOOST_REQUIRE(bind(m_sockets[0], raw, sizeof(address)) == 0);
         BOOST_REQUIRE(listen(m_sockets[0], 0) == 0);
       } else {
-        connect(m_sockets[i], raw, sizeof(address));
+        BOOST_REQUIRE((connect(m_sockets[i], raw, sizeof(address)) == 0 || errno == EINPROGRESS));
       }
     }
   }
