Forwarding: relayed connections are trusted only beside an open one

Cause: connections through other nodes are not kept, so that none is open between two calls, and a restart then leaves no sign. Nodes whose direct connections had ended in the cut were protected by chance, as each call counted as the first one at a new process; with the first relayed call ended that.

The process behind a relayed connection counts as the one before only while another relayed connection to the endpoint is open, which a restart would have ended. Otherwise the view has to be confirmed after it was reached: a resumed stream waits 0.3 s and a read of the store, a new one is recorded that much later.

A case of ProcessContinuityTest covers the rule.

--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -526,7 +526,7 @@
   return m_node.m_continuity.HasEnded(incarnation) ||
          !m_node.m_continuity.IsConfirmed(
            aAttempt.m_endpoint,
-           m_node.m_continuity.ProcessSince(incarnation, aAttempt.m_connection));
+           m_node.m_continuity.ProcessSince(incarnation, aAttempt.m_connection, aAttempt.Path()));
 }
 
 /// Sends the request of an attempt once the registration of its endpoint is confirmed.
@@ -630,7 +630,8 @@
 void Exchange::OnEstablished(const std::shared_ptr<ActiveAttempt>& aAttempt) {
   const fleet::Incarnation& incarnation = aAttempt->m_endpoint.m_incarnation;
   m_node.m_continuity.OnEstablished(incarnation, aAttempt->m_connection, aAttempt->Path());
-  aAttempt->m_processSince = m_node.m_continuity.ProcessSince(incarnation, aAttempt->m_connection);
+  aAttempt->m_processSince =
+    m_node.m_continuity.ProcessSince(incarnation, aAttempt->m_connection, aAttempt->Path());
   if (aAttempt->m_isWritten) {
     AwaitBytes(*aAttempt);
   } else if (!aAttempt->m_reused) {
--- a/packages/forwarding/ProcessContinuity.cpp
+++ b/packages/forwarding/ProcessContinuity.cpp
@@ -8,6 +8,15 @@
 
 using adapters::http1::EndKind;
 
+/// Returns whether a connection on the path `aPath` is open.
+bool ProcessContinuity::HasOpen(const Process& aProcess, ConnectionPath aPath) {
+  return std::any_of(
+    aProcess.m_open.begin(), aProcess.m_open.end(), [aPath](const OpenConnection& aOpen) {
+      const auto connection = aOpen.m_connection.lock();
+      return aOpen.m_path == aPath && connection != nullptr && connection->IsOpen();
+    });
+}
+
 void ProcessContinuity::OnEstablished(const fleet::Incarnation& aEndpoint,
                                       const Connection& aConnection,
                                       ConnectionPath aPath) {
@@ -23,8 +32,12 @@
   if (isKnown) {
     return;
   }
-  if (std::exchange(process.m_hasEnded, false)) {
+  const bool isUnwatched = aPath == ConnectionPath::Relayed && !HasOpen(process, aPath);
+  const bool hasEnded = std::exchange(process.m_hasEnded, false);
+  if (hasEnded || isUnwatched) {
     process.m_since = base::BootNow();
+  }
+  if (hasEnded) {
     m_log.Event(
       "endpoint reached again",
       { { "endpoint", aEndpoint.m_endpoint.Text() }, { "start_ms", aEndpoint.m_startMs } });
@@ -42,25 +55,24 @@
     return connection == nullptr || connection == aConnection || !connection->IsOpen();
   });
   // Direct connections of a node that is cut off may seem open for a while.
-  const bool leavesNone =
-    std::none_of(process.m_open.begin(),
-                 process.m_open.end(),
-                 [aPath](const OpenConnection& aOpen) { return aOpen.m_path == aPath; });
-  process.m_hasEnded = process.m_hasEnded || leavesNone || aKind == EndKind::NotConnected;
+  process.m_hasEnded =
+    process.m_hasEnded || !HasOpen(process, aPath) || aKind == EndKind::NotConnected;
 }
 
 base::TimePoint ProcessContinuity::ProcessSince(const fleet::Incarnation& aEndpoint,
-                                                const Connection& aConnection) const {
+                                                const Connection& aConnection,
+                                                ConnectionPath aPath) const {
   const auto found = m_processes.find(aEndpoint);
   if (found == m_processes.end()) {
-    return {};
+    return aPath == ConnectionPath::Relayed ? base::BootNow() : base::TimePoint{};
   }
   for (const OpenConnection& open : found->second.m_open) {
     if (open.m_connection.lock() == aConnection) {
       return open.m_processSince;
     }
   }
-  return found->second.m_hasEnded ? base::BootNow() : found->second.m_since;
+  const bool isUnwatched = aPath == ConnectionPath::Relayed && !HasOpen(found->second, aPath);
+  return found->second.m_hasEnded || isUnwatched ? base::BootNow() : found->second.m_since;
 }
 
 bool ProcessContinuity::HasEnded(const fleet::Incarnation& aEndpoint) const {
--- a/packages/forwarding/ProcessContinuity.h
+++ b/packages/forwarding/ProcessContinuity.h
@@ -55,9 +55,12 @@
                ConnectionPath aPath = ConnectionPath::Direct);
   /// Returns when a process that may have taken the place of the registered one was first reached,
   /// for calls on `aConnection`; the epoch if there is no sign of that. The present for a
-  /// connection that is not established if no process has been reached since the sign.
+  /// connection that is not established if no process has been reached since the sign, and for a
+  /// relayed one if no other one is open: relayed connections are not kept, so that none would have
+  /// shown a restart.
   base::TimePoint ProcessSince(const fleet::Incarnation& aEndpoint,
-                               const Connection& aConnection) const;
+                               const Connection& aConnection,
+                               ConnectionPath aPath = ConnectionPath::Direct) const;
   /// Returns whether the process of the endpoint has ended, as far as its connections show, and
   /// none has been reached since.
   bool HasEnded(const fleet::Incarnation& aEndpoint) const;
@@ -103,6 +106,7 @@
     OnConfirmed m_onConfirmed;
   };
 
+  static bool HasOpen(const Process& aProcess, ConnectionPath aPath);
   void Check();
   void ConfirmViewIfDue(base::TimePoint aNow);
   void OnViewConfirmed(base::TimePoint aAt);
--- a/packages/forwarding/tests/ExchangeTest.cpp
+++ b/packages/forwarding/tests/ExchangeTest.cpp
@@ -390,10 +390,13 @@
              std::string::npos);
   BOOST_TEST(!continuity.HasEnded(ExchangeFixture::kEndpoint));
   // All later connections lead to the process that was reached then.
-  const auto since = continuity.ProcessSince(ExchangeFixture::kEndpoint, nullptr);
+  const auto later = fixture.m_node.m_pool.ConnectDirectly(
+    fixture.m_node.m_directory.All().at(ExchangeFixture::kEndpoint.m_endpoint));
+  const auto since = continuity.ProcessSince(ExchangeFixture::kEndpoint, later);
   BOOST_TEST((since != base::TimePoint{}));
   fixture.RunFor(Millis(20));
-  BOOST_TEST((continuity.ProcessSince(ExchangeFixture::kEndpoint, nullptr) == since));
+  BOOST_TEST((continuity.ProcessSince(ExchangeFixture::kEndpoint, later) == since));
+  later->Close();
 }
 
 // The loss of a relay says nothing about the endpoint.
--- a/packages/forwarding/tests/ProcessContinuityTest.cpp
+++ b/packages/forwarding/tests/ProcessContinuityTest.cpp
@@ -140,13 +140,43 @@
   BOOST_TEST(IsConfirmed(Connect()));
 }
 
+// An endpoint that was restarted while no connection through a relay was open was taken for the one
+// before.
+BOOST_AUTO_TEST_CASE(RelayedConnectionWithoutAnOpenOneIsConfirmedByTheViewAfterIt) {
+  const auto unestablished = ClientConnection::ConnectTo(m_loop, kAddress, Millis(1000));
+  const auto since = [&](const ProcessContinuity::Connection& aConnection) {
+    return m_continuity.ProcessSince(
+      m_endpoint.m_incarnation, aConnection, ConnectionPath::Relayed);
+  };
+  BOOST_TEST((since(unestablished) != base::TimePoint{}));
+  const auto direct = Connect();
+  for (int i = 0; i < 2; ++i) {
+    BOOST_TEST(!m_continuity.IsConfirmed(m_endpoint, since(unestablished)));
+    const auto first = Connect(ConnectionPath::Relayed);
+    BOOST_TEST(!IsConfirmed(first));
+    const auto second = Connect(ConnectionPath::Relayed);
+    BOOST_TEST((since(first) == since(second)));
+    Confirm(second);
+    RunFor(ProcessContinuity::kMaxRegistrationDelay * 2);
+    BOOST_TEST(IsConfirmed(first));
+    BOOST_TEST(IsConfirmed(second));
+    BOOST_TEST(m_continuity.IsConfirmed(m_endpoint, since(unestablished)));
+    first->Close();
+    second->Close();
+  }
+  BOOST_TEST(IsConfirmed(direct));
+}
+
 // A relayed connection that is left says nothing about the direct ones.
 BOOST_AUTO_TEST_CASE(EndOfTheLastDirectConnectionIsASignBesideRelayedOnes) {
   const auto relayed = Connect(ConnectionPath::Relayed);
+  const auto since = m_continuity.ProcessSince(m_endpoint.m_incarnation, relayed);
   End(Connect());
   BOOST_TEST(m_continuity.HasEnded(m_endpoint.m_incarnation));
-  BOOST_TEST(IsConfirmed(relayed));
-  BOOST_TEST(!IsConfirmed(Connect()));
+  BOOST_TEST((m_continuity.ProcessSince(m_endpoint.m_incarnation, relayed) == since));
+  const auto direct = Connect();
+  BOOST_TEST(!IsConfirmed(direct));
+  BOOST_TEST((m_continuity.ProcessSince(m_endpoint.m_incarnation, direct) > since));
 }
 
 BOOST_AUTO_TEST_CASE(AnotherRegistrationConfirmsNothing) {
--- a/tests/integration/StreamVersionsTest.cpp
+++ b/tests/integration/StreamVersionsTest.cpp
@@ -18,6 +18,7 @@
 namespace {
 
 constexpr int kStreams = 20;
+constexpr size_t kRunners = 4;
 /// Time after which the origins of streams have been saved in the store.
 constexpr base::Millis kSaveTime{ 2500 };
 /// Time after which nodes forget streams whose routes have a timeout of one second.
@@ -27,14 +28,17 @@
 constexpr base::Millis kMaxSaveDelay{ 300 };
 /// Delay of a slow link between a node and the store.
 constexpr base::Millis kSlowRead{ 1500 };
+/// Time after which the direct connections of a node that is cut off have ended.
+constexpr base::Millis kCutTime{ 3000 };
 /// Time after which all nodes have read what runners have registered.
 constexpr base::Millis kReadTime{ 500 };
 
 /// Two runners of the version v1, and two that have not joined yet.
 struct OneVersionFixture {
-  explicit OneVersionFixture(size_t aNodes)
+  explicit OneVersionFixture(size_t aNodes,
+                             PlatformFleet::Proxies aProxies = PlatformFleet::Proxies::None)
     : m_nodes(aNodes)
-    , m_fleet(aNodes, 4) {
+    , m_fleet(aNodes, kRunners, aProxies) {
     SetNewRunners("gone");
   }
 
@@ -142,8 +146,9 @@
 
 /// Two runners of each of two versions.
 struct TwoVersionsFixture : OneVersionFixture {
-  explicit TwoVersionsFixture(size_t aNodes = 2)
-    : OneVersionFixture(aNodes) {
+  explicit TwoVersionsFixture(size_t aNodes = 2,
+                              PlatformFleet::Proxies aProxies = PlatformFleet::Proxies::None)
+    : OneVersionFixture(aNodes, aProxies) {
     SetNewRunners("ready");
   }
 };
@@ -192,6 +197,37 @@
   const size_t m_proxy;
 };
 
+/// Four runners of one version, until the test restarts two of them. Node 0 is cut off from all of
+/// them, and its link to the store can be slowed down.
+struct IsolatedNodeFixture : TwoVersionsFixture {
+  IsolatedNodeFixture()
+    : TwoVersionsFixture(3, PlatformFleet::Proxies::RunnersOfFirstNode)
+    , m_proxy(m_fleet.AddPlatformProxy(0)) {
+    for (const int runner : { 1, 3 }) {
+      m_fleet.PostControl("runner",
+                          { { "index", runner }, { "version", "v1" }, { "state", "ready" } });
+    }
+    BOOST_REQUIRE(PlatformFleet::WaitUntil([&] { return m_fleet.IsReady(0); }));
+    std::this_thread::sleep_for(kReadTime);
+  }
+
+  /// Cuts node 0 off until it sends calls to runners 1 and 3 through other nodes; the others take
+  /// none.
+  void CutOff() const {
+    for (size_t runner = 0; runner < kRunners; ++runner) {
+      m_fleet.SetProxyFaults(runner, { { "hang", true }, { "silence", true } });
+    }
+    SetMode({ 0, 2 }, "shed");
+    std::this_thread::sleep_for(kCutTime);
+    for (int i = 0; i < 4; ++i) {
+      m_fleet.Send(0, "POST", "/stream/a");
+    }
+    BOOST_TEST(m_fleet.Send(0, "POST", "/stream/a").m_status == 200);
+  }
+
+  const size_t m_proxy;
+};
+
 /// A fleet in which few nodes watch the store.
 struct LargeFleetFixture : TwoVersionsFixture {
   LargeFleetFixture()
@@ -428,6 +464,38 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(IsolatedNodeTest, IsolatedNodeFixture)
+
+// No connection through a relay is open when the runners restart. They were taken for those before.
+BOOST_AUTO_TEST_CASE(ResumedStreamsThroughRelaysAvoidARestartedRunner) {
+  const std::vector<std::string> ids = BeginAndBreakOff(1);
+  CutOff();
+  m_fleet.SetProxyFaults(m_proxy, { { "delay_ms", kSlowRead.count() } });
+  for (const int runner : { 1, 3 }) {
+    RestartRunner(runner, "v2");
+  }
+  std::vector<std::string> retries;
+  std::vector<std::future<CallerAnswer>> answers;
+  for (const std::string& id : ids) {
+    retries.push_back(base::RandomHex(8));
+    answers.push_back(std::async(std::launch::async,
+                                 [&, retry = retries.back(), id] { return Resume(0, id, retry); }));
+  }
+  for (size_t i = 0; i < ids.size(); ++i) {
+    answers[i].wait();
+    BOOST_TEST(VersionsOf({ ids[i], retries[i] }).size() == 1, ids[i]);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ResumedStreamsGoOnThroughRelays) {
+  const std::vector<std::string> ids = BeginAndBreakOff(1);
+  CutOff();
+  BOOST_TEST(ResumeAll(0, ids) == kStreams);
+  BOOST_TEST(ResumeAll(1, BeginAndBreakOff(0)) == kStreams);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(StreamVersionsOfLargeFleetsTest, LargeFleetFixture)
 
 // The node that saves the streams did not do so unless it watched the store.
