Merge the signs of restarts behind relays

Streams without an endpoint wait 2.5 s for their version, connections that hang at a node in doubt are no sign of a restart, and those through relays are; ProcessContinuity trusts a relayed connection only beside an open one.

--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -64,6 +64,8 @@
 
 /// Longest time for which the version that began a stream is to be confirmed.
 constexpr base::Millis kMaxVersionConfirmation{ 10000 };
+/// Longest time for which a stream without an endpoint waits for that.
+constexpr base::Millis kMaxConfirmationWait{ 2500 };
 
 /// Appended to a route's name where the gaps between the events of its streams are counted.
 constexpr const char* kGapSuffix = "/gap";
@@ -80,6 +82,10 @@
 
 /// One attempt in progress.
 struct Exchange::ActiveAttempt {
+  ConnectionPath Path() const {
+    return m_relay.empty() ? ConnectionPath::Direct : ConnectionPath::Relayed;
+  }
+
   fleet::Endpoint m_endpoint;
   std::shared_ptr<ClientConnection> m_connection;
   bool m_reused = false;
@@ -365,14 +371,27 @@
 
 void Exchange::OnVersionConfirmed(bool aIsSame) {
   m_certainty = aIsSame ? VersionCertainty::Confirmed : VersionCertainty::Unknown;
+  m_confirmationTimer.reset();
   if (std::exchange(m_dispatchWaits, false) && !m_finished) {
     Dispatch();
   }
 }
 
+/// Starts the next attempt once the version of the stream is confirmed, or breaks the stream off.
+/// The version is recorded for its caller even if it is confirmed after that.
+void Exchange::AwaitConfirmation() {
+  m_dispatchWaits = true;
+  m_confirmationTimer = m_node.m_loop.After(kMaxConfirmationWait, [weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self && std::exchange(self->m_dispatchWaits, false) && !self->m_finished) {
+      self->Reject(503, kVersionUnknownReason, 0);
+    }
+  });
+}
+
 void Exchange::Dispatch() {
   if (m_certainty == VersionCertainty::Pending) {
-    m_dispatchWaits = true;
+    AwaitConfirmation();
     return;
   }
   if (m_certainty == VersionCertainty::Unknown) {
@@ -507,7 +526,7 @@
   return m_node.m_continuity.HasEnded(incarnation) ||
          !m_node.m_continuity.IsConfirmed(
            aAttempt.m_endpoint,
-           m_node.m_continuity.ProcessSince(incarnation, aAttempt.m_connection));
+           m_node.m_continuity.ProcessSince(incarnation, aAttempt.m_connection, aAttempt.Path()));
 }
 
 /// Sends the request of an attempt once the registration of its endpoint is confirmed.
@@ -590,8 +609,12 @@
         if (attempt->m_relay.empty()) {
           self->m_node.m_reachMonitor.OnConnectFailed(attempt->m_endpoint.m_incarnation.m_endpoint,
                                                       true);
-          self->m_node.m_continuity.OnEnded(
-            attempt->m_endpoint.m_incarnation, attempt->m_connection, EndKind::Reset);
+          // Connections of a node that is cut off hang whether or not the endpoint has been
+          // replaced.
+          if (!self->m_node.m_reach.MayBeIsolated()) {
+            self->m_node.m_continuity.OnEnded(
+              attempt->m_endpoint.m_incarnation, attempt->m_connection, EndKind::Reset);
+          }
         } else {
           self->m_node.m_pool.AvoidRelay(attempt->m_relay, base::BootNow());
         }
@@ -606,10 +629,9 @@
 
 void Exchange::OnEstablished(const std::shared_ptr<ActiveAttempt>& aAttempt) {
   const fleet::Incarnation& incarnation = aAttempt->m_endpoint.m_incarnation;
-  if (aAttempt->m_relay.empty()) {
-    m_node.m_continuity.OnEstablished(incarnation, aAttempt->m_connection);
-  }
-  aAttempt->m_processSince = m_node.m_continuity.ProcessSince(incarnation, aAttempt->m_connection);
+  m_node.m_continuity.OnEstablished(incarnation, aAttempt->m_connection, aAttempt->Path());
+  aAttempt->m_processSince =
+    m_node.m_continuity.ProcessSince(incarnation, aAttempt->m_connection, aAttempt->Path());
   if (aAttempt->m_isWritten) {
     AwaitBytes(*aAttempt);
   } else if (!aAttempt->m_reused) {
@@ -647,8 +669,9 @@
   const bool isUnused = !aAttempt->m_reused && !aAttempt->m_hasBytes;
   const bool hasFailed =
     aKind == EndKind::NotConnected || aKind == EndKind::Finished || aKind == EndKind::Reset;
-  if (aAttempt->m_relay.empty() && hasFailed && !aAttempt->m_ended) {
-    m_node.m_continuity.OnEnded(aAttempt->m_endpoint.m_incarnation, aAttempt->m_connection, aKind);
+  if (hasFailed && !aAttempt->m_ended) {
+    m_node.m_continuity.OnEnded(
+      aAttempt->m_endpoint.m_incarnation, aAttempt->m_connection, aKind, aAttempt->Path());
   }
   if (aAttempt->m_relay.empty() && isUnused && hasFailed) {
     m_node.m_reachMonitor.OnConnectFailed(aAttempt->m_endpoint.m_incarnation.m_endpoint);
@@ -1486,6 +1509,7 @@
   m_deadlineTimer.reset();
   m_overlapTimer.reset();
   m_versionTimer.reset();
+  m_confirmationTimer.reset();
   if (m_silentAttempt != nullptr) {
     Release(m_silentAttempt, false);
     m_silentAttempt.reset();
