StoreWatcher: a watch that fails is retried without a listing

Cause: the node's resumed watch got no answer within 0.7 s on a link of 10 Mbit/s. Any failure of a watch led to a listing of all prefixes, which took another 3 s there (log of that node,: failure at 25.1 s, listing answered at 27.7 s, applied at 28.3 s).

Change: after a timeout, a rejection or a lost connection, the watch is retried after the backoff, with the short wait of a resumed watch, so that a later era shows at once. It continues from the replica's position, to which peers may have brought changes meanwhile. Everything is listed after a gap only: before the first listing, without the history of the position, or in another era. Four watches in succession without any answer also lead to a listing, since the changes may be too many for one answer, and the watch has no pages.

Evidence: FailedWatchIsRetriedWithoutAListing, FailedWatchIsRetriedFromWhatPeersBrought, RetriedWatchAfterARestoreListsEverything and WatchThatIsNeverAnsweredLeadsToAListing failed on the code before and pass. WatcherListsAgainAfterEachGap required a listing after `unknown`; it now requires the watch from the same position and the same reports of reachability.

Why this works: the replica has no gap up to its position, so the changes after it are all that is missing, whatever became of a watch. A store that has lost them says so, or answers with its later era.

--- a/packages/sync/StoreWatcher.h
+++ b/packages/sync/StoreWatcher.h
@@ -21,9 +21,12 @@
   std::vector<std::string> m_prefixes;
   /// Maximum duration of one watch call. It bounds the time until a dead connection is detected.
   base::Millis m_watchTimeout{ 2000 };
-  /// Maximum duration of the first watch call after a pause of the watch. It is answered at once,
-  /// so that the node soon knows whether it has missed changes.
+  /// Maximum duration of the first watch call after a pause of the watch or a failure. It is
+  /// answered at once, so that the node soon knows whether it has missed changes.
   base::Millis m_resumeTimeout{ 10 };
+  /// Number of watch calls without an answer, in succession, after which all prefixes are listed:
+  /// the changes may be too many for one answer, while a listing has pages.
+  size_t m_maxUnansweredWatches = 4;
   /// Pause after an answer with changes, so that changes in quick succession come with one call.
   base::Millis m_changePause{ 150 };
   /// Initial backoff after a failure. It doubles up to m_maxBackoff.
@@ -32,9 +35,9 @@
 };
 
 /// Keeps a replica of the store up to date: lists all prefixes once, then watches from that
-/// position, and lists again after any gap or restore. While the watch is paused, others may apply
-/// changes to the replica; the watch is resumed from the replica's position. All calls must come
-/// from the thread of the event loop.
+/// position, and lists again after any gap or restore. A watch that fails is retried. While the
+/// watch is paused or fails, others may apply changes to the replica; the watch continues from the
+/// replica's position. All calls must come from the thread of the event loop.
 template<store::StorePort Store>
 class StoreWatcher {
 public:
@@ -111,11 +114,22 @@
     m_onReachable(aReachable);
   }
 
-  void ScheduleListing() {
-    m_timer = m_loop.After(m_backoff, [this] { ListAll(); });
+  void ScheduleRetry() {
+    m_timer = m_loop.After(m_backoff, [this] { Retry(); });
     m_backoff = std::min(m_backoff * 2, m_settings.m_maxBackoff);
   }
 
+  void Retry() {
+    if (m_hasGap) {
+      ListAll();
+    } else if (m_unansweredWatches >= m_settings.m_maxUnansweredWatches) {
+      m_unansweredWatches = 0;
+      StartListing();
+    } else {
+      ContinueWatch();
+    }
+  }
+
   void LogEraChange(uint64_t aEra, const char* aCall) {
     m_currentEra = std::max(m_currentEra, aEra);
     m_log.Event("store era changed",
@@ -125,8 +139,14 @@
                   { "revision_before", m_position.m_revision } });
   }
 
-  /// Starts a new listing, and drops the results of the calls in flight.
+  /// Starts to list everything after a gap.
   void ListAll() {
+    m_hasGap = true;
+    StartListing();
+  }
+
+  /// Starts a new listing, and drops the results of the calls in flight.
+  void StartListing() {
     ++m_sequence;
     m_timer.reset();
     m_listings.clear();
@@ -145,7 +165,7 @@
   void OnListing(store::Result<store::Listing> aResult) {
     if (!aResult) {
       RecordResult(false, "list", aResult.error());
-      ScheduleListing();
+      ScheduleRetry();
       return;
     }
     RecordResult(true, "list");
@@ -155,7 +175,7 @@
       // The answer was delayed since before a restore, or the store was restored between two
       // listings.
       m_log.Event("store listing of another era dropped", { { "era", era } });
-      ScheduleListing();
+      ScheduleRetry();
       return;
     }
     m_listings.push_back(std::move(*aResult));
@@ -177,6 +197,7 @@
     }
     m_listings.clear();
     m_replica.Advance(m_position);
+    m_hasGap = false;
     m_currentEra = std::max(m_currentEra, m_position.m_era);
     if (!std::exchange(m_loaded, true)) {
       m_onLoaded();
@@ -184,14 +205,18 @@
     Watch();
   }
 
-  /// Continues from the replica's position, which peers have advanced without a gap.
   void Resume() {
     m_paused = false;
     m_resuming = true;
-    m_position = m_replica.LastPosition();
-    m_currentEra = std::max(m_currentEra, m_position.m_era);
+    ContinueWatch();
     m_log.Event("store watch resumed",
                 { { "era", m_position.m_era }, { "revision", m_position.m_revision } });
+  }
+
+  /// Continues from the replica's position, which peers may have advanced without a gap.
+  void ContinueWatch() {
+    m_position = m_replica.LastPosition();
+    m_currentEra = std::max(m_currentEra, m_position.m_era);
     Watch();
   }
 
@@ -204,7 +229,7 @@
     }
     m_store.Watch("",
                   m_position.m_revision,
-                  m_resuming ? m_settings.m_resumeTimeout : m_settings.m_watchTimeout,
+                  IsStoreReachable() ? m_settings.m_watchTimeout : m_settings.m_resumeTimeout,
                   [this, sequence = m_sequence](const store::Result<store::Changes>& aResult) {
                     if (sequence == m_sequence) {
                       OnWatchEnd(aResult);
@@ -220,10 +245,12 @@
         ListAll();
         return;
       }
+      m_unansweredWatches = aResult.error() == store::Fault::Unknown ? m_unansweredWatches + 1 : 0;
       RecordResult(false, "watch", aResult.error());
-      ScheduleListing();
+      ScheduleRetry();
       return;
     }
+    m_unansweredWatches = 0;
     RecordResult(true, "watch");
     if (aResult->m_position.m_era != m_position.m_era) {
       // Changes of the new era before the revision of this watch are missing.
@@ -270,6 +297,10 @@
   std::vector<store::Listing> m_listings;
   /// Number of the current listing and the watches after it; results of earlier ones are dropped.
   uint64_t m_sequence = 0;
+  /// Watch calls without an answer since the last answer or listing.
+  size_t m_unansweredWatches = 0;
+  /// Whether changes may be missing that no watch from the replica's position shows.
+  bool m_hasGap = false;
   bool m_watchEnabled = true;
   /// Whether no call is in flight because the store is not being watched.
   bool m_paused = false;
