StoreWatcher: a watch continues from the last answer, if that is later

Cause: a resumed or retried watch continued from the position of the replica. An answer without changes advances the position of the watch, but not that of the replica, so that the watch asked for history that it had been answered already. If the store no longer has it, that leads to a listing.

Change: it continues from the later one of the two positions.

Evidence: FailedWatchIsRetriedFromTheLastAnswer failed before (10 in place of 40) and passes.

Why this works: the replica has all changes up to either position.

--- a/packages/sync/StoreWatcher.h
+++ b/packages/sync/StoreWatcher.h
@@ -215,7 +215,7 @@
 
   /// Continues from the replica's position, which peers may have advanced without a gap.
   void ContinueWatch() {
-    m_position = m_replica.LastPosition();
+    m_position = std::max(m_position, m_replica.LastPosition());
     m_currentEra = std::max(m_currentEra, m_position.m_era);
     Watch();
   }
--- a/packages/sync/tests/StoreWatcherTest.cpp
+++ b/packages/sync/tests/StoreWatcherTest.cpp
@@ -171,6 +171,15 @@
   BOOST_TEST(m_watcher.IsStoreReachable());
 }
 
+// An answer without changes may bring the watch ahead of the replica.
+BOOST_AUTO_TEST_CASE(FailedWatchIsRetriedFromTheLastAnswer) {
+  m_store.AnswerWatch(store::Changes{ {}, { 0, 40 } });
+  m_store.AnswerWatch(tl::unexpected(store::Fault::Unknown));
+  AwaitCall();
+  BOOST_REQUIRE(m_store.m_watches.size() == 1);
+  BOOST_TEST(m_store.m_watches.front().m_after == 40U);
+}
+
 BOOST_AUTO_TEST_CASE(RetriedWatchAfterARestoreListsEverything) {
   m_store.AnswerWatch(tl::unexpected(store::Fault::NotDone));
   AwaitCall();
