StoreWatcher: a listing confirms the replica when all of it is applied

Cause: success was recorded after the first of several listings, before any was applied, and after a watch that showed a later era. While a node listed everything after a gap, which takes seconds on a slow link, IsStoreReachable was true and LastAnswer recent. The node sent updates with its old position to its zone as the store's, compared the record of versions with an old one, and counted its view of the registrations as current.

Change: success is recorded once all listings, or the changes of a watch, are applied. IsStoreReachable is false from a gap until then. ConfirmedAt, in place of LastAnswer, is for a listing the time at which it began, since the store may have changed while its pages were read.

Users of these: updates to the zone, the record of versions, the acquisition of leadership and the delay of a fetch from peers (IsStoreReachable) need a current replica. The directory, which defers removals while no node gets answers, and the heartbeat, by which others decide whether any does, ask whether the store answers (StoreAnswers, as before during a listing): with IsStoreReachable, a compaction of the history would defer all removals for the time of the listing and 2.3 s, and all nodes of a zone would begin to watch at once. After a failure both become true when the listing is applied, or with the first answer of a watch; the grace of expired registrations now starts when the new contents are there, not with the first page.

Evidence: ListingDoesNotConfirmTheReplicaBeforeItIsApplied, ListingConfirmsWhatTheStoreHeldWhenItBegan, WatchInALaterEraDoesNotConfirmTheReplica and DroppedListingDoesNotConfirmTheReplica failed on (with ConfirmedAt as another name of LastAnswer) and pass. StoreAnswersDuringAListing guards what the directory relies on.

Why this works: whoever reads IsStoreReachable or ConfirmedAt after a gap finds the values from before it until the replica has what they stand for.

--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -649,7 +649,7 @@
   /// registrations are in doubt only if none does.
   void UpdateStoreAvailability() {
     const auto now = base::BootNow();
-    if (m_storeWatcher.IsStoreReachable() || m_peerTable.AnyReachesStore(now)) {
+    if (m_storeWatcher.StoreAnswers() || m_peerTable.AnyReachesStore(now)) {
       m_state.m_directory.OnStoreRecovered(now);
     } else {
       m_state.m_directory.OnStoreLost();
@@ -727,7 +727,7 @@
     heartbeat.m_zone = m_settings.m_zone;
     heartbeat.m_ready = Ready();
     heartbeat.m_stopping = m_stopping;
-    heartbeat.m_storeReachable = m_storeWatcher.IsStoreReachable();
+    heartbeat.m_storeReachable = m_storeWatcher.StoreAnswers();
     heartbeat.m_relays = m_relay.IsAvailable();
     heartbeat.m_configuration = ConfigurationVersion();
     heartbeat.m_position = m_replica.LastPosition();
@@ -857,7 +857,7 @@
     view.m_lastTick = aNow;
     view.m_position = m_replica.LastPosition();
     view.m_confirmedAt =
-      std::max(m_storeWatcher.LastAnswer(), m_gossip.LastUpdateTime().value_or(base::TimePoint{}));
+      std::max(m_storeWatcher.ConfirmedAt(), m_gossip.LastUpdateTime().value_or(base::TimePoint{}));
   }
 
   void Tick() {
--- a/packages/sync/StoreWatcher.h
+++ b/packages/sync/StoreWatcher.h
@@ -41,7 +41,8 @@
 template<store::StorePort Store>
 class StoreWatcher {
 public:
-  /// Called when the store becomes reachable or unreachable.
+  /// Called when the store begins or ceases to answer, with the replica up to date in the first
+  /// case.
   using OnReachable = std::function<void(bool aReachable)>;
   /// Called with all changes after the position `aAfter`.
   using OnChanges =
@@ -86,21 +87,30 @@
   bool IsWatchEnabled() const { return m_watchEnabled; }
   /// Returns whether all prefixes have been listed at least once.
   bool Loaded() const { return m_loaded; }
-  /// Returns whether the store answered the last call. False while the watch is paused, and after
-  /// that until the first answer.
-  bool IsStoreReachable() const { return m_reachable && !m_paused && !m_resuming; }
-  /// Returns the time of the last answer from the store.
-  base::TimePoint LastAnswer() const { return m_lastAnswer; }
+  /// Returns whether the store answers this node: the last call succeeded, and after a failure a
+  /// watch or a complete listing since then. False while the watch is paused, and after that until
+  /// the first answer.
+  bool StoreAnswers() const { return m_reachable && !m_paused && !m_resuming; }
+  /// Returns whether the store answers and the replica follows it without a gap. Other than
+  /// StoreAnswers, false from a gap until all prefixes have been listed and applied.
+  bool IsStoreReachable() const { return StoreAnswers() && !m_hasGap; }
+  /// Returns the time up to which the store has confirmed the replica: that of the last answer to a
+  /// watch, or of the start of the last complete listing. The epoch if there was none.
+  base::TimePoint ConfirmedAt() const { return m_confirmedAt; }
 
 private:
+  /// Records that the replica has everything that the store held at `aAt`.
+  void RecordSuccess(const char* aCall, base::TimePoint aAt) {
+    m_confirmedAt = std::max(m_confirmedAt, aAt);
+    m_backoff = m_settings.m_initialBackoff;
+    m_unansweredWatches = 0;
+    m_resuming = false;
+    RecordResult(true, aCall);
+  }
+
   void RecordResult(bool aReachable,
                     const char* aCall,
                     store::Fault aFault = store::Fault::NotDone) {
-    if (aReachable) {
-      m_lastAnswer = base::BootNow();
-      m_backoff = m_settings.m_initialBackoff;
-      m_resuming = false;
-    }
     if (aReachable == m_reachable && m_reachabilityReported) {
       return;
     }
@@ -150,6 +160,7 @@
     ++m_sequence;
     m_timer.reset();
     m_listings.clear();
+    m_listingStart = base::BootNow();
     ListNextPrefix();
   }
 
@@ -168,7 +179,6 @@
       ScheduleRetry();
       return;
     }
-    RecordResult(true, "list");
     const uint64_t era = aResult->m_position.m_era;
     if (era < m_replica.LastPosition().m_era ||
         (!m_listings.empty() && era != m_listings.front().m_position.m_era)) {
@@ -199,6 +209,7 @@
     m_replica.Advance(m_position);
     m_hasGap = false;
     m_currentEra = std::max(m_currentEra, m_position.m_era);
+    RecordSuccess("list", m_listingStart);
     if (!std::exchange(m_loaded, true)) {
       m_onLoaded();
     }
@@ -250,8 +261,6 @@
       ScheduleRetry();
       return;
     }
-    m_unansweredWatches = 0;
-    RecordResult(true, "watch");
     if (aResult->m_position.m_era != m_position.m_era) {
       // Changes of the new era before the revision of this watch are missing.
       LogEraChange(aResult->m_position.m_era, "watch");
@@ -272,6 +281,7 @@
       m_replica.Apply(change);
     }
     m_position = std::max(m_position, aChanges.m_position);
+    RecordSuccess("watch", base::BootNow());
     // A peer may have brought the replica to a later era.
     if (m_onChanges && !aChanges.m_changes.empty() && after.m_era == m_position.m_era) {
       m_onChanges(after, aChanges.m_changes);
@@ -288,7 +298,9 @@
   const base::Log m_log{ "sync" };
   adapters::http::EventHandlePtr m_timer;
   base::Millis m_backoff{ 60 };
-  base::TimePoint m_lastAnswer{};
+  base::TimePoint m_confirmedAt{};
+  /// When the current listing began.
+  base::TimePoint m_listingStart{};
   /// Position from which the next watch continues.
   store::Position m_position;
   /// Latest era that this watcher has listed or is listing.
@@ -300,7 +312,7 @@
   /// Watch calls without an answer since the last answer or listing.
   size_t m_unansweredWatches = 0;
   /// Whether changes may be missing that no watch from the replica's position shows.
-  bool m_hasGap = false;
+  bool m_hasGap = true;
   bool m_watchEnabled = true;
   /// Whether no call is in flight because the store is not being watched.
   bool m_paused = false;
--- a/packages/sync/tests/StoreWatcherTest.cpp
+++ b/packages/sync/tests/StoreWatcherTest.cpp
@@ -97,6 +97,11 @@
                                               { m_prefixes }, [](bool) {}, [] {} };
 };
 
+struct TwoPrefixesFixture : WatcherFixture {
+  TwoPrefixesFixture()
+    : WatcherFixture({ "items/", "keys/" }) {}
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(StoreWatcherTest, WatcherFixture)
@@ -211,4 +216,55 @@
   BOOST_TEST(m_store.m_watches.front().m_after == 10U);
 }
 
+// A node stated as the store's what it had read before a gap, while it listed everything.
+BOOST_FIXTURE_TEST_CASE(ListingDoesNotConfirmTheReplicaBeforeItIsApplied, TwoPrefixesFixture) {
+  const base::TimePoint confirmed = m_watcher.ConfirmedAt();
+  m_store.AnswerWatch(tl::unexpected(store::Fault::HistoryCompacted));
+  BOOST_TEST(!m_watcher.IsStoreReachable());
+  m_store.AnswerListing({ 0, 30 });
+  BOOST_TEST(!m_watcher.IsStoreReachable());
+  BOOST_TEST((m_watcher.ConfirmedAt() == confirmed));
+  BOOST_TEST(m_replica.LastPosition().m_revision == 10U);
+  m_store.AnswerListing({ 0, 31 });
+  BOOST_TEST(m_watcher.IsStoreReachable());
+  BOOST_TEST((m_watcher.ConfirmedAt() > confirmed));
+}
+
+BOOST_AUTO_TEST_CASE(ListingConfirmsWhatTheStoreHeldWhenItBegan) {
+  m_store.AnswerWatch(tl::unexpected(store::Fault::HistoryCompacted));
+  const base::TimePoint begun = base::BootNow();
+  m_store.AnswerListing({ 0, 30 });
+  BOOST_TEST((m_watcher.ConfirmedAt() <= begun));
+}
+
+BOOST_AUTO_TEST_CASE(WatchInALaterEraDoesNotConfirmTheReplica) {
+  const base::TimePoint confirmed = m_watcher.ConfirmedAt();
+  m_store.AnswerWatch(store::Changes{ {}, { 1, 15 } });
+  BOOST_TEST(!m_watcher.IsStoreReachable());
+  BOOST_TEST((m_watcher.ConfirmedAt() == confirmed));
+  m_store.AnswerListing({ 1, 16 });
+  BOOST_TEST(m_watcher.IsStoreReachable());
+}
+
+BOOST_FIXTURE_TEST_CASE(DroppedListingDoesNotConfirmTheReplica, TwoPrefixesFixture) {
+  m_store.AnswerWatch(tl::unexpected(store::Fault::HistoryCompacted));
+  m_store.AnswerListing({ 0, 30 });
+  m_store.AnswerListing({ 1, 4 });
+  BOOST_TEST(!m_watcher.IsStoreReachable());
+  AwaitCall();
+  BOOST_TEST(!m_watcher.IsStoreReachable());
+  BOOST_TEST(m_store.m_listings.size() == 1);
+}
+
+// Registrations that expire while one node lists everything are not in doubt: the store answers.
+BOOST_FIXTURE_TEST_CASE(StoreAnswersDuringAListing, TwoPrefixesFixture) {
+  BOOST_TEST(m_watcher.StoreAnswers());
+  m_store.AnswerWatch(tl::unexpected(store::Fault::HistoryCompacted));
+  BOOST_TEST(m_watcher.StoreAnswers());
+  m_store.AnswerListing({ 0, 30 });
+  BOOST_TEST(m_watcher.StoreAnswers());
+  m_store.AnswerListing(tl::unexpected(store::Fault::Unknown));
+  BOOST_TEST(!m_watcher.StoreAnswers());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
