JsonClient: an answer that keeps arriving is not given up

On a link that heartbeats and calls use by half, the changes take longer.

AnswerThatKeepsArrivingIsNotGivenUp covers an answer that arrives slowly, one that stalls and one without end.

This works because the time limits are to detect peers that are gone, and one whose bytes arrive is not.

--- a/packages/adapters/http1/JsonClient.cpp
+++ b/packages/adapters/http1/JsonClient.cpp
@@ -20,6 +20,10 @@
 struct JsonClient::PendingCall {
   std::string m_bytes;
   base::TimePoint m_validUntil;
+  base::Millis m_maxSilence;
+  /// When the call ends, even while bytes arrive.
+  base::TimePoint m_deadline;
+  base::TimePoint m_lastBytes;
   bool m_sent = false;
   std::shared_ptr<ClientConnection> m_connection;
   CallResult m_result;
@@ -50,7 +54,7 @@
                       std::string aTarget,
                       const std::string& aBody,
                       Fields aFields,
-                      base::Millis aTimeout,
+                      CallTimeouts aTimeouts,
                       OnDone aOnDone,
                       base::TimePoint aValidUntil) {
   ++m_callCount;
@@ -67,20 +71,30 @@
   call->m_validUntil = aValidUntil;
   call->m_onDone = std::move(aOnDone);
   m_pendingCalls.push_back(call);
-  base::Millis limit = aTimeout;
-  if (aValidUntil != base::TimePoint::max()) {
-    const auto validFor = std::chrono::duration_cast<base::Millis>(aValidUntil - base::BootNow());
-    limit = std::clamp(validFor, base::Millis(0), aTimeout);
-  }
-  call->m_timer = m_loop.After(limit, [this, weak = std::weak_ptr(call)] {
-    if (const auto late = weak.lock()) {
-      Expire(late);
-    }
-  });
+  call->m_lastBytes = base::BootNow();
+  call->m_maxSilence = aTimeouts.m_silence;
+  call->m_deadline = std::min(call->m_lastBytes + aTimeouts.m_total, aValidUntil);
+  StartTimer(call);
   Start(call);
 }
 
-void JsonClient::Expire(const std::shared_ptr<PendingCall>& aCall) {
+void JsonClient::StartTimer(const std::shared_ptr<PendingCall>& aCall) {
+  const base::TimePoint end = std::min(aCall->m_lastBytes + aCall->m_maxSilence, aCall->m_deadline);
+  const auto wait = std::chrono::ceil<base::Millis>(end - base::BootNow());
+  aCall->m_timer =
+    m_loop.After(std::max(wait, base::Millis(0)), [this, weak = std::weak_ptr(aCall)] {
+      if (const auto call = weak.lock()) {
+        OnTimer(call);
+      }
+    });
+}
+
+void JsonClient::OnTimer(const std::shared_ptr<PendingCall>& aCall) {
+  const auto now = base::BootNow();
+  if (now < aCall->m_deadline && now - aCall->m_lastBytes < aCall->m_maxSilence) {
+    StartTimer(aCall);
+    return;
+  }
   // Without the reset, the kernel would go on sending bytes that the service has not received yet.
   aCall->m_connection->Reset();
   Finish(aCall, { 0, {}, aCall->m_sent }, false);
@@ -106,6 +120,7 @@
   ClientConnection::Events events;
   events.m_onHead = [weak](ResponseHead&& aHead) {
     if (const auto call = weak.lock()) {
+      call->m_lastBytes = base::BootNow();
       call->m_result.m_status = aHead.m_status;
       call->m_result.m_fields = std::move(aHead.m_fields);
     }
@@ -140,6 +155,7 @@
   if (aCall->m_done) {
     return;
   }
+  aCall->m_lastBytes = base::BootNow();
   std::string& body = aCall->m_result.m_body;
   if (body.size() + aBytes.size() > kMaxBodyBytes) {
     base::Log("http1").Event("response too large",
--- a/packages/adapters/http1/JsonClient.h
+++ b/packages/adapters/http1/JsonClient.h
@@ -7,6 +7,7 @@
 #include <list>
 #include <nlohmann/json_fwd.hpp>
 #include <string>
+#include <utility>
 
 namespace papayafield::adapters::http1 {
 
@@ -23,6 +24,14 @@
   Fields m_fields;
 };
 
+/// Time limits of a call.
+struct CallTimeouts {
+  /// Longest time without any bytes of the response.
+  base::Millis m_silence{};
+  /// Longest time until the response is complete.
+  base::Millis m_total{};
+};
+
 /// Calls one HTTP service with bodies of up to kMaxBodyBytes and reuses a few connections to it.
 /// Not intended for the data path. Must be used only on the thread of its loop.
 class JsonClient {
@@ -41,15 +50,31 @@
   JsonClient& operator=(JsonClient&&) = delete;
 
   /// Sends a request with the additional header fields `aFields` and calls `aOnDone` with the
-  /// result. Without a complete response after `aTimeout`, or at `aValidUntil` on the boot-time
+  /// result. Without a complete response within `aTimeouts`, or at `aValidUntil` on the boot-time
   /// clock, the call fails and its connection is reset. Nothing is sent after `aValidUntil`.
   void Call(std::string aMethod,
             std::string aTarget,
             const std::string& aBody,
             Fields aFields,
-            base::Millis aTimeout,
+            CallTimeouts aTimeouts,
             OnDone aOnDone,
             base::TimePoint aValidUntil = base::TimePoint::max());
+  /// As above, with `aTimeout` for the complete response.
+  void Call(std::string aMethod,
+            std::string aTarget,
+            const std::string& aBody,
+            Fields aFields,
+            base::Millis aTimeout,
+            OnDone aOnDone,
+            base::TimePoint aValidUntil = base::TimePoint::max()) {
+    Call(std::move(aMethod),
+         std::move(aTarget),
+         aBody,
+         std::move(aFields),
+         CallTimeouts{ aTimeout, aTimeout },
+         std::move(aOnDone),
+         aValidUntil);
+  }
   /// Returns the number of calls made so far.
   uint64_t CallCount() const { return m_callCount; }
   /// Closes all idle connections, so that the next call opens a new one.
@@ -61,7 +86,8 @@
   void Start(const std::shared_ptr<PendingCall>& aCall);
   void Send(const std::shared_ptr<PendingCall>& aCall);
   void OnBody(const std::shared_ptr<PendingCall>& aCall, std::string_view aBytes);
-  void Expire(const std::shared_ptr<PendingCall>& aCall);
+  void StartTimer(const std::shared_ptr<PendingCall>& aCall);
+  void OnTimer(const std::shared_ptr<PendingCall>& aCall);
   void Finish(const std::shared_ptr<PendingCall>& aCall, CallResult aResult, bool aReuse);
 
   http::EventLoop& m_loop;
--- a/packages/adapters/http1/tests/ConnectionTest.cpp
+++ b/packages/adapters/http1/tests/ConnectionTest.cpp
@@ -810,4 +810,55 @@
   BOOST_TEST(sent > JsonClient::kMaxBodyBytes);
 }
 
+// Large answers on slow links were given up shortly before their end, and requested again.
+BOOST_AUTO_TEST_CASE(AnswerThatKeepsArrivingIsNotGivenUp) {
+  constexpr size_t kNeverStalls = 1000;
+  struct Case {
+    size_t m_parts;
+    size_t m_stallsAfter;
+    int m_status;
+    base::Millis m_minDuration;
+    base::Millis m_maxDuration;
+  };
+  constexpr CallTimeouts kTimeouts{ base::Millis(300), base::Millis(1500) };
+  for (const Case& aCase : {
+         Case{ 8, kNeverStalls, 200, base::Millis(700), base::Millis(1400) },
+         Case{ 8, 3, 0, base::Millis(450), base::Millis(1200) },
+         Case{ 100, kNeverStalls, 0, base::Millis(1500), base::Millis(2500) },
+       }) {
+    http::EventLoop loop;
+    const base::Address address{ "127.0.0.1", static_cast<uint16_t>(20000 + getpid() % 9000) };
+    std::shared_ptr<ServerConnection> served;
+    const Listener listener(
+      loop, address, 4096, [&](std::shared_ptr<ServerConnection> aConnection) {
+        served = std::move(aConnection);
+        ConnectionEvents<RequestHead> events;
+        events.m_onComplete = [&] {
+          served->Write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(aCase.m_parts) +
+                        "\r\n\r\n");
+        };
+        served->SetEvents(std::move(events));
+      });
+    size_t sent = 0;
+    const auto timer = loop.Every(base::Millis(100), [&] {
+      if (served && sent < std::min(aCase.m_parts, aCase.m_stallsAfter)) {
+        served->Write("x");
+        ++sent;
+      }
+    });
+    JsonClient client(loop, address);
+    std::optional<CallResult> result;
+    const auto start = base::BootNow();
+    client.Call("GET", "/", {}, {}, kTimeouts, [&](const CallResult& aResult) {
+      result = aResult;
+      loop.Stop();
+    });
+    loop.Run();
+    const auto duration = base::BootNow() - start;
+    BOOST_REQUIRE(result.has_value());
+    BOOST_TEST(result->m_status == aCase.m_status);
+    BOOST_TEST((duration >= aCase.m_minDuration && duration <= aCase.m_maxDuration));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/serving/GossipExchange.cpp
+++ b/packages/serving/GossipExchange.cpp
@@ -29,7 +29,9 @@
 /// Lag behind a peer that is tolerated while this node watches the store itself, because the
 /// store's own notification is under way.
 constexpr base::Millis kNormalLag{ 300 };
-constexpr base::Millis kFetchTimeout{ 800 };
+/// Time without bytes of a peer's replica after which another peer is asked, and the longest time
+/// for all of it.
+constexpr adapters::http1::CallTimeouts kFetchTimeouts{ base::Millis(800), base::Millis(3000) };
 /// The nodes of a zone learn of a restore of the store at the same time, and each fetches a
 /// complete replica. They start at random within this time for each known node, so that those that
 /// already have one share the load.
@@ -409,7 +411,7 @@
                     { "revision", m_replica.LastPosition().m_revision },
                     { "version", m_configuration.m_version } });
     };
-  client->Call("GET", target, {}, {}, kFetchTimeout, onResult);
+  client->Call("GET", target, {}, {}, kFetchTimeouts, onResult);
 }
 
 } // namespace papayafield::serving
