--- a/packages/sync/StoreWatcher.h
+++ b/packages/sync/StoreWatcher.h
@@ -21,9 +21,12 @@
   std::vector<std::string> m_prefixes;
   /// Maximum duration of one watch call. It bounds the time until a dead connection is detected.
   base::Millis m_watchTimeout{ 2000 };
-  /// Maximum duration of the first watch call after a pause of the watch. It is answered at once,
-  /// so that the node soon knows whether it has missed changes.
+  /// Maximum duration of the first watch call after a pause of the watch or a failure. It is
+  /// answered at once, so that the node soon knows whether it has missed changes.
   base::Millis m_resumeTimeout{ 10 };
+  /// Number of watch calls without an answer, in succession, after which all prefixes are listed:
+  /// the changes may be too many for one answer, while a listing has pages.
+  size_t m_maxUnansweredWatches = 4;
   /// Pause after an answer with changes, so that changes in quick succession come with one call.
   base::Millis m_changePause{ 150 };
   /// Initial backoff after a failure. It doubles up to m_maxBackoff.
@@ -32,13 +35,14 @@
 };
 
 /// Keeps a replica of the store up to date: lists all prefixes once, then watches from that
-/// position, and lists again after any gap or restore. While the watch is paused, others may apply
-/// changes to the replica; the watch is resumed from the replica's position. All calls must come
-/// from the thread of the event loop.
+/// position, and lists again after any gap or restore. A watch that fails is retried. While the
+/// watch is paused or fails, others may apply changes to the replica; the watch continues from the
+/// replica's position. All calls must come from the thread of the event loop.
 template<store::StorePort Store>
 class StoreWatcher {
 public:
-  /// Called when the store becomes reachable or unreachable.
+  /// Called when the store begins or ceases to answer, with the replica up to date in the first
+  /// case.
   using OnReachable = std::function<void(bool aReachable)>;
   /// Called with all changes after the position `aAfter`.
   using OnChanges =
@@ -83,21 +87,30 @@
   bool IsWatchEnabled() const { return m_watchEnabled; }
   /// Returns whether all prefixes have been listed at least once.
   bool Loaded() const { return m_loaded; }
-  /// Returns whether the store answered the last call. False while the watch is paused, and after
-  /// that until the first answer.
-  bool IsStoreReachable() const { return m_reachable && !m_paused && !m_resuming; }
-  /// Returns the time of the last answer from the store.
-  base::TimePoint LastAnswer() const { return m_lastAnswer; }
+  /// Returns whether the store answers this node: the last call succeeded, and after a failure a
+  /// watch or a complete listing since then. False while the watch is paused, and after that until
+  /// the first answer.
+  bool StoreAnswers() const { return m_reachable && !m_paused && !m_resuming; }
+  /// Returns whether the store answers and the replica follows it without a gap. Other than
+  /// StoreAnswers, false from a gap until all prefixes have been listed and applied.
+  bool IsStoreReachable() const { return StoreAnswers() && !m_hasGap; }
+  /// Returns the time up to which the store has confirmed the replica: that of the last answer to a
+  /// watch, or of the start of the last complete listing. The epoch if there was none.
+  base::TimePoint ConfirmedAt() const { return m_confirmedAt; }
 
 private:
+  /// Records that the replica has everything that the store held at `aAt`.
+  void RecordSuccess(const char* aCall, base::TimePoint aAt) {
+    m_confirmedAt = std::max(m_confirmedAt, aAt);
+    m_backoff = m_settings.m_initialBackoff;
+    m_unansweredWatches = 0;
+    m_resuming = false;
+    RecordResult(true, aCall);
+  }
+
   void RecordResult(bool aReachable,
                     const char* aCall,
                     store::Fault aFault = store::Fault::NotDone) {
-    if (aReachable) {
-      m_lastAnswer = base::BootNow();
-      m_backoff = m_settings.m_initialBackoff;
-      m_resuming = false;
-    }
     if (aReachable == m_reachable && m_reachabilityReported) {
       return;
     }
@@ -111,11 +124,22 @@
     m_onReachable(aReachable);
   }
 
-  void ScheduleListing() {
-    m_timer = m_loop.After(m_backoff, [this] { ListAll(); });
+  void ScheduleRetry() {
+    m_timer = m_loop.After(m_backoff, [this] { Retry(); });
     m_backoff = std::min(m_backoff * 2, m_settings.m_maxBackoff);
   }
 
+  void Retry() {
+    if (m_hasGap) {
+      ListAll();
+    } else if (m_unansweredWatches >= m_settings.m_maxUnansweredWatches) {
+      m_unansweredWatches = 0;
+      StartListing();
+    } else {
+      ContinueWatch();
+    }
+  }
+
   void LogEraChange(uint64_t aEra, const char* aCall) {
     m_currentEra = std::max(m_currentEra, aEra);
     m_log.Event("store era changed",
@@ -125,11 +149,18 @@
                   { "revision_before", m_position.m_revision } });
   }
 
-  /// Starts a new listing, and drops the results of the calls in flight.
+  /// Starts to list everything after a gap.
   void ListAll() {
+    m_hasGap = true;
+    StartListing();
+  }
+
+  /// Starts a new listing, and drops the results of the calls in flight.
+  void StartListing() {
     ++m_sequence;
     m_timer.reset();
     m_listings.clear();
+    m_listingStart = base::BootNow();
     ListNextPrefix();
   }
 
@@ -145,17 +176,16 @@
   void OnListing(store::Result<store::Listing> aResult) {
     if (!aResult) {
       RecordResult(false, "list", aResult.error());
-      ScheduleListing();
+      ScheduleRetry();
       return;
     }
-    RecordResult(true, "list");
     const uint64_t era = aResult->m_position.m_era;
     if (era < m_replica.LastPosition().m_era ||
         (!m_listings.empty() && era != m_listings.front().m_position.m_era)) {
       // The answer was delayed since before a restore, or the store was restored between two
       // listings.
       m_log.Event("store listing of another era dropped", { { "era", era } });
-      ScheduleListing();
+      ScheduleRetry();
       return;
     }
     m_listings.push_back(std::move(*aResult));
@@ -177,21 +207,27 @@
     }
     m_listings.clear();
     m_replica.Advance(m_position);
+    m_hasGap = false;
     m_currentEra = std::max(m_currentEra, m_position.m_era);
+    RecordSuccess("list", m_listingStart);
     if (!std::exchange(m_loaded, true)) {
       m_onLoaded();
     }
     Watch();
   }
 
-  /// Continues from the replica's position, which peers have advanced without a gap.
   void Resume() {
     m_paused = false;
     m_resuming = true;
-    m_position = m_replica.LastPosition();
-    m_currentEra = std::max(m_currentEra, m_position.m_era);
+    ContinueWatch();
     m_log.Event("store watch resumed",
                 { { "era", m_position.m_era }, { "revision", m_position.m_revision } });
+  }
+
+  /// Continues from the replica's position, which peers may have advanced without a gap.
+  void ContinueWatch() {
+    m_position = std::max(m_position, m_replica.LastPosition());
+    m_currentEra = std::max(m_currentEra, m_position.m_era);
     Watch();
   }
 
@@ -204,7 +240,7 @@
     }
     m_store.Watch("",
                   m_position.m_revision,
-                  m_resuming ? m_settings.m_resumeTimeout : m_settings.m_watchTimeout,
+                  IsStoreReachable() ? m_settings.m_watchTimeout : m_settings.m_resumeTimeout,
                   [this, sequence = m_sequence](const store::Result<store::Changes>& aResult) {
                     if (sequence == m_sequence) {
                       OnWatchEnd(aResult);
@@ -220,11 +256,11 @@
         ListAll();
         return;
       }
+      m_unansweredWatches = aResult.error() == store::Fault::Unknown ? m_unansweredWatches + 1 : 0;
       RecordResult(false, "watch", aResult.error());
-      ScheduleListing();
+      ScheduleRetry();
       return;
     }
-    RecordResult(true, "watch");
     if (aResult->m_position.m_era != m_position.m_era) {
       // Changes of the new era before the revision of this watch are missing.
       LogEraChange(aResult->m_position.m_era, "watch");
@@ -245,6 +281,7 @@
       m_replica.Apply(change);
     }
     m_position = std::max(m_position, aChanges.m_position);
+    RecordSuccess("watch", base::BootNow());
     // A peer may have brought the replica to a later era.
     if (m_onChanges && !aChanges.m_changes.empty() && after.m_era == m_position.m_era) {
       m_onChanges(after, aChanges.m_changes);
@@ -261,7 +298,9 @@
   const base::Log m_log{ "sync" };
   adapters::http::EventHandlePtr m_timer;
   base::Millis m_backoff{ 60 };
-  base::TimePoint m_lastAnswer{};
+  base::TimePoint m_confirmedAt{};
+  /// When the current listing began.
+  base::TimePoint m_listingStart{};
   /// Position from which the next watch continues.
   store::Position m_position;
   /// Latest era that this watcher has listed or is listing.
@@ -270,6 +309,10 @@
   std::vector<store::Listing> m_listings;
   /// Number of the current listing and the watches after it; results of earlier ones are dropped.
   uint64_t m_sequence = 0;
+  /// Watch calls without an answer since the last answer or listing.
+  size_t m_unansweredWatches = 0;
+  /// Whether changes may be missing that no watch from the replica's position shows.
+  bool m_hasGap = true;
   bool m_watchEnabled = true;
   /// Whether no call is in flight because the store is not being watched.
   bool m_paused = false;
