StoreWatcher: a late answer confirms no more than its wait

What callers saw: nothing yet; found by reading.

The store answers at the end of the wait at the latest, so that the confirmation is limited to that time.

LateAnswerConfirmsWhatTheStoreHeldWhenItsWaitEnded failed before and passes.

--- a/packages/sync/StoreWatcher.h
+++ b/packages/sync/StoreWatcher.h
@@ -95,7 +95,8 @@
   /// StoreAnswers, false from a gap until all prefixes have been listed and applied.
   bool IsStoreReachable() const { return StoreAnswers() && !m_hasGap; }
   /// Returns the time up to which the store has confirmed the replica: that of the last answer to a
-  /// watch, or of the start of the last complete listing. The epoch if there was none.
+  /// watch, but at most the end of its wait, or of the start of the last complete listing. The
+  /// epoch if there was none.
   base::TimePoint ConfirmedAt() const { return m_confirmedAt; }
 
 private:
@@ -238,9 +239,12 @@
                   { { "era", m_position.m_era }, { "revision", m_position.m_revision } });
       return;
     }
+    const base::Millis wait =
+      IsStoreReachable() ? m_settings.m_watchTimeout : m_settings.m_resumeTimeout;
+    m_watchEnd = base::BootNow() + wait;
     m_store.Watch("",
                   m_position.m_revision,
-                  IsStoreReachable() ? m_settings.m_watchTimeout : m_settings.m_resumeTimeout,
+                  wait,
                   [this, sequence = m_sequence](const store::Result<store::Changes>& aResult) {
                     if (sequence == m_sequence) {
                       OnWatchEnd(aResult);
@@ -281,7 +285,8 @@
       m_replica.Apply(change);
     }
     m_position = std::max(m_position, aChanges.m_position);
-    RecordSuccess("watch", base::BootNow());
+    // A large answer may arrive long after the store has made it.
+    RecordSuccess("watch", std::min(base::BootNow(), m_watchEnd));
     // A peer may have brought the replica to a later era.
     if (m_onChanges && !aChanges.m_changes.empty() && after.m_era == m_position.m_era) {
       m_onChanges(after, aChanges.m_changes);
@@ -301,6 +306,8 @@
   base::TimePoint m_confirmedAt{};
   /// When the current listing began.
   base::TimePoint m_listingStart{};
+  /// Until when the store may wait before it answers the current watch.
+  base::TimePoint m_watchEnd{};
   /// Position from which the next watch continues.
   store::Position m_position;
   /// Latest era that this watcher has listed or is listing.
--- a/packages/sync/tests/StoreWatcherTest.cpp
+++ b/packages/sync/tests/StoreWatcherTest.cpp
@@ -237,6 +237,17 @@
   BOOST_TEST((m_watcher.ConfirmedAt() <= begun));
 }
 
+// An answer that arrives slowly confirmed the replica with the time of its last byte.
+BOOST_AUTO_TEST_CASE(LateAnswerConfirmsWhatTheStoreHeldWhenItsWaitEnded) {
+  PauseAndResume({ 0, 20 });
+  const base::TimePoint waitEnd = base::BootNow() + m_store.m_watches.front().m_wait;
+  const auto timer = m_loop.After(Millis(100), [&] { m_loop.Stop(); });
+  m_loop.Run();
+  m_store.AnswerWatch(ChangesAt({ 0, 21 }));
+  BOOST_TEST(m_watcher.IsStoreReachable());
+  BOOST_TEST((m_watcher.ConfirmedAt() <= waitEnd));
+}
+
 BOOST_AUTO_TEST_CASE(WatchInALaterEraDoesNotConfirmTheReplica) {
   const base::TimePoint confirmed = m_watcher.ConfirmedAt();
   m_store.AnswerWatch(store::Changes{ {}, { 1, 15 } });
