ProcessContinuity: a connection vouches only for its own relay

What callers saw: nothing yet; found by a review, by reading. A stream that is resumed at a node that is cut off could go on at an endpoint of another version (ORDER).

Cause: a relayed connection counted as the registered process while any other relayed one to the endpoint was open. A relay that stands still passes on no end, so that its connection seems open after the endpoint was restarted under its identifier, and another relay then led to the new process.

Only an open connection through the same relay counts now; the view has to be confirmed for all others.

OpenConnectionThroughOneRelayVouchesForNoOther fails with the comparison of before (any relay) and passes.

--- a/packages/forwarding/Exchange.cpp
+++ b/packages/forwarding/Exchange.cpp
@@ -82,10 +82,6 @@
 
 /// One attempt in progress.
 struct Exchange::ActiveAttempt {
-  ConnectionPath Path() const {
-    return m_relay.empty() ? ConnectionPath::Direct : ConnectionPath::Relayed;
-  }
-
   fleet::Endpoint m_endpoint;
   std::shared_ptr<ClientConnection> m_connection;
   bool m_reused = false;
@@ -526,7 +522,7 @@
   return m_node.m_continuity.HasEnded(incarnation) ||
          !m_node.m_continuity.IsConfirmed(
            aAttempt.m_endpoint,
-           m_node.m_continuity.ProcessSince(incarnation, aAttempt.m_connection, aAttempt.Path()));
+           m_node.m_continuity.ProcessSince(incarnation, aAttempt.m_connection, aAttempt.m_relay));
 }
 
 /// Sends the request of an attempt once the registration of its endpoint is confirmed.
@@ -629,9 +625,9 @@
 
 void Exchange::OnEstablished(const std::shared_ptr<ActiveAttempt>& aAttempt) {
   const fleet::Incarnation& incarnation = aAttempt->m_endpoint.m_incarnation;
-  m_node.m_continuity.OnEstablished(incarnation, aAttempt->m_connection, aAttempt->Path());
+  m_node.m_continuity.OnEstablished(incarnation, aAttempt->m_connection, aAttempt->m_relay);
   aAttempt->m_processSince =
-    m_node.m_continuity.ProcessSince(incarnation, aAttempt->m_connection, aAttempt->Path());
+    m_node.m_continuity.ProcessSince(incarnation, aAttempt->m_connection, aAttempt->m_relay);
   if (aAttempt->m_isWritten) {
     AwaitBytes(*aAttempt);
   } else if (!aAttempt->m_reused) {
@@ -671,7 +667,7 @@
     aKind == EndKind::NotConnected || aKind == EndKind::Finished || aKind == EndKind::Reset;
   if (hasFailed && !aAttempt->m_ended) {
     m_node.m_continuity.OnEnded(
-      aAttempt->m_endpoint.m_incarnation, aAttempt->m_connection, aKind, aAttempt->Path());
+      aAttempt->m_endpoint.m_incarnation, aAttempt->m_connection, aKind, aAttempt->m_relay);
   }
   if (aAttempt->m_relay.empty() && isUnused && hasFailed) {
     m_node.m_reachMonitor.OnConnectFailed(aAttempt->m_endpoint.m_incarnation.m_endpoint);
--- a/packages/forwarding/ProcessContinuity.cpp
+++ b/packages/forwarding/ProcessContinuity.cpp
@@ -8,18 +8,19 @@
 
 using adapters::http1::EndKind;
 
-/// Returns whether a connection on the path `aPath` is open.
-bool ProcessContinuity::HasOpen(const Process& aProcess, ConnectionPath aPath) {
+/// Returns whether a connection through `aRelay` is open. One through a relay that hangs seems open
+/// after the endpoint has ended it.
+bool ProcessContinuity::HasOpen(const Process& aProcess, const std::string& aRelay) {
   return std::any_of(
-    aProcess.m_open.begin(), aProcess.m_open.end(), [aPath](const OpenConnection& aOpen) {
+    aProcess.m_open.begin(), aProcess.m_open.end(), [&aRelay](const OpenConnection& aOpen) {
       const auto connection = aOpen.m_connection.lock();
-      return aOpen.m_path == aPath && connection != nullptr && connection->IsOpen();
+      return aOpen.m_relay == aRelay && connection != nullptr && connection->IsOpen();
     });
 }
 
 void ProcessContinuity::OnEstablished(const fleet::Incarnation& aEndpoint,
                                       const Connection& aConnection,
-                                      ConnectionPath aPath) {
+                                      const std::string& aRelay) {
   Process& process = m_processes[aEndpoint];
   std::erase_if(process.m_open, [](const OpenConnection& aOpen) {
     const auto connection = aOpen.m_connection.lock();
@@ -32,7 +33,7 @@
   if (isKnown) {
     return;
   }
-  const bool isUnwatched = aPath == ConnectionPath::Relayed && !HasOpen(process, aPath);
+  const bool isUnwatched = !aRelay.empty() && !HasOpen(process, aRelay);
   const bool hasEnded = std::exchange(process.m_hasEnded, false);
   if (hasEnded || isUnwatched) {
     process.m_since = base::BootNow();
@@ -42,13 +43,13 @@
       "endpoint reached again",
       { { "endpoint", aEndpoint.m_endpoint.Text() }, { "start_ms", aEndpoint.m_startMs } });
   }
-  process.m_open.push_back({ aConnection, aPath, process.m_since });
+  process.m_open.push_back({ aConnection, aRelay, process.m_since });
 }
 
 void ProcessContinuity::OnEnded(const fleet::Incarnation& aEndpoint,
                                 const Connection& aConnection,
                                 EndKind aKind,
-                                ConnectionPath aPath) {
+                                const std::string& aRelay) {
   Process& process = m_processes[aEndpoint];
   std::erase_if(process.m_open, [&](const OpenConnection& aOpen) {
     const auto connection = aOpen.m_connection.lock();
@@ -56,22 +57,22 @@
   });
   // Direct connections of a node that is cut off may seem open for a while.
   process.m_hasEnded =
-    process.m_hasEnded || !HasOpen(process, aPath) || aKind == EndKind::NotConnected;
+    process.m_hasEnded || !HasOpen(process, aRelay) || aKind == EndKind::NotConnected;
 }
 
 base::TimePoint ProcessContinuity::ProcessSince(const fleet::Incarnation& aEndpoint,
                                                 const Connection& aConnection,
-                                                ConnectionPath aPath) const {
+                                                const std::string& aRelay) const {
   const auto found = m_processes.find(aEndpoint);
   if (found == m_processes.end()) {
-    return aPath == ConnectionPath::Relayed ? base::BootNow() : base::TimePoint{};
+    return aRelay.empty() ? base::TimePoint{} : base::BootNow();
   }
   for (const OpenConnection& open : found->second.m_open) {
     if (open.m_connection.lock() == aConnection) {
       return open.m_processSince;
     }
   }
-  const bool isUnwatched = aPath == ConnectionPath::Relayed && !HasOpen(found->second, aPath);
+  const bool isUnwatched = !aRelay.empty() && !HasOpen(found->second, aRelay);
   return found->second.m_hasEnded || isUnwatched ? base::BootNow() : found->second.m_since;
 }
 
--- a/packages/forwarding/ProcessContinuity.h
+++ b/packages/forwarding/ProcessContinuity.h
@@ -14,13 +14,6 @@
 
 namespace papayafield::forwarding {
 
-/// How a connection leads to an endpoint.
-enum class ConnectionPath {
-  Direct,
-  /// Through another node, which states how the endpoint has ended it.
-  Relayed,
-};
-
 /// Notices from the connections to an endpoint that another process may have taken its place under
 /// the same identifier. The registration that this node has read may then be that of the process
 /// before, until the view of the registrations is confirmed. Belongs to the event loop's thread.
@@ -42,25 +35,26 @@
     , m_directory(aDirectory)
     , m_confirmView(std::move(aConfirmView)) {}
 
-  /// Records that a connection is established; may be called again for the same one.
+  /// Records that a connection is established; may be called again for the same one. `aRelay` is
+  /// the host of the node that it leads through, here and below; empty if it is direct.
   void OnEstablished(const fleet::Incarnation& aEndpoint,
                      const Connection& aConnection,
-                     ConnectionPath aPath = ConnectionPath::Direct);
+                     const std::string& aRelay = {});
   /// Records that the endpoint has ended or refused a connection: one that it refused, or that
-  /// leaves none open on the same path, is a sign that its process has ended. The end of a relay
-  /// must not be recorded.
+  /// leaves none open directly or through the same relay, is a sign that its process has ended. The
+  /// end of a relay must not be recorded.
   void OnEnded(const fleet::Incarnation& aEndpoint,
                const Connection& aConnection,
                adapters::http1::EndKind aKind,
-               ConnectionPath aPath = ConnectionPath::Direct);
+               const std::string& aRelay = {});
   /// Returns when a process that may have taken the place of the registered one was first reached,
   /// for calls on `aConnection`; the epoch if there is no sign of that. The present for a
   /// connection that is not established if no process has been reached since the sign, and for a
-  /// relayed one if no other one is open: relayed connections are not kept, so that none would have
-  /// shown a restart.
+  /// relayed one if no other one through the same relay is open: relayed connections are not kept,
+  /// so that none would have shown a restart.
   base::TimePoint ProcessSince(const fleet::Incarnation& aEndpoint,
                                const Connection& aConnection,
-                               ConnectionPath aPath = ConnectionPath::Direct) const;
+                               const std::string& aRelay = {}) const;
   /// Returns whether the process of the endpoint has ended, as far as its connections show, and
   /// none has been reached since.
   bool HasEnded(const fleet::Incarnation& aEndpoint) const;
@@ -86,7 +80,7 @@
 
   struct OpenConnection {
     std::weak_ptr<adapters::http1::ClientConnection> m_connection;
-    ConnectionPath m_path = ConnectionPath::Direct;
+    std::string m_relay;
     /// When its process was first reached; the epoch if it is the registered one.
     base::TimePoint m_processSince;
   };
@@ -106,7 +100,7 @@
     OnConfirmed m_onConfirmed;
   };
 
-  static bool HasOpen(const Process& aProcess, ConnectionPath aPath);
+  static bool HasOpen(const Process& aProcess, const std::string& aRelay);
   void Check();
   void ConfirmViewIfDue(base::TimePoint aNow);
   void OnViewConfirmed(base::TimePoint aAt);
--- a/packages/forwarding/tests/ProcessContinuityTest.cpp
+++ b/packages/forwarding/tests/ProcessContinuityTest.cpp
@@ -13,6 +13,7 @@
 
 const base::Address kAddress{ "127.0.0.1", 18571 };
 constexpr Millis kMaxWait{ 900 };
+const std::string kRelay = "127.0.0.2";
 
 fleet::Registration MakeRegistration(int64_t aStartMs,
                                      const std::string& aVersion,
@@ -33,17 +34,17 @@
     m_directory.Put(registration);
     m_endpoint = *registration.m_endpoint;
   }
-  ProcessContinuity::Connection Connect(ConnectionPath aPath = ConnectionPath::Direct) {
+  ProcessContinuity::Connection Connect(const std::string& aRelay = {}) {
     auto connection = ClientConnection::ConnectTo(m_loop, kAddress, Millis(1000));
     connection->SetEvents({});
     RunFor(Millis(20));
-    m_continuity.OnEstablished(m_endpoint.m_incarnation, connection, aPath);
+    m_continuity.OnEstablished(m_endpoint.m_incarnation, connection, aRelay);
     return connection;
   }
   void End(const ProcessContinuity::Connection& aConnection,
            EndKind aKind = EndKind::Reset,
-           ConnectionPath aPath = ConnectionPath::Direct) {
-    m_continuity.OnEnded(m_endpoint.m_incarnation, aConnection, aKind, aPath);
+           const std::string& aRelay = {}) {
+    m_continuity.OnEnded(m_endpoint.m_incarnation, aConnection, aKind, aRelay);
     aConnection->Close();
   }
   bool IsConfirmed(const ProcessContinuity::Connection& aConnection) const {
@@ -123,13 +124,13 @@
 // Direct connections of an isolated node seem open until they time out.
 BOOST_AUTO_TEST_CASE(EndBehindARelayIsASignWhileDirectConnectionsSeemOpen) {
   const auto direct = Connect();
-  const auto first = Connect(ConnectionPath::Relayed);
-  const auto second = Connect(ConnectionPath::Relayed);
-  End(first, EndKind::Finished, ConnectionPath::Relayed);
+  const auto first = Connect(kRelay);
+  const auto second = Connect(kRelay);
+  End(first, EndKind::Finished, kRelay);
   BOOST_TEST(!m_continuity.HasEnded(m_endpoint.m_incarnation));
-  End(second, EndKind::Finished, ConnectionPath::Relayed);
+  End(second, EndKind::Finished, kRelay);
   BOOST_TEST(m_continuity.HasEnded(m_endpoint.m_incarnation));
-  const auto relayed = Connect(ConnectionPath::Relayed);
+  const auto relayed = Connect(kRelay);
   BOOST_TEST(!m_continuity.HasEnded(m_endpoint.m_incarnation));
   BOOST_TEST(!IsConfirmed(relayed));
   BOOST_TEST(IsConfirmed(direct));
@@ -145,16 +146,15 @@
 BOOST_AUTO_TEST_CASE(RelayedConnectionWithoutAnOpenOneIsConfirmedByTheViewAfterIt) {
   const auto unestablished = ClientConnection::ConnectTo(m_loop, kAddress, Millis(1000));
   const auto since = [&](const ProcessContinuity::Connection& aConnection) {
-    return m_continuity.ProcessSince(
-      m_endpoint.m_incarnation, aConnection, ConnectionPath::Relayed);
+    return m_continuity.ProcessSince(m_endpoint.m_incarnation, aConnection, kRelay);
   };
   BOOST_TEST((since(unestablished) != base::TimePoint{}));
   const auto direct = Connect();
   for (int i = 0; i < 2; ++i) {
     BOOST_TEST(!m_continuity.IsConfirmed(m_endpoint, since(unestablished)));
-    const auto first = Connect(ConnectionPath::Relayed);
+    const auto first = Connect(kRelay);
     BOOST_TEST(!IsConfirmed(first));
-    const auto second = Connect(ConnectionPath::Relayed);
+    const auto second = Connect(kRelay);
     BOOST_TEST((since(first) == since(second)));
     Confirm(second);
     RunFor(ProcessContinuity::kMaxRegistrationDelay * 2);
@@ -167,9 +167,20 @@
   BOOST_TEST(IsConfirmed(direct));
 }
 
+// A relay that hangs does not show that the endpoint has ended its connection.
+BOOST_AUTO_TEST_CASE(OpenConnectionThroughOneRelayVouchesForNoOther) {
+  const auto hanging = Connect(kRelay);
+  Confirm(hanging);
+  RunFor(ProcessContinuity::kMaxRegistrationDelay * 2);
+  BOOST_TEST(IsConfirmed(hanging));
+  const auto other = Connect("127.0.0.3");
+  BOOST_TEST(!IsConfirmed(other));
+  BOOST_TEST(IsConfirmed(hanging));
+}
+
 // A relayed connection that is left says nothing about the direct ones.
 BOOST_AUTO_TEST_CASE(EndOfTheLastDirectConnectionIsASignBesideRelayedOnes) {
-  const auto relayed = Connect(ConnectionPath::Relayed);
+  const auto relayed = Connect(kRelay);
   const auto since = m_continuity.ProcessSince(m_endpoint.m_incarnation, relayed);
   End(Connect());
   BOOST_TEST(m_continuity.HasEnded(m_endpoint.m_incarnation));
