UsageReporter: bound the record also for long deadlines

What callers saw: nothing; found by a review. With windows of 1 s and reports due after an hour the record would have held 3,602 windows of all teams in one value. Beyond the store's limit on values no commit would have succeeded, and nothing would have been reported any more.

Cause: since the number of windows follows from the deadline, without a maximum. It is 64 at most now.

LongDeadlineDoesNotKeepAllWindows fails without the bound and passes with it.

--- a/packages/duties/UsageReporter.h
+++ b/packages/duties/UsageReporter.h
@@ -61,8 +61,9 @@
     , m_replica(aReplica)
     , m_ledger(aLedger)
     , m_settings(std::move(aSettings))
-    , m_maxStoredWindows(
-        std::max(kMinStoredWindows, m_ledger.WindowOf(m_settings.m_reportDeadline.count()) + 2))
+    , m_maxStoredWindows(std::clamp(m_ledger.WindowOf(m_settings.m_reportDeadline.count()) + 2,
+                                    kMinStoredWindows,
+                                    kMaxStoredWindows))
     , m_areCountsKnown(std::move(aAreCountsKnown))
     , m_onFenced(std::move(aOnFenced))
     , m_clock(aClock)
@@ -131,8 +132,9 @@
 
 private:
   using Reports = UsageReports;
-  /// Minimum of m_maxStoredWindows.
+  /// Limits of m_maxStoredWindows; the upper one bounds the size of the record.
   static constexpr int64_t kMinStoredWindows = 4;
+  static constexpr int64_t kMaxStoredWindows = 64;
   /// Number of windows by which the clock of the node that wrote the record may be ahead of this
   /// node's. A report that was dropped as wrong would be written again with other counts.
   static constexpr int64_t kMaxClockLeadWindows = 12;
@@ -309,7 +311,7 @@
   UsageLedger& m_ledger;
   UsageReporterSettings m_settings;
   /// Maximum number of windows in the stored record; older windows can no longer be reported. No
-  /// window is dropped before its report is overdue, however short the windows are.
+  /// window is dropped before its report is overdue, unless that is more than kMaxStoredWindows.
   const int64_t m_maxStoredWindows;
   CountsKnownPredicate m_areCountsKnown;
   std::function<void(FencingToken)> m_onFenced;
--- a/packages/duties/tests/DutiesTest.cpp
+++ b/packages/duties/tests/DutiesTest.cpp
@@ -530,6 +530,20 @@
   }
 }
 
+// A record with all windows of a long deadline would exceed what the store accepts.
+BOOST_AUTO_TEST_CASE(LongDeadlineDoesNotKeepAllWindows) {
+  FakeStore store;
+  FakePlatform platform;
+  Node node(store, platform, "one", &base::WallMillis, base::Millis(kWindowMs * 1000));
+  const int64_t current = node.m_ledger.WindowOf(base::WallMillis());
+  for (const int64_t age : { 100, 20 }) {
+    node.m_ledger.CountLocalRequest(kTeam, (current - age) * kWindowMs);
+  }
+  node.m_reporter.RemoveOldCounts();
+  BOOST_TEST(node.m_ledger.TotalCounts(current - 100).empty());
+  BOOST_TEST(node.m_ledger.TotalCounts(current - 20)[kTeam] == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(CountsOfAllNodesAddUpAndOnlyGrow) {
   UsageLedger ledger(kWindowMs);
   ledger.CountLocalRequest(kTeam, 10);
