StoreWatcher: an answer that is too large leads to a listing at once

What callers saw: nothing; found by a review. Where the changes after a node's position took more than 6 s to arrive, four watches had to fail, for 25 s, before the listing that has pages.

A call that gets no bytes ends within 1.5 s after its wait. One that fails later had an answer under way, so that another attempt would not help.

WatchThatFailsLongAfterItsWaitLeadsToAListing fails without the change.

--- a/packages/sync/StoreWatcher.h
+++ b/packages/sync/StoreWatcher.h
@@ -261,6 +261,10 @@
         return;
       }
       m_unansweredWatches = aResult.error() == store::Fault::Unknown ? m_unansweredWatches + 1 : 0;
+      if (m_unansweredWatches > 0 && base::BootNow() > m_watchEnd + m_settings.m_watchTimeout) {
+        // An answer was arriving, but was too large to arrive in time.
+        m_unansweredWatches = m_settings.m_maxUnansweredWatches;
+      }
       RecordResult(false, "watch", aResult.error());
       ScheduleRetry();
       return;
--- a/packages/sync/tests/StoreWatcherTest.cpp
+++ b/packages/sync/tests/StoreWatcherTest.cpp
@@ -237,6 +237,17 @@
   BOOST_TEST((m_watcher.ConfirmedAt() <= begun));
 }
 
+// Four answers that were too large were awaited for 6 s each.
+BOOST_AUTO_TEST_CASE(WatchThatFailsLongAfterItsWaitLeadsToAListing) {
+  PauseAndResume({ 0, 20 });
+  const auto timer = m_loop.After(Millis(2100), [&] { m_loop.Stop(); });
+  m_loop.Run();
+  m_store.AnswerWatch(tl::unexpected(store::Fault::Unknown));
+  AwaitCall();
+  BOOST_TEST(m_store.m_watches.empty());
+  BOOST_TEST(m_store.m_listings.size() == 1);
+}
+
 // An answer that arrives slowly confirmed the replica with the time of its last byte.
 BOOST_AUTO_TEST_CASE(LateAnswerConfirmsWhatTheStoreHeldWhenItsWaitEnded) {
   PauseAndResume({ 0, 20 });
