StreamOrigins: each of two calls with one ID keeps its mark of an unconfirmed version

What callers saw: nothing yet; found by a review, by reading. A stream that was resumed twice, while its version was not confirmed, could be refused at its next try although an endpoint of its version served (LOST).

Cause: streams whose version is to be confirmed were a set of keys. The first of two calls with one ID whose confirmation failed removed the key, so that the confirmation of the second one was not recorded.

The calls are counted now: the mark ends with the last of them, or with the version.

CallWithTheSameIdKeepsWaitingForItsVersion fails on (one check) and passes.

--- a/packages/forwarding/StreamOrigins.cpp
+++ b/packages/forwarding/StreamOrigins.cpp
@@ -53,11 +53,14 @@
 }
 
 void StreamOrigins::Expect(const std::string& aCallId) {
-  m_expected.insert(fleet::StreamKeyOf(aCallId));
+  ++m_expected[fleet::StreamKeyOf(aCallId)];
 }
 
 void StreamOrigins::Dismiss(const std::string& aCallId) {
-  m_expected.erase(fleet::StreamKeyOf(aCallId));
+  const auto expected = m_expected.find(fleet::StreamKeyOf(aCallId));
+  if (expected != m_expected.end() && --expected->second == 0) {
+    m_expected.erase(expected);
+  }
 }
 
 void StreamOrigins::OnComplete(const std::string& aCallId) {
--- a/packages/forwarding/StreamOrigins.h
+++ b/packages/forwarding/StreamOrigins.h
@@ -39,9 +39,10 @@
   /// to the keepers.
   void Record(const std::string& aCallId, const std::string& aVersion);
   /// Records that the version that began the stream of the call `aCallId` is not confirmed yet. A
-  /// search for it waits until Record or Dismiss is called.
+  /// search for it waits until Record is called, or Dismiss as often as Expect: several calls may
+  /// have the same ID.
   void Expect(const std::string& aCallId);
-  /// Records that the version that Expect was called for remains unknown.
+  /// Records that a version that Expect was called for remains unknown.
   void Dismiss(const std::string& aCallId);
   /// Returns whether the version of the stream `aKey` is to be confirmed.
   bool IsExpected(fleet::StreamKey aKey) const { return m_expected.contains(aKey); }
@@ -93,8 +94,8 @@
   std::deque<std::pair<base::TimePoint, fleet::StreamKey>> m_recorded;
   /// Streams that this node began and that are not complete.
   std::unordered_set<fleet::StreamKey> m_incomplete;
-  /// Streams whose versions are to be confirmed.
-  std::unordered_set<fleet::StreamKey> m_expected;
+  /// Streams whose versions are to be confirmed, with the number of calls that wait for that.
+  std::unordered_map<fleet::StreamKey, size_t> m_expected;
   /// Streams whose origins are to be saved in the store.
   std::unordered_set<fleet::StreamKey> m_unsaved;
   std::map<fleet::StreamKey, Search> m_searches;
--- a/packages/forwarding/tests/StreamOriginsTest.cpp
+++ b/packages/forwarding/tests/StreamOriginsTest.cpp
@@ -113,6 +113,22 @@
 }
 
 // The first version that is recorded holds: a stream that is resumed keeps it.
+// The first of two calls with one ID whose version remained unknown ended the wait for the second
+// one, whose version was then not recorded.
+BOOST_AUTO_TEST_CASE(CallWithTheSameIdKeepsWaitingForItsVersion) {
+  m_first.Expect("call-1");
+  m_first.Expect("call-1");
+  m_first.Dismiss("call-1");
+  BOOST_TEST(m_first.IsExpected(fleet::StreamKeyOf("call-1")));
+  m_first.Dismiss("call-1");
+  BOOST_TEST(!m_first.IsExpected(fleet::StreamKeyOf("call-1")));
+  m_first.Dismiss("call-1");
+  m_first.Expect("call-1");
+  BOOST_TEST(m_first.IsExpected(fleet::StreamKeyOf("call-1")));
+  m_first.Record("call-1", "v1");
+  BOOST_TEST(!m_first.IsExpected(fleet::StreamKeyOf("call-1")));
+}
+
 BOOST_AUTO_TEST_CASE(LaterReportDoesNotChangeTheVersion) {
   m_second.Record("call-1", "v1");
   m_second.Merge({ { fleet::StreamKeyOf("call-1"), "v2" } });
