VersionRecord: earlier releases read the versions that served

What callers saw: nothing yet; found by reading, for nodes of two releases side by side.

Besides, nodes of the two releases took the record of the other one for wrong, and wrote it again in turn.

--- a/packages/serving/VersionRecord.cpp
+++ b/packages/serving/VersionRecord.cpp
@@ -3,6 +3,7 @@
 #include "base/Json.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace papayafield::serving {
 
@@ -32,8 +33,11 @@
   for (const auto& [service, versions] : aRecord.m_versions) {
     services[service.Text()] = versions;
   }
-  return base::DumpJson(
-    { { kVersionsKey, services }, { kLifetimeKey, aRecord.m_streamLifetime.count() } });
+  // Earlier releases read the services at the top level, and nothing else.
+  nlohmann::json record = services;
+  record[kVersionsKey] = std::move(services);
+  record[kLifetimeKey] = aRecord.m_streamLifetime.count();
+  return base::DumpJson(record);
 }
 
 VersionRecord DecodeVersionRecord(const std::string& aData) {
--- a/packages/serving/VersionRecord.h
+++ b/packages/serving/VersionRecord.h
@@ -16,7 +16,8 @@
   bool operator==(const VersionRecord&) const = default;
 };
 
-/// Encodes the record as a JSON object. Thread safe.
+/// Encodes the record as a JSON object that earlier releases read as well. A service whose name is
+/// that of a member of the record is unknown to them. Thread safe.
 std::string EncodeVersionRecord(const VersionRecord& aRecord);
 
 /// Decodes a record; also one that earlier releases wrote, which has the versions of each service
