GossipExchange: an update confirms a view with the time at which its sender's was confirmed

What callers saw: nothing yet; found by a review, by reading. In a fleet in which few nodes watch the store, a node whose view was up to 5.7 s old did not notice it. A version that served only in that time could be missing from the node's memory, so that a stream of it went on at another version (ORDER).

Cause: an update confirmed a view with the time of its arrival. Its sender goes on sending while its own watch of the store hangs, up to 2.7 s.

Updates now state the age of the confirmation. A sender of an earlier release does not, which counts as the longest hang. The limit from which on all remembered versions count as registered is 4 s in place of 3 s, as ages now contain the wait of a watch; it stays below the 5 s by which versions are remembered longer. Whether a node watches the store itself still depends on the arrival of updates.

No run with a watch that hangs was made.

--- a/packages/adapters/peer/GossipCodec.cpp
+++ b/packages/adapters/peer/GossipCodec.cpp
@@ -21,6 +21,8 @@
 constexpr std::string_view kLeavingNotice = "leaving\n";
 /// Maximum number of endpoints that are read from a notice.
 constexpr size_t kMaxLeavingMarks = 256;
+/// Default of NewsUpdate.confirmedAgeMs: the age is not stated.
+constexpr uint32_t kUnstatedAgeMs = UINT32_MAX;
 
 std::string ToString(capnp::Text::Reader aText) {
   return { aText.begin(), aText.size() };
@@ -246,6 +248,10 @@
   aTo.setAfter(aUpdate.m_after);
   aTo.setEra(aUpdate.m_position.m_era);
   aTo.setRevision(aUpdate.m_position.m_revision);
+  if (aUpdate.m_confirmedAge) {
+    aTo.setConfirmedAgeMs(static_cast<uint32_t>(
+      std::clamp<int64_t>(aUpdate.m_confirmedAge->count(), 0, kUnstatedAgeMs - 1)));
+  }
   auto changes = aTo.initChanges(static_cast<unsigned>(aUpdate.m_changes.size()));
   for (unsigned i = 0; i < changes.size(); ++i) {
     const store::Item& item = aUpdate.m_changes[i].m_item;
@@ -259,9 +265,13 @@
 }
 
 gossip::Update ReadUpdate(wire::NewsUpdate::Reader aFrom) {
-  gossip::Update update{
-    ReadContact(aFrom.getFrom()), aFrom.getAfter(), { aFrom.getEra(), aFrom.getRevision() }, {}
-  };
+  gossip::Update update;
+  update.m_from = ReadContact(aFrom.getFrom());
+  update.m_after = aFrom.getAfter();
+  update.m_position = { aFrom.getEra(), aFrom.getRevision() };
+  if (aFrom.getConfirmedAgeMs() != kUnstatedAgeMs) {
+    update.m_confirmedAge = base::Millis(aFrom.getConfirmedAgeMs());
+  }
   for (const auto change : aFrom.getChanges()) {
     const auto data = change.getData();
     update.m_changes.push_back({ { ToString(change.getKey()),
--- a/packages/adapters/peer/news.capnp
+++ b/packages/adapters/peer/news.capnp
@@ -116,6 +116,9 @@
   revision @2 :UInt64;
   changes @3 :List(NewsChange);
   era @4 :UInt64;
+  # Milliseconds since the store last confirmed the sender's replica. The maximum if that is not
+  # stated, as in releases before this field.
+  confirmedAgeMs @5 :UInt32 = 0xffffffff;
 }
 
 # The version that began a stream.
--- a/packages/adapters/peer/news.capnp.h
+++ b/packages/adapters/peer/news.capnp.h
@@ -230,7 +230,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9b1a004f81b6ba28, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(9b1a004f81b6ba28, 4, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1640,6 +1640,8 @@
 
   inline  ::uint64_t getEra() const;
 
+  inline  ::uint32_t getConfirmedAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1691,6 +1693,9 @@
   inline  ::uint64_t getEra();
   inline void setEra( ::uint64_t value);
 
+  inline  ::uint32_t getConfirmedAgeMs();
+  inline void setConfirmedAgeMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3683,6 +3688,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t NewsUpdate::Reader::getConfirmedAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, 4294967295u);
+}
+
+inline  ::uint32_t NewsUpdate::Builder::getConfirmedAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, 4294967295u);
+}
+inline void NewsUpdate::Builder::setConfirmedAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value, 4294967295u);
+}
+
 inline  ::uint64_t NewsOrigin::Reader::getStream() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/packages/gossip/Update.cpp
+++ b/packages/gossip/Update.cpp
@@ -11,6 +11,9 @@
 constexpr size_t kChangeOverheadBytes = 32;
 /// More datagrams than this would congest a link of 10 Mbit/s; a fetch has flow control.
 constexpr size_t kMaxUpdates = 8;
+/// Age of the confirmation if the sender does not state it: the longest time for which a watch of
+/// the store hangs before the sender stops sending updates.
+constexpr base::Millis kUnstatedAge{ 2700 };
 
 } // namespace
 
@@ -28,6 +31,10 @@
          ClassifyUpdate(aUpdate, aPosition) == UpdateAction::Apply;
 }
 
+base::TimePoint ConfirmationTime(const Update& aUpdate, base::TimePoint aArrival) {
+  return aArrival - aUpdate.m_confirmedAge.value_or(kUnstatedAge);
+}
+
 std::vector<Update> SplitUpdate(const Contact& aFrom,
                                 const store::Position& aAfter,
                                 const std::vector<store::Change>& aChanges) {
@@ -40,9 +47,9 @@
     if (bytes + size > kMaxChangeBytesPerUpdate) {
       if (!updates.empty() && change.m_item.m_position == after) {
         // A transaction writes several keys at one position, at which a node has all of them.
-        return { { aFrom, aAfter.m_revision, aChanges.back().m_item.m_position, {} } };
+        return { { aFrom, aAfter.m_revision, aChanges.back().m_item.m_position, {}, {} } };
       }
-      updates.push_back({ aFrom, after.m_revision, after, {} });
+      updates.push_back({ aFrom, after.m_revision, after, {}, {} });
       bytes = 0;
     }
     bytes += size;
@@ -51,7 +58,7 @@
     updates.back().m_changes.push_back(change);
   }
   if (updates.empty() || updates.size() > kMaxUpdates) {
-    return { { aFrom, aAfter.m_revision, after, {} } };
+    return { { aFrom, aAfter.m_revision, after, {}, {} } };
   }
   return updates;
 }
--- a/packages/gossip/Update.h
+++ b/packages/gossip/Update.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "base/Time.h"
 #include "gossip/Heartbeat.h"
 #include "store/StorePort.h"
 
+#include <optional>
 #include <vector>
 
 namespace papayafield::gossip {
@@ -16,6 +18,9 @@
   uint64_t m_after = 0;
   store::Position m_position;
   std::vector<store::Change> m_changes;
+  /// Time since the store last confirmed the sender's replica; nullopt if the sender does not state
+  /// it, as in earlier releases.
+  std::optional<base::Millis> m_confirmedAge;
 };
 
 /// Action that a node takes on an update.
@@ -36,6 +41,10 @@
 /// sender of `aUpdate` knows, once it has taken the action Ignore or Apply. Thread safe.
 bool Confirms(const Update& aUpdate, const store::Position& aPosition);
 
+/// Returns when the store confirmed what `aUpdate`, which arrived at `aArrival`, tells. The delay
+/// of the datagram is not known and not included. Thread safe.
+base::TimePoint ConfirmationTime(const Update& aUpdate, base::TimePoint aArrival);
+
 /// Splits `aChanges` in order into updates that fit one datagram each. Returns a single update
 /// without changes if there are none or too many, or if those at one position do not fit in the
 /// rest of a datagram. Precondition: `aChanges` are sorted by revision, belong to the era of
--- a/packages/serving/GossipExchange.cpp
+++ b/packages/serving/GossipExchange.cpp
@@ -244,9 +244,12 @@
 }
 
 void GossipExchange::SendUpdate(const store::Position& aAfter,
-                                const std::vector<store::Change>& aChanges) {
-  const auto hosts = m_peerTable.LiveHostsInZone(m_settings.m_zone, base::BootNow());
-  for (const gossip::Update& update : gossip::SplitUpdate(m_self, aAfter, aChanges)) {
+                                const std::vector<store::Change>& aChanges,
+                                base::TimePoint aConfirmedAt) {
+  const auto now = base::BootNow();
+  const auto hosts = m_peerTable.LiveHostsInZone(m_settings.m_zone, now);
+  for (gossip::Update& update : gossip::SplitUpdate(m_self, aAfter, aChanges)) {
+    update.m_confirmedAge = std::chrono::ceil<base::Millis>(now - aConfirmedAt);
     const std::string bytes = adapters::peer::EncodeUpdate(update);
     for (const std::string& host : hosts) {
       m_socket.Send({ host, m_settings.m_gossipPort }, bytes);
@@ -264,8 +267,10 @@
     FetchNewEra(aUpdate.m_from.m_host);
     return;
   }
+  const auto now = base::BootNow();
+  const base::TimePoint confirmedAt = gossip::ConfirmationTime(aUpdate, now);
   if (gossip::Confirms(aUpdate, m_replica.LastPosition())) {
-    m_lastUpdateTime = base::BootNow();
+    RecordConfirmation(now, confirmedAt);
   }
   switch (gossip::ClassifyUpdate(aUpdate, m_replica.LastPosition())) {
     case gossip::UpdateAction::Ignore:
@@ -274,11 +279,16 @@
       m_replica.CatchUp(aUpdate.m_changes, false, aUpdate.m_position);
       break;
     case gossip::UpdateAction::Fetch:
-      Fetch(aUpdate.m_from.m_host, aUpdate.m_position);
+      Fetch(aUpdate.m_from.m_host, Announcement{ aUpdate.m_position, confirmedAt });
       break;
   }
 }
 
+void GossipExchange::RecordConfirmation(base::TimePoint aArrival, base::TimePoint aConfirmedAt) {
+  m_lastUpdateTime = std::max(m_lastUpdateTime.value_or(aArrival), aArrival);
+  m_confirmedAt = std::max(m_confirmedAt, aConfirmedAt);
+}
+
 SimpleResponse GossipExchange::HandleReplicaRequest(const RequestHead& aHead) const {
   const auto number = [&](const char* aName) {
     return std::strtoull(
@@ -373,7 +383,7 @@
 }
 
 void GossipExchange::Fetch(const std::string& aHost,
-                           const std::optional<store::Position>& aAnnounced) {
+                           const std::optional<Announcement>& aAnnounced) {
   if (m_fetching) {
     return;
   }
@@ -396,8 +406,8 @@
       if (aResult.m_status == 200) {
         ApplyReplica(aResult.m_body, before);
       }
-      if (aAnnounced && m_replica.LastPosition() >= *aAnnounced) {
-        m_lastUpdateTime = std::max(m_lastUpdateTime.value_or(start), start);
+      if (aAnnounced && m_replica.LastPosition() >= aAnnounced->m_position) {
+        RecordConfirmation(start, aAnnounced->m_confirmedAt);
       }
       if (m_replica.LastPosition() == beforeResult && m_configuration.m_version == versionBefore) {
         m_unresponsive[host] = base::BootNow();
--- a/packages/serving/GossipExchange.h
+++ b/packages/serving/GossipExchange.h
@@ -70,7 +70,10 @@
   /// Returns the number of rounds after which each node has been sent a heartbeat.
   size_t RoundsPerFleet() const;
   /// Sends changes to the other nodes of this zone at once: all changes after `aAfter`, in order.
-  void SendUpdate(const store::Position& aAfter, const std::vector<store::Change>& aChanges);
+  /// `aConfirmedAt`: when the store last confirmed this node's replica.
+  void SendUpdate(const store::Position& aAfter,
+                  const std::vector<store::Change>& aChanges,
+                  base::TimePoint aConfirmedAt);
   /// Informs other nodes of the endpoints that leave: all nodes of a small fleet, some of a large
   /// one, which pass it on. Several calls in a short time cause one datagram to each of them. Each
   /// round of heartbeats repeats it.
@@ -78,6 +81,8 @@
   /// Returns when the last update arrived that left no change missing here, from a node that
   /// watches the store; nullopt before the first one.
   std::optional<base::TimePoint> LastUpdateTime() const { return m_lastUpdateTime; }
+  /// Returns when the store confirmed what the updates have told; the epoch before the first one.
+  base::TimePoint ConfirmedAt() const { return m_confirmedAt; }
   /// Fetches the replica of a peer whose store position is later or whose configuration in force is
   /// newer. `aOwnStoreReachable`: this node watches the store directly, so a short lag is normal.
   void FetchIfBehind(bool aOwnStoreReachable);
@@ -94,8 +99,15 @@
   void ReceiveQuarantineReport(const std::string& aBytes);
   void HandleUpdate(const gossip::Update& aUpdate);
   void HandleOriginQuery(const gossip::OriginQuery& aQuery);
-  /// Fetches the replica of `aHost`. `aAnnounced`: position that an update has just stated.
-  void Fetch(const std::string& aHost, const std::optional<store::Position>& aAnnounced = {});
+  /// Position that an update has just stated, and when the store confirmed it.
+  struct Announcement {
+    store::Position m_position;
+    base::TimePoint m_confirmedAt;
+  };
+  /// Fetches the replica of `aHost`.
+  void Fetch(const std::string& aHost, const std::optional<Announcement>& aAnnounced = {});
+  /// Records that an update, which arrived at `aArrival`, has left no change missing here.
+  void RecordConfirmation(base::TimePoint aArrival, base::TimePoint aConfirmedAt);
   /// Fetches a complete replica of a later era after a random delay: from a random node that is
   /// known to have one, or else from `aHost`.
   void FetchNewEra(const std::string& aHost);
@@ -137,6 +149,7 @@
   /// Set while the fetch of a later era is about to start.
   adapters::http::EventHandlePtr m_newEraTimer;
   std::optional<base::TimePoint> m_lastUpdateTime;
+  base::TimePoint m_confirmedAt{};
   /// Hosts whose replica recently was not returned or brought nothing new, with the time of that.
   std::map<std::string, base::TimePoint> m_unresponsive;
   std::optional<base::TimePoint> m_behindSince;
--- a/packages/serving/ServingNode.h
+++ b/packages/serving/ServingNode.h
@@ -91,7 +91,7 @@
         },
         [this](const store::Position& aAfter, const std::vector<store::Change>& aChanges) {
           if (IsLargeFleet()) {
-            m_gossip.SendUpdate(aAfter, aChanges);
+            m_gossip.SendUpdate(aAfter, aChanges, m_storeWatcher.ConfirmedAt());
           }
         })
     , m_replicaBarrier(aLoop, aStore, m_replica, VersionRecordKey())
@@ -252,8 +252,9 @@
   /// Interval of heartbeats and other periodic work.
   static constexpr base::Millis kTickInterval{ 250 };
   /// Age from which on a view of the registrations may lack versions that served meanwhile. Longer
-  /// than a watch of the store.
-  static constexpr base::Millis kMaxViewAge{ 3000 };
+  /// than a watch of the store and the interval of updates after it, so that a node that misses
+  /// nothing does not reach it, and shorter than kVersionRetention, which covers younger views.
+  static constexpr base::Millis kMaxViewAge{ 4000 };
   /// Time after a restore of the store in which registrations may be missing.
   static constexpr base::Millis kMaxRegistrationGap{ 5000 };
   /// Time beyond the tick interval for which a node that does not run counts as paused.
@@ -856,8 +857,7 @@
     }
     view.m_lastTick = aNow;
     view.m_position = m_replica.LastPosition();
-    view.m_confirmedAt =
-      std::max(m_storeWatcher.ConfirmedAt(), m_gossip.LastUpdateTime().value_or(base::TimePoint{}));
+    view.m_confirmedAt = std::max(m_storeWatcher.ConfirmedAt(), m_gossip.ConfirmedAt());
   }
 
   void Tick() {
@@ -925,7 +925,7 @@
     if (IsLargeFleet() && m_storeWatcher.IsWatchEnabled() && m_storeWatcher.IsStoreReachable() &&
         aNow >= m_nextEmptyUpdate) {
       m_nextEmptyUpdate = aNow + kUpdateInterval;
-      m_gossip.SendUpdate(m_replica.LastPosition(), {});
+      m_gossip.SendUpdate(m_replica.LastPosition(), {}, m_storeWatcher.ConfirmedAt());
     }
   }
 
