Tests: what nodes of an earlier release send is not taken for more than it says

The tests have such messages: a reply without unknown streams ends no search, which waits for its limit or for a later origin, and a heartbeat without the field offers no relay.

--- a/packages/adapters/peer/tests/GossipCodecTest.cpp
+++ b/packages/adapters/peer/tests/GossipCodecTest.cpp
@@ -46,6 +46,14 @@
              { { base::EndpointId("with a space"), -1 }, base::Millis(0) } } };
 }
 
+/// Returns the bytes of a datagram, as a node sends them.
+std::string PackDatagram(capnp::MessageBuilder& aMessage) {
+  kj::VectorOutputStream bytes;
+  capnp::writePackedMessage(bytes, aMessage);
+  const auto array = bytes.getArray();
+  return { reinterpret_cast<const char*>(array.begin()), array.size() };
+}
+
 void DecodeMutatedBytes(const std::string& aValidBytes) {
   for (uint64_t seed = 1; seed <= 2000; ++seed) {
     std::mt19937_64 random(seed);
@@ -116,10 +124,7 @@
   auto update = message.initRoot<wire::NewsDatagram>().initUpdate();
   update.initFrom().setHost("10.1.0.14");
   update.setRevision(7);
-  kj::VectorOutputStream bytes;
-  capnp::writePackedMessage(bytes, message);
-  const auto array = bytes.getArray();
-  const auto news = DecodeGossip({ reinterpret_cast<const char*>(array.begin()), array.size() });
+  const auto news = DecodeGossip(PackDatagram(message));
   BOOST_REQUIRE(news.has_value());
   BOOST_TEST(std::get<gossip::Update>(*news).m_position.m_revision == 7U);
   BOOST_TEST(!std::get<gossip::Update>(*news).m_confirmedAge.has_value());
@@ -160,6 +165,29 @@
   BOOST_TEST(std::get<gossip::OriginQuery>(*query).m_streams.at(1) == 8U);
 }
 
+// Earlier releases reply without their host and without the streams that they do not know, which
+// must not read as the reply of a node that knows none.
+BOOST_AUTO_TEST_CASE(OriginsOfAnEarlierReleaseNameNoUnknownStream) {
+  capnp::MallocMessageBuilder message;
+  auto origins = message.initRoot<wire::NewsDatagram>().initOrigins().initOrigins(1);
+  origins[0].setStream(7);
+  origins[0].setVersion("v1");
+  const auto notice = DecodeGossip(PackDatagram(message));
+  BOOST_REQUIRE(notice.has_value());
+  BOOST_TEST(std::get<gossip::OriginNotice>(*notice).m_origins.at(0).m_version == "v1");
+  BOOST_TEST(std::get<gossip::OriginNotice>(*notice).m_host.empty());
+  BOOST_TEST(std::get<gossip::OriginNotice>(*notice).m_unknown.empty());
+}
+
+// Earlier releases have no relay, and their address for it refuses connections.
+BOOST_AUTO_TEST_CASE(HeartbeatOfAnEarlierReleaseOffersNoRelay) {
+  capnp::MallocMessageBuilder message;
+  message.initRoot<wire::NewsDatagram>().initBeat().initFrom().setHost("10.1.0.14");
+  const auto heartbeat = DecodeGossip(PackDatagram(message));
+  BOOST_REQUIRE(heartbeat.has_value());
+  BOOST_TEST(!std::get<gossip::Heartbeat>(*heartbeat).m_relays);
+}
+
 BOOST_AUTO_TEST_CASE(MutatedBytesAreHandledSafely) {
   DecodeMutatedBytes(EncodeOriginNotice({ { { 7, "v1" }, { 9, "v2" } }, "10.1.0.15", { 8 } }));
   DecodeMutatedBytes(EncodeOriginQuery({ "10.1.0.14", { 7, 8 } }));
--- a/packages/forwarding/tests/StreamOriginsTest.cpp
+++ b/packages/forwarding/tests/StreamOriginsTest.cpp
@@ -104,6 +104,16 @@
   BOOST_TEST(FindAtSecond("call-1", Millis(0)) == "none");
 }
 
+// Nodes of an earlier release do not say that they do not know a stream. One of them may be about
+// to learn of it.
+BOOST_AUTO_TEST_CASE(SearchWaitsForAPeerThatDoesNotSayWhatItDoesNotKnow) {
+  m_peers = 2;
+  BOOST_TEST(FindAtSecond("call-1", Millis(200)) == "none");
+  BOOST_TEST(m_queries > 1);
+  const auto timer = m_loop.After(Millis(50), [this] { m_first.Record("call-2", "v1"); });
+  BOOST_TEST(FindAtSecond("call-2", Millis(1000)) == "v1");
+}
+
 BOOST_AUTO_TEST_CASE(SearchEndsWhenNoPeerKnowsTheStream) {
   const auto start = base::BootNow();
   BOOST_TEST(FindAtSecond("call-1", Millis(20000)) == "none");
